Plan for the sessions that turn over while a rung holds

Cause: rungs priced as if the whole fleet changed over at once left links at 60-70% after a crowd was placed low.

--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -16,7 +16,9 @@
 /// Part of a link that is left for the spread of true rates.
 const MARGIN: f64 = 0.1;
 /// Part of the fleet that a fair rung plans to use.
-const PLANNED: f64 = 0.85;
+const PLANNED: f64 = 0.9;
+/// Part of the sessions that change over while a rung set now is in force: the others keep what they have.
+const TURNOVER: f64 = 0.7;
 /// Spread of the price between sessions, so that a class does not change its rung all at once.
 const PRICE_SPREAD: f64 = 0.25;
 /// A report tells half of what it told after this time.
@@ -493,7 +495,8 @@
         let times = if now_own > 0.0 { gateways.max(now_all / now_own) } else { gateways };
         let planned = capacity * PLANNED;
         let demand = |price: f64| -> f64 {
-            held.iter().map(|s| self.rate(s, self.fair_rung(s, price))).sum::<f64>() * times
+            let fair = held.iter().map(|s| self.rate(s, self.fair_rung(s, price))).sum::<f64>() * times;
+            (1.0 - TURNOVER) * now_all + TURNOVER * fair
         };
         if demand(0.0) <= planned {
             return 0.0;
