--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -23,8 +23,6 @@
 const PRICE_SPREAD: f64 = 0.25;
 /// A report tells half of what it told after this time.
 const REPORT_HALF_LIFE: f64 = 12e6;
-/// Half of what a link was seen to lack is forgotten after this time.
-const DERATE_HALF_LIFE: f64 = 8e6;
 /// Under this share of their rates, sessions count as short.
 const SHORT: f64 = 0.97;
 /// A share that fell short is taken to last this long without further word.
@@ -56,16 +54,8 @@
     own: f64,
 }
 
-/// How much less than the list says a link or uplink was seen to give. It is forgotten with time.
-#[derive(Clone, Copy)]
-struct Derate {
-    at: Micros,
-    gives: f64,
-}
-
 struct Server {
     entry: Entry,
-    derate: Option<Derate>,
     heard: Option<Heard>,
     probed_at: Micros,
     /// Delivered share, and when it was heard.
@@ -82,7 +72,6 @@
 
 #[derive(Default)]
 struct Rack {
-    derate: Option<Derate>,
     heard: Option<Heard>,
 }
 
@@ -222,7 +211,6 @@
                 }
                 None => {
                     let server = Server {
-                        derate: None,
                         heard: None,
                         probed_at: Micros::MIN / 2,
                         share: None,
@@ -357,12 +345,7 @@
             (_, Some(all)) if all > 0.0 => all / self.servers.len().max(1) as f64,
             _ => f64::MAX / 1e6,
         };
-        link * self.warmth(server) * self.gives(server.derate)
-    }
-
-    fn gives(&self, derate: Option<Derate>) -> f64 {
-        let Some(derate) = derate else { return 1.0 };
-        1.0 - (1.0 - derate.gives) * (-((self.now - derate.at) as f64) / DERATE_HALF_LIFE).exp2()
+        link * self.warmth(server)
     }
 
     fn freshness(&self, heard: &Heard) -> f64 {
@@ -411,7 +394,6 @@
             if let Some(kb) = self.set.rack_kb.filter(|&kb| kb > 0.0) {
                 load.link = kb;
             }
-            load.link *= self.gives(self.racks.get(rack).and_then(|r| r.derate));
             if let Some(heard) = self.racks.get(rack).and_then(|r| r.heard.as_ref()) {
                 let told = (heard.asked * load.link - heard.own).max(0.0) + rack_own[rack];
                 let weight = self.freshness(heard);
@@ -792,7 +774,6 @@
             return;
         }
         server.cut_at = now;
-        self.derate(id, share);
         let here = |s: &Session| s.playing && !s.closed && s.server.as_ref() == Some(id);
         let own: f64 = self.sessions.values().filter(|s| here(s)).map(|s| self.rate(s, s.rung)).sum();
         let mut missing = own * (1.0 - share.max(0.0) * CUT_TO);
@@ -814,26 +795,6 @@
         self.out.extend(cut.into_iter().map(|(id, rung)| Action::Rate { id, rung }));
     }
 
-    /// Corrects the link, or the uplink where most servers of the rack are short, by what was delivered.
-    fn derate(&mut self, id: &ServerId, share: f64) {
-        let survey = self.survey();
-        let (now, rack) = (self.now, self.rack_of(&self.servers[id]));
-        let own = self.own();
-        let in_rack = || self.servers.iter().filter(|(id, s)| self.rack_of(s) == rack && own.contains_key(id));
-        let is_short = |s: &Server| s.share.is_some_and(|(share, at)| share < SHORT && now - at < SHORT_LASTS);
-        let short = in_rack().filter(|(_, s)| is_short(s)).count();
-        let whole_rack = short >= 2 && 2 * short >= in_rack().count();
-        let (load, slot) = if whole_rack {
-            (survey.racks[&rack], &mut self.racks.entry(rack).or_default().derate)
-        } else {
-            let Some(load) = survey.servers.get(id) else { return };
-            (*load, &mut self.servers.get_mut(id).expect("its share came in").derate)
-        };
-        let before = slot.map_or(1.0, |d| 1.0 - (1.0 - d.gives) * (-((now - d.at) as f64) / DERATE_HALF_LIFE).exp2());
-        let gives = (before * load.asked * share / load.link).clamp(0.1, 1.0);
-        *slot = Some(Derate { at: now, gives: gives.min(before) });
-    }
-
     fn unit(&mut self) -> f64 {
         (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
     }
