--- /dev/null
+++ b/crates/elderpick-core/tests/odd_input.rs
@@ -0,0 +1,99 @@
+//! Nonsense, late news and unknown ids lead to a safe answer, never a panic.
+
+mod common;
+
+use common::*;
+use elderpick_core::api::*;
+
+#[test]
+fn ids_that_are_not_held_are_passed_over() {
+    let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a")]);
+    let id = RequestId(77);
+    assert_eq!(gateway.playing(id, 0), vec![]);
+    assert_eq!(gateway.outcome(id, 3, Status::Failed), vec![]);
+    assert_eq!(gateway.handle(Event::Gone { id }), vec![]);
+    assert_eq!(gateway.handle(Event::Alarm { token: 4_711 }), vec![]);
+    assert_eq!(gateway.note(id, &server("nobody"), Note::Delivered(0.1)), vec![]);
+    let (server, report) = (server("nobody"), link_report(0.5));
+    assert_eq!(gateway.handle(Event::Probed { server, status: Status::Ok, report }), vec![]);
+}
+
+#[test]
+fn an_outcome_of_an_earlier_attempt_changes_nothing() {
+    let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a"), entry("b")]);
+    let (id, _) = gateway.request(viewing(0));
+    assert!(sent(&gateway.outcome(id, 0, Status::Full)).is_some());
+    assert_eq!(gateway.outcome(id, 0, Status::Full), vec![]);
+}
+
+#[test]
+fn nonsense_loads_do_not_stop_admission() {
+    for asked in [f64::NAN, f64::NEG_INFINITY, f64::INFINITY, -3.0] {
+        let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a")]);
+        let (id, _) = gateway.request(viewing(0));
+        gateway.playing(id, 0);
+        let (server, status) = (server("a"), Status::Ok);
+        gateway.note(id, &server, Note::Delivered(asked));
+        gateway.handle(Event::Probed { server, status, report: link_report(asked) });
+        gateway.now += 10 * SECOND;
+        let (_, actions) = gateway.request(viewing(0));
+        assert!(sent(&actions).is_some(), "{asked}: {actions:?}");
+    }
+}
+
+#[test]
+fn a_server_without_capacity_takes_nothing_on_a_site_that_tells_sizes() {
+    for weight in [0.0, -1.0, f64::NAN] {
+        let servers = vec![Entry { weight, ..entry("a") }, entry("b")];
+        let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), servers);
+        for _ in 0..2 {
+            assert_eq!(sent(&gateway.request(viewing(0)).1), Some(server("b")), "weight {weight}");
+        }
+    }
+}
+
+#[test]
+fn an_empty_list_or_a_title_without_a_holder_is_refused() {
+    let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![]);
+    assert!(refused(&gateway.request(viewing(0)).1));
+    let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a")]);
+    assert!(refused(&gateway.request(Viewing { copies: 0, ..viewing(0) }).1));
+}
+
+#[test]
+fn an_unknown_class_is_answered() {
+    let mut gateway = Gateway::new(settings(vec![]), vec![entry("a")]);
+    let (id, actions) = gateway.request(viewing(5));
+    assert_eq!(actions, vec![Action::Fail { id }]);
+}
+
+#[test]
+fn bare_settings_are_enough() {
+    let bare = Settings {
+        rung_kb: vec![],
+        rung_worth: vec![],
+        cells: None,
+        racks: None,
+        kb_per_weight: None,
+        places: vec![],
+        max_retry_after: None,
+        reporting: Reporting::Never,
+        ..settings(vec![class(Effect::Free)])
+    };
+    let mut gateway = Gateway::new(bare, vec![entry("a")]);
+    let (id, actions) = gateway.request(viewing(0));
+    assert_eq!(sent(&actions), Some(server("a")));
+    assert_eq!(rung(&actions), Some(0));
+    gateway.playing(id, 0);
+    assert_eq!(gateway.note(id, &server("a"), Note::Delivered(0.5)), vec![]);
+}
+
+#[test]
+fn a_rung_beyond_the_ladder_is_survived() {
+    let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a")]);
+    let (id, _) = gateway.request(viewing(0));
+    gateway.playing(id, 0);
+    gateway.note(id, &server("a"), Note::Rung(99));
+    gateway.note(id, &server("a"), Note::Delivered(0.5));
+    assert!(gateway.end(id, 0).is_empty());
+}
--- /dev/null
+++ b/crates/elderpick-core/tests/ordinary_path.rs
@@ -0,0 +1,124 @@
+//! The ordinary path: the draw, the pick, the rung and the early refusal.
+
+mod common;
+
+use common::*;
+use elderpick_core::api::*;
+
+#[test]
+fn takes_the_least_loaded_holder_by_its_report() {
+    let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a"), entry("b"), entry("c")]);
+    for (name, asked) in [("a", 0.6), ("b", 0.2), ("c", 0.5)] {
+        let (server, status) = (server(name), Status::Ok);
+        gateway.handle(Event::Probed { server, status, report: link_report(asked) });
+    }
+    let (_, actions) = gateway.request(viewing(0));
+    assert_eq!(sent(&actions), Some(server("b")));
+}
+
+#[test]
+fn counts_own_sessions_set_up_since_the_report() {
+    let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a"), entry("b")]);
+    for (name, asked) in [("a", 0.1), ("b", 0.2)] {
+        let (server, status) = (server(name), Status::Ok);
+        gateway.handle(Event::Probed { server, status, report: link_report(asked) });
+    }
+    assert_eq!(sent(&gateway.request(viewing(0)).1), Some(server("a")));
+    assert_eq!(sent(&gateway.request(viewing(0)).1), Some(server("b")));
+}
+
+#[test]
+fn sends_only_to_holders_of_the_title() {
+    let holder = Entry { cell: 3, ..entry("holder") };
+    let other = Entry { cell: 5, ..entry("other") };
+    let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![holder, other]);
+    for _ in 0..3 {
+        let (_, actions) = gateway.request(Viewing { home: 2, copies: 2, ..viewing(0) });
+        assert_eq!(sent(&actions), Some(server("holder")));
+    }
+    assert!(refused(&gateway.request(Viewing { home: 6, copies: 2, ..viewing(0) }).1));
+    // Cells wrap: of eight, seven to four holds three.
+    let (_, actions) = gateway.request(Viewing { home: 7, copies: 5, ..viewing(0) });
+    assert_eq!(sent(&actions), Some(server("holder")));
+}
+
+#[test]
+fn gives_the_top_rung_on_an_empty_link_and_less_where_room_is_short() {
+    let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a")]);
+    assert_eq!(rung(&gateway.request(viewing(0)).1), Some(2));
+    let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a")]);
+    let (server, status) = (server("a"), Status::Ok);
+    gateway.handle(Event::Probed { server, status, report: link_report(0.65) });
+    assert_eq!(rung(&gateway.request(viewing(0)).1), Some(1));
+}
+
+#[test]
+fn keeps_to_the_viewers_top_and_the_classes_top() {
+    let capped = Class { top: 1, ..class(Effect::Free) };
+    let mut gateway = Gateway::new(settings(vec![class(Effect::Free), capped]), vec![entry("a")]);
+    assert_eq!(rung(&gateway.request(Viewing { top: 0, ..viewing(0) }).1), Some(0));
+    assert_eq!(rung(&gateway.request(viewing(1)).1), Some(1));
+}
+
+#[test]
+fn refuses_at_once_with_advice_when_the_lowest_rung_does_not_fit() {
+    let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a")]);
+    let (server, status) = (server("a"), Status::Ok);
+    gateway.handle(Event::Probed { server, status, report: link_report(0.95) });
+    let (id, actions) = gateway.request(viewing(0));
+    assert_eq!(actions.last(), Some(&Action::Refuse { id, retry_after: Some(500 * MS) }));
+}
+
+#[test]
+fn a_full_uplink_binds_as_a_link_does() {
+    let set = Settings { rack_kb: Some(1_000.0), ..settings(vec![class(Effect::Free)]) };
+    let mut gateway = Gateway::new(set, vec![entry("a")]);
+    let report = Report { link: Some(0.1), uplink: Some(0.95), streams: None };
+    gateway.handle(Event::Probed { server: server("a"), status: Status::Ok, report });
+    assert!(refused(&gateway.request(viewing(0)).1));
+}
+
+#[test]
+fn a_crowd_is_given_lower_rungs_than_a_lone_viewer() {
+    let servers: Vec<_> = (0..4).map(|n| entry(&format!("s{n}"))).collect();
+    let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), servers);
+    let rungs: Vec<_> = (0..16).filter_map(|_| rung(&gateway.request(viewing(0)).1)).collect();
+    assert_eq!(rungs[0], 2);
+    assert!(rungs[8..].iter().all(|&rung| rung < 2), "greedy rungs left no room: {rungs:?}");
+}
+
+#[test]
+fn lowers_own_rungs_where_delivery_is_short_and_stops_admitting_there() {
+    let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a"), entry("b")]);
+    let (id, actions) = gateway.request(viewing(0));
+    let short = sent(&actions).expect("an empty fleet admits");
+    gateway.playing(id, 0);
+    gateway.now += 2 * SECOND;
+    let actions = gateway.note(id, &short, Note::Delivered(0.7));
+    assert_eq!(actions, vec![Action::Rate { id, rung: 1 }]);
+    // The share is smoothed and late: it does not cut again at once.
+    gateway.now += 500 * MS;
+    assert_eq!(gateway.note(id, &short, Note::Delivered(0.7)), vec![]);
+    for _ in 0..3 {
+        assert_ne!(sent(&gateway.request(viewing(0)).1), Some(short.clone()));
+    }
+}
+
+#[test]
+fn delivery_just_above_the_bound_changes_nothing() {
+    let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a")]);
+    let (id, _) = gateway.request(viewing(0));
+    gateway.playing(id, 0);
+    assert_eq!(gateway.note(id, &server("a"), Note::Delivered(0.98)), vec![]);
+}
+
+#[test]
+fn the_same_seed_and_events_give_the_same_actions() {
+    let run = |seed| {
+        let servers: Vec<_> = (0..9).map(|n| entry(&format!("s{n}"))).collect();
+        let mut gateway = Gateway::seeded(seed, settings(vec![class(Effect::Free)]), servers);
+        (0..30).map(|_| gateway.request(viewing(0)).1).collect::<Vec<_>>()
+    };
+    assert_eq!(run(5), run(5));
+    assert_ne!(run(5), run(6));
+}
