A refusal as full marks its server only

It told the average of unheard servers too, though it says nothing of them: one full answer could refuse a whole small fleet.

--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -52,6 +52,8 @@
     asked: f64,
     /// Rates of this gateway's own sessions there at the time.
     own: f64,
+    /// Taken from a refusal, not from a report: it tells nothing of other servers.
+    mark: bool,
 }
 
 struct Server {
@@ -341,7 +343,7 @@
     fn link(&self, server: &Server) -> f64 {
         let weight = if self.set.weights { server.entry.weight } else { 1.0 };
         let link = match (self.set.kb_per_weight, self.set.links_kb) {
-            (Some(kb), _) if kb > 0.0 && weight > 0.0 => kb * weight,
+            (Some(kb), _) if kb > 0.0 => kb * if weight > 0.0 { weight } else { 0.0 },
             (_, Some(all)) if all > 0.0 => all / self.servers.len().max(1) as f64,
             _ => f64::MAX / 1e6,
         };
@@ -359,7 +361,7 @@
         // What the other gateways ask of an average server, as a share of its link.
         let (mut others, mut heard_links) = (0.0, 0.0);
         for server in self.servers.values().filter(|s| s.entry.state != ServerState::Gone) {
-            if let Some(heard) = &server.heard {
+            if let Some(heard) = server.heard.as_ref().filter(|heard| !heard.mark) {
                 let (weight, link) = (self.freshness(heard), self.link(server));
                 others += weight * (heard.asked * link - heard.own).max(0.0);
                 heard_links += weight * link;
@@ -403,14 +405,14 @@
         survey
     }
 
-    fn hear(&mut self, server: &ServerId, link: Option<f64>, uplink: Option<f64>) {
+    fn hear(&mut self, server: &ServerId, link: Option<f64>, uplink: Option<f64>, mark: bool) {
         let own = self.own();
         let Some(entry) = self.servers.get(server) else { return };
         let rack = self.rack_of(entry);
         let own_here = own.get(server).copied().unwrap_or(0.0);
         let in_rack = |id: &ServerId| self.servers.get(id).is_some_and(|s| self.rack_of(s) == rack);
         let own_rack = own.iter().filter(|(id, _)| in_rack(id)).map(|(_, kb)| kb).sum();
-        let heard = |asked: f64, own| Heard { at: self.now, asked: asked.clamp(0.0, 10.0), own };
+        let heard = |asked: f64, own| Heard { at: self.now, asked: asked.clamp(0.0, 10.0), own, mark };
         let link = link.filter(|x| x.is_finite()).map(|x| heard(x, own_here));
         let uplink = uplink.filter(|x| x.is_finite()).map(|x| heard(x, own_rack));
         if let Some(link) = link {
@@ -422,7 +424,7 @@
     }
 
     fn reported(&mut self, server: &ServerId, report: Report) {
-        self.hear(server, report.link, report.uplink);
+        self.hear(server, report.link, report.uplink, false);
     }
 
     /// Probes the server heard of longest ago: one probe a session keeps the price in step with the traffic.
@@ -489,7 +491,7 @@
             capacity += links.min(uplink.link);
         }
         let held: Vec<&Session> = self.sessions.values().filter(|s| !s.closed).collect();
-        let now_own: f64 = held.iter().map(|s| self.rate(s, s.rung)).sum();
+        let now_own: f64 = self.own().values().sum();
         let now_all: f64 = survey.servers.values().map(|load| load.asked).sum();
         let gateways = self.set.gateways.max(1) as f64;
         let times = if now_own > 0.0 { gateways.max(now_all / now_own) } else { gateways };
@@ -674,7 +676,7 @@
         let Some(server) = self.servers.get_mut(id) else { return };
         match status {
             Status::Ok => self.answered(id),
-            Status::Full => self.hear(id, Some(1.0), None),
+            Status::Full => self.hear(id, Some(1.0), None, true),
             Status::ConnectError | Status::Reset => {
                 server.lost = Some(now);
                 server.avoid_until = now + UNREACHED;
@@ -754,8 +756,8 @@
                     session.rung = rung;
                 }
             }
-            Note::LinkAsked(asked) => self.hear(&server, Some(asked), None),
-            Note::UplinkAsked(asked) => self.hear(&server, None, Some(asked)),
+            Note::LinkAsked(asked) => self.hear(&server, Some(asked), None, false),
+            Note::UplinkAsked(asked) => self.hear(&server, None, Some(asked), false),
             Note::Delivered(share) => self.delivered(&server, share),
         }
     }
