Give sessions handed over at the start their one decision on the rung

Cause: half of the worth lost to low rungs was on sessions handed over at the start, whose rungs nobody decides again. Change: each is set once, upwards, when its server's load is freshly heard, within this gateway's part of the room.

--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -18,7 +18,7 @@
 /// Part of the fleet that a fair rung plans to use.
 const PLANNED: f64 = 0.9;
 /// Part of the sessions that change over while a rung set now is in force: the others keep what they have.
-const TURNOVER: f64 = 0.7;
+const TURNOVER: f64 = 1.0;
 /// Spread of the price between sessions, so that a class does not change its rung all at once.
 const PRICE_SPREAD: f64 = 0.25;
 /// A report tells half of what it told after this time.
@@ -91,6 +91,8 @@
     playing: bool,
     /// Answered or given up by the viewer while an attempt is out.
     closed: bool,
+    /// Handed over at the start, and its rung not yet this gateway's decision.
+    unsettled: bool,
     rung: usize,
     spread: f64,
 }
@@ -175,6 +177,7 @@
             Event::Probed { server, status, report } => {
                 if status == Status::Ok {
                     self.reported(&server, report);
+                    self.settle(&server);
                 }
             }
             Event::Gone { id } => self.gone(id),
@@ -264,6 +267,7 @@
             sent_at: self.now,
             playing: false,
             closed: false,
+            unsettled: false,
             rung: 0,
             spread,
         };
@@ -291,6 +295,7 @@
             sent_at: self.now,
             playing: true,
             closed: false,
+            unsettled: true,
             rung,
             spread,
         };
@@ -689,14 +694,12 @@
         }
     }
 
+    fn is_short(&self, server: &Server) -> bool {
+        server.share.is_some_and(|(share, at)| share < SHORT && self.now - at < SHORT_LASTS)
+    }
+
     fn healthy(&self, session: &Session, id: &ServerId, server: &Server, shared: bool) -> bool {
-        if let Some((share, at)) = server.share
-            && share < SHORT
-            && self.now - at < SHORT_LASTS
-        {
-            return false;
-        }
-        if !self.cold_pace_allows(id, server) {
+        if self.is_short(server) || !self.cold_pace_allows(id, server) {
             return false;
         }
         if server.strikes == 0 && server.lost.is_none() || shared && server.lost.is_none() {
@@ -747,6 +750,42 @@
             && self.now - server.last_cold_send >= slot / 2
     }
 
+    /// Exception: a session handed over at the start never had this gateway's one decision on its rung. It gets
+    /// it once, upwards only, when its server's load is freshly heard, within this gateway's part of the room.
+    /// Guards against a fleet that is left at low rungs for the life of what played before. Harm: each raise
+    /// costs a change of rung, which a session near its end does not earn back.
+    fn settle(&mut self, id: &ServerId) {
+        let waiting = |s: &Session| s.unsettled && s.playing && !s.closed && s.server.as_ref() == Some(id);
+        if !self.sessions.values().any(waiting) || self.servers.get(id).is_none_or(|s| self.is_short(s)) {
+            return;
+        }
+        let survey = self.survey();
+        let own = self.own();
+        let rack = self.rack_of(&self.servers[id]);
+        let in_rack = |id: &ServerId| self.servers.get(id).is_some_and(|s| self.rack_of(s) == rack);
+        let own_rack: f64 = own.iter().filter(|(id, _)| in_rack(id)).map(|(_, kb)| kb).sum();
+        let part = |load: Load, own: f64| load.room() * (own / load.asked.max(1.0)).min(1.0);
+        let Some(here) = survey.servers.get(id) else { return };
+        let mut room =
+            part(*here, own.get(id).copied().unwrap_or(0.0)).min(part(survey.racks[&rack], own_rack));
+        let price = self.price(&survey);
+        let mut raises = Vec::new();
+        for (id, session) in self.sessions.iter().filter(|(_, s)| waiting(s)) {
+            let fair = self.fair_rung(session, price);
+            let held = self.rate(session, session.rung);
+            let fits = |rung: &usize| self.rate(session, *rung) - held <= room;
+            if let Some(rung) = (session.rung + 1..=fair).rev().find(fits) {
+                room -= self.rate(session, rung) - held;
+                raises.push((*id, rung));
+            }
+        }
+        for (id, rung) in raises {
+            let session = self.sessions.get_mut(&id).expect("found above");
+            (session.rung, session.unsettled) = (rung, false);
+            self.out.push(Action::Rate { id, rung });
+        }
+    }
+
     // ---- While it plays: news on delivery ----
 
     fn noted(&mut self, id: RequestId, server: ServerId, note: Note) {
@@ -756,7 +795,10 @@
                     session.rung = rung;
                 }
             }
-            Note::LinkAsked(asked) => self.hear(&server, Some(asked), None, false),
+            Note::LinkAsked(asked) => {
+                self.hear(&server, Some(asked), None, false);
+                self.settle(&server);
+            }
             Note::UplinkAsked(asked) => self.hear(&server, None, Some(asked), false),
             Note::Delivered(share) => self.delivered(&server, share),
         }
--- a/crates/elderpick-simhost/src/wire.rs
+++ b/crates/elderpick-simhost/src/wire.rs
@@ -10,6 +10,7 @@
 
 #[derive(Deserialize)]
 #[serde(tag = "t", rename_all = "snake_case")]
+#[allow(clippy::large_enum_variant)] // Attach is rare: boxing it would cost more reading than it saves.
 pub enum News {
     Attach {
         i: u64,
