--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -1,8 +1,9 @@
 //! All decisions of elderpick, in the order in which a session meets them. The interface is `api.rs`.
 //!
-//! The ordinary path: draw a few holders of the title at random, take the least loaded by what servers report
-//! and what this gateway has set up since, admit at the highest rung that fits the room, set it once, or refuse
-//! at once. All else here is an exception to that or a guard that the rules need; `docs/design.md` lists them.
+//! The ordinary path: draw a few holders of the title at random, take the least loaded by what servers
+//! report and what this gateway has set up since, admit at the highest rung that fits the room, set it
+//! once, or refuse at once. All else here is an exception to that or a guard that the rules need;
+//! `docs/design.md` lists them.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -432,7 +433,8 @@
         self.hear(server, report.link, report.uplink, false);
     }
 
-    /// Probes the server heard of longest ago: one probe a session keeps the price in step with the traffic.
+    /// Probes the server heard of longest ago: one probe a session keeps the price in step with the
+    /// traffic.
     fn probe_stalest(&mut self) {
         if !self.set.may_probe || self.set.reporting != Reporting::WhenProbed {
             return;
@@ -485,8 +487,9 @@
         (class.floor..=top).max_by(|&a, &b| gain(a).total_cmp(&gain(b))).unwrap_or(class.floor)
     }
 
-    /// Exception: greedy rungs leave no room for the sessions that come during this one's life. The price of a
-    /// kB a second is such that all sessions of all gateways, each at its fair rung, fill the planned part.
+    /// Exception: greedy rungs leave no room for the sessions that come during this one's life. The price
+    /// of a kB a second is such that all sessions of all gateways, each at its fair rung, fill the planned
+    /// part.
     fn price(&self, survey: &Survey) -> f64 {
         let mut capacity = 0.0;
         for (rack, uplink) in &survey.racks {
@@ -713,7 +716,8 @@
 
     // ---- Cold pace ----
 
-    /// The latest time at which the server may have started, as far as this gateway has been told or has seen.
+    /// The latest time at which the server may have started, as far as this gateway has been told or has
+    /// seen.
     fn last_start(&self, server: &Server) -> Option<Micros> {
         if server.lost.is_some() {
             return Some(self.now);
@@ -730,9 +734,9 @@
         (cold.least_warmth + (1.0 - cold.least_warmth) * age).clamp(0.01, 1.0)
     }
 
-    /// Whether a cold server may be given a set-up now. Time is cut into slots, each one gateway's turn, so that
-    /// all gateways together stay under the pace though none knows what the others send. Only the first half
-    /// of a slot is used, which keeps set-ups of neighbouring slots apart.
+    /// Whether a cold server may be given a set-up now. Time is cut into slots, each one gateway's turn,
+    /// so that all gateways together stay under the pace though none knows what the others send. Only the
+    /// first half of a slot is used, which keeps set-ups of neighbouring slots apart.
     fn cold_pace_allows(&self, id: &ServerId, server: &Server) -> bool {
         let Some((cold, start)) = self.set.cold.zip(self.last_start(server)) else { return true };
         if self.now - start >= cold.warm_up {
@@ -750,10 +754,10 @@
             && self.now - server.last_cold_send >= slot / 2
     }
 
-    /// Exception: a session handed over at the start never had this gateway's one decision on its rung. It gets
-    /// it once, upwards only, when its server's load is freshly heard, within this gateway's part of the room.
-    /// Guards against a fleet that is left at low rungs for the life of what played before. Harm: each raise
-    /// costs a change of rung, which a session near its end does not earn back.
+    /// Exception: a session handed over at the start never had this gateway's one decision on its rung. It
+    /// gets it once, upwards only, when its server's load is freshly heard, within this gateway's part of
+    /// the room. Guards against a fleet that is left at low rungs for the life of what played before.
+    /// Harm: each raise costs a change of rung, which a session near its end does not earn back.
     fn settle(&mut self, id: &ServerId) {
         let waiting = |s: &Session| s.unsettled && s.playing && !s.closed && s.server.as_ref() == Some(id);
         if !self.sessions.values().any(waiting) || self.servers.get(id).is_none_or(|s| self.is_short(s)) {
@@ -804,9 +808,10 @@
         }
     }
 
-    /// Exception: where delivery is short all sessions there lose far more than a rung, so own rungs go down by
-    /// this gateway's part of what is missing. Guards against links and uplinks that give less than they
-    /// should, titles above their rung and crowds that came at once. Harm: a short dip costs a change of rung.
+    /// Exception: where delivery is short all sessions there lose far more than a rung, so own rungs go
+    /// down by this gateway's part of what is missing. Guards against links and uplinks that give less
+    /// than they should, titles above their rung and crowds that came at once. Harm: a short dip costs a
+    /// change of rung.
     fn delivered(&mut self, id: &ServerId, share: f64) {
         let (now, wait) = (self.now, self.set.see + CUT_SHOWS);
         let Some(server) = self.servers.get_mut(id) else { return };
