Probe all servers at the start, then one for two sessions

Cause: gateways begin knowing no load, and later a probe a session costs more than the staleness it cures. Helps after each gateway restart too; harm: a fleet far larger than the traffic pays for the first round.

--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -12,6 +12,8 @@
 
 use crate::api::*;
 
+/// Probes for each session taken, where loads are told to probes only.
+const PROBES_A_SESSION: f64 = 0.5;
 /// Holders drawn for a session.
 const DRAW: usize = 3;
 /// Part of a link that is left for the spread of true rates.
@@ -135,6 +137,7 @@
     /// Requests taken and further attempts made within the budget's window.
     taken: VecDeque<Micros>,
     extras: VecDeque<Micros>,
+    probes_due: f64,
     out: Vec<Action>,
 }
 
@@ -153,6 +156,7 @@
             next_token: SUBSCRIBE_TOKEN + 1,
             taken: VecDeque::new(),
             extras: VecDeque::new(),
+            probes_due: 0.0,
             out: Vec::new(),
         }
     }
@@ -232,6 +236,11 @@
                 }
             }
         }
+        // A gateway that has just started knows no load: it asks all servers once.
+        if kind == ListKind::Restored {
+            self.probes_due += self.servers.len() as f64;
+            self.probe_stalest();
+        }
     }
 
     fn rack_of(&self, server: &Server) -> usize {
@@ -249,6 +258,7 @@
         } else {
             self.taken.clear();
         }
+        self.probes_due += PROBES_A_SESSION;
         self.probe_stalest();
         let Some(class) = self.set.classes.get(viewing.class) else {
             self.out.push(Action::Fail { id });
@@ -433,14 +443,17 @@
         self.hear(server, report.link, report.uplink, false);
     }
 
-    /// Probes the server heard of longest ago: one probe a session keeps the price in step with the
-    /// traffic.
+    /// Probes the servers asked longest ago: so many a session keep the price in step with the traffic.
     fn probe_stalest(&mut self) {
         if !self.set.may_probe || self.set.reporting != Reporting::WhenProbed {
             return;
         }
-        let up = self.servers.values_mut().filter(|s| s.entry.state == ServerState::Up && s.lost.is_none());
-        if let Some(server) = up.min_by_key(|s| s.probed_at) {
+        while self.probes_due >= 1.0 {
+            self.probes_due -= 1.0;
+            let up = |s: &&mut Server| s.entry.state == ServerState::Up && s.lost.is_none();
+            let Some(server) = self.servers.values_mut().filter(up).min_by_key(|s| s.probed_at) else {
+                return;
+            };
             server.probed_at = self.now;
             self.out.push(Action::Probe { server: server.entry.server.clone() });
         }
--- a/crates/elderpick-core/tests/ordinary_path.rs
+++ b/crates/elderpick-core/tests/ordinary_path.rs
@@ -123,3 +123,42 @@
     assert_eq!(run(5), run(5));
     assert_ne!(run(5), run(6));
 }
+
+#[test]
+fn a_gateway_that_starts_probes_each_server_once_and_then_half_as_often_as_it_takes_sessions() {
+    let set =
+        Settings { may_probe: true, reporting: Reporting::WhenProbed, ..settings(vec![class(Effect::Free)]) };
+    let servers: Vec<_> = (0..5).map(|n| entry(&format!("s{n}"))).collect();
+    let probes = |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::Probe { .. })).count();
+    let mut gateway = Gateway::restarted(1, set, vec![]);
+    assert_eq!(probes(&gateway.list(ListKind::Restored, servers)), 5);
+    let later: usize = (0..10).map(|_| probes(&gateway.request(viewing(0)).1)).sum();
+    assert_eq!(later, 5);
+}
+
+#[test]
+fn a_session_handed_over_gets_its_rung_once_when_the_load_is_heard() {
+    let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a"), entry("b")]);
+    let (id, here) = (RequestId(5), server("a"));
+    gateway.handle(Event::Open { id, viewing: viewing(0), server: here.clone() });
+    assert_eq!(gateway.note(id, &here, Note::Rung(0)), vec![]);
+    assert_eq!(gateway.note(id, &here, Note::LinkAsked(0.1)), vec![Action::Rate { id, rung: 2 }]);
+    gateway.note(id, &here, Note::Rung(0));
+    assert_eq!(gateway.note(id, &here, Note::LinkAsked(0.1)), vec![]);
+}
+
+#[test]
+fn a_session_handed_over_is_left_alone_where_the_link_is_full() {
+    let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a"), entry("b")]);
+    let (id, here) = (RequestId(5), server("a"));
+    gateway.handle(Event::Open { id, viewing: viewing(0), server: here.clone() });
+    assert_eq!(gateway.note(id, &here, Note::LinkAsked(0.95)), vec![]);
+}
+
+#[test]
+fn a_server_that_is_full_tells_nothing_of_the_others() {
+    let servers: Vec<_> = (0..4).map(|n| entry(&format!("s{n}"))).collect();
+    let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), servers);
+    let (id, _) = gateway.request(viewing(0));
+    assert!(sent(&gateway.outcome(id, 0, Status::Full)).is_some());
+}
