--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -329,8 +329,10 @@
         let survey = self.survey();
         let zone = self.set.zone;
         let weighed = drawn.into_iter().map(|server| {
-            let away = self.servers[&server].entry.zone != zone;
-            let share = survey.servers[&server].share() + if away { ZONE_BIAS } else { 0.0 };
+            let entry = &self.servers[&server];
+            let uplink = survey.racks[&self.rack_of(entry)].share();
+            let away = if entry.entry.zone != zone { ZONE_BIAS } else { 0.0 };
+            let share = survey.servers[&server].share().max(uplink) + away;
             (server, share)
         });
         let Some((server, _)) = weighed.min_by(|a, b| a.1.total_cmp(&b.1)) else { return self.give_up(id) };
--- a/crates/elderpick-core/tests/ordinary_path.rs
+++ b/crates/elderpick-core/tests/ordinary_path.rs
@@ -162,3 +162,17 @@
     let (id, _) = gateway.request(viewing(0));
     assert!(sent(&gateway.outcome(id, 0, Status::Full)).is_some());
 }
+
+/// Found on a flash crowd: draws went to idle servers behind a full uplink and were refused.
+#[test]
+fn the_pick_judges_the_uplink_as_it_judges_the_link() {
+    let behind_full = Entry { cell: 0, ..entry("idle") };
+    let behind_free = Entry { cell: 1, ..entry("busier") };
+    let set = Settings { rack_kb: Some(1_000.0), ..settings(vec![class(Effect::Free)]) };
+    let mut gateway = Gateway::new(set, vec![behind_full, behind_free]);
+    for (name, link, uplink) in [("idle", 0.1, 0.92), ("busier", 0.4, 0.4)] {
+        let report = Report { link: Some(link), uplink: Some(uplink), streams: None };
+        gateway.handle(Event::Probed { server: server(name), status: Status::Ok, report });
+    }
+    assert_eq!(sent(&gateway.request(viewing(0)).1), Some(server("busier")));
+}
