--- a/crates/elderpick-core/src/api.rs
+++ b/crates/elderpick-core/src/api.rs
@@ -245,11 +245,31 @@
 
 #[derive(Clone, PartialEq, Debug)]
 pub enum Action {
-    Rate { id: RequestId, rung: usize },
-    Send { id: RequestId, server: ServerId, timeout: Micros },
-    Refuse { id: RequestId, retry_after: Option<Micros> },
-    Fail { id: RequestId },
-    Probe { server: ServerId },
+    Rate {
+        id: RequestId,
+        rung: usize,
+    },
+    Send {
+        id: RequestId,
+        server: ServerId,
+        timeout: Micros,
+    },
+    Refuse {
+        id: RequestId,
+        retry_after: Option<Micros>,
+    },
+    Fail {
+        id: RequestId,
+    },
+    Probe {
+        server: ServerId,
+    },
+    /// Follow the list's changes from now on.
     Subscribe,
-    Alarm { token: u64, at: Micros },
+    /// Ask for the whole list once.
+    Fetch,
+    Alarm {
+        token: u64,
+        at: Micros,
+    },
 }
--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -43,9 +43,9 @@
 const LEAST_ATTEMPT: Micros = 60_000;
 /// Loads differ by as much before another zone is preferred.
 const ZONE_BIAS: f64 = 0.05;
-/// Token of the alarm that renews a subscription; requests have the others.
-const SUBSCRIBE_TOKEN: u64 = 0;
-const SUBSCRIBE_AGAIN: Micros = 1_000_000;
+/// Token of the alarm after which the list is asked for again; requests have the others.
+const LIST_TOKEN: u64 = 0;
+const LIST_AGAIN: Micros = 1_000_000;
 
 /// What was last heard of the load of a link or uplink.
 #[derive(Clone, Copy)]
@@ -153,7 +153,7 @@
             racks: BTreeMap::new(),
             sessions: BTreeMap::new(),
             alarms: BTreeMap::new(),
-            next_token: SUBSCRIBE_TOKEN + 1,
+            next_token: LIST_TOKEN + 1,
             taken: VecDeque::new(),
             extras: VecDeque::new(),
             probes_due: 0.0,
@@ -196,8 +196,8 @@
     fn list(&mut self, kind: ListKind, entries: Vec<Entry>) {
         match kind {
             ListKind::Failed => {
-                let at = self.now + SUBSCRIBE_AGAIN;
-                self.out.push(Action::Alarm { token: SUBSCRIBE_TOKEN, at });
+                let at = self.now + LIST_AGAIN;
+                self.out.push(Action::Alarm { token: LIST_TOKEN, at });
                 return;
             }
             ListKind::Full | ListKind::Restored => {
@@ -236,8 +236,12 @@
                 }
             }
         }
-        // A gateway that has just started knows no load: it asks all servers once.
+        // A gateway that has just started holds an old list and knows no load: it asks for the one, so that
+        // servers need not pass for cold until something changes, and asks all servers for the other once.
         if kind == ListKind::Restored {
+            if !self.set.subscribe {
+                self.out.push(Action::Fetch);
+            }
             self.probes_due += self.servers.len() as f64;
             self.probe_stalest();
         }
@@ -647,9 +651,11 @@
     }
 
     fn alarm(&mut self, token: u64) {
-        if token == SUBSCRIBE_TOKEN {
+        if token == LIST_TOKEN {
             if self.set.subscribe {
                 self.out.push(Action::Subscribe);
+            } else if self.blind {
+                self.out.push(Action::Fetch);
             }
             return;
         }
--- a/crates/elderpick-core/tests/any_order.rs
+++ b/crates/elderpick-core/tests/any_order.rs
@@ -131,7 +131,9 @@
                     held.answered = true;
                 }
                 Action::Alarm { token, at } => self.alarms.push((at, token)),
-                Action::Probe { .. } | Action::Subscribe => panic!("not allowed here: {action:?}"),
+                Action::Probe { .. } | Action::Subscribe | Action::Fetch => {
+                    panic!("not allowed here: {action:?}")
+                }
             }
         }
     }
--- a/crates/elderpick-core/tests/rules.rs
+++ b/crates/elderpick-core/tests/rules.rs
@@ -212,6 +212,19 @@
     assert!(burst(&mut told) > 1);
 }
 
+/// Found on a flash crowd after a restart: no change of the list came, and a warm fleet passed for cold.
+#[test]
+fn a_restarted_gateway_asks_for_the_list_until_it_has_one() {
+    let set = settings(vec![class(Effect::Free)]);
+    let mut gateway = Gateway::restarted(1, set.clone(), vec![]);
+    assert_eq!(gateway.list(ListKind::Restored, vec![entry("a")]), vec![Action::Fetch]);
+    let actions = gateway.list(ListKind::Failed, vec![]);
+    let Some(Action::Alarm { token, .. }) = actions.first().cloned() else { panic!("{actions:?}") };
+    assert_eq!(gateway.handle(Event::Alarm { token }), vec![Action::Fetch]);
+    gateway.list(ListKind::Full, vec![entry("a")]);
+    assert_eq!(gateway.handle(Event::Alarm { token }), vec![]);
+}
+
 #[test]
 fn a_server_seen_to_die_is_cold_when_it_answers_again() {
     let set = Settings { cold: Some(cold_rule()), ..settings(vec![class(Effect::Free)]) };
--- a/crates/elderpick-simhost/src/lib.rs
+++ b/crates/elderpick-simhost/src/lib.rs
@@ -106,6 +106,7 @@
         Action::Fail { id } => Order::FinishError { i, corr: corr(id) },
         Action::Probe { server } => Order::Ping { i, host: server.to_string() },
         Action::Subscribe => Order::Tail { i, active: true },
+        Action::Fetch => Order::Reload { i },
         Action::Alarm { token, at } => Order::SetAlarm { i, token, due_at_us: at },
     }
 }
--- a/crates/elderpick-simhost/src/wire.rs
+++ b/crates/elderpick-simhost/src/wire.rs
@@ -260,5 +260,6 @@
     FinishError { i: u64, corr: String },
     Ping { i: u64, host: String },
     Tail { i: u64, active: bool },
+    Reload { i: u64 },
     SetAlarm { i: u64, token: u64, due_at_us: i64 },
 }
