--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -68,6 +68,8 @@
     cut_at: Micros,
     strikes: u32,
     avoid_until: Micros,
+    /// Did not answer, and no probe has reached it since.
+    mute: bool,
     /// Seen to die, and not yet to answer again.
     lost: Option<Micros>,
     /// First answer after it was seen to die.
@@ -181,8 +183,11 @@
             Event::Noted { id, server, note } => self.noted(id, server, note),
             Event::Probed { server, status, report } => {
                 if status == Status::Ok {
+                    self.reached(&server);
                     self.reported(&server, report);
                     self.settle(&server);
+                } else {
+                    self.weigh_evidence(&server, status);
                 }
             }
             Event::Gone { id } => self.gone(id),
@@ -215,6 +220,7 @@
                         server.share = None;
                         server.strikes = 0;
                         server.avoid_until = 0;
+                        server.mute = false;
                         server.lost = None;
                     }
                     server.entry = entry;
@@ -227,6 +233,7 @@
                         cut_at: Micros::MIN / 2,
                         strikes: 0,
                         avoid_until: 0,
+                        mute: false,
                         lost: None,
                         back: None,
                         last_cold_send: Micros::MIN / 2,
@@ -262,6 +269,7 @@
         } else {
             self.taken.clear();
         }
+        self.probe_mute();
         self.probes_due += PROBES_A_SESSION;
         self.probe_stalest();
         let Some(class) = self.set.classes.get(viewing.class) else {
@@ -456,7 +464,7 @@
         }
         while self.probes_due >= 1.0 {
             self.probes_due -= 1.0;
-            let up = |s: &&mut Server| s.entry.state == ServerState::Up && s.lost.is_none();
+            let up = |s: &&mut Server| s.entry.state == ServerState::Up && !s.mute;
             let Some(server) = self.servers.values_mut().filter(up).min_by_key(|s| s.probed_at) else {
                 return;
             };
@@ -481,7 +489,7 @@
         };
         let holders: Vec<_> = self.servers.iter().filter(|(_, s)| holds(s)).collect();
         // Where most servers show the same trouble its cause is shared, and avoiding them helps nobody.
-        let shared = 2 * holders.iter().filter(|(_, s)| s.strikes > 0).count() > holders.len();
+        let shared = 2 * holders.iter().filter(|(_, s)| s.strikes > 0 && !s.mute).count() > holders.len();
         let usable = holders.into_iter().filter(|(id, s)| self.healthy(session, id, s, shared));
         usable.map(|(id, _)| id.clone()).collect()
     }
@@ -689,32 +697,55 @@
 
     // ---- Health ----
 
-    fn answered(&mut self, server: &ServerId) {
-        let now = self.now;
-        if let Some(server) = self.servers.get_mut(server) {
+    fn answered(&mut self, id: &ServerId) {
+        self.reached(id);
+        if let Some(server) = self.servers.get_mut(id) {
             server.strikes = 0;
             server.avoid_until = 0;
-            if server.lost.take().is_some() {
-                server.back = Some(now);
-            }
+        }
+    }
+
+    /// It runs and can be reached, which does not show that set-ups work.
+    fn reached(&mut self, id: &ServerId) {
+        let Some(server) = self.servers.get_mut(id) else { return };
+        server.mute = false;
+        if server.lost.take().is_some() {
+            server.back = Some(self.now);
         }
     }
 
     fn weigh_evidence(&mut self, id: &ServerId, status: Status) {
         let now = self.now;
         let Some(server) = self.servers.get_mut(id) else { return };
-        match status {
-            Status::Ok => self.answered(id),
-            Status::Full => self.hear(id, Some(1.0), None, true),
-            Status::ConnectError | Status::Reset => {
-                server.lost = Some(now);
-                server.avoid_until = now + UNREACHED;
-            }
-            Status::Failed | Status::TimedOut if server.avoid_until <= now => {
-                server.avoid_until = now + (BACK_OFF << server.strikes.min(BACK_OFF_DOUBLINGS));
-                server.strikes += 1;
+        let first = match status {
+            Status::Ok => return self.answered(id),
+            Status::Full => return self.hear(id, Some(1.0), None, true),
+            Status::Cancelled | Status::Ignored => return,
+            Status::Failed => BACK_OFF,
+            Status::TimedOut | Status::ConnectError | Status::Reset => UNREACHED,
+        };
+        server.mute |= status != Status::Failed;
+        if matches!(status, Status::ConnectError | Status::Reset) {
+            server.lost = Some(now);
+        }
+        // What ends at one time is one piece of evidence.
+        if server.avoid_until <= now {
+            server.avoid_until = now + (first << server.strikes.min(BACK_OFF_DOUBLINGS));
+            server.strikes += 1;
+        }
+    }
+
+    /// Probes servers that did not answer, each when its back-off ends. Guards against dead servers, cut
+    /// networks and hung processes: a probe finds out what otherwise costs a session its wanted time.
+    fn probe_mute(&mut self) {
+        if !self.set.may_probe {
+            return;
+        }
+        for server in self.servers.values_mut() {
+            if server.mute && server.entry.state == ServerState::Up && server.avoid_until <= self.now {
+                server.avoid_until = self.now + (UNREACHED << server.strikes.min(BACK_OFF_DOUBLINGS));
+                self.out.push(Action::Probe { server: server.entry.server.clone() });
             }
-            _ => {}
         }
     }
 
@@ -726,7 +757,10 @@
         if self.is_short(server) || !self.cold_pace_allows(id, server) {
             return false;
         }
-        if server.strikes == 0 && server.lost.is_none() || shared && server.lost.is_none() {
+        if server.mute && self.set.may_probe {
+            return false;
+        }
+        if server.lost.is_none() && (server.strikes == 0 || shared) {
             return true;
         }
         // After the back-off one session on trial, and none that may be set up only once.
