--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -26,6 +26,8 @@
 const PRICE_SPREAD: f64 = 0.25;
 /// A report tells half of what it told after this time.
 const REPORT_HALF_LIFE: f64 = 12e6;
+/// Reports are noisy: only what is asked beyond this, over what is given, counts by itself.
+const OVERASKED: f64 = 1.2;
 /// Under this share of their rates, sessions count as short.
 const SHORT: f64 = 0.97;
 /// A share that fell short is taken to last this long without further word.
@@ -856,9 +858,13 @@
             }
             Note::LinkAsked(asked) => {
                 self.hear(&server, Some(asked), None, false);
+                self.overasked(&server, false, asked);
                 self.settle(&server);
             }
-            Note::UplinkAsked(asked) => self.hear(&server, None, Some(asked), false),
+            Note::UplinkAsked(asked) => {
+                self.hear(&server, None, Some(asked), false);
+                self.overasked(&server, true, asked);
+            }
             Note::Delivered(share) => self.delivered(&server, share),
         }
     }
@@ -868,12 +874,29 @@
     /// than they should, titles above their rung and crowds that came at once. Harm: a short dip costs a
     /// change of rung.
     fn delivered(&mut self, id: &ServerId, share: f64) {
+        if let Some(server) = self.servers.get_mut(id)
+            && share.is_finite()
+        {
+            server.share = Some((share, self.now));
+            self.cut(id, share);
+        }
+    }
+
+    /// A link or uplink of which more is asked than it gives: reports tell so at once and in full, while the
+    /// delivered share is smoothed and falls for seconds.
+    fn overasked(&mut self, id: &ServerId, uplink: bool, asked: f64) {
+        let Some(server) = self.servers.get(id) else { return };
+        let rack = self.rack_of(server);
+        let shared = |(other, s): &(&ServerId, &Server)| *other == id || uplink && self.rack_of(s) == rack;
+        let there: Vec<_> = self.servers.iter().filter(shared).map(|(id, _)| id.clone()).collect();
+        if asked.is_finite() && asked > OVERASKED {
+            there.iter().for_each(|id| self.cut(id, 1.0 / asked));
+        }
+    }
+
+    fn cut(&mut self, id: &ServerId, share: f64) {
         let (now, wait) = (self.now, self.set.see + CUT_SHOWS);
         let Some(server) = self.servers.get_mut(id) else { return };
-        if !share.is_finite() {
-            return;
-        }
-        server.share = Some((share, now));
         if share >= SHORT || now - server.cut_at < wait {
             return;
         }
--- a/crates/elderpick-core/tests/ordinary_path.rs
+++ b/crates/elderpick-core/tests/ordinary_path.rs
@@ -176,3 +176,25 @@
     }
     assert_eq!(sent(&gateway.request(viewing(0)).1), Some(server("busier")));
 }
+
+/// Found on a day that began with an uplink asked for one and a half times: the smoothed share told it too late.
+#[test]
+fn an_overasked_uplink_is_cut_on_all_its_servers_at_once() {
+    let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a"), entry("b")]);
+    let ids: Vec<_> = (0..2)
+        .map(|_| {
+            let (id, _) = gateway.request(viewing(0));
+            gateway.playing(id, 0);
+            id
+        })
+        .collect();
+    gateway.now += 3 * SECOND;
+    assert_eq!(
+        gateway.note(ids[0], &server("a"), Note::UplinkAsked(1.1)),
+        vec![],
+        "within the noise of reports"
+    );
+    let cut = gateway.note(ids[0], &server("a"), Note::UplinkAsked(1.5));
+    assert_eq!(cut, vec![Action::Rate { id: ids[0], rung: 1 }, Action::Rate { id: ids[1], rung: 1 }]);
+    assert_eq!(gateway.note(ids[0], &server("a"), Note::UplinkAsked(1.5)), vec![], "not before it can show");
+}
