Gentler cuts: to 1.04 of what was delivered

Cause: steps between rungs are coarse, so the gateways' cuts together went beyond what was missing, and the lost rungs stay lost.

--- a/crates/elderpick-core/src/api.rs
+++ b/crates/elderpick-core/src/api.rs
@@ -109,11 +109,8 @@
     pub max_retry_after: Option<Micros>,
     pub reporting: Reporting,
     pub may_probe: bool,
-    pub probe_price: f64,
     /// The list must be subscribed to.
     pub subscribe: bool,
-    /// A gateway without a subscription that has not asked for this long counts as told.
-    pub ask_every: Option<Micros>,
 }
 
 /// A server in the list.
--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -32,8 +32,9 @@
 const SHORT: f64 = 0.97;
 /// A share that fell short is taken to last this long without further word.
 const SHORT_LASTS: Micros = 2_500_000;
-/// After a short share, own sessions are cut to this part of what was delivered.
-const CUT_TO: f64 = 0.95;
+/// After a short share, own sessions are cut to this part of what was delivered: steps between rungs are
+/// coarse, so that each gateway's cut goes beyond its part.
+const CUT_TO: f64 = 1.04;
 /// Time for a cut to show in the smoothed share, beside the time that the share takes to arrive.
 const CUT_SHOWS: Micros = 1_500_000;
 /// First back-off from a server that failed; it doubles with each further failure.
--- a/crates/elderpick-core/tests/common/mod.rs
+++ b/crates/elderpick-core/tests/common/mod.rs
@@ -44,9 +44,7 @@
         max_retry_after: Some(500 * MS),
         reporting: Reporting::InAnswers,
         may_probe: false,
-        probe_price: 0.0,
         subscribe: false,
-        ask_every: None,
     }
 }
 
--- a/crates/elderpick-simhost/src/lib.rs
+++ b/crates/elderpick-simhost/src/lib.rs
@@ -233,10 +233,6 @@
             _ => Reporting::Never,
         },
         may_probe: limits.may_probe,
-        probe_price: info.prices.probe,
-        ask_every: (info.registry_mode.as_deref() == Some("subscribe"))
-            .then_some(rules.ask_every_us)
-            .flatten(),
         subscribe: info.registry_mode.as_deref() == Some("subscribe"),
     })
 }
--- a/crates/elderpick-simhost/src/wire.rs
+++ b/crates/elderpick-simhost/src/wire.rs
@@ -173,8 +173,6 @@
     #[serde(default)]
     pub limits: Limits,
     #[serde(default)]
-    pub prices: Prices,
-    #[serde(default)]
     pub reporting: Reporting,
     pub registry_mode: Option<String>,
     pub weight_kind: Option<String>,
@@ -215,7 +213,6 @@
 #[derive(Deserialize, Default)]
 #[serde(default)]
 pub struct Guarantees {
-    pub ask_every_us: Option<i64>,
     pub extra_floor: Option<f64>,
     pub further_ratio: Option<f64>,
     pub look_back_us: Option<i64>,
@@ -234,12 +231,6 @@
     pub retry_after: bool,
 }
 
-#[derive(Deserialize, Default)]
-#[serde(default)]
-pub struct Prices {
-    pub probe: f64,
-}
-
 #[derive(Deserialize, Default)]
 #[serde(default)]
 pub struct Reporting {
