--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -362,6 +362,11 @@
         self.set.rung_kb.get(rung).copied().unwrap_or(0.0) * scale
     }
 
+    fn worth(&self, session: &Session, rung: usize) -> f64 {
+        let worth = self.set.classes[session.viewing.class].worth;
+        self.set.rung_worth.get(rung).copied().unwrap_or(0.0) * worth
+    }
+
     /// Rates of own sessions by server.
     fn own(&self) -> BTreeMap<&ServerId, f64> {
         let mut own = BTreeMap::new();
@@ -510,10 +515,7 @@
     fn fair_rung(&self, session: &Session, price: f64) -> usize {
         let class = &self.set.classes[session.viewing.class];
         let top = class.top.min(session.viewing.top).min(self.set.rung_kb.len().saturating_sub(1));
-        let gain = |rung: usize| {
-            let worth = self.set.rung_worth.get(rung).copied().unwrap_or(0.0);
-            class.worth * worth - price * session.spread * self.rate(session, rung)
-        };
+        let gain = |rung| self.worth(session, rung) - price * session.spread * self.rate(session, rung);
         (class.floor..=top).max_by(|&a, &b| gain(a).total_cmp(&gain(b))).unwrap_or(class.floor)
     }
 
@@ -854,7 +856,7 @@
         match note {
             Note::Rung(rung) => {
                 if let Some(session) = self.sessions.get_mut(&id) {
-                    session.rung = rung;
+                    session.rung = rung.min(self.set.rung_kb.len().saturating_sub(1));
                 }
             }
             Note::LinkAsked(asked) => {
@@ -912,7 +914,7 @@
                 let class = &self.set.classes[s.viewing.class];
                 let lower = s.rung.checked_sub(1).filter(|&rung| rung >= class.floor)?;
                 let kb = self.rate(s, s.rung) - self.rate(s, lower);
-                let worth = class.worth * (self.set.rung_worth[s.rung] - self.set.rung_worth[lower]);
+                let worth = self.worth(s, s.rung) - self.worth(s, lower);
                 (kb > 0.0).then_some((*id, lower, kb, worth / kb))
             });
             let Some((id, lower, kb, _)) = steps.min_by(|a, b| a.3.total_cmp(&b.3)) else { break };
--- a/crates/elderpick-core/tests/odd_input.rs
+++ b/crates/elderpick-core/tests/odd_input.rs
@@ -90,10 +90,15 @@
 
 #[test]
 fn a_rung_beyond_the_ladder_is_survived() {
-    let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a")]);
-    let (id, _) = gateway.request(viewing(0));
-    gateway.playing(id, 0);
-    gateway.note(id, &server("a"), Note::Rung(99));
-    gateway.note(id, &server("a"), Note::Delivered(0.5));
-    assert!(gateway.end(id, 0).is_empty());
+    let set = Settings { rung_worth: vec![0.5], ..settings(vec![class(Effect::Free)]) };
+    let mut gateway = Gateway::new(set, vec![entry("a")]);
+    let low = Viewing { top: 0, ..viewing(0) };
+    let ids: Vec<_> = (0..2).map(|_| gateway.request(low.clone()).0).collect();
+    for &id in &ids {
+        gateway.playing(id, 0);
+    }
+    gateway.note(ids[0], &server("a"), Note::Rung(99));
+    let cut = gateway.note(ids[0], &server("a"), Note::Delivered(0.5));
+    assert!(cut.iter().all(|a| matches!(a, Action::Rate { rung, .. } if *rung < 3)), "{cut:?}");
+    assert!(!cut.is_empty(), "it counts as the top of the ladder");
 }
