--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -516,7 +516,7 @@
         let class = &self.set.classes[session.viewing.class];
         let top = class.top.min(session.viewing.top).min(self.set.rung_kb.len().saturating_sub(1));
         let gain = |rung| self.worth(session, rung) - price * session.spread * self.rate(session, rung);
-        (class.floor..=top).max_by(|&a, &b| gain(a).total_cmp(&gain(b))).unwrap_or(class.floor)
+        (class.floor..=top).max_by(|&a, &b| gain(a).total_cmp(&gain(b))).unwrap_or(top)
     }
 
     /// Exception: greedy rungs leave no room for the sessions that come during this one's life. The price
--- a/crates/elderpick-core/tests/odd_input.rs
+++ b/crates/elderpick-core/tests/odd_input.rs
@@ -102,3 +102,15 @@
     assert!(cut.iter().all(|a| matches!(a, Action::Rate { rung, .. } if *rung < 3)), "{cut:?}");
     assert!(!cut.is_empty(), "it counts as the top of the ladder");
 }
+
+#[test]
+fn a_viewer_who_cannot_use_the_floor_is_refused_and_never_raised_past_its_top() {
+    let floored = Class { floor: 2, ..class(Effect::Free) };
+    let mut gateway = Gateway::new(settings(vec![floored]), vec![entry("a")]);
+    let low = Viewing { top: 0, ..viewing(0) };
+    assert!(refused(&gateway.request(low.clone()).1));
+    let (id, here) = (RequestId(50), server("a"));
+    gateway.handle(Event::Open { id, viewing: low, server: here.clone() });
+    gateway.note(id, &here, Note::Rung(0));
+    assert_eq!(gateway.note(id, &here, Note::LinkAsked(0.1)), vec![]);
+}
