Tidy the module: one place makes a session, no dead turnover term, a flag for a lost server

Also: the viewer's top is applied in the fair rung alone, the list of servers behind an overasked uplink is made only when one is, and the settling of handed-over sessions stands with the other news on playing ones. Behaviour is as it was.

--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -20,8 +20,6 @@
 const MARGIN: f64 = 0.1;
 /// Part of the fleet that a fair rung plans to use.
 const PLANNED: f64 = 0.9;
-/// Part of the sessions that change over while a rung set now is in force: the others keep what they have.
-const TURNOVER: f64 = 1.0;
 /// Spread of the price between sessions, so that a class does not change its rung all at once.
 const PRICE_SPREAD: f64 = 0.25;
 /// A report tells half of what it told after this time.
@@ -74,10 +72,10 @@
     /// Did not answer, and no probe has reached it since.
     mute: bool,
     /// Seen to die, and not yet to answer again.
-    lost: Option<Micros>,
+    lost: bool,
     /// First answer after it was seen to die.
     back: Option<Micros>,
-    last_cold_send: Micros,
+    last_send: Micros,
 }
 
 #[derive(Default)]
@@ -224,7 +222,7 @@
                         server.strikes = 0;
                         server.avoid_until = 0;
                         server.mute = false;
-                        server.lost = None;
+                        server.lost = false;
                     }
                     server.entry = entry;
                 }
@@ -237,9 +235,9 @@
                         strikes: 0,
                         avoid_until: 0,
                         mute: false,
-                        lost: None,
+                        lost: false,
                         back: None,
-                        last_cold_send: Micros::MIN / 2,
+                        last_send: Micros::MIN / 2,
                         entry,
                     };
                     self.servers.insert(server.entry.server.clone(), server);
@@ -279,24 +277,10 @@
             self.out.push(Action::Fail { id });
             return;
         };
-        let deadline = self.now + viewing.left.max(0);
-        let aim_at = self.now + class.aim.min(viewing.left.max(0));
-        let spread = 1.0 + PRICE_SPREAD * (2.0 * self.unit() - 1.0);
-        let session = Session {
-            viewing,
-            deadline,
-            aim_at,
-            attempts: 0,
-            tried: Vec::new(),
-            ran: Vec::new(),
-            server: None,
-            sent_at: self.now,
-            playing: false,
-            closed: false,
-            unsettled: false,
-            rung: 0,
-            spread,
-        };
+        let left = viewing.left.max(0);
+        let aim_at = self.now + class.aim.min(left);
+        let session = Session { deadline: self.now + left, aim_at, ..self.new_session(viewing) };
+        let deadline = session.deadline;
         self.sessions.insert(id, session);
         self.alarms.insert(self.next_token, id);
         self.out.push(Action::Alarm { token: self.next_token, at: deadline });
@@ -309,25 +293,35 @@
         self.blind = false;
         let Some(class) = self.set.classes.get(viewing.class) else { return };
         let rung = class.floor;
-        let spread = 1.0 + PRICE_SPREAD * (2.0 * self.unit() - 1.0);
         let session = Session {
-            viewing,
-            deadline: Micros::MAX,
-            aim_at: Micros::MAX,
             attempts: 1,
-            tried: Vec::new(),
-            ran: Vec::new(),
             server: Some(server),
-            sent_at: self.now,
             playing: true,
-            closed: false,
             unsettled: true,
             rung,
-            spread,
+            ..self.new_session(viewing)
         };
         self.sessions.insert(id, session);
     }
 
+    fn new_session(&mut self, viewing: Viewing) -> Session {
+        Session {
+            viewing,
+            deadline: Micros::MAX,
+            aim_at: Micros::MAX,
+            attempts: 0,
+            tried: Vec::new(),
+            ran: Vec::new(),
+            server: None,
+            sent_at: self.now,
+            playing: false,
+            closed: false,
+            unsettled: false,
+            rung: 0,
+            spread: 1.0 + PRICE_SPREAD * (2.0 * self.unit() - 1.0),
+        }
+    }
+
     /// Draws holders, picks the least loaded, sets the rung and sends; or gives up at once.
     fn place(&mut self, id: RequestId) {
         let session = &self.sessions[&id];
@@ -506,9 +500,8 @@
         let class = &self.set.classes[session.viewing.class];
         let rack = self.rack_of(&self.servers[server]);
         let room = survey.servers[server].room().min(survey.racks[&rack].room());
-        let top = class.top.min(session.viewing.top).min(self.set.rung_kb.len().saturating_sub(1));
         let fair = self.fair_rung(session, self.price(survey));
-        (class.floor..=top.min(fair)).rev().find(|&rung| self.rate(session, rung) <= room)
+        (class.floor..=fair).rev().find(|&rung| self.rate(session, rung) <= room)
     }
 
     /// The rung at which a session earns most, when a kB a second costs `price`.
@@ -526,7 +519,7 @@
         let mut capacity = 0.0;
         for (rack, uplink) in &survey.racks {
             let servers = self.servers.iter().filter(|(_, s)| self.rack_of(s) == *rack);
-            let up = servers.filter(|(_, s)| s.entry.state == ServerState::Up && s.lost.is_none());
+            let up = servers.filter(|(_, s)| s.entry.state == ServerState::Up && !s.lost);
             let links: f64 = up.filter_map(|(id, _)| survey.servers.get(id)).map(|load| load.link).sum();
             capacity += links.min(uplink.link);
         }
@@ -536,10 +529,8 @@
         let gateways = self.set.gateways.max(1) as f64;
         let times = if now_own > 0.0 { gateways.max(now_all / now_own) } else { gateways };
         let planned = capacity * PLANNED;
-        let demand = |price: f64| -> f64 {
-            let fair = held.iter().map(|s| self.rate(s, self.fair_rung(s, price))).sum::<f64>() * times;
-            (1.0 - TURNOVER) * now_all + TURNOVER * fair
-        };
+        let demand =
+            |price: f64| held.iter().map(|s| self.rate(s, self.fair_rung(s, price))).sum::<f64>() * times;
         if demand(0.0) <= planned {
             return 0.0;
         }
@@ -616,7 +607,7 @@
         self.out.push(Action::Rate { id, rung });
         self.out.push(Action::Send { id, server: server.clone(), timeout });
         if let Some(to) = self.servers.get_mut(&server) {
-            to.last_cold_send = self.now;
+            to.last_send = self.now;
         }
         if let Some(budget) = self.set.budget {
             while self.extras.front().is_some_and(|&at| at < self.now - budget.window) {
@@ -714,7 +705,7 @@
     fn reached(&mut self, id: &ServerId) {
         let Some(server) = self.servers.get_mut(id) else { return };
         server.mute = false;
-        if server.lost.take().is_some() {
+        if std::mem::take(&mut server.lost) {
             server.back = Some(self.now);
         }
     }
@@ -731,7 +722,7 @@
         };
         server.mute |= status != Status::Failed;
         if matches!(status, Status::ConnectError | Status::Reset) {
-            server.lost = Some(now);
+            server.lost = true;
         }
         // What ends at one time is one piece of evidence.
         if server.avoid_until <= now {
@@ -765,7 +756,7 @@
         if server.mute && self.set.may_probe {
             return false;
         }
-        if server.lost.is_none() && (server.strikes == 0 || shared) {
+        if !server.lost && (server.strikes == 0 || shared) {
             return true;
         }
         // After the back-off one session on trial, and none that may be set up only once.
@@ -779,7 +770,7 @@
     /// The latest time at which the server may have started, as far as this gateway has been told or has
     /// seen.
     fn last_start(&self, server: &Server) -> Option<Micros> {
-        if server.lost.is_some() {
+        if server.lost {
             return Some(self.now);
         }
         let told = server.entry.started;
@@ -811,7 +802,29 @@
         let (turn, within) = ((self.now + phase) / slot.max(1), (self.now + phase) % slot.max(1));
         turn % gateways == self.set.me as Micros
             && within < slot / 2
-            && self.now - server.last_cold_send >= slot / 2
+            && self.now - server.last_send >= slot / 2
+    }
+
+    // ---- While it plays: news on delivery ----
+
+    fn noted(&mut self, id: RequestId, server: ServerId, note: Note) {
+        match note {
+            Note::Rung(rung) => {
+                if let Some(session) = self.sessions.get_mut(&id) {
+                    session.rung = rung.min(self.set.rung_kb.len().saturating_sub(1));
+                }
+            }
+            Note::LinkAsked(asked) => {
+                self.hear(&server, Some(asked), None, false);
+                self.overasked(&server, false, asked);
+                self.settle(&server);
+            }
+            Note::UplinkAsked(asked) => {
+                self.hear(&server, None, Some(asked), false);
+                self.overasked(&server, true, asked);
+            }
+            Note::Delivered(share) => self.delivered(&server, share),
+        }
     }
 
     /// Exception: a session handed over at the start never had this gateway's one decision on its rung. It
@@ -850,28 +863,6 @@
         }
     }
 
-    // ---- While it plays: news on delivery ----
-
-    fn noted(&mut self, id: RequestId, server: ServerId, note: Note) {
-        match note {
-            Note::Rung(rung) => {
-                if let Some(session) = self.sessions.get_mut(&id) {
-                    session.rung = rung.min(self.set.rung_kb.len().saturating_sub(1));
-                }
-            }
-            Note::LinkAsked(asked) => {
-                self.hear(&server, Some(asked), None, false);
-                self.overasked(&server, false, asked);
-                self.settle(&server);
-            }
-            Note::UplinkAsked(asked) => {
-                self.hear(&server, None, Some(asked), false);
-                self.overasked(&server, true, asked);
-            }
-            Note::Delivered(share) => self.delivered(&server, share),
-        }
-    }
-
     /// Exception: where delivery is short all sessions there lose far more than a rung, so own rungs go
     /// down by this gateway's part of what is missing. Guards against links and uplinks that give less
     /// than they should, titles above their rung and crowds that came at once. Harm: a short dip costs a
@@ -888,13 +879,14 @@
     /// A link or uplink of which more is asked than it gives: reports tell so at once and in full, while the
     /// delivered share is smoothed and falls for seconds.
     fn overasked(&mut self, id: &ServerId, uplink: bool, asked: f64) {
+        if !asked.is_finite() || asked <= OVERASKED {
+            return;
+        }
         let Some(server) = self.servers.get(id) else { return };
         let rack = self.rack_of(server);
         let shared = |(other, s): &(&ServerId, &Server)| *other == id || uplink && self.rack_of(s) == rack;
         let there: Vec<_> = self.servers.iter().filter(shared).map(|(id, _)| id.clone()).collect();
-        if asked.is_finite() && asked > OVERASKED {
-            there.iter().for_each(|id| self.cut(id, 1.0 / asked));
-        }
+        there.iter().for_each(|id| self.cut(id, 1.0 / asked));
     }
 
     fn cut(&mut self, id: &ServerId, share: f64) {
