--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -5,7 +5,7 @@
 //! once, or refuse at once. All else here is an exception to that or a guard that the rules need;
 //! `docs/design.md` lists them.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
@@ -13,15 +13,22 @@
 use crate::api::*;
 
 /// Probes for each session taken, where loads are told to probes only.
-const PROBES_A_SESSION: f64 = 0.5;
-/// Holders drawn for a session.
+const PROBES_A_SESSION: f64 = 1.0;
+/// Holders drawn for a session: so many whose load is known, and no more than so many in all.
 const DRAW: usize = 3;
+const DRAW_AT_MOST: usize = 12;
 /// Part of a link that is left for the spread of true rates.
 const MARGIN: f64 = 0.1;
 /// Part of the fleet that a fair rung plans to use.
-const PLANNED: f64 = 0.9;
+const PLANNED: f64 = 0.8;
 /// Spread of the price between sessions, so that a class does not change its rung all at once.
 const PRICE_SPREAD: f64 = 0.25;
+/// Sessions that the price is worked out on: those that play, and as many of the last ones.
+const SAMPLE: usize = 16;
+/// Reports that the fleet's load is worked out on.
+const REPORTS: usize = 32;
+/// What one own session tells of the fleet's load, where one report tells 1.
+const OWN_TELLS: f64 = 0.1;
 /// A report tells half of what it told after this time.
 const REPORT_HALF_LIFE: f64 = 12e6;
 /// Reports are noisy: only what is asked beyond this, over what is given, counts by itself.
@@ -30,9 +37,8 @@
 const SHORT: f64 = 0.97;
 /// A share that fell short is taken to last this long without further word.
 const SHORT_LASTS: Micros = 2_500_000;
-/// After a short share, own sessions are cut to this part of what was delivered: steps between rungs are
-/// coarse, so that each gateway's cut goes beyond its part.
-const CUT_TO: f64 = 1.04;
+/// After a short share, own sessions are cut to this part of what was delivered.
+const CUT_TO: f64 = 1.0;
 /// Time for a cut to show in the smoothed share, beside the time that the share takes to arrive.
 const CUT_SHOWS: Micros = 1_500_000;
 /// First back-off from a server that failed; it doubles with each further failure.
@@ -42,9 +48,11 @@
 const UNREACHED: Micros = 1_000_000;
 /// Less time than this is too little for an attempt.
 const LEAST_ATTEMPT: Micros = 60_000;
+/// A time-out that comes later than this shows that the gateway itself stood still.
+const LATE: Micros = 200_000;
 /// Loads differ by as much before another zone is preferred.
 const ZONE_BIAS: f64 = 0.05;
-/// Token of the alarm after which the list is asked for again; requests have the others.
+/// Token of the alarm after which the list is asked for; requests have the others.
 const LIST_TOKEN: u64 = 0;
 const LIST_AGAIN: Micros = 1_000_000;
 
@@ -56,14 +64,17 @@
     asked: f64,
     /// Rates of this gateway's own sessions there at the time.
     own: f64,
-    /// Taken from a refusal, not from a report: it tells nothing of other servers.
-    mark: bool,
 }
 
 struct Server {
     entry: Entry,
+    /// What its link gives when warm, in kB a second, as far as the list tells.
+    link: f64,
+    /// Its part of what its rack's links and uplink give together.
+    size: f64,
+    /// Own sessions there: playing, or with an attempt out.
+    sessions: BTreeSet<RequestId>,
     heard: Option<Heard>,
-    probed_at: Micros,
     /// Delivered share, and when it was heard.
     share: Option<(f64, Micros)>,
     cut_at: Micros,
@@ -78,13 +89,28 @@
     last_send: Micros,
 }
 
+/// Servers behind one uplink.
 #[derive(Default)]
 struct Rack {
+    servers: Vec<ServerId>,
     heard: Option<Heard>,
 }
 
+/// What a fair rung depends on.
+#[derive(Clone, Copy)]
+struct Wish {
+    class: usize,
+    top: usize,
+    /// This session's own view of the price.
+    spread: f64,
+    rung: usize,
+}
+
 struct Session {
-    viewing: Viewing,
+    wish: Wish,
+    title: String,
+    home: usize,
+    copies: usize,
     deadline: Micros,
     aim_at: Micros,
     attempts: usize,
@@ -94,17 +120,17 @@
     /// Where its attempt is out or it plays.
     server: Option<ServerId>,
     sent_at: Micros,
+    /// When the time-out of its attempt ends.
+    due: Micros,
     playing: bool,
     /// Answered or given up by the viewer while an attempt is out.
     closed: bool,
     /// Handed over at the start, and its rung not yet this gateway's decision.
     unsettled: bool,
-    rung: usize,
-    spread: f64,
 }
 
 /// Capacity of a link or uplink and what is asked of it, in kB a second.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy)]
 struct Load {
     link: f64,
     asked: f64,
@@ -120,11 +146,6 @@
     }
 }
 
-struct Survey {
-    servers: BTreeMap<ServerId, Load>,
-    racks: BTreeMap<usize, Load>,
-}
-
 pub struct Controller {
     set: Settings,
     rng: ChaCha8Rng,
@@ -134,7 +155,22 @@
     blind: bool,
     servers: BTreeMap<ServerId, Server>,
     racks: BTreeMap<usize, Rack>,
+    /// Servers that may be sent to, as the list tells, in an order that the draws shuffle.
+    up: Vec<ServerId>,
+    /// The same in the order in which they are to be probed.
+    rota: VecDeque<ServerId>,
+    /// Servers that failed or did not answer, and have not answered since.
+    struck: BTreeSet<ServerId>,
+    /// The largest size of a server, and the sum of all, in kB a second.
+    largest: f64,
+    capacity: f64,
+    /// The last reports: when, and what others asked of a server over its size.
+    reports: VecDeque<(Micros, f64)>,
     sessions: BTreeMap<RequestId, Session>,
+    /// The last sessions that ended.
+    ended: VecDeque<Wish>,
+    /// Seats held, by class and title.
+    seated: BTreeMap<(usize, String), usize>,
     alarms: BTreeMap<u64, RequestId>,
     next_token: u64,
     /// Requests taken and further attempts made within the budget's window.
@@ -154,7 +190,15 @@
             blind: true,
             servers: BTreeMap::new(),
             racks: BTreeMap::new(),
+            up: Vec::new(),
+            rota: VecDeque::new(),
+            struck: BTreeSet::new(),
+            largest: 0.0,
+            capacity: 0.0,
+            reports: VecDeque::new(),
             sessions: BTreeMap::new(),
+            ended: VecDeque::new(),
+            seated: BTreeMap::new(),
             alarms: BTreeMap::new(),
             next_token: LIST_TOKEN + 1,
             taken: VecDeque::new(),
@@ -185,7 +229,7 @@
             Event::Probed { server, status, report } => {
                 if status == Status::Ok {
                     self.reached(&server);
-                    self.reported(&server, report);
+                    self.hear(&server, report.link, report.uplink);
                     self.settle(&server);
                 } else {
                     self.weigh_evidence(&server, status);
@@ -206,10 +250,15 @@
                 self.out.push(Action::Alarm { token: LIST_TOKEN, at });
                 return;
             }
-            ListKind::Full | ListKind::Restored => {
-                self.servers.values_mut().for_each(|s| s.entry.state = ServerState::Gone);
+            // A gateway that restarts holds an old list: unless sessions are handed over to it now, it asks
+            // for the list at once, so that servers need not pass for cold until something changes.
+            ListKind::Restored if !self.set.subscribe => {
+                self.out.push(Action::Alarm { token: LIST_TOKEN, at: self.now });
             }
-            ListKind::Changes => {}
+            _ => {}
+        }
+        if matches!(kind, ListKind::Full | ListKind::Restored) {
+            self.servers.values_mut().for_each(|s| s.entry.state = ServerState::Gone);
         }
         self.blind &= kind == ListKind::Restored;
         for entry in entries {
@@ -223,13 +272,16 @@
                         server.avoid_until = 0;
                         server.mute = false;
                         server.lost = false;
+                        self.struck.remove(&entry.server);
                     }
                     server.entry = entry;
                 }
                 None => {
                     let server = Server {
+                        link: 0.0,
+                        size: 0.0,
+                        sessions: BTreeSet::new(),
                         heard: None,
-                        probed_at: Micros::MIN / 2,
                         share: None,
                         cut_at: Micros::MIN / 2,
                         strikes: 0,
@@ -240,18 +292,46 @@
                         last_send: Micros::MIN / 2,
                         entry,
                     };
+                    let place = self.below(self.rota.len() + 1);
+                    self.rota.insert(place, server.entry.server.clone());
                     self.servers.insert(server.entry.server.clone(), server);
                 }
             }
         }
-        // A gateway that has just started holds an old list and knows no load: it asks for the one, so that
-        // servers need not pass for cold until something changes, and asks all servers for the other once.
-        if kind == ListKind::Restored {
-            if !self.set.subscribe {
-                self.out.push(Action::Fetch);
+        self.measure_fleet();
+    }
+
+    /// Sums over the whole list, made anew only when it changes.
+    fn measure_fleet(&mut self) {
+        let usual = self.set.links_kb.filter(|&kb| kb > 0.0).map(|kb| kb / self.servers.len().max(1) as f64);
+        let all_racks = self.set.racks.unwrap_or(1).max(1);
+        self.racks.values_mut().for_each(|rack| rack.servers.clear());
+        self.up.clear();
+        for (id, server) in &mut self.servers {
+            let weight = if self.set.weights { server.entry.weight.max(0.0) } else { 1.0 };
+            server.link = match self.set.kb_per_weight {
+                Some(kb) if kb > 0.0 => kb * weight,
+                _ => usual.unwrap_or(f64::MAX / 1e9),
+            };
+            if server.entry.state != ServerState::Gone {
+                self.racks.entry(server.entry.cell % all_racks).or_default().servers.push(id.clone());
+            }
+            if server.entry.state == ServerState::Up {
+                self.up.push(id.clone());
+            }
+        }
+        (self.largest, self.capacity) = (0.0, 0.0);
+        for rack in self.racks.values() {
+            let links: f64 = rack.servers.iter().map(|id| self.servers[id].link).sum();
+            let uplink = self.set.rack_kb.filter(|&kb| kb > 0.0).unwrap_or(links);
+            for id in &rack.servers {
+                let server = self.servers.get_mut(id).expect("racks hold listed servers");
+                server.size = server.link * (uplink / links.max(1e-9)).min(1.0);
+                if server.entry.state == ServerState::Up {
+                    self.largest = self.largest.max(server.size);
+                    self.capacity += server.size;
+                }
             }
-            self.probes_due += self.servers.len() as f64;
-            self.probe_stalest();
         }
     }
 
@@ -272,7 +352,7 @@
         }
         self.probe_mute();
         self.probes_due += PROBES_A_SESSION;
-        self.probe_stalest();
+        self.probe_next();
         let Some(class) = self.set.classes.get(viewing.class) else {
             self.out.push(Action::Fail { id });
             return;
@@ -288,25 +368,31 @@
         self.place(id);
     }
 
-    /// A session handed over at the start. It shows that this is no blind restart: the list is of now.
+    /// A session handed over at the start. It shows that this is no blind restart: the list is of now. Its
+    /// server is asked for its load, so that the rung can be settled and the fleet's load is known.
     fn open(&mut self, id: RequestId, viewing: Viewing, server: ServerId) {
         self.blind = false;
-        let Some(class) = self.set.classes.get(viewing.class) else { return };
-        let rung = class.floor;
-        let session = Session {
-            attempts: 1,
-            server: Some(server),
-            playing: true,
-            unsettled: true,
-            rung,
-            ..self.new_session(viewing)
-        };
+        if self.set.classes.get(viewing.class).is_none() {
+            return;
+        }
+        let first = self.servers.get(&server).is_some_and(|s| s.sessions.is_empty());
+        if first && self.may_probe_loads() {
+            self.out.push(Action::Probe { server: server.clone() });
+        }
+        let session = Session { attempts: 1, playing: true, unsettled: true, ..self.new_session(viewing) };
         self.sessions.insert(id, session);
+        self.occupy(id, server);
     }
 
     fn new_session(&mut self, viewing: Viewing) -> Session {
+        let spread = 1.0 + PRICE_SPREAD * (2.0 * self.unit() - 1.0);
+        let class = &self.set.classes[viewing.class];
+        let top = class.top.min(viewing.top).min(self.set.rung_kb.len().saturating_sub(1));
         Session {
-            viewing,
+            wish: Wish { class: viewing.class, top, spread, rung: class.floor },
+            title: viewing.title,
+            home: viewing.home,
+            copies: viewing.copies,
             deadline: Micros::MAX,
             aim_at: Micros::MAX,
             attempts: 0,
@@ -314,11 +400,10 @@
             ran: Vec::new(),
             server: None,
             sent_at: self.now,
+            due: Micros::MAX,
             playing: false,
             closed: false,
             unsettled: false,
-            rung: 0,
-            spread: 1.0 + PRICE_SPREAD * (2.0 * self.unit() - 1.0),
         }
     }
 
@@ -329,208 +414,197 @@
         if left < LEAST_ATTEMPT || !self.seat_free(session) || !self.may_attempt(session) {
             return self.give_up(id);
         }
-        let mut holders = self.usable_holders(session);
-        let mut drawn = Vec::new();
-        while drawn.len() < DRAW && !holders.is_empty() {
-            let k = self.rng.next_u64() as usize % holders.len();
-            drawn.push(holders.swap_remove(k));
-        }
-        let survey = self.survey();
+        let others = self.asked_by_others();
         let zone = self.set.zone;
-        let weighed = drawn.into_iter().map(|server| {
-            let entry = &self.servers[&server];
-            let uplink = survey.racks[&self.rack_of(entry)].share();
-            let away = if entry.entry.zone != zone { ZONE_BIAS } else { 0.0 };
-            let share = survey.servers[&server].share().max(uplink) + away;
-            (server, share)
+        let weighed = self.draw(id).into_iter().map(|server| {
+            let to = &self.servers[&server];
+            let (link, uplink) = (self.link_load(to, others), self.uplink_load(self.rack_of(to), others));
+            let away = if to.entry.zone != zone { ZONE_BIAS } else { 0.0 };
+            (server, link.share().max(uplink.share()) + away, link.room().min(uplink.room()))
         });
-        let Some((server, _)) = weighed.min_by(|a, b| a.1.total_cmp(&b.1)) else { return self.give_up(id) };
-        let Some(rung) = self.rung(&self.sessions[&id], &server, &survey) else { return self.give_up(id) };
-        self.send(id, server, rung);
+        let Some((server, _, room)) = weighed.min_by(|a, b| a.1.total_cmp(&b.1)) else {
+            return self.give_up(id);
+        };
+        let wish = self.sessions[&id].wish;
+        let floor = self.set.classes[wish.class].floor;
+        let fair = self.fair_rung(&wish, self.price(others));
+        match (floor..=fair).rev().find(|&rung| self.rate(&wish, rung) <= room) {
+            Some(rung) => self.send(id, server, rung),
+            None => self.give_up(id),
+        }
     }
 
     // ---- Load and room ----
 
-    fn rate(&self, session: &Session, rung: usize) -> f64 {
-        let scale = self.set.classes[session.viewing.class].scale;
-        self.set.rung_kb.get(rung).copied().unwrap_or(0.0) * scale
+    fn rate(&self, wish: &Wish, rung: usize) -> f64 {
+        self.set.rung_kb.get(rung).copied().unwrap_or(0.0) * self.set.classes[wish.class].scale
     }
 
-    fn worth(&self, session: &Session, rung: usize) -> f64 {
-        let worth = self.set.classes[session.viewing.class].worth;
-        self.set.rung_worth.get(rung).copied().unwrap_or(0.0) * worth
+    fn worth(&self, wish: &Wish, rung: usize) -> f64 {
+        self.set.rung_worth.get(rung).copied().unwrap_or(0.0) * self.set.classes[wish.class].worth
     }
 
-    /// Rates of own sessions by server.
-    fn own(&self) -> BTreeMap<&ServerId, f64> {
-        let mut own = BTreeMap::new();
-        for session in self.sessions.values() {
-            if let Some(server) = &session.server {
-                *own.entry(server).or_insert(0.0) += self.rate(session, session.rung);
-            }
+    fn freshness(&self, at: Micros) -> f64 {
+        (-((self.now - at) as f64) / REPORT_HALF_LIFE).exp2()
+    }
+
+    /// Rates of own sessions on a server.
+    fn own_on(&self, server: &Server) -> f64 {
+        let wishes = server.sessions.iter().map(|id| &self.sessions[id].wish);
+        wishes.map(|wish| self.rate(wish, wish.rung)).sum()
+    }
+
+    fn own_behind(&self, rack: usize) -> f64 {
+        let servers = self.racks.get(&rack).map_or(&[][..], |rack| &rack.servers);
+        servers.iter().map(|id| self.own_on(&self.servers[id])).sum()
+    }
+
+    /// What the other gateways ask of an average server, as a share of its size. A gateway sees few of the
+    /// sessions of a large fleet, so the last reports tell it, and its own sessions times the number of
+    /// gateways little beside them.
+    fn asked_by_others(&self) -> f64 {
+        let own: f64 = self.sessions.values().filter(|s| s.server.is_some()).map(|s| self.held_rate(s)).sum();
+        let held = self.sessions.len() as f64 * OWN_TELLS;
+        let gateways = self.set.gateways.saturating_sub(1) as f64;
+        let mut asked = held * own * gateways / self.capacity.max(1.0);
+        let mut told = held;
+        for &(at, others) in &self.reports {
+            asked += self.freshness(at) * others;
+            told += self.freshness(at);
         }
-        own
+        if told > 0.0 { asked / told } else { 0.0 }
     }
 
-    fn link(&self, server: &Server) -> f64 {
-        let weight = if self.set.weights { server.entry.weight } else { 1.0 };
-        let link = match (self.set.kb_per_weight, self.set.links_kb) {
-            (Some(kb), _) if kb > 0.0 => kb * if weight > 0.0 { weight } else { 0.0 },
-            (_, Some(all)) if all > 0.0 => all / self.servers.len().max(1) as f64,
-            _ => f64::MAX / 1e6,
-        };
-        link * self.warmth(server)
+    fn held_rate(&self, session: &Session) -> f64 {
+        self.rate(&session.wish, session.wish.rung)
     }
 
-    fn freshness(&self, heard: &Heard) -> f64 {
-        (-((self.now - heard.at) as f64) / REPORT_HALF_LIFE).exp2()
+    /// What is asked of a link, as far as this gateway can tell: its last report as it ages into the average,
+    /// and own sessions.
+    fn link_load(&self, server: &Server, others: f64) -> Load {
+        let (link, average) = (server.link * self.warmth(server), others * server.size);
+        let asked = server.heard.as_ref().map_or(average, |heard| {
+            let weight = self.freshness(heard.at);
+            weight * (heard.asked * link - heard.own).max(0.0) + (1.0 - weight) * average
+        });
+        Load { link, asked: asked + self.own_on(server) }
     }
 
-    /// What is asked of each link and uplink, as far as this gateway can tell.
-    fn survey(&self) -> Survey {
-        let own = self.own();
-        let own_at = |id: &ServerId| own.get(id).copied().unwrap_or(0.0);
-        // What the other gateways ask of an average server, as a share of its link.
-        let (mut others, mut heard_links) = (0.0, 0.0);
-        for server in self.servers.values().filter(|s| s.entry.state != ServerState::Gone) {
-            if let Some(heard) = server.heard.as_ref().filter(|heard| !heard.mark) {
-                let (weight, link) = (self.freshness(heard), self.link(server));
-                others += weight * (heard.asked * link - heard.own).max(0.0);
-                heard_links += weight * link;
-            }
+    fn uplink_load(&self, rack: usize, others: f64) -> Load {
+        let Some(behind) = self.racks.get(&rack) else { return Load { link: 0.0, asked: 0.0 } };
+        let loads = behind.servers.iter().map(|id| self.link_load(&self.servers[id], others));
+        let mut load = loads
+            .reduce(|a, b| Load { link: a.link + b.link, asked: a.asked + b.asked })
+            .unwrap_or(Load { link: 0.0, asked: 0.0 });
+        if let Some(kb) = self.set.rack_kb.filter(|&kb| kb > 0.0) {
+            load.link = kb;
         }
-        let all_links: f64 = self.servers.values().map(|s| self.link(s)).sum();
-        let average = if heard_links > 0.0 {
-            others / heard_links
-        } else {
-            own.values().sum::<f64>() * self.set.gateways.saturating_sub(1) as f64 / all_links.max(1.0)
-        };
-        let mut survey = Survey { servers: BTreeMap::new(), racks: BTreeMap::new() };
-        let mut rack_own: BTreeMap<usize, f64> = BTreeMap::new();
-        for (id, server) in self.servers.iter().filter(|(_, s)| s.entry.state != ServerState::Gone) {
-            let link = self.link(server);
-            let others = match &server.heard {
-                Some(heard) => {
-                    let weight = self.freshness(heard);
-                    weight * (heard.asked * link - heard.own).max(0.0) + (1.0 - weight) * average * link
-                }
-                None => average * link,
-            };
-            let load = Load { link, asked: own_at(id) + others };
-            let rack = self.rack_of(server);
-            let uplink = survey.racks.entry(rack).or_default();
-            uplink.link += load.link;
-            uplink.asked += load.asked;
-            *rack_own.entry(rack).or_insert(0.0) += own_at(id);
-            survey.servers.insert(id.clone(), load);
-        }
-        for (rack, load) in &mut survey.racks {
-            if let Some(kb) = self.set.rack_kb.filter(|&kb| kb > 0.0) {
-                load.link = kb;
-            }
-            if let Some(heard) = self.racks.get(rack).and_then(|r| r.heard.as_ref()) {
-                let told = (heard.asked * load.link - heard.own).max(0.0) + rack_own[rack];
-                let weight = self.freshness(heard);
-                load.asked = weight * told + (1.0 - weight) * load.asked;
-            }
+        if let Some(heard) = &behind.heard {
+            let told = (heard.asked * load.link - heard.own).max(0.0) + self.own_behind(rack);
+            let weight = self.freshness(heard.at);
+            load.asked = weight * told + (1.0 - weight) * load.asked;
         }
-        survey
+        load
     }
 
-    fn hear(&mut self, server: &ServerId, link: Option<f64>, uplink: Option<f64>, mark: bool) {
-        let own = self.own();
-        let Some(entry) = self.servers.get(server) else { return };
-        let rack = self.rack_of(entry);
-        let own_here = own.get(server).copied().unwrap_or(0.0);
-        let in_rack = |id: &ServerId| self.servers.get(id).is_some_and(|s| self.rack_of(s) == rack);
-        let own_rack = own.iter().filter(|(id, _)| in_rack(id)).map(|(_, kb)| kb).sum();
-        let heard = |asked: f64, own| Heard { at: self.now, asked: asked.clamp(0.0, 10.0), own, mark };
-        let link = link.filter(|x| x.is_finite()).map(|x| heard(x, own_here));
-        let uplink = uplink.filter(|x| x.is_finite()).map(|x| heard(x, own_rack));
-        if let Some(link) = link {
-            self.servers.get_mut(server).expect("looked up above").heard = Some(link);
+    /// Stores what a report tells of a link and its rack's uplink.
+    fn hear(&mut self, id: &ServerId, link: Option<f64>, uplink: Option<f64>) {
+        let Some(server) = self.servers.get(id) else { return };
+        let rack = self.rack_of(server);
+        let told = |asked: f64, own| Heard { at: self.now, asked: asked.clamp(0.0, 10.0), own };
+        let link = link.filter(|x| x.is_finite()).map(|x| told(x, self.own_on(server)));
+        let uplink = uplink.filter(|x| x.is_finite()).map(|x| told(x, self.own_behind(rack)));
+        if let Some(heard) = link {
+            let kb = server.link * self.warmth(server);
+            if server.size > 0.0 {
+                self.reports.push_back((self.now, (heard.asked * kb - heard.own).max(0.0) / server.size));
+            }
+            self.reports.drain(..self.reports.len().saturating_sub(REPORTS));
+            self.servers.get_mut(id).expect("looked up above").heard = link;
         }
-        if let Some(uplink) = uplink {
-            self.racks.entry(rack).or_default().heard = Some(uplink);
+        if uplink.is_some() {
+            self.racks.entry(rack).or_default().heard = uplink;
         }
     }
 
-    fn reported(&mut self, server: &ServerId, report: Report) {
-        self.hear(server, report.link, report.uplink, false);
+    fn may_probe_loads(&self) -> bool {
+        self.set.may_probe && self.set.reporting == Reporting::WhenProbed
     }
 
-    /// Probes the servers asked longest ago: so many a session keep the price in step with the traffic.
-    fn probe_stalest(&mut self) {
-        if !self.set.may_probe || self.set.reporting != Reporting::WhenProbed {
+    /// Probes the servers in turn: so many a session keep the price in step with the traffic.
+    fn probe_next(&mut self) {
+        if !self.may_probe_loads() {
             return;
         }
-        while self.probes_due >= 1.0 {
-            self.probes_due -= 1.0;
-            let up = |s: &&mut Server| s.entry.state == ServerState::Up && !s.mute;
-            let Some(server) = self.servers.values_mut().filter(up).min_by_key(|s| s.probed_at) else {
+        for _ in 0..self.rota.len() {
+            if self.probes_due < 1.0 {
                 return;
-            };
-            server.probed_at = self.now;
-            self.out.push(Action::Probe { server: server.entry.server.clone() });
+            }
+            let Some(id) = self.rota.pop_front() else { return };
+            if self.servers.get(&id).is_some_and(|s| s.entry.state == ServerState::Up && !s.mute) {
+                self.probes_due -= 1.0;
+                self.out.push(Action::Probe { server: id.clone() });
+            }
+            self.rota.push_back(id);
         }
     }
 
     // ---- Pick and rung ----
 
-    fn usable_holders(&self, session: &Session) -> Vec<ServerId> {
-        let holds = |server: &Server| {
-            let cells = self.set.cells.unwrap_or(0);
-            let from_home = match cells {
-                0 => 0,
-                n => (server.entry.cell % n + n - session.viewing.home % n) % n,
-            };
-            server.entry.state == ServerState::Up
-                && from_home < session.viewing.copies
-                && !session.tried.contains(&server.entry.server)
-                && self.group_allows(session, server)
-        };
-        let holders: Vec<_> = self.servers.iter().filter(|(_, s)| holds(s)).collect();
+    /// Draws usable holders at random until enough of them have told their load.
+    fn draw(&mut self, id: RequestId) -> Vec<ServerId> {
         // Where most servers show the same trouble its cause is shared, and avoiding them helps nobody.
-        let shared = 2 * holders.iter().filter(|(_, s)| s.strikes > 0 && !s.mute).count() > holders.len();
-        let usable = holders.into_iter().filter(|(id, s)| self.healthy(session, id, s, shared));
-        usable.map(|(id, _)| id.clone()).collect()
+        let failing = self.struck.iter().filter(|id| !self.servers[*id].mute).count();
+        let shared = 2 * failing > self.up.len();
+        let (mut drawn, mut known) = (Vec::new(), 0);
+        for k in 0..self.up.len() {
+            let other = k + self.below(self.up.len() - k);
+            self.up.swap(k, other);
+            let chance = self.unit();
+            let (session, server) = (&self.sessions[&id], &self.servers[&self.up[k]]);
+            let by_size = chance * self.largest <= server.size;
+            if by_size && self.holds(session, server) && self.healthy(session, server, shared) {
+                known += server.heard.is_some_and(|heard| self.freshness(heard.at) > 0.5) as usize;
+                drawn.push(self.up[k].clone());
+                if drawn.len() >= DRAW && (known >= DRAW || drawn.len() >= DRAW_AT_MOST) {
+                    break;
+                }
+            }
+        }
+        drawn
     }
 
-    fn rung(&self, session: &Session, server: &ServerId, survey: &Survey) -> Option<usize> {
-        let class = &self.set.classes[session.viewing.class];
-        let rack = self.rack_of(&self.servers[server]);
-        let room = survey.servers[server].room().min(survey.racks[&rack].room());
-        let fair = self.fair_rung(session, self.price(survey));
-        (class.floor..=fair).rev().find(|&rung| self.rate(session, rung) <= room)
+    fn holds(&self, session: &Session, server: &Server) -> bool {
+        let from_home = match self.set.cells.unwrap_or(0) {
+            0 => 0,
+            n => (server.entry.cell % n + n - session.home % n) % n,
+        };
+        from_home < session.copies
+            && !session.tried.contains(&server.entry.server)
+            && self.group_allows(session, server)
     }
 
     /// The rung at which a session earns most, when a kB a second costs `price`.
-    fn fair_rung(&self, session: &Session, price: f64) -> usize {
-        let class = &self.set.classes[session.viewing.class];
-        let top = class.top.min(session.viewing.top).min(self.set.rung_kb.len().saturating_sub(1));
-        let gain = |rung| self.worth(session, rung) - price * session.spread * self.rate(session, rung);
-        (class.floor..=top).max_by(|&a, &b| gain(a).total_cmp(&gain(b))).unwrap_or(top)
+    fn fair_rung(&self, wish: &Wish, price: f64) -> usize {
+        let gain = |rung| self.worth(wish, rung) - price * wish.spread * self.rate(wish, rung);
+        let floor = self.set.classes[wish.class].floor;
+        (floor..=wish.top).max_by(|&a, &b| gain(a).total_cmp(&gain(b))).unwrap_or(wish.top)
     }
 
     /// Exception: greedy rungs leave no room for the sessions that come during this one's life. The price
     /// of a kB a second is such that all sessions of all gateways, each at its fair rung, fill the planned
-    /// part.
-    fn price(&self, survey: &Survey) -> f64 {
-        let mut capacity = 0.0;
-        for (rack, uplink) in &survey.racks {
-            let servers = self.servers.iter().filter(|(_, s)| self.rack_of(s) == *rack);
-            let up = servers.filter(|(_, s)| s.entry.state == ServerState::Up && !s.lost);
-            let links: f64 = up.filter_map(|(id, _)| survey.servers.get(id)).map(|load| load.link).sum();
-            capacity += links.min(uplink.link);
-        }
-        let held: Vec<&Session> = self.sessions.values().filter(|s| !s.closed).collect();
-        let now_own: f64 = self.own().values().sum();
-        let now_all: f64 = survey.servers.values().map(|load| load.asked).sum();
-        let gateways = self.set.gateways.max(1) as f64;
-        let times = if now_own > 0.0 { gateways.max(now_all / now_own) } else { gateways };
-        let planned = capacity * PLANNED;
+    /// part. Own sessions, and the last that ended where these are few, stand for all: what they ask now
+    /// stands to what they would ask as what all ask now to the planned part.
+    fn price(&self, others: f64) -> f64 {
+        let held = self.sessions.values().filter(|s| !s.closed).map(|s| &s.wish);
+        let sample: Vec<&Wish> =
+            held.chain(self.ended.iter().rev()).take(SAMPLE.max(self.sessions.len())).collect();
+        let asked: f64 = sample.iter().map(|wish| self.rate(wish, wish.rung)).sum();
+        let own: f64 = self.sessions.values().filter(|s| s.server.is_some()).map(|s| self.held_rate(s)).sum();
+        let all = others * self.capacity + own;
+        let planned = self.capacity * PLANNED * asked / all.max(1.0);
         let demand =
-            |price: f64| held.iter().map(|s| self.rate(s, self.fair_rung(s, price))).sum::<f64>() * times;
+            |price: f64| sample.iter().map(|wish| self.rate(wish, self.fair_rung(wish, price))).sum::<f64>();
         if demand(0.0) <= planned {
             return 0.0;
         }
@@ -545,10 +619,9 @@
     // ---- Attempts ----
 
     fn seat_free(&self, session: &Session) -> bool {
-        let (class, title) = (session.viewing.class, &session.viewing.title);
+        let class = session.wish.class;
         let Some(seats) = self.set.classes[class].seats else { return true };
-        let held = self.sessions.values().filter(|s| s.server.is_some());
-        held.filter(|s| s.viewing.class == class && s.viewing.title == *title).count() < seats
+        self.seated.get(&(class, session.title.clone())).is_none_or(|&held| held < seats)
     }
 
     /// Whether the rules let this session have a(nother) attempt now.
@@ -556,7 +629,7 @@
         if session.attempts == 0 {
             return true;
         }
-        let class = &self.set.classes[session.viewing.class];
+        let class = &self.set.classes[session.wish.class];
         let ran_in_time = |since: Micros| self.now < session.ran.first().map_or(Micros::MAX, |r| r.1 + since);
         let repeatable = match class.effect {
             Effect::Free => true,
@@ -576,7 +649,7 @@
     }
 
     fn group_allows(&self, session: &Session, server: &Server) -> bool {
-        let class = &self.set.classes[session.viewing.class];
+        let class = &self.set.classes[session.wish.class];
         if class.effect != Effect::Guarded {
             return true;
         }
@@ -589,7 +662,7 @@
 
     fn send(&mut self, id: RequestId, server: ServerId, rung: usize) {
         let session = self.sessions.get_mut(&id).expect("placed sessions are held");
-        let class = &self.set.classes[session.viewing.class];
+        let class = &self.set.classes[session.wish.class];
         let left = session.deadline - self.now;
         // A class that may be repeated leaves half of its wanted time to a second try.
         let last = self.set.max_attempts.is_some_and(|most| session.attempts + 1 >= most);
@@ -600,15 +673,16 @@
             self.extras.push_back(self.now);
         }
         session.attempts += 1;
-        session.rung = rung;
-        session.server = Some(server.clone());
+        session.wish.rung = rung;
         session.sent_at = self.now;
+        session.due = self.now + timeout;
         session.tried.push(server.clone());
         self.out.push(Action::Rate { id, rung });
         self.out.push(Action::Send { id, server: server.clone(), timeout });
         if let Some(to) = self.servers.get_mut(&server) {
             to.last_send = self.now;
         }
+        self.occupy(id, server);
         if let Some(budget) = self.set.budget {
             while self.extras.front().is_some_and(|&at| at < self.now - budget.window) {
                 self.extras.pop_front();
@@ -616,6 +690,32 @@
         }
     }
 
+    /// From its send, or from being handed over, a session has a seat and counts on its server.
+    fn occupy(&mut self, id: RequestId, server: ServerId) {
+        if let Some(to) = self.servers.get_mut(&server) {
+            to.sessions.insert(id);
+        }
+        let session = self.sessions.get_mut(&id).expect("held when it is sent");
+        session.server = Some(server);
+        *self.seated.entry((session.wish.class, session.title.clone())).or_default() += 1;
+    }
+
+    fn vacate(&mut self, id: RequestId) -> Option<ServerId> {
+        let session = self.sessions.get_mut(&id)?;
+        let server = session.server.take()?;
+        if let Some(from) = self.servers.get_mut(&server) {
+            from.sessions.remove(&id);
+        }
+        let seat = (session.wish.class, session.title.clone());
+        if let Some(held) = self.seated.get_mut(&seat) {
+            *held -= 1;
+            if *held == 0 {
+                self.seated.remove(&seat);
+            }
+        }
+        Some(server)
+    }
+
     fn playing(&mut self, id: RequestId, attempt: usize) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
         if attempt + 1 == session.attempts {
@@ -627,21 +727,31 @@
     }
 
     fn outcome(&mut self, id: RequestId, attempt: usize, status: Status, closed: bool, report: Report) {
-        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let Some(session) = self.sessions.get(&id) else { return };
         if attempt + 1 != session.attempts {
             return;
         }
-        let Some(server) = session.server.take() else { return };
         let over = closed || session.closed || session.playing;
+        let (sent_at, wish, played) = (session.sent_at, session.wish, session.playing);
+        // A time-out heard long after it was due shows that this gateway stood still, not that the server did.
+        let own_fault = status == Status::TimedOut && self.now - session.due > LATE;
+        let Some(server) = self.vacate(id) else { return };
         let never_ran = matches!(status, Status::Full | Status::ConnectError | Status::Ignored);
-        if !never_ran {
-            session.ran.push((server.clone(), session.sent_at));
+        if !own_fault {
+            self.weigh_evidence(&server, status);
         }
-        self.weigh_evidence(&server, status);
-        self.reported(&server, report);
+        self.hear(&server, report.link, report.uplink);
         if over {
             self.sessions.remove(&id);
+            if played {
+                self.ended.push_back(wish);
+                self.ended.drain(..self.ended.len().saturating_sub(SAMPLE));
+            }
         } else {
+            let session = self.sessions.get_mut(&id).expect("looked up above");
+            if !never_ran {
+                session.ran.push((server, sent_at));
+            }
             self.place(id);
         }
     }
@@ -678,7 +788,7 @@
     /// The final answer when no attempt is to follow: refused where it may be set up again, else failed.
     fn give_up(&mut self, id: RequestId) {
         let Some(session) = self.sessions.remove(&id) else { return };
-        let class = &self.set.classes[session.viewing.class];
+        let class = &self.set.classes[session.wish.class];
         let harmless = match class.effect {
             Effect::Free => true,
             Effect::Guarded => session.ran.is_empty() || class.group == Group::All,
@@ -695,6 +805,7 @@
 
     fn answered(&mut self, id: &ServerId) {
         self.reached(id);
+        self.struck.remove(id);
         if let Some(server) = self.servers.get_mut(id) {
             server.strikes = 0;
             server.avoid_until = 0;
@@ -715,7 +826,11 @@
         let Some(server) = self.servers.get_mut(id) else { return };
         let first = match status {
             Status::Ok => return self.answered(id),
-            Status::Full => return self.hear(id, Some(1.0), None, true),
+            Status::Full => {
+                // It says nothing of other servers, so it does not count as a report.
+                server.heard = Some(Heard { at: now, asked: 1.0, own: 0.0 });
+                return;
+            }
             Status::Cancelled | Status::Ignored => return,
             Status::Failed => BACK_OFF,
             Status::TimedOut | Status::ConnectError | Status::Reset => UNREACHED,
@@ -729,6 +844,7 @@
             server.avoid_until = now + (first << server.strikes.min(BACK_OFF_DOUBLINGS));
             server.strikes += 1;
         }
+        self.struck.insert(id.clone());
     }
 
     /// Probes servers that did not answer, each when its back-off ends. Guards against dead servers, cut
@@ -737,10 +853,11 @@
         if !self.set.may_probe {
             return;
         }
-        for server in self.servers.values_mut() {
+        for id in &self.struck {
+            let Some(server) = self.servers.get_mut(id) else { continue };
             if server.mute && server.entry.state == ServerState::Up && server.avoid_until <= self.now {
                 server.avoid_until = self.now + (UNREACHED << server.strikes.min(BACK_OFF_DOUBLINGS));
-                self.out.push(Action::Probe { server: server.entry.server.clone() });
+                self.out.push(Action::Probe { server: id.clone() });
             }
         }
     }
@@ -749,8 +866,8 @@
         server.share.is_some_and(|(share, at)| share < SHORT && self.now - at < SHORT_LASTS)
     }
 
-    fn healthy(&self, session: &Session, id: &ServerId, server: &Server, shared: bool) -> bool {
-        if self.is_short(server) || !self.cold_pace_allows(id, server) {
+    fn healthy(&self, session: &Session, server: &Server, shared: bool) -> bool {
+        if self.is_short(server) || !self.cold_pace_allows(server) {
             return false;
         }
         if server.mute && self.set.may_probe {
@@ -760,8 +877,8 @@
             return true;
         }
         // After the back-off one session on trial, and none that may be set up only once.
-        let safe = self.set.classes[session.viewing.class].effect != Effect::SingleShot;
-        let on_trial = || self.sessions.values().any(|s| !s.playing && s.server.as_ref() == Some(id));
+        let safe = self.set.classes[session.wish.class].effect != Effect::SingleShot;
+        let on_trial = || server.sessions.iter().any(|id| !self.sessions[id].playing);
         safe && self.now >= server.avoid_until && !on_trial()
     }
 
@@ -788,7 +905,7 @@
     /// Whether a cold server may be given a set-up now. Time is cut into slots, each one gateway's turn,
     /// so that all gateways together stay under the pace though none knows what the others send. Only the
     /// first half of a slot is used, which keeps set-ups of neighbouring slots apart.
-    fn cold_pace_allows(&self, id: &ServerId, server: &Server) -> bool {
+    fn cold_pace_allows(&self, server: &Server) -> bool {
         let Some((cold, start)) = self.set.cold.zip(self.last_start(server)) else { return true };
         if self.now - start >= cold.warm_up {
             return true;
@@ -798,8 +915,9 @@
         let per_window = (per_us * cold.window as f64 * 0.75).floor().max(1.0);
         let slot = (2.0 * cold.window as f64 / per_window) as Micros;
         let gateways = self.set.gateways.max(1) as Micros;
-        let phase: Micros = id.0.bytes().map(Micros::from).sum::<Micros>() * (slot / 7);
-        let (turn, within) = ((self.now + phase) / slot.max(1), (self.now + phase) % slot.max(1));
+        let digits = server.entry.server.0.bytes().map(Micros::from).sum::<Micros>();
+        let phased = self.now + digits * (slot / 7);
+        let (turn, within) = (phased / slot.max(1), phased % slot.max(1));
         turn % gateways == self.set.me as Micros
             && within < slot / 2
             && self.now - server.last_send >= slot / 2
@@ -811,55 +929,66 @@
         match note {
             Note::Rung(rung) => {
                 if let Some(session) = self.sessions.get_mut(&id) {
-                    session.rung = rung.min(self.set.rung_kb.len().saturating_sub(1));
+                    session.wish.rung = rung.min(self.set.rung_kb.len().saturating_sub(1));
                 }
             }
             Note::LinkAsked(asked) => {
-                self.hear(&server, Some(asked), None, false);
+                self.hear(&server, Some(asked), None);
                 self.overasked(&server, false, asked);
                 self.settle(&server);
             }
             Note::UplinkAsked(asked) => {
-                self.hear(&server, None, Some(asked), false);
+                self.hear(&server, None, Some(asked));
                 self.overasked(&server, true, asked);
             }
             Note::Delivered(share) => self.delivered(&server, share),
         }
     }
 
+    /// Own sessions that play on a server.
+    fn playing_on(&self, id: &ServerId) -> Vec<RequestId> {
+        let there = self.servers.get(id).into_iter().flat_map(|server| &server.sessions);
+        there.copied().filter(|id| self.sessions[id].playing && !self.sessions[id].closed).collect()
+    }
+
+    fn set_rung(&mut self, id: RequestId, rung: usize) {
+        self.sessions.get_mut(&id).expect("plays here").wish.rung = rung;
+        self.out.push(Action::Rate { id, rung });
+    }
+
     /// Exception: a session handed over at the start never had this gateway's one decision on its rung. It
     /// gets it once, upwards only, when its server's load is freshly heard, within this gateway's part of
-    /// the room. Guards against a fleet that is left at low rungs for the life of what played before.
-    /// Harm: each raise costs a change of rung, which a session near its end does not earn back.
+    /// the room. What is left of that part after whole steps is a chance for one step more, so that many
+    /// gateways with one session each use the room that they have together. Guards against a fleet that is
+    /// left at low rungs for the life of what played before. Harm: each raise costs a change of rung, which
+    /// a session near its end does not earn back.
     fn settle(&mut self, id: &ServerId) {
-        let waiting = |s: &Session| s.unsettled && s.playing && !s.closed && s.server.as_ref() == Some(id);
-        if !self.sessions.values().any(waiting) || self.servers.get(id).is_none_or(|s| self.is_short(s)) {
+        let waiting: Vec<_> =
+            self.playing_on(id).into_iter().filter(|id| self.sessions[id].unsettled).collect();
+        let Some(server) = self.servers.get(id).filter(|s| !waiting.is_empty() && !self.is_short(s)) else {
             return;
-        }
-        let survey = self.survey();
-        let own = self.own();
-        let rack = self.rack_of(&self.servers[id]);
-        let in_rack = |id: &ServerId| self.servers.get(id).is_some_and(|s| self.rack_of(s) == rack);
-        let own_rack: f64 = own.iter().filter(|(id, _)| in_rack(id)).map(|(_, kb)| kb).sum();
+        };
+        let (others, rack) = (self.asked_by_others(), self.rack_of(server));
         let part = |load: Load, own: f64| load.room() * (own / load.asked.max(1.0)).min(1.0);
-        let Some(here) = survey.servers.get(id) else { return };
-        let mut room =
-            part(*here, own.get(id).copied().unwrap_or(0.0)).min(part(survey.racks[&rack], own_rack));
-        let price = self.price(&survey);
-        let mut raises = Vec::new();
-        for (id, session) in self.sessions.iter().filter(|(_, s)| waiting(s)) {
-            let fair = self.fair_rung(session, price);
-            let held = self.rate(session, session.rung);
-            let fits = |rung: &usize| self.rate(session, *rung) - held <= room;
-            if let Some(rung) = (session.rung + 1..=fair).rev().find(fits) {
-                room -= self.rate(session, rung) - held;
-                raises.push((*id, rung));
+        let link = part(self.link_load(server, others), self.own_on(server));
+        let uplink = part(self.uplink_load(rack, others), self.own_behind(rack));
+        let mut room = link.min(uplink);
+        let price = self.price(others);
+        for id in waiting {
+            let (wish, chance) = (self.sessions[&id].wish, self.unit());
+            let step = |from: usize, to: usize| self.rate(&wish, to) - self.rate(&wish, from);
+            let fair = self.fair_rung(&wish, price);
+            let fits = (wish.rung..=fair).rev().find(|&rung| step(wish.rung, rung) <= room);
+            let mut rung = fits.unwrap_or(wish.rung);
+            let left = room - step(wish.rung, rung);
+            if rung < fair && chance * step(rung, rung + 1) < left {
+                rung += 1;
+            }
+            if rung > wish.rung {
+                room -= step(wish.rung, rung);
+                self.sessions.get_mut(&id).expect("listed above").unsettled = false;
+                self.set_rung(id, rung);
             }
-        }
-        for (id, rung) in raises {
-            let session = self.sessions.get_mut(&id).expect("found above");
-            (session.rung, session.unsettled) = (rung, false);
-            self.out.push(Action::Rate { id, rung });
         }
     }
 
@@ -883,12 +1012,13 @@
             return;
         }
         let Some(server) = self.servers.get(id) else { return };
-        let rack = self.rack_of(server);
-        let shared = |(other, s): &(&ServerId, &Server)| *other == id || uplink && self.rack_of(s) == rack;
-        let there: Vec<_> = self.servers.iter().filter(shared).map(|(id, _)| id.clone()).collect();
+        let behind = self.racks.get(&self.rack_of(server)).filter(|_| uplink);
+        let there = behind.map_or(vec![id.clone()], |rack| rack.servers.clone());
         there.iter().for_each(|id| self.cut(id, 1.0 / asked));
     }
 
+    /// Lowers own rungs by own part of what is missing, and what a whole step is too much for by chance, so
+    /// that the cuts of many gateways with one session each add up to what is missing.
     fn cut(&mut self, id: &ServerId, share: f64) {
         let (now, wait) = (self.now, self.set.see + CUT_SHOWS);
         let Some(server) = self.servers.get_mut(id) else { return };
@@ -896,28 +1026,38 @@
             return;
         }
         server.cut_at = now;
-        let here = |s: &Session| s.playing && !s.closed && s.server.as_ref() == Some(id);
-        let own: f64 = self.sessions.values().filter(|s| here(s)).map(|s| self.rate(s, s.rung)).sum();
+        let mut wishes: Vec<_> =
+            self.playing_on(id).into_iter().map(|id| (id, self.sessions[&id].wish)).collect();
+        let own: f64 = wishes.iter().map(|(_, wish)| self.rate(wish, wish.rung)).sum();
         let mut missing = own * (1.0 - share.max(0.0) * CUT_TO);
         let mut cut = BTreeMap::new();
         while missing > 0.0 {
             // The step down that gives up least worth for each kB.
-            let steps = self.sessions.iter().filter(|(_, s)| here(s)).filter_map(|(id, s)| {
-                let class = &self.set.classes[s.viewing.class];
-                let lower = s.rung.checked_sub(1).filter(|&rung| rung >= class.floor)?;
-                let kb = self.rate(s, s.rung) - self.rate(s, lower);
-                let worth = self.worth(s, s.rung) - self.worth(s, lower);
-                (kb > 0.0).then_some((*id, lower, kb, worth / kb))
+            let steps = wishes.iter().enumerate().filter_map(|(k, (_, wish))| {
+                let floor = self.set.classes[wish.class].floor;
+                let lower = wish.rung.checked_sub(1).filter(|&rung| rung >= floor)?;
+                let kb = self.rate(wish, wish.rung) - self.rate(wish, lower);
+                let worth = self.worth(wish, wish.rung) - self.worth(wish, lower);
+                (kb > 0.0).then_some((k, lower, kb, worth / kb))
             });
-            let Some((id, lower, kb, _)) = steps.min_by(|a, b| a.3.total_cmp(&b.3)) else { break };
+            let Some((k, lower, kb, _)) = steps.min_by(|a, b| a.3.total_cmp(&b.3)) else { break };
+            if missing < kb && self.unit() * kb >= missing {
+                break;
+            }
             missing -= kb;
-            self.sessions.get_mut(&id).expect("found above").rung = lower;
-            cut.insert(id, lower);
+            wishes[k].1.rung = lower;
+            cut.insert(wishes[k].0, lower);
         }
-        self.out.extend(cut.into_iter().map(|(id, rung)| Action::Rate { id, rung }));
+        cut.into_iter().for_each(|(id, rung)| self.set_rung(id, rung));
     }
 
+    // ---- Chance ----
+
     fn unit(&mut self) -> f64 {
         (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
     }
+
+    fn below(&mut self, end: usize) -> usize {
+        (self.rng.next_u64() % end.max(1) as u64) as usize
+    }
 }
