--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -21,7 +21,7 @@
 const PLANNED: f64 = 0.8;
 /// Spread of the price between sessions, so that a class does not change its rung all at once.
 const PRICE_SPREAD: f64 = 0.25;
-/// Own sessions and last reports that the price and the fleet's load are worked out on, where there are as many.
+/// Own sessions that the price, and last reports that the fleet's load is worked out on.
 const SAMPLE: usize = 16;
 const REPORTS: usize = 32;
 /// What one own session tells of the fleet's load, where one report tells 1.
@@ -582,8 +582,8 @@
 
     /// Exception: greedy rungs leave no room for the sessions that come during this one's life. The price
     /// of a kB a second is such that all sessions of all gateways, each at its fair rung, fill the planned
-    /// part. Own sessions stand for all, where these are few with the last that ended: what they ask now stands
-    /// to what they would ask as what all ask now to the planned part.
+    /// part. Own sessions stand for all, where these are few with the last that ended: what they ask now
+    /// stands to what they would ask as what all ask now to the planned part.
     fn price(&self, others: f64) -> f64 {
         let held = self.sessions.values().filter(|s| !s.closed).map(|s| s.wish);
         let past = self.ended.iter().rev().copied();
@@ -702,7 +702,7 @@
         }
         let over = closed || session.closed || session.playing;
         let (sent_at, wish, played) = (session.sent_at, session.wish, session.playing);
-        // A time-out heard long after it was due shows that this gateway stood still, not that the server did.
+        // A time-out heard long after it was due shows that this gateway stood still, not the server.
         let own_fault = status == Status::TimedOut && self.now - session.due > LATE;
         let Some(server) = self.vacate(id) else { return };
         let never_ran = matches!(status, Status::Full | Status::ConnectError | Status::Ignored);
@@ -956,8 +956,8 @@
         }
     }
 
-    /// Reports of a link or uplink of which more is asked than it gives tell so at once and in full, while the
-    /// delivered share is smoothed and falls for seconds.
+    /// Reports of a link or uplink of which more is asked than it gives tell so at once and in full, while
+    /// the delivered share is smoothed and falls for seconds.
     fn overasked(&mut self, there: Vec<ServerId>, asked: f64) {
         if asked.is_finite() && asked > OVERASKED {
             there.iter().for_each(|id| self.cut(id, 1.0 / asked));
