Cut the rest at once while the share goes on falling

Also covers uplinks and neighbours that come on fully at once; could harm where a share dips twice by noise.

--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -36,6 +36,8 @@
 const SHORT_LASTS: Micros = 2_500_000;
 /// After a short share, own sessions are cut to this part of what was delivered.
 const CUT_TO: f64 = 0.9;
+/// A share that falls by as much after a cut goes on falling.
+const FALLS: f64 = 0.03;
 /// Time for a cut to show in the smoothed share, beside the time that the share takes to arrive.
 const CUT_SHOWS: Micros = 1_500_000;
 /// First back-off from a server that failed; it doubles with each further failure.
@@ -74,7 +76,8 @@
     heard: Option<Heard>,
     /// Delivered share, and when it was heard.
     share: Option<(f64, Micros)>,
-    cut_at: Micros,
+    /// When own sessions there were last cut, and for which share.
+    cut: (Micros, f64),
     strikes: u32,
     avoid_until: Micros,
     /// Did not answer, and no probe has reached it since.
@@ -95,7 +98,7 @@
             sessions: BTreeSet::new(),
             heard: None,
             share: None,
-            cut_at: Micros::MIN / 2,
+            cut: (Micros::MIN / 2, 1.0),
             strikes: 0,
             avoid_until: 0,
             mute: false,
@@ -516,9 +519,8 @@
         }
         let drawn = [(); DRAW].map(|()| self.below(self.up.len())).map(|k| self.up[k].clone());
         let mut answering = drawn.into_iter().filter(|id| !self.servers[id].mute);
-        if let Some(server) = answering.find(|id| !self.is_known(id)) {
-            self.out.push(Action::Probe { server });
-        }
+        let server = answering.find(|id| !self.is_known(id));
+        self.out.extend(server.map(|server| Action::Probe { server }));
     }
 
     // ---- Pick and rung ----
@@ -746,11 +748,8 @@
         let Some(session) = self.sessions.get_mut(&id) else { return };
         // The time-out of the last attempt normally answers first; this one holds whatever happens.
         if !session.playing && !session.closed {
-            session.closed = true;
             self.out.push(Action::Fail { id });
-            if session.server.is_none() {
-                self.sessions.remove(&id);
-            }
+            self.gone(id);
         }
     }
 
@@ -972,14 +971,17 @@
     fn cut(&mut self, id: &ServerId, share: f64) {
         let (now, wait) = (self.now, self.set.see + CUT_SHOWS);
         let Some(server) = self.servers.get_mut(id) else { return };
-        if share >= SHORT || now - server.cut_at < wait {
+        // The share is smoothed: while it goes on falling before a cut can show, the rest is cut as well.
+        let (at, answered) = server.cut;
+        let before = if now - at < wait { answered } else { CUT_TO.recip() };
+        if share >= SHORT.min(before - FALLS) {
             return;
         }
-        server.cut_at = now;
+        server.cut = (now, share);
         let mut wishes: Vec<_> =
             self.playing_on(id).into_iter().map(|id| (id, self.sessions[&id].wish)).collect();
         let own: f64 = wishes.iter().map(|(_, wish)| self.rate(wish, wish.rung)).sum();
-        let mut missing = own * (1.0 - share.max(0.0) * CUT_TO);
+        let mut missing = own * (1.0 - share.max(0.0) / before.max(0.01));
         let mut cut = BTreeMap::new();
         while missing > 0.0 {
             // The step down that gives up least worth for each kB.
--- a/crates/elderpick-core/tests/ordinary_path.rs
+++ b/crates/elderpick-core/tests/ordinary_path.rs
@@ -291,3 +291,23 @@
     }
     assert_eq!(sent(&gateway.request(Viewing { copies: 200, ..viewing(0) }).1), Some(server("s2")));
 }
+
+/// Found on a day that began with far too many high rungs: the share is smoothed, so the first word of it told a
+/// fraction of what was missing, and the rest waited for that cut to show.
+#[test]
+fn a_share_that_goes_on_falling_is_cut_for_at_once() {
+    let set = Settings {
+        rung_kb: vec![1.0, 10.0, 100.0, 400.0],
+        rung_worth: vec![0.1, 0.3, 0.6, 1.0],
+        ..probed_site(1)
+    };
+    let mut gateway = Gateway::new(set, vec![entry("a"), entry("b")]);
+    let (id, actions) = gateway.request(Viewing { top: 3, ..viewing(0) });
+    let here = sent(&actions).expect("an empty fleet admits");
+    gateway.playing(id, 0);
+    gateway.now += 2 * SECOND;
+    assert_eq!(gateway.note(id, &here, Note::Delivered(0.27)), vec![Action::Rate { id, rung: 2 }]);
+    gateway.now += SECOND;
+    assert_eq!(gateway.note(id, &here, Note::Delivered(0.25)), vec![], "it does not fall any more");
+    assert_eq!(gateway.note(id, &here, Note::Delivered(0.025)), vec![Action::Rate { id, rung: 1 }]);
+}
