--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -47,8 +47,6 @@
 const UNREACHED: Micros = 1_000_000;
 /// Less time than this is too little for an attempt.
 const LEAST_ATTEMPT: Micros = 60_000;
-/// A time-out that comes later than this shows that the gateway itself stood still.
-const LATE: Micros = 200_000;
 /// Loads differ by as much before another zone is preferred.
 const ZONE_BIAS: f64 = 0.05;
 /// Token of the alarm after which the list is asked for; requests have the others.
@@ -138,8 +136,6 @@
     /// Where its attempt is out or it plays.
     server: Option<ServerId>,
     sent_at: Micros,
-    /// When the time-out of its attempt ends.
-    due: Micros,
     playing: bool,
     /// Answered or given up by the viewer while an attempt is out.
     closed: bool,
@@ -180,8 +176,9 @@
     /// The largest size of a server, and the sum of all, in kB a second.
     largest: f64,
     capacity: f64,
-    /// The last reports: when, of which server, and what others asked of it over its size.
-    reports: VecDeque<(Micros, ServerId, f64)>,
+    /// The last reports: when, of which server, what others asked of it over its size, and what own sessions
+    /// asked of all servers then.
+    reports: VecDeque<(Micros, ServerId, f64, f64)>,
     sessions: BTreeMap<RequestId, Session>,
     /// The last sessions that ended.
     ended: VecDeque<Wish>,
@@ -385,7 +382,6 @@
             ran: Vec::new(),
             server: None,
             sent_at: self.now,
-            due: Micros::MAX,
             playing: false,
             closed: false,
             unsettled: false,
@@ -446,12 +442,19 @@
     /// What the other gateways ask of an average server, as a share of its size. A gateway sees few of the
     /// sessions of a large fleet, so the last reports tell it, and its own sessions times the number of
     /// gateways little beside them.
+    ///
+    /// Exception: where own sessions ask more than when a report came, all gateways' are taken to, damped by
+    /// what a few sessions ask. Guards against crowds, of which reports tell only when all are admitted.
+    /// Harm: a crowd at this gateway alone, as after its restart, costs its sessions a rung.
     fn asked_by_others(&self) -> f64 {
+        let (own, gateways) = (self.own_in_all(), self.set.gateways.saturating_sub(1) as f64);
+        let middle = self.set.rung_kb.get(self.set.rung_kb.len() / 2).copied().unwrap_or(0.0);
+        let damp = middle * SAMPLE as f64 / 2.0 + 1.0;
         let mut told = self.sessions.len() as f64 * OWN_TELLS;
-        let gateways = self.set.gateways.saturating_sub(1) as f64;
-        let mut asked = told * self.own_in_all() * gateways / self.capacity.max(1.0);
-        for (at, _, others) in &self.reports {
-            asked += self.freshness(*at) * others;
+        let mut asked = told * own * gateways / self.capacity.max(1.0);
+        for (at, _, others, then) in &self.reports {
+            let grown = ((own + damp) / (then + damp)).max(1.0);
+            asked += self.freshness(*at) * others * grown;
             told += self.freshness(*at);
         }
         if told > 0.0 { asked / told } else { 0.0 }
@@ -498,7 +501,8 @@
         let uplink = uplink.filter(|x| x.is_finite()).map(|x| told(x, self.own_behind(rack)));
         if let Some(heard) = link {
             let others = (heard.asked * server.link - heard.own).max(0.0) / server.size.max(1.0);
-            self.reports.push_back((self.now, id.clone(), others));
+            let own = self.own_in_all();
+            self.reports.push_back((self.now, id.clone(), others, own));
             self.reports.drain(..self.reports.len().saturating_sub(REPORTS));
             self.servers.get_mut(id).expect("looked up above").heard = link;
         }
@@ -549,7 +553,7 @@
             }
         }
         let mut known = drawn.iter().filter(|id| self.is_known(id)).count();
-        let mut told: Vec<_> = self.reports.iter().map(|(_, server, _)| server.clone()).collect();
+        let mut told: Vec<_> = self.reports.iter().map(|(_, server, _, _)| server.clone()).collect();
         while known < DRAW && !told.is_empty() {
             let server = told.swap_remove(self.below(told.len()));
             if !drawn.contains(&server) && self.is_known(&server) && self.usable(id, &server, shared) {
@@ -665,7 +669,6 @@
         }
         session.wish.rung = rung;
         session.sent_at = self.now;
-        session.due = self.now + timeout;
         session.tried.push(server.clone());
         self.out.push(Action::Rate { id, rung });
         self.out.push(Action::Send { id, server: server.clone(), timeout });
@@ -704,13 +707,9 @@
         }
         let over = closed || session.closed || session.playing;
         let (sent_at, wish, played) = (session.sent_at, session.wish, session.playing);
-        // A time-out heard long after it was due shows that this gateway stood still, not the server.
-        let own_fault = status == Status::TimedOut && self.now - session.due > LATE;
         let Some(server) = self.vacate(id) else { return };
         let never_ran = matches!(status, Status::Full | Status::ConnectError | Status::Ignored);
-        if !own_fault {
-            self.weigh_evidence(&server, status);
-        }
+        self.weigh_evidence(&server, status);
         self.hear(&server, report.link, report.uplink);
         if over {
             self.sessions.remove(&id);
--- a/crates/elderpick-core/tests/ordinary_path.rs
+++ b/crates/elderpick-core/tests/ordinary_path.rs
@@ -311,3 +311,21 @@
     assert_eq!(gateway.note(id, &here, Note::Delivered(0.25)), vec![], "it does not fall any more");
     assert_eq!(gateway.note(id, &here, Note::Delivered(0.025)), vec![Action::Rate { id, rung: 1 }]);
 }
+
+/// Found on a crowd: the reports of before it told of an idle fleet, and each of many gateways gave all that came
+/// high rungs.
+#[test]
+fn a_crowd_at_one_gateway_of_many_is_taken_for_a_crowd_at_all() {
+    let servers = (0..100).map(|n| Entry { cell: n, ..entry(&format!("s{n}")) }).collect();
+    let set = Settings { cells: Some(100), racks: Some(100), ..probed_site(50) };
+    let mut gateway = Gateway::new(set, servers);
+    for n in 0..12 {
+        let (server, status) = (server(&format!("s{n}")), Status::Ok);
+        gateway.handle(Event::Probed { server, status, report: link_report(0.45) });
+    }
+    let given: Vec<_> =
+        (0..40).filter_map(|_| rung(&gateway.request(Viewing { copies: 100, ..viewing(0) }).1)).collect();
+    let mean = |rungs: &[usize]| rungs.iter().sum::<usize>() as f64 / rungs.len() as f64;
+    assert!(given.len() > 30, "the crowd is admitted: {given:?}");
+    assert!(mean(&given[25..]) < mean(&given[5..15]) - 0.3, "at lower rungs: {given:?}");
+}
