--- a/crates/elderpick-core/tests/odd_input.rs
+++ b/crates/elderpick-core/tests/odd_input.rs
@@ -114,3 +114,63 @@
     gateway.note(id, &here, Note::Rung(0));
     assert_eq!(gateway.note(id, &here, Note::LinkAsked(0.1)), vec![]);
 }
+
+/// A gateway that stood still finds all that came meanwhile, in a fleet of hundreds: each request has one final answer or
+/// one attempt out, nothing goes to what the pile says is draining, and further attempts keep to the budget.
+#[test]
+fn a_pile_after_a_stall_is_answered_within_the_rules() {
+    let budget = BudgetRule { free: 3.0, share: 0.2, window: 10 * SECOND };
+    let set = Settings { gateways: 200, budget: Some(budget), ..settings(vec![class(Effect::Free)]) };
+    let servers: Vec<_> = (0..300).map(|n| entry(&format!("s{n}"))).collect();
+    let mut gateway = Gateway::new(set, servers);
+    for n in 0..32 {
+        let (server, status) = (server(&format!("s{n}")), Status::Ok);
+        gateway.handle(Event::Probed { server, status, report: link_report(0.01) });
+    }
+    let held: Vec<_> = (0..200).map(|_| gateway.request(viewing(0))).collect();
+    gateway.now += 2 * SECOND;
+    let draining: Vec<_> =
+        (0..150).map(|n| Entry { state: ServerState::Draining, ..entry(&format!("s{n}")) }).collect();
+    gateway.list(ListKind::Changes, draining.clone());
+    let (mut again, mut taken) = (0, 0);
+    for (id, actions) in held.iter().filter(|(_, actions)| sent(actions).is_some()) {
+        taken += 1;
+        assert!(!refused(actions));
+        let answer = gateway.outcome(*id, 0, Status::TimedOut);
+        if let Some(to) = sent(&answer) {
+            assert!(draining.iter().all(|entry| entry.server != to), "{to} drains");
+            again += 1;
+        } else {
+            assert!(refused(&answer), "given up at once: {answer:?}");
+        }
+    }
+    assert!(taken > 100, "an empty fleet admits");
+    assert!(again > 0 && f64::from(again) <= 3.0 + 0.2 * 200.0, "{again} further attempts");
+}
+
+#[test]
+fn a_large_fleet_of_nonsense_is_survived() {
+    let odd = |n: usize| Entry {
+        cell: usize::MAX - n,
+        weight: [f64::NAN, -1.0, f64::INFINITY, 0.0, 1.0][n % 5],
+        kind: n,
+        zone: n,
+        started: [None, Some(Micros::MAX / 4), Some(0)][n % 3],
+        ..entry(&format!("s{n}"))
+    };
+    for (racks, rack_kb) in [(Some(0), Some(f64::NAN)), (None, Some(-1.0)), (Some(7), None)] {
+        let set = Settings { gateways: 0, racks, rack_kb, ..settings(vec![class(Effect::Free)]) };
+        let mut gateway = Gateway::new(set, (0..300).map(odd).collect());
+        for n in 0..100 {
+            let (id, actions) = gateway.request(Viewing { copies: usize::MAX, ..viewing(0) });
+            let Some(server) = sent(&actions) else { continue };
+            gateway.playing(id, 0);
+            let share = [f64::NAN, f64::NEG_INFINITY, 0.0, 0.5][n % 4];
+            for note in [Note::Delivered(share), Note::LinkAsked(share), Note::UplinkAsked(1e300)] {
+                gateway.note(id, &server, note);
+            }
+        }
+        gateway.list(ListKind::Full, vec![]);
+        assert!(refused(&gateway.request(viewing(0)).1));
+    }
+}
--- a/crates/elderpick-core/tests/rules.rs
+++ b/crates/elderpick-core/tests/rules.rs
@@ -190,6 +190,38 @@
     assert!(heaviest_window(&mut gateways, 11) <= 1);
 }
 
+/// All of 220 gateways begin at one time with an old list, and each has more requests than it would ever get.
+#[test]
+fn hundreds_of_gateways_after_a_restart_keep_the_pace_of_each_server() {
+    let names = ["a", "b", "c"];
+    let set = |me| Settings {
+        me,
+        gateways: 220,
+        places: vec![27.0],
+        cold: Some(cold_rule()),
+        ..settings(vec![class(Effect::Free)])
+    };
+    let servers: Vec<_> = names.iter().map(|name| entry(name)).collect();
+    let mut gateways: Vec<_> =
+        (0..220).map(|me| Gateway::restarted(me as u64, set(me), servers.clone())).collect();
+    let mut sends: Vec<(ServerId, Micros)> = Vec::new();
+    for _ in 0..220 {
+        for gateway in &mut gateways {
+            gateway.now += 50 * MS;
+            let (id, actions) = gateway.request(Viewing { top: 0, ..viewing(0) });
+            if let Some(server) = sent(&actions) {
+                sends.push((server, gateway.now));
+                gateway.end(id, 0);
+            }
+        }
+    }
+    assert!(!sends.is_empty(), "cold servers are to be warmed");
+    for (server, from) in &sends {
+        let near = sends.iter().filter(|(id, at)| id == server && (*from..*from + SECOND).contains(at));
+        assert!(near.count() <= 1, "two set-ups within a second on {server}");
+    }
+}
+
 #[test]
 fn a_warm_server_has_no_pace() {
     let set = Settings { cold: Some(cold_rule()), ..settings(vec![class(Effect::Free)]) };
