--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -24,6 +24,8 @@
 /// Own sessions that the price, and last reports that the fleet's load is worked out on.
 const SAMPLE: usize = 16;
 const REPORTS: usize = 32;
+/// What an own session tells of the fleet's load, where a report tells 1 and there is but this gateway.
+const OWN_TELLS: f64 = 0.3;
 /// A report tells half of what it told after this time.
 const REPORT_HALF_LIFE: f64 = 12e6;
 /// Reports are noisy: only what is asked beyond this, over what is given, counts by itself.
@@ -438,23 +440,20 @@
     }
 
     /// What the other gateways ask of an average server, as a share of its size. A gateway sees few of the
-    /// sessions of a large fleet, so the last reports tell it; own sessions times the number of gateways
-    /// do so only where there is none.
-    ///
-    /// Exception: where own sessions ask more than when a report came, all gateways' are taken to, damped by
-    /// what a few sessions ask. Guards against crowds, of which reports tell only when all are admitted.
-    /// Harm: a crowd at this gateway alone, as after its restart, costs its sessions a rung.
+    /// sessions of a large fleet, so the last reports tell it, and own sessions times the number of gateways
+    /// the less the more gateways there are.
     fn asked_by_others(&self) -> f64 {
         let (own, gateways) = (self.own_in_all(), self.set.gateways.saturating_sub(1) as f64);
         let middle = self.set.rung_kb.get(self.set.rung_kb.len() / 2).copied().unwrap_or(0.0);
         let damp = middle * SAMPLE as f64 / 2.0 + 1.0;
-        let (mut asked, mut told) = (0.0, 0.0);
+        let mut told = self.sessions.len() as f64 * OWN_TELLS / (gateways + 1.0);
+        let mut asked = told * own * gateways / self.capacity.max(1.0);
         for (at, _, others, then) in &self.reports {
             let grown = ((own + damp) / (then + damp)).max(1.0);
             asked += self.freshness(*at) * others * grown;
             told += self.freshness(*at);
         }
-        if told > 0.0 { asked / told } else { own * gateways / self.capacity.max(1.0) }
+        if told > 0.0 { asked / told } else { 0.0 }
     }
 
     fn own_in_all(&self) -> f64 {
