--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -111,6 +111,8 @@
 #[derive(Default)]
 struct Rack {
     servers: Vec<ServerId>,
+    /// What the uplink gives: as told, else what the links behind it do.
+    uplink: f64,
     heard: Option<Heard>,
 }
 
@@ -185,8 +187,8 @@
     alarms: BTreeMap<u64, RequestId>,
     next_token: u64,
     /// Requests taken and further attempts made within the budget's window.
-    taken: VecDeque<Micros>,
-    extras: VecDeque<Micros>,
+    taken: Vec<Micros>,
+    extras: Vec<Micros>,
     out: Vec<Action>,
 }
 
@@ -209,8 +211,8 @@
             ended: VecDeque::new(),
             alarms: BTreeMap::new(),
             next_token: LIST_TOKEN + 1,
-            taken: VecDeque::new(),
-            extras: VecDeque::new(),
+            taken: Vec::new(),
+            extras: Vec::new(),
             out: Vec::new(),
         }
     }
@@ -289,16 +291,18 @@
     /// Sums over the whole list, made anew only when it changes.
     fn measure_fleet(&mut self) {
         let usual = self.set.links_kb.filter(|&kb| kb > 0.0).map(|kb| kb / self.servers.len().max(1) as f64);
-        let all_racks = self.set.racks.unwrap_or(1).max(1);
         self.racks.values_mut().for_each(|rack| rack.servers.clear());
         self.up.clear();
-        for (id, server) in &mut self.servers {
+        for server in self.servers.values_mut() {
             let weight = if self.set.weights { server.entry.weight.max(0.0) } else { 1.0 };
             server.link = match self.set.kb_per_weight {
                 Some(kb) if kb > 0.0 => kb * weight,
                 _ => usual.unwrap_or(f64::MAX / 1e9),
             };
-            let rack = self.racks.entry(server.entry.cell % all_racks).or_default();
+        }
+        for (id, server) in &self.servers {
+            let rack = self.rack_of(server);
+            let rack = self.racks.entry(rack).or_default();
             if server.entry.state != ServerState::Gone {
                 rack.servers.push(id.clone());
             }
@@ -307,12 +311,12 @@
             }
         }
         (self.largest, self.capacity) = (0.0, 0.0);
-        for rack in self.racks.values() {
+        for rack in self.racks.values_mut() {
             let links: f64 = rack.servers.iter().map(|id| self.servers[id].link).sum();
-            let uplink = self.set.rack_kb.filter(|&kb| kb > 0.0).unwrap_or(links);
+            rack.uplink = self.set.rack_kb.filter(|&kb| kb > 0.0).unwrap_or(links);
             for id in &rack.servers {
                 let server = self.servers.get_mut(id).expect("racks hold listed servers");
-                server.size = server.link * (uplink / links.max(1e-9)).min(1.0);
+                server.size = server.link * (rack.uplink / links.max(1e-9)).min(1.0);
                 if server.entry.state == ServerState::Up {
                     self.largest = self.largest.max(server.size);
                     self.capacity += server.size;
@@ -328,7 +332,7 @@
     // ---- A session arrives ----
 
     fn request(&mut self, id: RequestId, viewing: Viewing) {
-        self.taken.push_back(self.now);
+        self.taken.push(self.now);
         let since = self.now - self.set.budget.map_or(0, |budget| budget.window);
         self.taken.retain(|&at| at >= since);
         self.extras.retain(|&at| at >= since);
@@ -421,6 +425,10 @@
         self.set.rung_kb.get(rung).copied().unwrap_or(0.0) * self.set.classes[wish.class].scale
     }
 
+    fn asks(&self, wish: &Wish) -> f64 {
+        self.rate(wish, wish.rung)
+    }
+
     fn worth(&self, wish: &Wish, rung: usize) -> f64 {
         self.set.rung_worth.get(rung).copied().unwrap_or(0.0) * self.set.classes[wish.class].worth
     }
@@ -431,8 +439,7 @@
 
     /// Rates of own sessions on a server.
     fn own_on(&self, server: &Server) -> f64 {
-        let wishes = server.sessions.iter().map(|id| &self.sessions[id].wish);
-        wishes.map(|wish| self.rate(wish, wish.rung)).sum()
+        server.sessions.iter().map(|id| self.asks(&self.sessions[id].wish)).sum()
     }
 
     fn own_behind(&self, rack: usize) -> f64 {
@@ -450,15 +457,15 @@
         let mut asked = told * own * gateways / self.capacity.max(1.0);
         for (at, _, others, then) in &self.reports {
             let grown = ((own + damp) / (then + damp)).max(1.0);
-            asked += self.freshness(*at) * others * grown;
-            told += self.freshness(*at);
+            let weight = self.freshness(*at);
+            asked += weight * others * grown;
+            told += weight;
         }
         if told > 0.0 { asked / told } else { 0.0 }
     }
 
     fn own_in_all(&self) -> f64 {
-        let held = self.sessions.values().filter(|s| s.server.is_some());
-        held.map(|s| self.rate(&s.wish, s.wish.rung)).sum()
+        self.sessions.values().filter(|s| s.server.is_some()).map(|s| self.asks(&s.wish)).sum()
     }
 
     /// What is asked of a link, as far as this gateway can tell: its last report as it ages into the average,
@@ -473,13 +480,8 @@
 
     fn uplink_load(&self, rack: usize, others: f64) -> Load {
         let behind = &self.racks[&rack];
-        let mut load = Load { link: 0.0, asked: 0.0 };
-        for id in &behind.servers {
-            let one = self.link_load(&self.servers[id], others);
-            load.link += one.link;
-            load.asked += one.asked;
-        }
-        load.link = self.set.rack_kb.filter(|&kb| kb > 0.0).unwrap_or(load.link);
+        let loads = behind.servers.iter().map(|id| self.link_load(&self.servers[id], others));
+        let mut load = Load { link: behind.uplink, asked: loads.map(|load| load.asked).sum() };
         if let Some(heard) = &behind.heard {
             let told = (heard.asked * load.link - heard.own).max(0.0) + self.own_behind(rack);
             let weight = self.freshness(heard.at);
@@ -518,8 +520,7 @@
             return;
         }
         let drawn = [(); DRAW].map(|()| self.below(self.up.len())).map(|k| self.up[k].clone());
-        let mut answering = drawn.into_iter().filter(|id| !self.servers[id].mute);
-        let server = answering.find(|id| !self.is_known(id));
+        let server = drawn.into_iter().find(|id| !self.servers[id].mute && !self.is_known(id));
         self.out.extend(server.map(|server| Action::Probe { server }));
     }
 
@@ -549,12 +550,13 @@
             }
         }
         let mut known = drawn.iter().filter(|id| self.is_known(id)).count();
-        let mut told: Vec<_> = self.reports.iter().map(|(_, server, _, _)| server.clone()).collect();
+        let mut told: Vec<_> = (0..self.reports.len()).collect();
         while known < DRAW && !told.is_empty() {
-            let server = told.swap_remove(self.below(told.len()));
-            if !drawn.contains(&server) && self.is_known(&server) && self.usable(id, &server, shared) {
+            let k = told.swap_remove(self.below(told.len()));
+            let server = &self.reports[k].1;
+            if !drawn.contains(server) && self.is_known(server) && self.usable(id, server, shared) {
                 known += 1;
-                drawn.push(server);
+                drawn.push(server.clone());
             }
         }
         drawn
@@ -590,7 +592,7 @@
         let held = self.sessions.values().filter(|s| !s.closed).map(|s| s.wish);
         let past = self.ended.iter().rev().copied();
         let sample: Vec<Wish> = held.chain(past).take(SAMPLE.max(self.sessions.len())).collect();
-        let asked: f64 = sample.iter().map(|wish| self.rate(wish, wish.rung)).sum();
+        let asked: f64 = sample.iter().map(|wish| self.asks(wish)).sum();
         let all = others * self.capacity + self.own_in_all();
         let planned = self.capacity * PLANNED * asked / all.max(1.0);
         let demand =
@@ -661,7 +663,7 @@
         let once = last || class.effect == Effect::SingleShot || half < LEAST_ATTEMPT;
         let timeout = if once { left } else { half.min(left) };
         if !session.tried.is_empty() {
-            self.extras.push_back(self.now);
+            self.extras.push(self.now);
         }
         session.wish.rung = rung;
         session.sent_at = self.now;
@@ -692,7 +694,9 @@
     fn playing(&mut self, id: RequestId, attempt: usize) {
         if let Some(session) = self.sessions.get_mut(&id).filter(|s| attempt + 1 == s.tried.len()) {
             session.playing = true;
-            session.server.clone().iter().for_each(|server| self.answered(server));
+            if let Some(server) = session.server.clone() {
+                self.answered(&server);
+            }
         }
     }
 
@@ -882,16 +886,14 @@
                 // The first time the uplink's news comes right after it.
                 let again = self.servers.get(&server).is_some_and(|s| s.heard.is_some());
                 self.hear(&server, Some(asked), None);
-                self.overasked(vec![server.clone()], asked);
+                self.overasked(&server, false, asked);
                 if again {
                     self.settle(&server);
                 }
             }
             Note::UplinkAsked(asked) => {
                 self.hear(&server, None, Some(asked));
-                let rack = self.servers.get(&server).map(|s| self.rack_of(s));
-                let behind = rack.and_then(|rack| self.racks.get(&rack));
-                self.overasked(behind.map_or(Vec::new(), |rack| rack.servers.clone()), asked);
+                self.overasked(&server, true, asked);
                 self.settle(&server);
             }
             Note::Delivered(share) => {
@@ -952,10 +954,13 @@
 
     /// Reports of a link or uplink of which more is asked than it gives tell so at once and in full, while
     /// the delivered share is smoothed and falls for seconds.
-    fn overasked(&mut self, there: Vec<ServerId>, asked: f64) {
-        if asked.is_finite() && asked > OVERASKED {
-            there.iter().for_each(|id| self.cut(id, 1.0 / asked));
-        }
+    fn overasked(&mut self, id: &ServerId, uplink: bool, asked: f64) {
+        let Some(server) = self.servers.get(id).filter(|_| asked.is_finite() && asked > OVERASKED) else {
+            return;
+        };
+        let rack = &self.racks[&self.rack_of(server)];
+        let there = if uplink { rack.servers.clone() } else { vec![id.clone()] };
+        there.iter().for_each(|id| self.cut(id, 1.0 / asked));
     }
 
     /// Exception: where delivery is short all sessions there lose far more than a rung, so own rungs go down
@@ -975,7 +980,7 @@
         server.cut = (now, share);
         let mut wishes: Vec<_> =
             self.playing_on(id).into_iter().map(|id| (id, self.sessions[&id].wish)).collect();
-        let own: f64 = wishes.iter().map(|(_, wish)| self.rate(wish, wish.rung)).sum();
+        let own: f64 = wishes.iter().map(|(_, wish)| self.asks(wish)).sum();
         let mut missing = own * (1.0 - share.max(0.0) / before.max(0.01));
         let mut cut = BTreeMap::new();
         while missing > 0.0 {
@@ -983,7 +988,7 @@
             let steps = wishes.iter().enumerate().filter_map(|(k, (_, wish))| {
                 let floor = self.set.classes[wish.class].floor;
                 let lower = wish.rung.checked_sub(1).filter(|&rung| rung >= floor)?;
-                let kb = self.rate(wish, wish.rung) - self.rate(wish, lower);
+                let kb = self.asks(wish) - self.rate(wish, lower);
                 let worth = self.worth(wish, wish.rung) - self.worth(wish, lower);
                 (kb > 0.0).then_some((k, lower, kb, worth / kb))
             });
--- a/crates/elderpick-core/tests/any_order.rs
+++ b/crates/elderpick-core/tests/any_order.rs
@@ -86,7 +86,7 @@
             max_attempts: Some(3),
             ..settings(classes)
         };
-        let servers = (0..SERVERS).map(|n| Entry { cell: n, ..entry(&format!("s{n}")) }).collect();
+        let servers = in_own_cells(SERVERS);
         World {
             gateway: Gateway::new(set, servers),
             held: BTreeMap::new(),
--- a/crates/elderpick-core/tests/common/mod.rs
+++ b/crates/elderpick-core/tests/common/mod.rs
@@ -125,11 +125,39 @@
         self.handle(Event::Playing { id, attempt })
     }
 
+    /// A session of class 0 handed over at the start.
+    pub fn open(&mut self, id: RequestId, server: &ServerId) -> Vec<Action> {
+        self.handle(Event::Open { id, viewing: viewing(0), server: server.clone() })
+    }
+
+    /// A probe is answered, with this report of the load.
+    pub fn told(&mut self, name: &str, report: Report) -> Vec<Action> {
+        self.handle(Event::Probed { server: server(name), status: Status::Ok, report })
+    }
+
     pub fn note(&mut self, id: RequestId, server: &ServerId, note: Note) -> Vec<Action> {
         self.handle(Event::Noted { id, server: server.clone(), note })
     }
 }
 
+/// Servers named `s0`, `s1` and so on.
+pub fn numbered(count: usize) -> Vec<Entry> {
+    (0..count).map(|n| entry(&format!("s{n}"))).collect()
+}
+
+/// The same, each in a cell of its own.
+pub fn in_own_cells(count: usize) -> Vec<Entry> {
+    numbered(count).into_iter().enumerate().map(|(cell, entry)| Entry { cell, ..entry }).collect()
+}
+
+pub fn probes(actions: &[Action]) -> Vec<ServerId> {
+    let probed = |action: &Action| match action {
+        Action::Probe { server } => Some(server.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(probed).collect()
+}
+
 pub fn sent(actions: &[Action]) -> Option<ServerId> {
     let mut sends = actions.iter().filter_map(|action| match action {
         Action::Send { server, .. } => Some(server.clone()),
--- a/crates/elderpick-core/tests/health.rs
+++ b/crates/elderpick-core/tests/health.rs
@@ -9,14 +9,6 @@
     gateway.handle(Event::Probed { server: server(name), status, report: Report::default() });
 }
 
-fn probes(actions: &[Action]) -> Vec<ServerId> {
-    let probes = actions.iter().filter_map(|action| match action {
-        Action::Probe { server } => Some(server.clone()),
-        _ => None,
-    });
-    probes.collect()
-}
-
 /// Found when a zone was cut off: its servers stayed in the list and each session sent there lost its wanted time.
 #[test]
 fn a_server_that_did_not_answer_gets_a_probe_before_a_session() {
--- a/crates/elderpick-core/tests/odd_input.rs
+++ b/crates/elderpick-core/tests/odd_input.rs
@@ -121,11 +121,10 @@
 fn a_pile_after_a_stall_is_answered_within_the_rules() {
     let budget = BudgetRule { free: 3.0, share: 0.2, window: 10 * SECOND };
     let set = Settings { gateways: 200, budget: Some(budget), ..settings(vec![class(Effect::Free)]) };
-    let servers: Vec<_> = (0..300).map(|n| entry(&format!("s{n}"))).collect();
+    let servers = numbered(300);
     let mut gateway = Gateway::new(set, servers);
     for n in 0..32 {
-        let (server, status) = (server(&format!("s{n}")), Status::Ok);
-        gateway.handle(Event::Probed { server, status, report: link_report(0.01) });
+        gateway.told(&format!("s{n}"), link_report(0.01));
     }
     let held: Vec<_> = (0..200).map(|_| gateway.request(viewing(0))).collect();
     gateway.now += 2 * SECOND;
--- a/crates/elderpick-core/tests/ordinary_path.rs
+++ b/crates/elderpick-core/tests/ordinary_path.rs
@@ -10,8 +10,7 @@
     let mut gateway =
         Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a"), entry("b"), entry("c")]);
     for (name, asked) in [("a", 0.6), ("b", 0.2), ("c", 0.5)] {
-        let (server, status) = (server(name), Status::Ok);
-        gateway.handle(Event::Probed { server, status, report: link_report(asked) });
+        gateway.told(name, link_report(asked));
     }
     let (_, actions) = gateway.request(viewing(0));
     assert_eq!(sent(&actions), Some(server("b")));
@@ -21,8 +20,7 @@
 fn counts_own_sessions_set_up_since_the_report() {
     let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a"), entry("b")]);
     for (name, asked) in [("a", 0.1), ("b", 0.2)] {
-        let (server, status) = (server(name), Status::Ok);
-        gateway.handle(Event::Probed { server, status, report: link_report(asked) });
+        gateway.told(name, link_report(asked));
     }
     assert_eq!(sent(&gateway.request(viewing(0)).1), Some(server("a")));
     assert_eq!(sent(&gateway.request(viewing(0)).1), Some(server("b")));
@@ -48,8 +46,7 @@
     let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a")]);
     assert_eq!(rung(&gateway.request(viewing(0)).1), Some(2));
     let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a")]);
-    let (server, status) = (server("a"), Status::Ok);
-    gateway.handle(Event::Probed { server, status, report: link_report(0.78) });
+    gateway.told("a", link_report(0.78));
     assert_eq!(rung(&gateway.request(viewing(0)).1), Some(0));
 }
 
@@ -64,8 +61,7 @@
 #[test]
 fn refuses_at_once_with_advice_when_the_lowest_rung_does_not_fit() {
     let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a")]);
-    let (server, status) = (server("a"), Status::Ok);
-    gateway.handle(Event::Probed { server, status, report: link_report(0.95) });
+    gateway.told("a", link_report(0.95));
     let (id, actions) = gateway.request(viewing(0));
     assert_eq!(actions.last(), Some(&Action::Refuse { id, retry_after: Some(500 * MS) }));
 }
@@ -75,13 +71,13 @@
     let set = Settings { rack_kb: Some(1_000.0), ..settings(vec![class(Effect::Free)]) };
     let mut gateway = Gateway::new(set, vec![entry("a")]);
     let report = Report { link: Some(0.1), uplink: Some(0.95), streams: None };
-    gateway.handle(Event::Probed { server: server("a"), status: Status::Ok, report });
+    gateway.told("a", report);
     assert!(refused(&gateway.request(viewing(0)).1));
 }
 
 #[test]
 fn a_crowd_is_given_lower_rungs_than_a_lone_viewer() {
-    let servers: Vec<_> = (0..4).map(|n| entry(&format!("s{n}"))).collect();
+    let servers = numbered(4);
     let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), servers);
     let rungs: Vec<_> = (0..16).filter_map(|_| rung(&gateway.request(viewing(0)).1)).collect();
     assert_eq!(rungs[0], 2);
@@ -117,7 +113,7 @@
 #[test]
 fn the_same_seed_and_events_give_the_same_actions() {
     let run = |seed| {
-        let servers: Vec<_> = (0..9).map(|n| entry(&format!("s{n}"))).collect();
+        let servers = numbered(9);
         let mut gateway = Gateway::seeded(seed, settings(vec![class(Effect::Free)]), servers);
         (0..30).map(|_| gateway.request(viewing(0)).1).collect::<Vec<_>>()
     };
@@ -130,25 +126,16 @@
     Settings { gateways, may_probe: true, reporting: Reporting::WhenProbed, ..set }
 }
 
-fn probes(actions: &[Action]) -> Vec<ServerId> {
-    let probed = |action: &Action| match action {
-        Action::Probe { server } => Some(server.clone()),
-        _ => None,
-    };
-    actions.iter().filter_map(probed).collect()
-}
-
 /// Found at full size: hundreds of gateways that probe hundreds of servers at their start paid more for it than
 /// they gained.
 #[test]
 fn a_gateway_that_starts_probes_the_servers_of_its_sessions_and_then_one_a_session() {
-    let servers: Vec<_> = (0..300).map(|n| entry(&format!("s{n}"))).collect();
+    let servers = numbered(300);
     let mut gateway = Gateway::restarted(1, probed_site(200), vec![]);
     assert_eq!(probes(&gateway.list(ListKind::Restored, servers)), vec![]);
     for (id, asked) in [(1000, 1), (1001, 1), (1002, 0)] {
         let here = server(if id == 1000 { "s5" } else { "s7" });
-        let event = Event::Open { id: RequestId(id), viewing: viewing(0), server: here.clone() };
-        assert_eq!(probes(&gateway.handle(event)), vec![here; asked]);
+        assert_eq!(probes(&gateway.open(RequestId(id), &here)), vec![here; asked]);
     }
     let later: Vec<_> = (0..10).flat_map(|_| probes(&gateway.request(viewing(0)).1)).collect();
     assert_eq!(later.len(), 10);
@@ -162,7 +149,7 @@
 fn a_session_handed_over_gets_its_rung_once_when_the_load_is_heard() {
     let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a"), entry("b")]);
     let (id, here) = (RequestId(5), server("a"));
-    gateway.handle(Event::Open { id, viewing: viewing(0), server: here.clone() });
+    gateway.open(id, &here);
     assert_eq!(gateway.note(id, &here, Note::Rung(0)), vec![]);
     assert_eq!(
         gateway.note(id, &here, Note::LinkAsked(0.1)),
@@ -178,14 +165,14 @@
 fn a_session_handed_over_is_left_alone_where_the_link_is_full() {
     let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), vec![entry("a"), entry("b")]);
     let (id, here) = (RequestId(5), server("a"));
-    gateway.handle(Event::Open { id, viewing: viewing(0), server: here.clone() });
+    gateway.open(id, &here);
     assert_eq!(gateway.note(id, &here, Note::LinkAsked(0.95)), vec![]);
     assert_eq!(gateway.note(id, &here, Note::UplinkAsked(0.1)), vec![]);
 }
 
 #[test]
 fn a_server_that_is_full_tells_nothing_of_the_others() {
-    let servers: Vec<_> = (0..4).map(|n| entry(&format!("s{n}"))).collect();
+    let servers = numbered(4);
     let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), servers);
     let (id, _) = gateway.request(viewing(0));
     assert!(sent(&gateway.outcome(id, 0, Status::Full)).is_some());
@@ -200,7 +187,7 @@
     let mut gateway = Gateway::new(set, vec![behind_full, behind_free]);
     for (name, link, uplink) in [("idle", 0.1, 0.92), ("busier", 0.4, 0.4)] {
         let report = Report { link: Some(link), uplink: Some(uplink), streams: None };
-        gateway.handle(Event::Probed { server: server(name), status: Status::Ok, report });
+        gateway.told(name, report);
     }
     assert_eq!(sent(&gateway.request(viewing(0)).1), Some(server("busier")));
 }
@@ -249,9 +236,9 @@
     let raised = (0..400)
         .filter(|&seed| {
             let set = Settings { gateways: 100, ..settings(vec![class(Effect::Free)]) };
-            let mut gateway = Gateway::seeded(seed, set, (0..100).map(|n| entry(&format!("s{n}"))).collect());
+            let mut gateway = Gateway::seeded(seed, set, numbered(100));
             let (id, here) = (RequestId(5), server("s3"));
-            gateway.handle(Event::Open { id, viewing: viewing(0), server: here.clone() });
+            gateway.open(id, &here);
             gateway.note(id, &here, Note::Rung(1));
             gateway.note(id, &here, Note::LinkAsked(0.55));
             gateway.note(id, &here, Note::LinkAsked(0.55)).contains(&Action::Rate { id, rung: 2 })
@@ -282,12 +269,11 @@
 /// Found at full size: of a hundred servers three drawn ones had hardly ever told their load.
 #[test]
 fn in_a_large_fleet_the_pick_sees_the_servers_that_told_their_load() {
-    let servers = (0..200).map(|n| Entry { cell: n, ..entry(&format!("s{n}")) }).collect();
+    let servers = in_own_cells(200);
     let set = Settings { cells: Some(200), racks: Some(200), ..probed_site(100) };
     let mut gateway = Gateway::new(set, servers);
     for (name, asked) in [("s1", 0.7), ("s2", 0.1), ("s3", 0.6)] {
-        let (server, status) = (server(name), Status::Ok);
-        gateway.handle(Event::Probed { server, status, report: link_report(asked) });
+        gateway.told(name, link_report(asked));
     }
     assert_eq!(sent(&gateway.request(Viewing { copies: 200, ..viewing(0) }).1), Some(server("s2")));
 }
@@ -316,12 +302,11 @@
 /// high rungs.
 #[test]
 fn a_crowd_at_one_gateway_of_many_is_taken_for_a_crowd_at_all() {
-    let servers = (0..100).map(|n| Entry { cell: n, ..entry(&format!("s{n}")) }).collect();
+    let servers = in_own_cells(100);
     let set = Settings { cells: Some(100), racks: Some(100), ..probed_site(50) };
     let mut gateway = Gateway::new(set, servers);
     for n in 0..12 {
-        let (server, status) = (server(&format!("s{n}")), Status::Ok);
-        gateway.handle(Event::Probed { server, status, report: link_report(0.45) });
+        gateway.told(&format!("s{n}"), link_report(0.45));
     }
     let given: Vec<_> =
         (0..40).filter_map(|_| rung(&gateway.request(Viewing { copies: 100, ..viewing(0) }).1)).collect();
--- a/crates/elderpick-core/tests/rules.rs
+++ b/crates/elderpick-core/tests/rules.rs
@@ -264,7 +264,7 @@
 #[test]
 fn a_gateway_with_sessions_handed_over_does_not_ask_for_the_list() {
     let mut gateway = Gateway::restarted(1, settings(vec![class(Effect::Free)]), vec![entry("a")]);
-    gateway.handle(Event::Open { id: RequestId(7), viewing: viewing(0), server: server("a") });
+    gateway.open(RequestId(7), &server("a"));
     assert_eq!(gateway.handle(Event::Alarm { token: 0 }), vec![]);
 }
 
@@ -292,8 +292,7 @@
 fn no_rung_under_the_floor_even_when_only_a_lower_one_fits() {
     let floored = Class { floor: 1, ..class(Effect::Free) };
     let mut gateway = Gateway::new(settings(vec![floored]), vec![entry("a")]);
-    let (server, status) = (server("a"), Status::Ok);
-    gateway.handle(Event::Probed { server, status, report: link_report(0.75) });
+    gateway.told("a", link_report(0.75));
     assert!(refused(&gateway.request(viewing(0)).1));
 }
 
@@ -311,7 +310,7 @@
     let seated = Class { seats: Some(2), ..class(Effect::Free) };
     let mut gateway = Gateway::new(settings(vec![seated]), fleet(3));
     let old = RequestId(900);
-    gateway.handle(Event::Open { id: old, viewing: viewing(0), server: fleet(1)[0].server.clone() });
+    gateway.open(old, &fleet(1)[0].server);
     let (second, actions) = gateway.request(viewing(0));
     assert!(sent(&actions).is_some());
     assert!(refused(&gateway.request(viewing(0)).1));
