--- /dev/null
+++ b/crates/elderpick-gateway/src/engine.rs
@@ -0,0 +1,691 @@
+//! The life of sessions, without sockets and without a clock.
+//!
+//! kind: decisions
+//!
+//! The engine stands between the decision core and the sockets. It tells the core what happens and turns what the core
+//! decides into work for the runtime: it keeps which request waits for which session, when an attempt has run out of
+//! time, when a viewer counts as gone, and what must be released at a host before the core may count a seat as free.
+//! Everything enters by [`Engine::handle`] with the time and leaves as [`Output`]s.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::IpAddr;
+
+use elderpick_core::Controller;
+use elderpick_core::api::{
+    Action, Entry, Event, ListKind, Micros, Note, Report, RequestId, ServerId, ServerState, Status, Viewing,
+};
+
+use crate::config::{Config, Listed, Reporting};
+use crate::play::Play;
+
+/// What decides on sessions. The product has one, the core; drills put doubles in its place that break a rule.
+pub trait Decide {
+    fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>);
+
+    /// Whether a set-up may be written to a server that the list tells to be so.
+    fn may_write(&self, state: ServerState) -> bool {
+        state == ServerState::Up
+    }
+}
+
+impl Decide for Controller {
+    fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        Controller::handle(self, now, event, actions);
+    }
+}
+
+/// A session's name in URIs: 128 bits that cannot be guessed.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
+pub struct Token(pub u128);
+
+impl Token {
+    pub fn parse(text: &str) -> Option<Token> {
+        let plain =
+            text.len() == 32 && text.bytes().all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b));
+        plain.then(|| u128::from_str_radix(text, 16).ok()).flatten().map(Token)
+    }
+}
+
+impl std::fmt::Display for Token {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+/// The number that the runtime gives a viewer's request.
+pub type Ask = u64;
+
+/// By what a request is known to be another try of one that is held already: the address it came from and the session
+/// id that players tell by CMCD (CTA-5004).
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
+pub struct Viewer {
+    pub from: IpAddr,
+    pub sid: String,
+}
+
+/// A request for a session.
+#[derive(Clone, Debug)]
+pub struct Wanted {
+    pub class: usize,
+    pub title: String,
+    pub viewer: Option<Viewer>,
+    /// When it came.
+    pub came: Micros,
+    /// Highest rate that the viewer can use, bits a second.
+    pub top_bits: Option<u64>,
+    /// W3C trace context, passed on to media hosts.
+    pub trace: Option<String>,
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub enum SetUp {
+    /// The host plays; the base of its URIs and the multivariant playlist.
+    Plays {
+        base: url::Url,
+        manifest: bytes::Bytes,
+    },
+    Failed(Status),
+}
+
+/// What a media host tells while sessions play.
+#[derive(Clone, PartialEq, Debug)]
+pub enum Said {
+    Delivered(f64),
+    Link(f64),
+    Uplink(f64),
+    /// It ended a session.
+    Ended(Token),
+    /// It cannot be reached any more, or is another process: what it played is lost.
+    Lost,
+}
+
+#[derive(Debug)]
+pub enum Input {
+    /// News of the list; servers by name, with state and start.
+    List {
+        kind: ListKind,
+        servers: Vec<(String, ServerState, Option<Micros>)>,
+    },
+    Ask {
+        ask: Ask,
+        wanted: Wanted,
+        token: Token,
+        /// The session's name at media hosts.
+        alias: Token,
+    },
+    /// The viewer closed its connection before the answer.
+    AskDropped {
+        ask: Ask,
+    },
+    SetUp {
+        id: RequestId,
+        attempt: usize,
+        result: SetUp,
+        report: Report,
+    },
+    Released {
+        id: RequestId,
+    },
+    Probed {
+        server: ServerId,
+        status: Status,
+        report: Report,
+    },
+    Said {
+        server: ServerId,
+        said: Said,
+    },
+    /// The viewer is done.
+    Leave {
+        token: Token,
+    },
+    /// No new session from now on.
+    Drain,
+    /// All that plays ends.
+    End,
+    Tick,
+}
+
+/// The final answer to one request.
+#[derive(Clone, PartialEq, Debug)]
+pub enum Answer {
+    Plays {
+        token: Token,
+        manifest: String,
+    },
+    Refused {
+        retry_after: Option<Micros>,
+    },
+    /// `late` when time ran out.
+    Failed {
+        late: bool,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub enum Output {
+    Answer {
+        ask: Ask,
+        answer: Answer,
+    },
+    SetUp {
+        id: RequestId,
+        attempt: usize,
+        server: ServerId,
+        alias: Token,
+        class: usize,
+        title: String,
+        rung: usize,
+        trace: Option<String>,
+    },
+    /// Close the attempt's connection; nothing more of it is wanted.
+    Cancel {
+        id: RequestId,
+        attempt: usize,
+    },
+    Rung {
+        server: ServerId,
+        alias: Token,
+        rung: usize,
+    },
+    /// Tell the host that a session is over. With an id, [`Input::Released`] is to follow.
+    Release {
+        id: Option<RequestId>,
+        server: ServerId,
+        alias: Token,
+    },
+    Probe {
+        server: ServerId,
+    },
+    /// Listen to what the host tells, from now on.
+    Follow {
+        server: ServerId,
+    },
+    Subscribe,
+    Fetch,
+}
+
+/// Counts since the start.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+pub struct Counts {
+    pub asked: u64,
+    pub joined: u64,
+    pub played: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub left: u64,
+    pub attempts: u64,
+    pub further: u64,
+    pub rungs: u64,
+    pub ended: u64,
+    pub lost: u64,
+    pub unknown_servers: u64,
+    pub over_bound: u64,
+}
+
+enum State {
+    /// Attempts are made.
+    Placing,
+    Playing(Box<Play>),
+    /// The host is being told that it is over.
+    Releasing(Status),
+}
+
+struct Session {
+    token: Token,
+    alias: Token,
+    wanted: Wanted,
+    asks: Vec<Ask>,
+    state: State,
+    /// Attempts sent so far, and where the last went if it is still out or plays.
+    attempts: usize,
+    server: Option<ServerId>,
+    rung: usize,
+    last: Status,
+    seen: Micros,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+enum Timer {
+    /// An attempt has run out of time. Comes before the core's alarms of the same moment.
+    Attempt(RequestId, usize),
+    Silence(RequestId),
+    Core(u64),
+}
+
+/// Requests that may wait for the answer of one session.
+const MOST_ASKS: usize = 8;
+const MOST_TITLE: usize = 256;
+
+pub struct Engine<D> {
+    core: D,
+    pub config: Config,
+    pub servers: BTreeMap<ServerId, Listed>,
+    sessions: BTreeMap<RequestId, Session>,
+    tokens: HashMap<Token, RequestId>,
+    aliases: HashMap<Token, RequestId>,
+    viewers: HashMap<(Viewer, usize, String), RequestId>,
+    asks: HashMap<Ask, RequestId>,
+    timers: BTreeSet<(Micros, Timer)>,
+    followed: BTreeSet<ServerId>,
+    next: u64,
+    draining: bool,
+    began: bool,
+    pub counts: Counts,
+    actions: Vec<Action>,
+    out: Vec<Output>,
+}
+
+impl<D: Decide> Engine<D> {
+    pub fn new(core: D, config: Config, servers: BTreeMap<ServerId, Listed>) -> Self {
+        Engine {
+            core,
+            config,
+            servers,
+            sessions: BTreeMap::new(),
+            tokens: HashMap::new(),
+            aliases: HashMap::new(),
+            viewers: HashMap::new(),
+            asks: HashMap::new(),
+            timers: BTreeSet::new(),
+            followed: BTreeSet::new(),
+            next: 0,
+            draining: false,
+            began: false,
+            counts: Counts::default(),
+            actions: Vec::new(),
+            out: Vec::new(),
+        }
+    }
+
+    /// When [`Input::Tick`] is next due. After a stall what arrived meanwhile is to be handled before it.
+    pub fn next_timer(&self) -> Option<Micros> {
+        self.timers.first().map(|(at, _)| *at)
+    }
+
+    pub fn sessions(&self) -> usize {
+        self.sessions.len()
+    }
+
+    /// Whether a set-up may be written to the server now: the list may have changed since it was decided.
+    pub fn may_write(&self, server: &ServerId) -> bool {
+        self.servers.get(server).is_some_and(|s| self.core.may_write(s.entry.state))
+    }
+
+    /// Takes what happened and appends what is to be done.
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        if !self.began {
+            // The inventory is a list as it was known last: it may be old.
+            self.began = true;
+            let entries = self.servers.values().map(|s| s.entry.clone()).collect();
+            self.tell(now, Event::List { kind: ListKind::Restored, entries });
+        }
+        match input {
+            Input::List { kind, servers } => self.list(now, kind, servers),
+            Input::Ask { ask, wanted, token, alias } => self.ask(now, ask, wanted, token, alias),
+            Input::AskDropped { ask } => self.ask_dropped(now, ask),
+            Input::SetUp { id, attempt, result, report } => self.set_up(now, id, attempt, result, report),
+            Input::Released { id } => self.released(now, id),
+            Input::Probed { server, status, report } => {
+                self.tell(now, Event::Probed { server, status, report })
+            }
+            Input::Said { server, said } => self.said(now, server, said),
+            Input::Leave { token } => {
+                if let Some(&id) = self.tokens.get(&token) {
+                    self.counts.left += 1;
+                    self.release(now, id, Status::Ok);
+                }
+            }
+            Input::Drain => self.draining = true,
+            Input::End => {
+                let mut ids: Vec<_> = self.sessions.keys().copied().collect();
+                ids.sort_unstable();
+                ids.into_iter().for_each(|id| self.release(now, id, Status::Cancelled));
+            }
+            Input::Tick => self.run_timers(now),
+        }
+        out.append(&mut self.out);
+    }
+
+    fn run_timers(&mut self, now: Micros) {
+        while let Some(&(at, timer)) = self.timers.first().filter(|(at, _)| *at <= now) {
+            self.timers.remove(&(at, timer));
+            match timer {
+                Timer::Attempt(id, attempt) => {
+                    let out = self.sessions.get(&id).filter(|s| {
+                        s.attempts == attempt + 1 && s.server.is_some() && matches!(s.state, State::Placing)
+                    });
+                    if out.is_some() {
+                        self.out.push(Output::Cancel { id, attempt });
+                        self.attempt_failed(now, id, attempt, Status::TimedOut, Report::default());
+                    }
+                }
+                Timer::Silence(id) => self.silence(now, id),
+                Timer::Core(token) => self.tell(now, Event::Alarm { token }),
+            }
+        }
+    }
+
+    /// Tells the core and carries out what it decides.
+    fn tell(&mut self, now: Micros, event: Event) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.core.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Rate { id, rung } => self.rate(id, rung),
+                Action::Send { id, server, timeout } => self.send(now, id, server, timeout),
+                Action::Refuse { id, retry_after } => {
+                    self.counts.refused += 1;
+                    self.give_up(now, id, Answer::Refused { retry_after });
+                }
+                Action::Fail { id } => {
+                    self.counts.failed += 1;
+                    let late = self.sessions.get(&id).is_some_and(|s| s.last == Status::TimedOut);
+                    self.give_up(now, id, Answer::Failed { late });
+                }
+                Action::Probe { server } => self.out.push(Output::Probe { server }),
+                Action::Subscribe => self.out.push(Output::Subscribe),
+                Action::Fetch => self.out.push(Output::Fetch),
+                Action::Alarm { token, at } => {
+                    self.timers.insert((at, Timer::Core(token)));
+                }
+            }
+        }
+        self.actions = actions;
+    }
+
+    fn list(&mut self, now: Micros, kind: ListKind, servers: Vec<(String, ServerState, Option<Micros>)>) {
+        if kind == ListKind::Full {
+            self.servers.values_mut().for_each(|s| s.entry.state = ServerState::Gone);
+        }
+        let mut entries: Vec<Entry> = Vec::new();
+        for (name, state, started) in servers {
+            // The list does not tell where a server is: one that the inventory lacks cannot be used.
+            let Some(server) = self.servers.get_mut(&ServerId(name.as_str().into())) else {
+                self.counts.unknown_servers += 1;
+                tracing::warn!(server = name, "in the list but not in the inventory");
+                continue;
+            };
+            server.entry.state = state;
+            server.entry.started = started.or(server.entry.started);
+            entries.push(server.entry.clone());
+        }
+        self.tell(now, Event::List { kind, entries });
+    }
+
+    fn ask(&mut self, now: Micros, ask: Ask, wanted: Wanted, token: Token, alias: Token) {
+        self.counts.asked += 1;
+        let key = wanted.viewer.clone().map(|v| (v, wanted.class, wanted.title.clone()));
+        // A further try of a session that is held joins it, and has the same answer.
+        if let Some(session) = key.as_ref().and_then(|key| self.viewers.get(key)).copied() {
+            match self.sessions.get_mut(&session) {
+                Some(held) if matches!(held.state, State::Placing) && held.asks.len() < MOST_ASKS => {
+                    self.counts.joined += 1;
+                    held.asks.push(ask);
+                    self.asks.insert(ask, session);
+                    return;
+                }
+                Some(Session { state: State::Playing(play), token, seen, .. }) => {
+                    self.counts.joined += 1;
+                    *seen = now;
+                    let answer = Answer::Plays { token: *token, manifest: play.manifest(*token) };
+                    return self.out.push(Output::Answer { ask, answer });
+                }
+                _ => {}
+            }
+        }
+        let full = self.sessions.len() >= self.config.limits.sessions;
+        if self.draining || full || wanted.title.len() > MOST_TITLE {
+            self.counts.over_bound += u64::from(full);
+            self.counts.refused += 1;
+            let answer = Answer::Refused { retry_after: self.config.retry_after };
+            return self.out.push(Output::Answer { ask, answer });
+        }
+        let id = RequestId(self.next);
+        self.next += 1;
+        let class = &self.config.classes[wanted.class];
+        let left = wanted.came + class.patience - self.config.limits.margin - now;
+        let (home, copies) = self.config.home(&wanted.title);
+        let fits = |bits: u64| {
+            let ladder = self.config.ladder_bits(wanted.class);
+            ladder.iter().rposition(|&rate| rate <= bits).unwrap_or(0)
+        };
+        let top = wanted.top_bits.map_or(usize::MAX, fits).max(class.floor);
+        let viewing =
+            Viewing { class: wanted.class, title: wanted.title.clone(), left, hint: None, home, copies, top };
+        let session = Session {
+            token,
+            alias,
+            wanted,
+            asks: vec![ask],
+            state: State::Placing,
+            attempts: 0,
+            server: None,
+            rung: 0,
+            last: Status::Ok,
+            seen: now,
+        };
+        self.sessions.insert(id, session);
+        self.tokens.insert(token, id);
+        self.aliases.insert(alias, id);
+        self.asks.insert(ask, id);
+        if let Some(key) = key {
+            self.viewers.insert(key, id);
+        }
+        self.tell(now, Event::Request { id, viewing });
+    }
+
+    /// The last of a session's viewers left before the answer: nothing more is sent for it.
+    fn ask_dropped(&mut self, now: Micros, ask: Ask) {
+        let Some(id) = self.asks.remove(&ask) else { return };
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        session.asks.retain(|&a| a != ask);
+        if session.asks.is_empty() && matches!(session.state, State::Placing) {
+            self.counts.left += 1;
+            self.tell(now, Event::Gone { id });
+            self.give_up(now, id, Answer::Failed { late: false });
+        }
+    }
+
+    fn rate(&mut self, id: RequestId, rung: usize) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        session.rung = rung;
+        if let (State::Playing(play), Some(server)) = (&mut session.state, &session.server) {
+            self.counts.rungs += 1;
+            play.change(rung);
+            let (server, alias) = (server.clone(), session.alias);
+            self.out.push(Output::Rung { server, alias, rung });
+        }
+    }
+
+    fn send(&mut self, now: Micros, id: RequestId, server: ServerId, timeout: Micros) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let attempt = session.attempts;
+        session.attempts += 1;
+        session.server = Some(server.clone());
+        self.counts.attempts += 1;
+        self.counts.further += u64::from(attempt > 0);
+        self.timers.insert((now + timeout.max(0), Timer::Attempt(id, attempt)));
+        if self.followed.insert(server.clone()) {
+            self.out.push(Output::Follow { server: server.clone() });
+        }
+        self.out.push(Output::SetUp {
+            id,
+            attempt,
+            server,
+            alias: session.alias,
+            class: session.wanted.class,
+            title: session.wanted.title.clone(),
+            rung: session.rung,
+            trace: session.wanted.trace.clone(),
+        });
+    }
+
+    fn set_up(&mut self, now: Micros, id: RequestId, attempt: usize, result: SetUp, report: Report) {
+        let current = |s: &&mut Session| s.attempts == attempt + 1 && matches!(s.state, State::Placing);
+        let Some(session) = self.sessions.get_mut(&id).filter(current) else { return };
+        let (base, manifest) = match result {
+            SetUp::Plays { base, manifest } => (base, manifest),
+            SetUp::Failed(status) => return self.attempt_failed(now, id, attempt, status, report),
+        };
+        let ladder = self.config.ladder_bits(session.wanted.class);
+        let play = match Play::new(&base, &manifest, session.rung, ladder, &self.config.limits, now) {
+            Ok(play) => play,
+            Err(why) => {
+                let server = session.server.as_ref().map(|s| &*s.0);
+                tracing::warn!(session = id.0, server, attempt, %why, "the host's playlist cannot be used");
+                return self.attempt_failed(now, id, attempt, Status::Failed, report);
+            }
+        };
+        let answer = Answer::Plays { token: session.token, manifest: play.manifest(session.token) };
+        session.state = State::Playing(Box::new(play));
+        session.seen = now;
+        self.counts.played += 1;
+        for ask in std::mem::take(&mut session.asks) {
+            self.asks.remove(&ask);
+            self.out.push(Output::Answer { ask, answer: answer.clone() });
+        }
+        self.timers.insert((now + self.config.limits.silence, Timer::Silence(id)));
+        let server = session.server.clone();
+        self.tell(now, Event::Playing { id, attempt });
+        if let Some(server) = server.filter(|_| self.config.reporting == Reporting::Answers) {
+            self.tell(now, Event::Probed { server, status: Status::Ok, report });
+        }
+    }
+
+    /// An attempt is over and nothing plays. Where it may have run the host is told that it is not wanted.
+    fn attempt_failed(&mut self, now: Micros, id: RequestId, attempt: usize, status: Status, report: Report) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        session.last = status;
+        let may_run = matches!(status, Status::TimedOut | Status::Reset | Status::Cancelled | Status::Failed);
+        if let Some(server) = session.server.take().filter(|_| may_run) {
+            let alias = session.alias;
+            self.out.push(Output::Release { id: None, server, alias });
+        }
+        self.tell(now, Event::Outcome { id, attempt, status, closed: false, report });
+    }
+
+    /// Answers at once all who wait, and ends what is still out.
+    fn give_up(&mut self, now: Micros, id: RequestId, answer: Answer) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        for ask in std::mem::take(&mut session.asks) {
+            self.asks.remove(&ask);
+            self.out.push(Output::Answer { ask, answer: answer.clone() });
+        }
+        if session.server.is_some() {
+            self.out.push(Output::Cancel { id, attempt: session.attempts - 1 });
+            self.release(now, id, Status::Cancelled);
+        } else {
+            self.forget(id);
+        }
+    }
+
+    /// Tells the host that a session is over. The core hears of it when the host has taken it, so that a seat counts
+    /// as held as long as the host may hold it.
+    fn release(&mut self, _now: Micros, id: RequestId, status: Status) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        if matches!(session.state, State::Releasing(_)) {
+            return;
+        }
+        let Some(server) = session.server.clone() else { return };
+        if matches!(session.state, State::Placing) && !session.asks.is_empty() {
+            // Ended from outside while it was placed.
+            for ask in std::mem::take(&mut session.asks) {
+                self.asks.remove(&ask);
+                self.out.push(Output::Answer { ask, answer: Answer::Failed { late: false } });
+            }
+            self.out.push(Output::Cancel { id, attempt: session.attempts - 1 });
+        }
+        session.state = State::Releasing(status);
+        self.tokens.remove(&session.token);
+        let alias = session.alias;
+        self.out.push(Output::Release { id: Some(id), server, alias });
+    }
+
+    fn released(&mut self, now: Micros, id: RequestId) {
+        let Some(session) = self.sessions.get(&id) else { return };
+        let State::Releasing(status) = session.state else { return };
+        self.ended(now, id, status);
+    }
+
+    /// A session is over at its host.
+    fn ended(&mut self, now: Micros, id: RequestId, status: Status) {
+        let Some(attempt) = self.sessions.get(&id).map(|s| s.attempts.saturating_sub(1)) else { return };
+        self.counts.ended += 1;
+        self.forget(id);
+        self.tell(now, Event::Outcome { id, attempt, status, closed: true, report: Report::default() });
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        let Some(session) = self.sessions.remove(&id) else { return };
+        self.tokens.remove(&session.token);
+        self.aliases.remove(&session.alias);
+        if let Some(viewer) = session.wanted.viewer {
+            let key = (viewer, session.wanted.class, session.wanted.title);
+            if self.viewers.get(&key) == Some(&id) {
+                self.viewers.remove(&key);
+            }
+        }
+    }
+
+    fn silence(&mut self, now: Micros, id: RequestId) {
+        let Some(session) = self.sessions.get(&id) else { return };
+        let State::Playing(play) = &session.state else { return };
+        let until = play.wanted_until(session.seen, &self.config.limits);
+        if until > now {
+            self.timers.insert((until, Timer::Silence(id)));
+        } else {
+            self.counts.left += 1;
+            self.release(now, id, Status::Ok);
+        }
+    }
+
+    fn said(&mut self, now: Micros, server: ServerId, said: Said) {
+        let there = |s: &Session| s.server.as_ref() == Some(&server);
+        let note = match said {
+            Said::Delivered(share) => Note::Delivered(share),
+            Said::Link(asked) => Note::LinkAsked(asked),
+            Said::Uplink(asked) => Note::UplinkAsked(asked),
+            Said::Ended(alias) => {
+                let id = self.aliases.get(&alias).copied();
+                let Some(id) = id.filter(|id| self.sessions.get(id).is_some_and(there)) else { return };
+                // While it is placed the attempt's own answer decides.
+                if matches!(self.sessions[&id].state, State::Playing(_)) {
+                    self.ended(now, id, Status::Cancelled);
+                }
+                return;
+            }
+            Said::Lost => {
+                let playing = |s: &Session| there(s) && !matches!(s.state, State::Placing);
+                let mut ids: Vec<_> =
+                    self.sessions.iter().filter(|(_, s)| playing(s)).map(|(id, _)| *id).collect();
+                ids.sort_unstable();
+                self.followed.remove(&server);
+                if ids.is_empty() {
+                    // Nothing was lost, but a host that answers no more is known to be so.
+                    let (status, report) = (Status::ConnectError, Report::default());
+                    return self.tell(now, Event::Probed { server, status, report });
+                }
+                self.counts.lost += ids.len() as u64;
+                return ids.into_iter().for_each(|id| self.ended(now, id, Status::Reset));
+            }
+        };
+        // The core takes what is told of a server with any session there.
+        let id = self.sessions.iter().filter(|(_, s)| there(s)).map(|(id, _)| *id).min();
+        if let Some(id) = id {
+            self.tell(now, Event::Noted { id, server, note });
+        }
+    }
+
+    /// The session's playlists, for a viewer that asks for one now.
+    pub fn play(&mut self, now: Micros, token: Token) -> Option<(RequestId, &mut Play)> {
+        let id = *self.tokens.get(&token)?;
+        let session = self.sessions.get_mut(&id)?;
+        session.seen = now;
+        match &mut session.state {
+            State::Playing(play) => Some((id, play)),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/elderpick-gateway/src/front.rs
@@ -0,0 +1,275 @@
+//! Viewers, as the gateway speaks to them: HLS over HTTP/1.1.
+//!
+//! `GET /watch/CLASS/TITLE/index.m3u8` asks for a session; its answer is the final one. `GET /s/TOKEN/…` are the
+//! session's media playlists, `DELETE /s/TOKEN` ends it.
+
+use std::convert::Infallible;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+
+use crate::engine::{Answer, Ask, Decide, Input, Token, Viewer, Wanted};
+use crate::shell::{Shell, fetch, span};
+
+type Reply = Response<Full<Bytes>>;
+
+/// Counts a viewer's connection as long as it is held.
+struct Held<D: Decide + 'static>(Rc<Shell<D>>, IpAddr);
+
+impl<D: Decide + 'static> Drop for Held<D> {
+    fn drop(&mut self) {
+        self.0.viewers.set(self.0.viewers.get().saturating_sub(1));
+        let mut by = self.0.by_address.borrow_mut();
+        if let Some(count) = by.get_mut(&self.1) {
+            *count -= 1;
+            if *count == 0 {
+                by.remove(&self.1);
+            }
+        }
+    }
+}
+
+/// Takes connections up to the bounds; what is over them is told so at once and closed.
+pub(crate) async fn accept<D: Decide + 'static>(listener: TcpListener, shell: Rc<Shell<D>>) {
+    let limits = shell.with_engine(|e| e.config.limits.clone());
+    loop {
+        let (stream, from) = match listener.accept().await {
+            Ok(taken) => taken,
+            Err(why) => {
+                // Out of descriptors, most likely: those that are held go on, and some will be free soon.
+                tracing::warn!(%why, "cannot accept");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        let mut by = shell.by_address.borrow_mut();
+        let of_address = by.entry(from.ip()).or_default();
+        if shell.viewers.get() >= limits.connections || *of_address >= limits.per_address {
+            if *of_address == 0 {
+                by.remove(&from.ip());
+            }
+            drop(by);
+            shell.with_engine(|e| e.counts.over_bound += 1);
+            spawn_local(turn_away(stream));
+            continue;
+        }
+        *of_address += 1;
+        drop(by);
+        shell.viewers.set(shell.viewers.get() + 1);
+        let held = Held(shell.clone(), from.ip());
+        let _ = stream.set_nodelay(true);
+        let header = span(limits.header);
+        spawn_local(async move {
+            let shell = held.0.clone();
+            let service = service_fn(move |request| {
+                let shell = shell.clone();
+                async move { Ok::<_, Infallible>(answer(shell, from, request).await) }
+            });
+            let served = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(header)
+                .max_buf_size(16 << 10)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(why) = served.await {
+                tracing::debug!(%from, %why, "viewer's connection");
+            }
+            drop(held);
+        });
+    }
+}
+
+async fn turn_away(stream: TcpStream) {
+    let text = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    let _ = tokio::time::timeout(Duration::from_millis(200), async {
+        stream.writable().await?;
+        stream.try_write(text)
+    })
+    .await;
+}
+
+fn reply(status: StatusCode, kind: &'static str, body: impl Into<Bytes>) -> Reply {
+    let mut reply = Response::new(Full::new(body.into()));
+    *reply.status_mut() = status;
+    let headers = reply.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    headers.insert(header::ACCESS_CONTROL_ALLOW_ORIGIN, HeaderValue::from_static("*"));
+    reply
+}
+
+fn plain(status: StatusCode, text: &str) -> Reply {
+    reply(status, "text/plain; charset=utf-8", format!("{text}\n"))
+}
+
+fn playlist(text: String) -> Reply {
+    reply(StatusCode::OK, "application/vnd.apple.mpegurl", text)
+}
+
+async fn answer<D: Decide + 'static>(
+    shell: Rc<Shell<D>>,
+    from: SocketAddr,
+    request: Request<Incoming>,
+) -> Reply {
+    let path = request.uri().path().to_owned();
+    let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+    let get = request.method() == Method::GET;
+    match parts[..] {
+        ["watch", class, title, "index.m3u8"] if get => watch(shell, from, class, title, &request).await,
+        ["s", token, name] if get => part(shell, token, name, request.uri().query()).await,
+        ["s", token] if request.method() == Method::DELETE => match Token::parse(token) {
+            Some(token) => {
+                shell.feed(Input::Leave { token });
+                plain(StatusCode::OK, "ended")
+            }
+            None => plain(StatusCode::NOT_FOUND, "no such session"),
+        },
+        ["watch", ..] | ["s", ..] if !get => {
+            plain(StatusCode::METHOD_NOT_ALLOWED, "GET, or DELETE of a session")
+        }
+        _ => plain(StatusCode::NOT_FOUND, "try /watch/CLASS/TITLE/index.m3u8"),
+    }
+}
+
+/// What players tell by CMCD (CTA-5004), in headers or in the query.
+fn cmcd(headers: &HeaderMap, query: Option<&str>) -> Vec<sfv::Dictionary> {
+    let told = ["cmcd-session", "cmcd-object", "cmcd-request", "cmcd-status"];
+    let of_headers = told.iter().filter_map(|name| headers.get(*name)).map(|v| v.as_bytes().to_vec());
+    let of_query = query.unwrap_or_default().split('&').filter_map(|pair| pair.strip_prefix("CMCD="));
+    let of_query = of_query.map(|v| percent_encoding::percent_decode_str(v).collect::<Vec<u8>>());
+    of_headers.chain(of_query).filter_map(|text| sfv::Parser::parse_dictionary(&text).ok()).collect()
+}
+
+/// Tells the engine when a request's connection closes before the answer.
+struct Asking<D: Decide + 'static>(Rc<Shell<D>>, Ask);
+
+impl<D: Decide + 'static> Drop for Asking<D> {
+    fn drop(&mut self) {
+        self.0.dropped(self.1);
+    }
+}
+
+async fn watch<D: Decide + 'static>(
+    shell: Rc<Shell<D>>,
+    from: SocketAddr,
+    class: &str,
+    title: &str,
+    request: &Request<Incoming>,
+) -> Reply {
+    let classes = shell.with_engine(|e| e.config.classes.iter().position(|c| c.name == class));
+    let Some(class) = classes else { return plain(StatusCode::NOT_FOUND, "no such class") };
+    let title = percent_encoding::percent_decode_str(title).decode_utf8();
+    let sane = |t: &str| {
+        !t.is_empty() && t.len() <= 256 && !t.chars().any(|c| c.is_control() || c == '/' || c == '\\')
+    };
+    let Some(title) = title.ok().filter(|t| sane(t) && t != "." && t != "..") else {
+        return plain(
+            StatusCode::BAD_REQUEST,
+            "no title: 1 to 256 bytes of UTF-8 without '/' and control characters",
+        );
+    };
+    let told = cmcd(request.headers(), request.uri().query());
+    let item = |key: &str| {
+        told.iter().find_map(|d| match d.get(key) {
+            Some(sfv::ListEntry::Item(item)) => Some(item.bare_item.clone()),
+            _ => None,
+        })
+    };
+    let sid =
+        item("sid").and_then(|v| v.as_str().map(str::to_owned)).filter(|s| !s.is_empty() && s.len() <= 64);
+    let trace = request.headers().get("traceparent").and_then(|t| t.to_str().ok());
+    let wanted = Wanted {
+        class,
+        title: title.into_owned(),
+        viewer: sid.map(|sid| Viewer { from: from.ip(), sid }),
+        came: shell.now(),
+        top_bits: item("tb")
+            .and_then(|v| v.as_int())
+            .and_then(|kb| u64::try_from(kb).ok())
+            .map(|kb| kb * 1000),
+        trace: trace.filter(|t| t.len() <= 128).map(str::to_owned),
+    };
+    let (ask, answer) = shell.ask(wanted);
+    let asking = Asking(shell, ask);
+    let answer = answer.await;
+    drop(asking);
+    match answer {
+        Ok(Answer::Plays { token, manifest }) => {
+            tracing::debug!(%from, "plays");
+            let mut reply = playlist(manifest);
+            // For viewers that end their session; players need it not.
+            let place = HeaderValue::from_str(&format!("/s/{token}"));
+            reply.headers_mut().extend(place.ok().map(|p| (header::CONTENT_LOCATION, p)));
+            reply
+        }
+        Ok(Answer::Refused { retry_after }) => {
+            let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "no room now");
+            let seconds = retry_after.map_or(1, |us| (us + 999_999) / 1_000_000);
+            reply.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+            reply
+        }
+        Ok(Answer::Failed { late: true }) => {
+            plain(StatusCode::GATEWAY_TIMEOUT, "no media host answered in time")
+        }
+        Ok(Answer::Failed { late: false }) | Err(_) => {
+            plain(StatusCode::BAD_GATEWAY, "no media host plays it")
+        }
+    }
+}
+
+/// Time for a host to give a playlist; blocking reloads of live lists wait for the next part.
+const FETCH: Duration = Duration::from_secs(3);
+
+async fn part<D: Decide + 'static>(
+    shell: Rc<Shell<D>>,
+    token: &str,
+    name: &str,
+    query: Option<&str>,
+) -> Reply {
+    let gone = || plain(StatusCode::GONE, "the session is over");
+    let Some(token) = Token::parse(token) else { return plain(StatusCode::NOT_FOUND, "no such session") };
+    let now = shell.now();
+    let wanted = shell.with_engine(|engine| {
+        let (_, play) = engine.play(now, token)?;
+        Some(play.part(name).map(|part| (part, play.wanted(part, query))))
+    });
+    let (part, wanted) = match wanted {
+        None => return gone(),
+        Some(None) => return plain(StatusCode::NOT_FOUND, "no such playlist"),
+        Some(Some(wanted)) => wanted,
+    };
+    let mut fetched = Vec::new();
+    for one in wanted {
+        match fetch(&shell, &one.uri, FETCH).await {
+            Ok(text) => fetched.push((one, text)),
+            Err(why) => {
+                tracing::info!(uri = %one.uri, ?why, "no playlist from the host");
+                let known = shell.with_engine(|e| e.play(shell.now(), token).is_some());
+                return if known {
+                    plain(StatusCode::BAD_GATEWAY, "the media host gives no playlist")
+                } else {
+                    gone()
+                };
+            }
+        }
+    }
+    let now = shell.now();
+    let shaped = shell.with_engine(|e| e.play(now, token).map(|(_, play)| play.shape(now, part, fetched)));
+    match shaped {
+        None => gone(),
+        Some(Ok(shaped)) => playlist(shaped.text),
+        Some(Err(why)) => {
+            tracing::warn!(%why, "the host's playlist cannot be used");
+            plain(StatusCode::BAD_GATEWAY, "the media host's playlist cannot be used")
+        }
+    }
+}
--- a/crates/elderpick-gateway/src/lib.rs
+++ b/crates/elderpick-gateway/src/lib.rs
@@ -1,1 +1,39 @@
+//! One gateway of the session front.
+//!
+//! [`engine`] holds the life of sessions without sockets; [`shell`] is its runtime on tokio's current-thread
+//! executor; [`host`] speaks to media hosts and [`front`] to viewers.
 
+pub mod config;
+pub mod engine;
+pub mod front;
+pub mod host;
+pub mod play;
+pub mod shell;
+
+use std::path::Path;
+
+use elderpick_core::Controller;
+
+/// Runs a gateway until SIGTERM or SIGINT, with the product's decision core. `Err` tells a person what is wrong.
+pub fn run(settings: &Path) -> Result<(), String> {
+    let config = config::Config::open(settings)?;
+    let servers = config.open_inventory()?;
+    log(&config);
+    let core = Controller::new(rand::random(), config.core());
+    let engine = engine::Engine::new(core, config, servers);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|why| format!("no runtime: {why}"))?;
+    tokio::task::LocalSet::new().block_on(&runtime, shell::serve(engine, shell::WallClock::start(), |_| ()))
+}
+
+/// Logs to standard error, as the settings say. A second call changes nothing.
+pub fn log(config: &config::Config) {
+    use tracing_subscriber::EnvFilter;
+    let filter = EnvFilter::new(&config.log.level);
+    let to = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let to = to.with_ansi(std::io::IsTerminal::is_terminal(&std::io::stderr()));
+    let _ = match config.log.format.as_str() {
+        "json" => to.json().flatten_event(true).try_init(),
+        _ => to.with_target(false).try_init(),
+    };
+}
--- /dev/null
+++ b/crates/elderpick-gateway/src/schema.cue
@@ -0,0 +1,109 @@
+// What a gateway's settings must be. Durations, sizes, rates and addresses are strings that say their unit.
+
+#Class: {
+    name:     string & !=""
+    // What a second set-up does: nothing, nothing within a group of servers for a time, or it is paid again.
+    effect:   *"free" | "guarded" | "paid"
+    group:    *"all" | "zone" | "cell"
+    window:   duration & >="0s" | *"0s"
+    // Wanted playing within this; the viewer waits so long.
+    aim:      duration & >="1ms"
+    patience: duration & >="10ms"
+    worth:    number & >0 | *1
+    // Its rates over those of the ladder, and the rungs that it may have.
+    scale:    number & >0 | *1
+    floor:    int & >=0 | *0
+    top?:     int & >=0
+    // Sessions of one title that one gateway may hold.
+    seats?:   int & >0
+    live:     bool | *false
+}
+
+#Rung: {
+    rate:  rate & >"0B/s"
+    worth: number & >0
+}
+
+#Kind: {
+    name:   string & !=""
+    // Streams that such a server runs at most.
+    places: number & >0
+}
+
+#Gateway: {
+    // Number of this gateway, and how many there are. They need not know more of one another.
+    me:       int & >=0
+    gateways: int & >=1
+    name:     string & !="" | *"gateway"
+    listen:   address
+    zone:     string
+    zones:    [string, ...string]
+    kinds:    [#Kind, ...#Kind]
+    classes:  [#Class, ...#Class]
+    ladder:   [#Rung, ...#Rung]
+
+    inventory: string & !=""
+    // The list service, which tells what runs.
+    list: {
+        address: address
+        // Nothing new goes to a server later than this after it was told to drain or to be gone.
+        grace:   duration & >="0s" | *"1s"
+    }
+
+    // Titles stand on `copies` cells in a row, the first by a hash of the title; on all servers if not given.
+    titles?: {
+        cells:  int & >=1
+        copies: int & >=1
+    }
+    racks:       int & >=1 | *1
+    weights:     bool | *false
+    links?:      rate
+    rack_links?: rate
+    // Link of a server for each unit of its weight.
+    per_weight?: rate
+
+    reporting:   *"answers" | "probes" | "never"
+    probing:     bool | *true
+    // How late delivered shares are heard.
+    share_delay: duration & >="0s" | *"1s"
+
+    cold?: {
+        warm_up:  duration & >"0s"
+        least:    number & >0 & <=1
+        multiple: number & >0
+        window:   duration & >"0s"
+    }
+    budget?: {
+        free:   number & >=0
+        share:  number & >=0
+        window: duration & >"0s"
+    }
+    attempts:     int & >=1 | *3
+    retry_after?: duration & >="1s"
+
+    limits: {
+        // Set-ups must be connected within this, or count as unreached.
+        connect:       duration & >="1ms" | *"250ms"
+        // The answer leaves so long before the viewer's time is up.
+        margin:        duration & >="0s" | *"60ms"
+        // A viewer who asks for no playlist so long has left.
+        silence:       duration & >="1s" | *"12s"
+        // A media host that tells nothing so long is lost.
+        mute:          duration & >="1s" | *"4s"
+        // Playlists show so much that was not yet played.
+        lead:          duration & >="1s" | *"8s"
+        sessions:      int & >=1 | *30000
+        connections:   int & >=1 | *10000
+        // Viewers that one address may have connected.
+        per_address:   int & >=1 | *2000
+        header:        duration & >="10ms" | *"5s"
+        playlist:      size & >="1KiB" | *"1MiB"
+        idle_per_host: int & >=0 | *16
+    }
+    // After SIGTERM what plays goes on so long.
+    drain: duration & >="0s" | *"30s"
+    log: {
+        format: *"text" | "json"
+        level:  *"info" | "error" | "warn" | "debug" | "trace"
+    }
+}
--- /dev/null
+++ b/crates/elderpick-lab/src/fleet.rs
@@ -0,0 +1,242 @@
+//! A fleet on loopback: the stand-ins in this process, each gateway a process of its own.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::task::spawn_local;
+
+use crate::hosts::{Model, World};
+use crate::mutants::Mutant;
+use crate::record::{Record, What};
+use crate::viewers;
+
+pub struct Gateway {
+    pub name: String,
+    pub address: Cell<Option<SocketAddr>>,
+    child: RefCell<Option<Child>>,
+    settings: PathBuf,
+}
+
+pub struct Fleet {
+    pub world: Rc<World>,
+    pub gateways: Vec<Gateway>,
+    /// Times the usual arrivals.
+    pub crowd: Cell<f64>,
+    pub classes: Vec<ClassOf>,
+    pub mutant: Option<Mutant>,
+    program: PathBuf,
+    folder: PathBuf,
+    pub logs: bool,
+}
+
+/// A class as viewers and the checker know it.
+#[derive(Clone, Debug)]
+pub struct ClassOf {
+    pub name: &'static str,
+    pub patience: i64,
+    pub floor: usize,
+    pub seats: Option<usize>,
+    pub paid: bool,
+    /// Part of the viewers.
+    pub part: f64,
+}
+
+pub const GRACE: i64 = 1_000_000;
+pub const BUDGET: (f64, f64, i64) = (3.0, 0.2, 10_000_000);
+
+pub fn classes() -> Vec<ClassOf> {
+    let class =
+        |name, patience, floor, seats, paid, part| ClassOf { name, patience, floor, seats, paid, part };
+    vec![
+        class("sheet-zoom", 3_000_000, 1, None, false, 0.4),
+        class("label-clip", 2_000_000, 0, None, false, 0.4),
+        class("exam-sheet", 2_500_000, 0, Some(6), true, 0.2),
+    ]
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for gateway in &self.gateways {
+            if let Some(mut child) = gateway.child.borrow_mut().take() {
+                let _ = child.start_kill();
+            }
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Fleet {
+    /// Starts hosts, the list and `gateways` gateways of the program at `program`.
+    pub async fn start(
+        model: Model,
+        (hosts, racks, gateways): (usize, usize, usize),
+        seed: u64,
+        mutant: Option<Mutant>,
+        program: PathBuf,
+        logs: bool,
+    ) -> Result<Rc<Fleet>, String> {
+        static NEXT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+        let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("elderpick-lab-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).map_err(|why| format!("{}: {why}", folder.display()))?;
+        let world = World::start(model, hosts, racks, seed, Record::default()).await;
+        let write = |name: &str, text: String| {
+            let path = folder.join(name);
+            std::fs::write(&path, text).map_err(|why| format!("{}: {why}", path.display())).map(|()| path)
+        };
+        write("inventory.csv", world.inventory())?;
+        let mut all = Vec::new();
+        for me in 0..gateways {
+            let settings = write(&format!("gateway-{me}.cue"), settings(&world, me, gateways))?;
+            let (address, child) = (Cell::new(None), RefCell::new(None));
+            all.push(Gateway { name: format!("gateway-{me}"), address, child, settings });
+        }
+        let fleet = Rc::new(Fleet {
+            world,
+            gateways: all,
+            crowd: Cell::new(1.0),
+            classes: classes(),
+            mutant,
+            program,
+            folder,
+            logs,
+        });
+        for k in 0..gateways {
+            fleet.start_gateway(k).await?;
+        }
+        Ok(fleet)
+    }
+
+    pub async fn start_gateway(&self, k: usize) -> Result<(), String> {
+        let gateway = &self.gateways[k];
+        let mut command = Command::new(&self.program);
+        command.arg("gateway").arg("--settings").arg(&gateway.settings);
+        if let Some(mutant) = self.mutant {
+            let name = clap::ValueEnum::to_possible_value(&mutant).map(|v| v.get_name().to_owned());
+            command.arg("--mutant").arg(name.unwrap_or_default());
+        }
+        command.stdin(Stdio::null()).stdout(Stdio::piped()).kill_on_drop(true);
+        command.stderr(if self.logs { Stdio::inherit() } else { Stdio::null() });
+        let mut child = command.spawn().map_err(|why| format!("{}: {why}", self.program.display()))?;
+        let out = child.stdout.take().ok_or("no standard output")?;
+        let mut lines = BufReader::new(out).lines();
+        let line = tokio::time::timeout(Duration::from_secs(10), lines.next_line()).await;
+        let line = line.ok().and_then(|l| l.ok()).flatten().unwrap_or_default();
+        let address = line.strip_prefix("listening ").and_then(|a| a.parse().ok());
+        gateway.address.set(address);
+        *gateway.child.borrow_mut() = Some(child);
+        if address.is_none() {
+            return Err(format!("{} did not start", gateway.name));
+        }
+        self.world.record.add(What::GatewayUp { gateway: gateway.name.clone() });
+        Ok(())
+    }
+
+    /// Kills a gateway as a crash would.
+    pub async fn kill(&self, k: usize) {
+        let gateway = &self.gateways[k];
+        gateway.address.set(None);
+        self.world.record.add(What::GatewayDown { gateway: gateway.name.clone() });
+        let child = gateway.child.borrow_mut().take();
+        if let Some(mut child) = child {
+            let _ = child.kill().await;
+        }
+    }
+
+    /// Holds a gateway's process still for a time.
+    pub async fn stall(&self, k: usize, lasts: Duration) {
+        use nix::sys::signal::{Signal, kill};
+        let gateway = &self.gateways[k];
+        let id = gateway.child.borrow().as_ref().and_then(Child::id);
+        let Some(id) = id.map(|id| nix::unistd::Pid::from_raw(id as i32)) else { return };
+        let kind = format!("stall of {}", gateway.name);
+        self.world.record.add(What::Trouble { kind: kind.clone(), on: true });
+        let _ = kill(id, Signal::SIGSTOP);
+        tokio::time::sleep(lasts).await;
+        let _ = kill(id, Signal::SIGCONT);
+        self.world.record.add(What::Trouble { kind, on: false });
+    }
+
+    /// Asks all gateways to end and waits for them. The codes that they ended with.
+    pub async fn end(&self) -> Vec<Option<i32>> {
+        use nix::sys::signal::{Signal, kill};
+        let mut codes = Vec::new();
+        for gateway in &self.gateways {
+            let child = gateway.child.borrow_mut().take();
+            let Some(mut child) = child else { continue };
+            if let Some(id) = child.id() {
+                // The second says not to wait for what plays.
+                let _ = kill(nix::unistd::Pid::from_raw(id as i32), Signal::SIGTERM);
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                let _ = kill(nix::unistd::Pid::from_raw(id as i32), Signal::SIGTERM);
+            }
+            let ended = tokio::time::timeout(Duration::from_secs(5), child.wait()).await;
+            codes.push(ended.ok().and_then(|s| s.ok()).and_then(|s| s.code()));
+        }
+        codes
+    }
+
+    /// Lets viewers come for a time, at a rate a second.
+    pub async fn viewers(self: &Rc<Self>, rate: f64, lasts: Duration) {
+        let until = tokio::time::Instant::now() + lasts;
+        while tokio::time::Instant::now() < until {
+            let gap = -(1.0 - self.world.unit()).ln() / (rate * self.crowd.get());
+            tokio::time::sleep(Duration::from_secs_f64(gap.min(5.0))).await;
+            spawn_local(viewers::viewer(self.clone()));
+        }
+    }
+}
+
+/// Settings of one gateway of the fleet.
+pub fn settings(world: &World, me: usize, gateways: usize) -> String {
+    let model = &world.model;
+    let ladder = model.ladder.iter().zip([0.3, 0.6, 1.0, 1.2]);
+    let ladder: Vec<String> =
+        ladder.map(|(rate, worth)| format!("    {{rate: \"{rate}B/s\", worth: {worth}}},")).collect();
+    let list = world.list.address.get().map_or("127.0.0.1:1".into(), |a| a.to_string());
+    let (free, share, window) = BUDGET;
+    format!(
+        r#"// Written by elderpick-lab.
+me:       {me}
+gateways: {gateways}
+name:     "gateway-{me}"
+listen:   "127.0.0.1:0"
+zone:     "galway"
+zones: ["galway"]
+kinds: [{{name: "std", places: {places}}}]
+classes: [
+    {{name: "sheet-zoom", aim: "1.5s", patience: "3s", worth: 2, floor: 1}},
+    {{name: "label-clip", aim: "800ms", patience: "2s"}},
+    {{name: "exam-sheet", aim: "1.5s", patience: "2.5s", worth: 2, effect: "paid", seats: 6}},
+]
+ladder: [
+{ladder}
+]
+inventory: "inventory.csv"
+list: address: "{list}"
+racks:      {racks}
+links:      "{links}B/s"
+rack_links: "{uplink}B/s"
+cold: {{warm_up: "{warm_up}us", least: {least}, multiple: {multiple}, window: "{cold_window}us"}}
+budget: {{free: {free}, share: {share}, window: "{window}us"}}
+retry_after: "1s"
+limits: {{silence: "5s", lead: "2s", mute: "2s"}}
+drain: "2s"
+"#,
+        places = model.places,
+        ladder = ladder.join("\n"),
+        racks = world.uplinks.borrow().len(),
+        links = model.link * world.hosts.len() as f64,
+        uplink = model.uplink,
+        warm_up = model.warm_up,
+        least = model.least,
+        multiple = model.multiple,
+        cold_window = model.window,
+    )
+}
--- /dev/null
+++ b/crates/elderpick-lab/src/lib.rs
@@ -0,0 +1,10 @@
+//! The lab: stand-ins for media hosts, the list service and viewers; drills with faults; a checker of the rules.
+//! Everything runs on loopback, on ports that the system chooses, in one process but for the gateways.
+
+pub mod check;
+pub mod fleet;
+pub mod hosts;
+pub mod mutants;
+pub mod record;
+pub mod script;
+pub mod viewers;
--- a/crates/elderpick-lab/src/main.rs
+++ b/crates/elderpick-lab/src/main.rs
@@ -1,1 +1,233 @@
-fn main() {}
+//! kind: tool
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use clap::{Parser, Subcommand};
+use elderpick_gateway::{config, engine, shell};
+use elderpick_lab::fleet::Fleet;
+use elderpick_lab::hosts::Model;
+use elderpick_lab::mutants::{Double, Mutant};
+use elderpick_lab::record::What;
+use elderpick_lab::{check, script, viewers};
+
+/// Stand-ins, drills and measurements for elderpick, all on loopback.
+#[derive(Parser)]
+#[command(version, arg_required_else_help = true)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a whole fleet: list, hosts, one gateway, viewers. Ends on Ctrl-C.
+    Demo {
+        /// End by itself after this.
+        #[arg(long = "for", value_parser = duration)]
+        lasts: Option<Duration>,
+        /// Show the gateway's log.
+        #[arg(long)]
+        log: bool,
+    },
+    /// Run a scripted day with faults and judge the rules from the sockets.
+    #[command(subcommand)]
+    Drill(Drill),
+    /// Play an HLS playlist to its end as an ordinary player would, and tell what came.
+    Play { uri: String },
+    /// Run one gateway, perhaps with a fault in its decisions. Drills use it.
+    #[command(hide = true)]
+    Gateway {
+        #[arg(long)]
+        settings: PathBuf,
+        #[arg(long)]
+        mutant: Option<Mutant>,
+    },
+}
+
+#[derive(Subcommand)]
+enum Drill {
+    /// A day on which everything happens once.
+    BadDay {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long = "for", value_parser = duration)]
+        lasts: Option<Duration>,
+        /// Another script of troubles.
+        #[arg(long)]
+        script: Option<PathBuf>,
+        /// Break a rule on purpose.
+        #[arg(long)]
+        mutant: Option<Mutant>,
+        /// Keep what went over the sockets, as JSON lines.
+        #[arg(long)]
+        record: Option<PathBuf>,
+        /// Show the gateways' logs.
+        #[arg(long)]
+        log: bool,
+    },
+}
+
+fn duration(text: &str) -> Result<Duration, String> {
+    let span: jiff::SignedDuration = text.parse().map_err(|why: jiff::Error| why.to_string())?;
+    Duration::try_from(span).map_err(|why| why.to_string())
+}
+
+fn main() -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let done = match (Arguments::parse().command, runtime) {
+        (_, Err(why)) => Err(format!("no runtime: {why}")),
+        (Command::Gateway { settings, mutant }, Ok(runtime)) => {
+            tokio::task::LocalSet::new().block_on(&runtime, gateway(&settings, mutant))
+        }
+        (Command::Demo { lasts, log }, Ok(runtime)) => {
+            tokio::task::LocalSet::new().block_on(&runtime, demo(lasts, log))
+        }
+        (Command::Play { uri }, Ok(runtime)) => tokio::task::LocalSet::new().block_on(&runtime, play(&uri)),
+        (Command::Drill(Drill::BadDay { seed, lasts, script, mutant, record, log }), Ok(runtime)) => {
+            let day = bad_day(seed, lasts, script, mutant, record, log);
+            tokio::task::LocalSet::new().block_on(&runtime, day)
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("{why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn gateway(settings: &Path, mutant: Option<Mutant>) -> Result<(), String> {
+    let config = config::Config::open(settings)?;
+    let servers = config.open_inventory()?;
+    elderpick_gateway::log(&config);
+    let ready = |address| println!("listening {address}");
+    let clock = shell::WallClock::start();
+    match mutant {
+        None => {
+            let core = elderpick_core::Controller::new(rand::random(), config.core());
+            shell::serve(engine::Engine::new(core, config, servers), clock, ready).await
+        }
+        Some(mutant) => {
+            let core = Double::new(mutant, rand::random(), config.core());
+            shell::serve(engine::Engine::new(core, config, servers), clock, ready).await
+        }
+    }
+}
+
+fn this_program() -> Result<PathBuf, String> {
+    std::env::current_exe().map_err(|why| format!("this program cannot be found: {why}"))
+}
+
+async fn demo(lasts: Option<Duration>, log: bool) -> Result<(), String> {
+    let model = Model { segments: 30, ..Model::default() };
+    let fleet = Fleet::start(model, (6, 2, 1), 1, None, this_program()?, log).await?;
+    let address = fleet.gateways[0].address.get().ok_or("the gateway has no address")?;
+    println!("gateway on {address}; 6 media hosts in 2 racks. Open in an HLS player, or:\n");
+    println!("  curl -i http://{address}/watch/sheet-zoom/carex-nigra/index.m3u8\n");
+    let coming = {
+        let fleet = fleet.clone();
+        tokio::task::spawn_local(async move { fleet.viewers(1.5, Duration::from_secs(1 << 30)).await })
+    };
+    let until = lasts.map(|lasts| tokio::time::Instant::now() + lasts);
+    let (mut seen, mut second) = (0, 0);
+    loop {
+        let wait = tokio::time::Instant::now() + Duration::from_secs(1);
+        tokio::select! {
+            () = tokio::time::sleep_until(until.map_or(wait, |u| u.min(wait))) => {}
+            _ = tokio::signal::ctrl_c() => break,
+        }
+        if until.is_some_and(|u| tokio::time::Instant::now() >= u) {
+            break;
+        }
+        second += 1;
+        let news = fleet.world.record.since(seen);
+        seen += news.len();
+        let count = |f: &dyn Fn(&What) -> bool| news.iter().filter(|l| f(&l.what)).count();
+        let loads: Vec<String> = fleet
+            .world
+            .hosts
+            .iter()
+            .map(|h| format!("{}", (fleet.world.loads(h).0 * 100.0) as u32))
+            .collect();
+        println!(
+            "{second:>4} s  asked {:>2}  plays {:>2}  refused {:>2}  failed {:>2}  ended {:>2}  playing {:>3}  links {}%",
+            count(&|w| matches!(w, What::Asked { .. })),
+            count(&|w| matches!(w, What::Replied { code: 200, .. })),
+            count(&|w| matches!(w, What::Replied { code: 503, .. })),
+            count(&|w| matches!(w, What::Replied { code: 502 | 504, .. })),
+            count(&|w| matches!(w, What::Over { .. })),
+            fleet.world.playing(),
+            loads.join(" "),
+        );
+    }
+    coming.abort();
+    let codes = fleet.end().await;
+    match codes.iter().all(|c| *c == Some(0)) {
+        true => Ok(()),
+        false => Err(format!("gateways ended with {codes:?}")),
+    }
+}
+
+async fn play(uri: &str) -> Result<(), String> {
+    let at = url::Url::parse(uri).map_err(|why| format!("{uri}: {why}"))?;
+    let host = at.host_str().and_then(|h| h.parse().ok()).ok_or("the host must be an IP address")?;
+    let to = std::net::SocketAddr::new(host, at.port().unwrap_or(80));
+    let (code, _, text) = viewers::call(http::Method::GET, to, at.path(), &[]).await?;
+    if code != 200 {
+        return Err(format!("{uri}: {code} {}", String::from_utf8_lossy(&text).trim()));
+    }
+    let played = viewers::play(&at, &text, usize::MAX).await;
+    println!("{} segments, {} late, {} changes of rung", played.segments, played.short, played.rung_changes);
+    if played.whole { Ok(()) } else { Err("it broke off before its end".into()) }
+}
+
+async fn bad_day(
+    seed: u64,
+    lasts: Option<Duration>,
+    file: Option<PathBuf>,
+    mutant: Option<Mutant>,
+    record: Option<PathBuf>,
+    log: bool,
+) -> Result<(), String> {
+    let script = match &file {
+        None => script::Script::read("bad-day.cue", script::BAD_DAY)?,
+        Some(file) => {
+            let name = file.display().to_string();
+            let text = std::fs::read_to_string(file).map_err(|why| format!("{name}: {why}"))?;
+            script::Script::read(&name, &text)?
+        }
+    };
+    let script = script.stretched(lasts);
+    let size = (script.hosts, script.racks, script.gateways);
+    let fleet = Fleet::start(Model::default(), size, seed, mutant, this_program()?, log).await?;
+    println!(
+        "bad day, seed {seed}: {} hosts, {} gateways, {:.0} s, {} troubles",
+        script.hosts,
+        script.gateways,
+        script.length as f64 / 1e6,
+        script.events.len()
+    );
+    for event in script.events.clone() {
+        tokio::task::spawn_local(script::play(fleet.clone(), event));
+    }
+    fleet.viewers(script.arrivals, Duration::from_micros(script.length as u64)).await;
+    // What was asked last gets its answer.
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    let lines = fleet.world.record.lines();
+    let codes = fleet.end().await;
+    if let Some(file) = record {
+        let text: Vec<String> = lines.iter().filter_map(|l| serde_json::to_string(l).ok()).collect();
+        std::fs::write(&file, text.join("\n") + "\n").map_err(|why| format!("{}: {why}", file.display()))?;
+    }
+    let verdict = check::check(&lines, &fleet.classes);
+    println!("{}", verdict.table());
+    if codes.iter().any(|c| *c != Some(0)) {
+        return Err(format!("gateways ended with {codes:?}"));
+    }
+    drop(Rc::clone(&fleet));
+    if verdict.broken() { Err("a rule was broken".into()) } else { Ok(()) }
+}
--- a/crates/elderpick-settings/src/tests.rs
+++ b/crates/elderpick-settings/src/tests.rs
@@ -52,7 +52,8 @@
     ];
     let mut wanted: Vec<_> = wanted.iter().map(|(n, f)| (*n, f.to_string())).collect();
     let mut told = told;
-    (wanted.sort(), told.sort());
+    wanted.sort();
+    told.sort();
     assert_eq!(told, wanted);
     let all = unify(text).unwrap_err();
     let aim = all.iter().find(|p| p.field == "classes[0].aim").unwrap();
--- a/crates/elderpick/src/main.rs
+++ b/crates/elderpick/src/main.rs
@@ -1,1 +1,84 @@
-fn main() {}
+//! The operators' program.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+/// A session front: places video sessions on media servers and shapes them.
+#[derive(Parser)]
+#[command(version, arg_required_else_help = true)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run one gateway until SIGTERM.
+    Gateway {
+        /// Its settings.
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+    },
+    /// Look at settings.
+    #[command(subcommand)]
+    Settings(Settings),
+    /// Look at inventories.
+    #[command(subcommand)]
+    Inventory(Inventory),
+}
+
+#[derive(Subcommand)]
+enum Settings {
+    /// Tell all that is wrong with a settings file.
+    Check { file: PathBuf },
+    /// Print the schema that settings are checked by.
+    Schema,
+}
+
+#[derive(Subcommand)]
+enum Inventory {
+    /// Tell all that is wrong with an inventory in CSV or YAML.
+    Check { file: PathBuf },
+}
+
+fn main() -> ExitCode {
+    match run(Arguments::parse().command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("{why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(command: Command) -> Result<(), String> {
+    match command {
+        Command::Gateway { settings } => elderpick_gateway::run(&settings),
+        Command::Settings(Settings::Check { file }) => {
+            let config = elderpick_gateway::config::Config::open(&file)?;
+            println!(
+                "{}: good; {} classes, {} rungs",
+                file.display(),
+                config.classes.len(),
+                config.ladder.len()
+            );
+            Ok(())
+        }
+        Command::Settings(Settings::Schema) => {
+            print!("{}", elderpick_gateway::config::SCHEMA);
+            Ok(())
+        }
+        Command::Inventory(Inventory::Check { file }) => {
+            let name = file.display().to_string();
+            let format = elderpick_inventory::Format::of(&name)
+                .ok_or_else(|| format!("{name}: must end in .csv, .yaml or .yml"))?;
+            let text = std::fs::read(&file).map_err(|why| format!("{name}: {why}"))?;
+            let servers =
+                elderpick_inventory::read(&name, &text, format, &[], &[]).map_err(|f| f.to_string())?;
+            println!("{name}: good; {} servers", servers.len());
+            Ok(())
+        }
+    }
+}
