--- a/crates/elderpick-lab/src/bad-day.cue
+++ b/crates/elderpick-lab/src/bad-day.cue
@@ -6,7 +6,7 @@
 arrivals: 14
 events: [
     {at: "2s",  for: "3s", kind: "slow", by: 4},
-    {at: "3s",  for: "4s", kind: "fast_errors", share: 0.15, by: 0.7},
+    {at: "3s",  for: "4s", kind: "fast_errors", share: 0.6, by: 0.7},
     {at: "4s",  for: "3s", kind: "crash", share: 0.25},
     {at: "5s",  for: "3s", kind: "answer_lost", share: 0.3, by: 0.3},
     {at: "7s",  for: "3s", kind: "hang", share: 0.13},
--- a/crates/elderpick-lab/src/fleet.rs
+++ b/crates/elderpick-lab/src/fleet.rs
@@ -48,7 +48,7 @@
 }
 
 pub const GRACE: i64 = 1_000_000;
-pub const BUDGET: (f64, f64, i64) = (3.0, 0.2, 10_000_000);
+pub const BUDGET: (f64, f64, i64) = (2.0, 0.05, 10_000_000);
 
 pub fn classes() -> Vec<ClassOf> {
     let class =
@@ -56,7 +56,7 @@
     vec![
         class("sheet-zoom", 3_000_000, 1, None, false, 0.4),
         class("label-clip", 2_000_000, 0, None, false, 0.4),
-        class("exam-sheet", 2_500_000, 0, Some(6), true, 0.2),
+        class("exam-sheet", 2_500_000, 0, Some(3), true, 0.2),
     ]
 }
 
@@ -213,7 +213,7 @@
 classes: [
     {{name: "sheet-zoom", aim: "1.5s", patience: "3s", worth: 2, floor: 1}},
     {{name: "label-clip", aim: "800ms", patience: "2s"}},
-    {{name: "exam-sheet", aim: "1.5s", patience: "2.5s", worth: 2, effect: "paid", seats: 6}},
+    {{name: "exam-sheet", aim: "1.5s", patience: "2.5s", worth: 2, effect: "paid", seats: 3}},
 ]
 ladder: [
 {ladder}
--- a/crates/elderpick-lab/src/hosts.rs
+++ b/crates/elderpick-lab/src/hosts.rs
@@ -564,7 +564,7 @@
         loop {
             tokio::time::sleep(Duration::from_millis(500)).await;
             for host in self.hosts.iter().filter(|h| h.running.get()) {
-                let unseen = now() - 30_000_000;
+                let unseen = now() - 8_000_000;
                 let stale: Vec<String> = host
                     .sessions
                     .borrow()
--- a/crates/elderpick-lab/src/main.rs
+++ b/crates/elderpick-lab/src/main.rs
@@ -2,14 +2,13 @@
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::rc::Rc;
 use std::time::Duration;
 
 use clap::{Parser, Subcommand};
 use elderpick_gateway::{config, engine, shell};
 use elderpick_lab::fleet::Fleet;
 use elderpick_lab::hosts::Model;
-use elderpick_lab::mutants::{Double, Mutant};
+use elderpick_lab::mutants::{ALL, Double, Mutant};
 use elderpick_lab::record::What;
 use elderpick_lab::{check, script, viewers};
 
@@ -49,6 +48,11 @@
 
 #[derive(Subcommand)]
 enum Drill {
+    /// Prove the checker: for each rule, a gateway that breaks it is caught.
+    Mutants {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// A day on which everything happens once.
     BadDay {
         #[arg(long, default_value_t = 1)]
@@ -86,6 +90,9 @@
             tokio::task::LocalSet::new().block_on(&runtime, demo(lasts, log))
         }
         (Command::Play { uri }, Ok(runtime)) => tokio::task::LocalSet::new().block_on(&runtime, play(&uri)),
+        (Command::Drill(Drill::Mutants { seed }), Ok(runtime)) => {
+            tokio::task::LocalSet::new().block_on(&runtime, mutants(seed))
+        }
         (Command::Drill(Drill::BadDay { seed, lasts, script, mutant, record, log }), Ok(runtime)) => {
             let day = bad_day(seed, lasts, script, mutant, record, log);
             tokio::task::LocalSet::new().block_on(&runtime, day)
@@ -185,6 +192,34 @@
     if played.whole { Ok(()) } else { Err("it broke off before its end".into()) }
 }
 
+/// One day: what went over the sockets, judged.
+async fn day(
+    script: script::Script,
+    seed: u64,
+    mutant: Option<Mutant>,
+    record: Option<PathBuf>,
+    log: bool,
+) -> Result<check::Verdict, String> {
+    let size = (script.hosts, script.racks, script.gateways);
+    let fleet = Fleet::start(Model::default(), size, seed, mutant, this_program()?, log).await?;
+    for event in script.events.clone() {
+        tokio::task::spawn_local(script::play(fleet.clone(), event));
+    }
+    fleet.viewers(script.arrivals, Duration::from_micros(script.length as u64)).await;
+    // What was asked last gets its answer.
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    let lines = fleet.world.record.lines();
+    let codes = fleet.end().await;
+    if let Some(file) = record {
+        let text: Vec<String> = lines.iter().filter_map(|l| serde_json::to_string(l).ok()).collect();
+        std::fs::write(&file, text.join("\n") + "\n").map_err(|why| format!("{}: {why}", file.display()))?;
+    }
+    match codes.iter().all(|c| *c == Some(0)) {
+        true => Ok(check::check(&lines, &fleet.classes)),
+        false => Err(format!("gateways ended with {codes:?}")),
+    }
+}
+
 async fn bad_day(
     seed: u64,
     lasts: Option<Duration>,
@@ -202,8 +237,6 @@
         }
     };
     let script = script.stretched(lasts);
-    let size = (script.hosts, script.racks, script.gateways);
-    let fleet = Fleet::start(Model::default(), size, seed, mutant, this_program()?, log).await?;
     println!(
         "bad day, seed {seed}: {} hosts, {} gateways, {:.0} s, {} troubles",
         script.hosts,
@@ -211,23 +244,36 @@
         script.length as f64 / 1e6,
         script.events.len()
     );
-    for event in script.events.clone() {
-        tokio::task::spawn_local(script::play(fleet.clone(), event));
-    }
-    fleet.viewers(script.arrivals, Duration::from_micros(script.length as u64)).await;
-    // What was asked last gets its answer.
-    tokio::time::sleep(Duration::from_millis(3_500)).await;
-    let lines = fleet.world.record.lines();
-    let codes = fleet.end().await;
-    if let Some(file) = record {
-        let text: Vec<String> = lines.iter().filter_map(|l| serde_json::to_string(l).ok()).collect();
-        std::fs::write(&file, text.join("\n") + "\n").map_err(|why| format!("{}: {why}", file.display()))?;
-    }
-    let verdict = check::check(&lines, &fleet.classes);
+    let verdict = day(script, seed, mutant, record, log).await?;
     println!("{}", verdict.table());
-    if codes.iter().any(|c| *c != Some(0)) {
-        return Err(format!("gateways ended with {codes:?}"));
-    }
-    drop(Rc::clone(&fleet));
     if verdict.broken() { Err("a rule was broken".into()) } else { Ok(()) }
 }
+
+/// Every double of the core must be caught at the rule that it breaks, and the core itself at none.
+async fn mutants(seed: u64) -> Result<(), String> {
+    let script = script::Script::read("mutants.cue", script::MUTANTS)?;
+    let all = std::iter::once(None).chain(ALL.into_iter().map(Some));
+    let days: Vec<_> = all
+        .map(|mutant| (mutant, tokio::task::spawn_local(day(script.clone(), seed, mutant, None, false))))
+        .collect();
+    let mut escaped = 0;
+    for (mutant, day) in days {
+        let verdict = day.await.map_err(|why| why.to_string())??;
+        let broken: Vec<_> = verdict.rules.iter().filter(|r| !r.broken.is_empty()).collect();
+        let caught = match mutant {
+            None => broken.is_empty(),
+            Some(mutant) => broken.iter().any(|r| r.number == mutant.rule()),
+        };
+        escaped += usize::from(!caught);
+        let name = mutant.map_or("the core itself".into(), |m| format!("{m:?}"));
+        let seen: Vec<_> =
+            broken.iter().map(|r| format!("rule {} broken {} times", r.number, r.broken.len())).collect();
+        let seen = if seen.is_empty() { "no rule broken".into() } else { seen.join(", ") };
+        println!("{name:<16} {seen}{}", if caught { "" } else { "   NOT AS IT SHOULD BE" });
+        // What else broke is worth a look: a double breaks one rule only.
+        for rule in broken.iter().filter(|r| mutant.is_none_or(|m| m.rule() != r.number)) {
+            println!("  rule {}: {}", rule.number, rule.broken[0]);
+        }
+    }
+    if escaped > 0 { Err(format!("{escaped} not as they should be")) } else { Ok(()) }
+}
--- a/crates/elderpick-lab/src/script.rs
+++ b/crates/elderpick-lab/src/script.rs
@@ -11,6 +11,8 @@
 use crate::record::What;
 
 const SCHEMA: &str = include_str!("script.cue");
+/// The short day that shows broken rules.
+pub const MUTANTS: &str = include_str!("mutants.cue");
 /// The day that `drill bad-day` plays.
 pub const BAD_DAY: &str = include_str!("bad-day.cue");
 
--- a/crates/elderpick-lab/src/viewers.rs
+++ b/crates/elderpick-lab/src/viewers.rs
@@ -129,7 +129,10 @@
     let unit = || fleet.world.unit();
     let class = pick(&fleet).clone();
     // Few titles are wanted much.
-    let title = format!("carex-{}", (1.0 / (unit() + 0.03)) as usize);
+    let title = match class.seats {
+        Some(_) => format!("exam-{}", (unit() * 2.0) as usize),
+        None => format!("carex-{}", (1.0 / (unit() + 0.03)) as usize),
+    };
     let sid = format!("{:016x}", rand::rng().random::<u64>());
     for _ in 0..4 {
         let up: Vec<_> = fleet.gateways.iter().filter_map(|g| g.address.get().map(|a| (g, a))).collect();
