--- a/crates/elderpick-lab/src/record.rs
+++ b/crates/elderpick-lab/src/record.rs
@@ -17,10 +17,12 @@
     /// A viewer sent a request for a session.
     Asked {
         trace: String,
+        /// Who asks; the same for all its tries.
+        viewer: String,
         gateway: String,
         class: String,
     },
-    /// It got the final answer; `whole` when the body came.
+    /// It got the final answer.
     Replied {
         trace: String,
         code: u16,
--- a/crates/elderpick-lab/src/viewers.rs
+++ b/crates/elderpick-lab/src/viewers.rs
@@ -141,13 +141,13 @@
         };
         let trace = format!("{:032x}", rand::rng().random::<u128>());
         let path = format!("/watch/{}/{title}/index.m3u8", class.name);
-        let headers = [
-            ("traceparent", format!("00-{trace}-0000000000000001-01")),
-            ("cmcd-session", format!("sid=\"{sid}\"")),
-        ];
+        let headers = |trace: &str| {
+            let parent = format!("00-{trace}-0000000000000001-01");
+            [("traceparent", parent), ("cmcd-session", format!("sid=\"{sid}\""))]
+        };
         let asked = |trace: &str| {
-            let (trace, gateway) = (trace.to_owned(), gateway.name.clone());
-            record.add(What::Asked { trace, gateway, class: class.name.into() });
+            let (trace, viewer, gateway) = (trace.to_owned(), sid.clone(), gateway.name.clone());
+            record.add(What::Asked { trace, viewer, gateway, class: class.name.into() });
         };
         asked(&trace);
         // Some ask again on a second connection while the first request is out; some leave at once.
@@ -155,10 +155,10 @@
         let leaves = unit() < 0.03;
         let patience = Duration::from_micros(if leaves { 4_000 } else { class.patience as u64 });
         if again {
-            let (record, path, headers, class) =
-                (record.clone(), path.clone(), headers.clone(), class.clone());
-            let trace = format!("{trace}+");
+            let trace = format!("{:032x}", rand::rng().random::<u128>());
             asked(&trace);
+            let (record, path, headers, class) =
+                (record.clone(), path.clone(), headers(&trace), class.clone());
             tokio::task::spawn_local(async move {
                 let wait = Duration::from_micros(class.patience as u64);
                 match tokio::time::timeout(wait, call(Method::GET, to, &path, &headers)).await {
@@ -168,7 +168,7 @@
                 }
             });
         }
-        let answer = tokio::time::timeout(patience, call(Method::GET, to, &path, &headers)).await;
+        let answer = tokio::time::timeout(patience, call(Method::GET, to, &path, &headers(&trace))).await;
         let (code, headers, manifest) = match answer {
             Err(_) => {
                 record.add(What::LeftWaiting { trace, patient: !leaves });
