--- a/crates/elderpick-lab/src/fleet.rs
+++ b/crates/elderpick-lab/src/fleet.rs
@@ -110,6 +110,18 @@
         for k in 0..gateways {
             fleet.start_gateway(k).await?;
         }
+        // Until it has the list a gateway takes all servers for cold.
+        let told = |name: &str| {
+            let lines = fleet.world.record.lines();
+            lines.iter().any(|l| matches!(&l.what, What::Told { gateway, .. } if gateway == name))
+        };
+        for _ in 0..500 {
+            if fleet.gateways.iter().all(|g| told(&g.name)) {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
         Ok(fleet)
     }
 
@@ -163,25 +175,37 @@
         self.world.record.add(What::Trouble { kind, on: false });
     }
 
-    /// Asks all gateways to end and waits for them. The codes that they ended with.
+    /// Asks all gateways to end at once and waits for them. The codes that they ended with.
     pub async fn end(&self) -> Vec<Option<i32>> {
-        use nix::sys::signal::{Signal, kill};
+        self.signal_all();
+        // The second says not to wait for what plays.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        self.end_gently().await
+    }
+
+    /// Asks all gateways to let play what plays and then to end.
+    pub async fn end_gently(&self) -> Vec<Option<i32>> {
+        self.signal_all();
         let mut codes = Vec::new();
         for gateway in &self.gateways {
             let child = gateway.child.borrow_mut().take();
             let Some(mut child) = child else { continue };
-            if let Some(id) = child.id() {
-                // The second says not to wait for what plays.
-                let _ = kill(nix::unistd::Pid::from_raw(id as i32), Signal::SIGTERM);
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                let _ = kill(nix::unistd::Pid::from_raw(id as i32), Signal::SIGTERM);
-            }
-            let ended = tokio::time::timeout(Duration::from_secs(5), child.wait()).await;
+            let ended = tokio::time::timeout(Duration::from_secs(10), child.wait()).await;
             codes.push(ended.ok().and_then(|s| s.ok()).and_then(|s| s.code()));
         }
         codes
     }
 
+    fn signal_all(&self) {
+        use nix::sys::signal::{Signal, kill};
+        for gateway in &self.gateways {
+            let id = gateway.child.borrow().as_ref().and_then(Child::id);
+            if let Some(id) = id {
+                let _ = kill(nix::unistd::Pid::from_raw(id as i32), Signal::SIGTERM);
+            }
+        }
+    }
+
     /// Lets viewers come for a time, at a rate a second.
     pub async fn viewers(self: &Rc<Self>, rate: f64, lasts: Duration) {
         let until = tokio::time::Instant::now() + lasts;
