--- a/crates/elderpick-lab/src/fleet.rs
+++ b/crates/elderpick-lab/src/fleet.rs
@@ -125,6 +125,11 @@
         Ok(fleet)
     }
 
+    /// A gateway's process id, while it runs.
+    pub fn process(&self, k: usize) -> Option<u32> {
+        self.gateways.get(k)?.child.borrow().as_ref()?.id()
+    }
+
     pub async fn start_gateway(&self, k: usize) -> Result<(), String> {
         let gateway = &self.gateways[k];
         let mut command = Command::new(&self.program);
@@ -250,10 +255,11 @@
 cold: {{warm_up: "{warm_up}us", least: {least}, multiple: {multiple}, window: "{cold_window}us"}}
 budget: {{free: {free}, share: {share}, window: "{window}us"}}
 retry_after: "1s"
-limits: {{silence: "5s", lead: "2s", mute: "2s"}}
+limits: {{silence: "{silence}s", lead: "2s", mute: "2s"}}
 drain: "2s"
 "#,
         places = model.places,
+        silence = model.silence,
         ladder = ladder.join("\n"),
         racks = world.uplinks.borrow().len(),
         links = model.link * world.hosts.len() as f64,
--- /dev/null
+++ b/crates/elderpick-lab/src/fuzz.rs
@@ -0,0 +1,124 @@
+//! Mutated inputs for the parsers, from a committed corpus, the same for the same seed.
+//!
+//! kind: tool
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use elderpick_hls::{Limits, Media, Multivariant, Reveal, Timeline, Variables};
+use elderpick_inventory::Format;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// A parser to feed.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, clap::ValueEnum)]
+pub enum Target {
+    Playlist,
+    Settings,
+    Inventory,
+}
+
+pub const TARGETS: [Target; 3] = [Target::Playlist, Target::Settings, Target::Inventory];
+
+/// Feeds one input. What must hold of any input is asserted; a panic is a find.
+fn feed(target: Target, input: &[u8]) -> bool {
+    match target {
+        Target::Playlist => {
+            let base = url::Url::parse("http://127.0.0.1:9/s/x.m3u8?a=b").expect("a URI");
+            let multi = Multivariant::parse(input, &base, Limits::default());
+            if let Ok(multi) = &multi {
+                let variant = multi.variant_for(1, &[1, 2, 3]);
+                let text = multi.for_session(variant, |_| "/s/t/x.m3u8".into());
+                assert!(Multivariant::parse(text.as_bytes(), &base, Limits::default()).is_ok(), "{text}");
+            }
+            let Ok(media) = Media::parse(input, &base, &Variables::default(), Limits::default()) else {
+                return multi.is_ok();
+            };
+            let of = BTreeMap::from([(0, &media)]);
+            let mut timeline = Timeline::new(0);
+            for reveal in [Reveal::Until(1_000_000), Reveal::All] {
+                let text = timeline.shape(&of, reveal).expect("its rung is there").text;
+                let again = Media::parse(text.as_bytes(), &base, &Variables::default(), Limits::default());
+                assert!(again.is_ok_and(|a| a.first == media.first), "{text}");
+            }
+            true
+        }
+        Target::Settings => {
+            let Ok(text) = std::str::from_utf8(input) else { return false };
+            let read = elderpick_gateway::config::Config::read("f", text);
+            // The same text as a schema of its own.
+            let own = elderpick_settings::Schema::new("f", text).map(|s| s.unify("#Class", text).is_ok());
+            read.is_ok() || own.is_ok()
+        }
+        Target::Inventory => [Format::Csv, Format::Yaml].into_iter().any(|format| {
+            let read = elderpick_inventory::read("f", input, format, &[], &[]);
+            if let Err(faults) = &read {
+                assert!(!faults.list.is_empty());
+            }
+            read.is_ok()
+        }),
+    }
+}
+
+fn mutate(rng: &mut ChaCha8Rng, corpus: &[Vec<u8>]) -> Vec<u8> {
+    let mut bytes = corpus[rng.random_range(0..corpus.len())].clone();
+    for _ in 0..rng.random_range(1..6) {
+        let at = rng.random_range(0..=bytes.len());
+        let to = (at + rng.random_range(0..24)).min(bytes.len());
+        match rng.random_range(0..6) {
+            0 => drop(bytes.drain(at..to)),
+            1 => bytes.insert(at, rng.random()),
+            2 if at < bytes.len() => bytes[at] ^= 1 << rng.random_range(0..8),
+            3 => {
+                let copied = bytes[at..to].to_vec();
+                bytes.splice(at..at, copied);
+            }
+            4 => {
+                let other = &corpus[rng.random_range(0..corpus.len())];
+                let from = rng.random_range(0..other.len());
+                let upto = (from + rng.random_range(1..64)).min(other.len());
+                bytes.splice(at..to, other[from..upto].iter().copied());
+            }
+            _ => {
+                let words: [&[u8]; 10] = [
+                    b"{",
+                    b"\"",
+                    b"\n",
+                    b",,",
+                    b"{$",
+                    b"18446744073709551615",
+                    b"&",
+                    b"*",
+                    b"[",
+                    b"\xef\xbb\xbf",
+                ];
+                let word = words[rng.random_range(0..words.len())];
+                bytes.splice(at..at, word.iter().copied());
+            }
+        }
+    }
+    bytes
+}
+
+/// Feeds the corpus in `folder` and `inputs` mutations of it. How many were accepted.
+pub fn run(target: Target, folder: &Path, inputs: usize, seed: u64) -> Result<usize, String> {
+    let wrong = |why: std::io::Error| format!("{}: {why}", folder.display());
+    let mut files: Vec<_> =
+        std::fs::read_dir(folder).map_err(wrong)?.filter_map(|f| Some(f.ok()?.path())).collect();
+    files.sort();
+    let corpus = files.iter().map(std::fs::read).collect::<Result<Vec<_>, _>>().map_err(wrong)?;
+    if corpus.is_empty() {
+        return Err(format!("{}: no corpus", folder.display()));
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut taken = corpus.iter().filter(|one| feed(target, one)).count();
+    for _ in 0..inputs {
+        let input = mutate(&mut rng, &corpus);
+        // What is fed is shown if it breaks something.
+        let fed = std::panic::catch_unwind(|| feed(target, &input));
+        taken += usize::from(
+            fed.map_err(|_| format!("{target:?} breaks on {:?}", String::from_utf8_lossy(&input)))?,
+        );
+    }
+    Ok(taken)
+}
--- a/crates/elderpick-lab/src/hosts.rs
+++ b/crates/elderpick-lab/src/hosts.rs
@@ -44,6 +44,8 @@
     pub segments: usize,
     /// Microseconds of one set-up.
     pub set_up: u64,
+    /// Seconds after which gateways count a silent viewer as gone; hosts wait a little longer.
+    pub silence: u64,
 }
 
 impl Default for Model {
@@ -60,6 +62,7 @@
             segment: 1,
             segments: 6,
             set_up: 3_000,
+            silence: 5,
         }
     }
 }
@@ -507,7 +510,9 @@
         }
         let spread = 0.5 + self.unit();
         let time = Duration::from_micros((self.model.set_up as f64 * trouble.slow * spread) as u64);
-        tokio::time::sleep(time + trouble.origin).await;
+        if !(time + trouble.origin).is_zero() {
+            tokio::time::sleep(time + trouble.origin).await;
+        }
         let refused = host.sessions.borrow().len() >= self.model.places;
         if refused || host.over.borrow().contains_key(&session) {
             done.how = "full";
@@ -564,7 +569,7 @@
         loop {
             tokio::time::sleep(Duration::from_millis(500)).await;
             for host in self.hosts.iter().filter(|h| h.running.get()) {
-                let unseen = now() - 8_000_000;
+                let unseen = now() - (self.model.silence as i64 + 3) * 1_000_000;
                 let stale: Vec<String> = host
                     .sessions
                     .borrow()
--- a/crates/elderpick-lab/src/lib.rs
+++ b/crates/elderpick-lab/src/lib.rs
@@ -3,7 +3,9 @@
 
 pub mod check;
 pub mod fleet;
+pub mod fuzz;
 pub mod hosts;
+pub mod measure;
 pub mod mutants;
 pub mod record;
 pub mod script;
--- a/crates/elderpick-lab/src/main.rs
+++ b/crates/elderpick-lab/src/main.rs
@@ -7,10 +7,11 @@
 use clap::{Parser, Subcommand};
 use elderpick_gateway::{config, engine, shell};
 use elderpick_lab::fleet::Fleet;
+use elderpick_lab::fuzz::Target;
 use elderpick_lab::hosts::Model;
 use elderpick_lab::mutants::{ALL, Double, Mutant};
 use elderpick_lab::record::What;
-use elderpick_lab::{check, script, viewers};
+use elderpick_lab::{check, fuzz, measure, script, viewers};
 
 /// Stand-ins, drills and measurements for elderpick, all on loopback.
 #[derive(Parser)]
@@ -34,6 +35,18 @@
     /// Run a scripted day with faults and judge the rules from the sockets.
     #[command(subcommand)]
     Drill(Drill),
+    /// Measure one gateway: decisions, latency, set-ups, memory, playlists. Takes about a minute.
+    Measure,
+    /// Feed a parser mutated inputs from a corpus.
+    Fuzz {
+        target: Target,
+        /// Folder of inputs to begin with.
+        corpus: PathBuf,
+        #[arg(long, default_value_t = 100_000)]
+        inputs: usize,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Play an HLS playlist to its end as an ordinary player would, and tell what came.
     Play { uri: String },
     /// Run one gateway, perhaps with a fault in its decisions. Drills use it.
@@ -89,6 +102,11 @@
         (Command::Demo { lasts, log }, Ok(runtime)) => {
             tokio::task::LocalSet::new().block_on(&runtime, demo(lasts, log))
         }
+        (Command::Fuzz { target, corpus, inputs, seed }, Ok(_)) => fuzz::run(target, &corpus, inputs, seed)
+            .map(|taken| println!("{target:?}: {inputs} inputs, {taken} accepted, nothing broke")),
+        (Command::Measure, Ok(runtime)) => {
+            tokio::task::LocalSet::new().block_on(&runtime, async { measure::run(this_program()?).await })
+        }
         (Command::Play { uri }, Ok(runtime)) => tokio::task::LocalSet::new().block_on(&runtime, play(&uri)),
         (Command::Drill(Drill::Mutants { seed }), Ok(runtime)) => {
             tokio::task::LocalSet::new().block_on(&runtime, mutants(seed))
--- a/crates/elderpick-lab/src/viewers.rs
+++ b/crates/elderpick-lab/src/viewers.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use elderpick_hls::{Limits, Media, Multivariant, Variables};
 use http::{HeaderMap, Method, Request};
-use http_body_util::{BodyExt, Empty};
+use http_body_util::{BodyExt, Full};
 use hyper_util::rt::TokioIo;
 use rand::Rng;
 use tokio::net::TcpStream;
@@ -22,12 +22,23 @@
     to: SocketAddr,
     path: &str,
     headers: &[(&'static str, String)],
+) -> Result<(u16, HeaderMap, Bytes), String> {
+    call_with(method, to, path, headers, String::new()).await
+}
+
+/// The same with a body.
+pub async fn call_with(
+    method: Method,
+    to: SocketAddr,
+    path: &str,
+    headers: &[(&'static str, String)],
+    body: String,
 ) -> Result<(u16, HeaderMap, Bytes), String> {
     let stream = TcpStream::connect(to).await.map_err(|why| why.to_string())?;
     let _ = stream.set_nodelay(true);
     let shaken = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = shaken.map_err(|why| why.to_string())?;
-    let mut request = Request::new(Empty::<Bytes>::new());
+    let mut request = Request::new(Full::new(Bytes::from(body)));
     *request.method_mut() = method;
     *request.uri_mut() = path.parse().map_err(|_| "no path".to_owned())?;
     let host = http::HeaderValue::from_str(&to.to_string()).map_err(|why| why.to_string())?;
