Who may connect, which host is lost and what servers there are: decisions without I/O

These were decided inside socket code, where no test could put them in any order. A gateway that starts waits for its first list, as it refused nearly all before that.

--- a/crates/elderpick-gateway/src/config.rs
+++ b/crates/elderpick-gateway/src/config.rs
@@ -59,7 +59,7 @@
 #[derive(Clone, Debug, Deserialize)]
 pub struct List {
     pub address: SocketAddr,
-    pub grace: Micros,
+    pub wait: Micros,
 }
 
 #[derive(Clone, Debug, Deserialize)]
--- a/crates/elderpick-gateway/src/engine.rs
+++ b/crates/elderpick-gateway/src/engine.rs
@@ -12,10 +12,11 @@
 
 use elderpick_core::Controller;
 use elderpick_core::api::{
-    Action, Entry, Event, ListKind, Micros, Note, Report, RequestId, ServerId, ServerState, Status, Viewing,
+    Action, Event, ListKind, Micros, Note, Report, RequestId, ServerId, ServerState, Status, Viewing,
 };
 
 use crate::config::{Config, Listed, Reporting};
+use crate::membership::{Membership, Told};
 use crate::play::Play;
 
 /// What decides on sessions. The product has one, the core; drills put doubles in its place that break a rule.
@@ -105,7 +106,7 @@
     /// News of the list; servers by name, with state and start.
     List {
         kind: ListKind,
-        servers: Vec<(String, ServerState, Option<Micros>)>,
+        servers: Vec<Told>,
     },
     Ask {
         ask: Ask,
@@ -261,7 +262,7 @@
 pub struct Engine<D> {
     core: D,
     pub config: Config,
-    pub servers: BTreeMap<ServerId, Listed>,
+    pub members: Membership,
     sessions: BTreeMap<RequestId, Session>,
     tokens: HashMap<Token, RequestId>,
     aliases: HashMap<Token, RequestId>,
@@ -282,7 +283,7 @@
         Engine {
             core,
             config,
-            servers,
+            members: Membership::new(servers),
             sessions: BTreeMap::new(),
             tokens: HashMap::new(),
             aliases: HashMap::new(),
@@ -310,7 +311,7 @@
 
     /// Whether a set-up may be written to the server now: the list may have changed since it was decided.
     pub fn may_write(&self, server: &ServerId) -> bool {
-        self.servers.get(server).is_some_and(|s| self.core.may_write(s.entry.state))
+        self.members.get(server).is_some_and(|s| self.core.may_write(s.entry.state))
     }
 
     /// Takes what happened and appends what is to be done.
@@ -318,7 +319,7 @@
         if !self.began {
             // The inventory is a list as it was known last: it may be old.
             self.began = true;
-            let entries = self.servers.values().map(|s| s.entry.clone()).collect();
+            let entries = self.members.entries();
             self.tell(now, Event::List { kind: ListKind::Restored, entries });
         }
         match input {
@@ -395,22 +396,12 @@
         self.actions = actions;
     }
 
-    fn list(&mut self, now: Micros, kind: ListKind, servers: Vec<(String, ServerState, Option<Micros>)>) {
-        if kind == ListKind::Full {
-            self.servers.values_mut().for_each(|s| s.entry.state = ServerState::Gone);
-        }
-        let mut entries: Vec<Entry> = Vec::new();
-        for (name, state, started) in servers {
-            // The list does not tell where a server is: one that the inventory lacks cannot be used.
-            let Some(server) = self.servers.get_mut(&ServerId(name.as_str().into())) else {
-                self.counts.unknown_servers += 1;
-                tracing::warn!(server = name, "in the list but not in the inventory");
-                continue;
-            };
-            server.entry.state = state;
-            server.entry.started = started.or(server.entry.started);
-            entries.push(server.entry.clone());
+    fn list(&mut self, now: Micros, kind: ListKind, servers: Vec<Told>) {
+        let (entries, unknown) = self.members.list(kind, servers);
+        for server in unknown {
+            tracing::warn!(server, "in the list but not in the inventory");
         }
+        self.counts.unknown_servers = self.members.unknown_told;
         self.tell(now, Event::List { kind, entries });
     }
 
--- a/crates/elderpick-gateway/src/front.rs
+++ b/crates/elderpick-gateway/src/front.rs
@@ -18,6 +18,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
+use crate::door::Entry;
 use crate::engine::{Answer, Ask, Decide, Input, Token, Viewer, Wanted};
 use crate::shell::{Shell, fetch, span};
 
@@ -28,20 +29,13 @@
 
 impl<D: Decide + 'static> Drop for Held<D> {
     fn drop(&mut self) {
-        self.0.viewers.set(self.0.viewers.get().saturating_sub(1));
-        let mut by = self.0.by_address.borrow_mut();
-        if let Some(count) = by.get_mut(&self.1) {
-            *count -= 1;
-            if *count == 0 {
-                by.remove(&self.1);
-            }
-        }
+        self.0.door.borrow_mut().leave(self.1);
     }
 }
 
 /// Takes connections up to the bounds; what is over them is told so at once and closed.
 pub(crate) async fn accept<D: Decide + 'static>(listener: TcpListener, shell: Rc<Shell<D>>) {
-    let limits = shell.with_engine(|e| e.config.limits.clone());
+    let header = shell.with_engine(|e| span(e.config.limits.header));
     loop {
         let (stream, from) = match listener.accept().await {
             Ok(taken) => taken,
@@ -52,23 +46,13 @@
                 continue;
             }
         };
-        let mut by = shell.by_address.borrow_mut();
-        let of_address = by.entry(from.ip()).or_default();
-        if shell.viewers.get() >= limits.connections || *of_address >= limits.per_address {
-            if *of_address == 0 {
-                by.remove(&from.ip());
-            }
-            drop(by);
+        if shell.door.borrow_mut().come(from.ip()) != Entry::Admitted {
             shell.with_engine(|e| e.counts.over_bound += 1);
             spawn_local(turn_away(stream));
             continue;
         }
-        *of_address += 1;
-        drop(by);
-        shell.viewers.set(shell.viewers.get() + 1);
         let held = Held(shell.clone(), from.ip());
         let _ = stream.set_nodelay(true);
-        let header = span(limits.header);
         spawn_local(async move {
             let shell = held.0.clone();
             let service = service_fn(move |request| {
--- a/crates/elderpick-gateway/src/lib.rs
+++ b/crates/elderpick-gateway/src/lib.rs
@@ -1,12 +1,16 @@
 //! One gateway of the session front.
 //!
 //! [`engine`] holds the life of sessions without sockets; [`shell`] is its runtime on tokio's current-thread
-//! executor; [`host`] speaks to media hosts and [`front`] to viewers.
+//! executor; [`host`] speaks to media hosts and [`front`] to viewers. What is decided besides stands in [`door`]
+//! (who may connect), [`liveness`] (which host is lost) and [`membership`] (what servers there are).
 
 pub mod config;
+pub mod door;
 pub mod engine;
 pub mod front;
 pub mod host;
+pub mod liveness;
+pub mod membership;
 pub mod play;
 pub mod shell;
 
--- a/crates/elderpick-gateway/src/schema.cue
+++ b/crates/elderpick-gateway/src/schema.cue
@@ -46,8 +46,8 @@
     // The list service, which tells what runs.
     list: {
         address: address
-        // Nothing new goes to a server later than this after it was told to drain or to be gone.
-        grace:   duration & >="0s" | *"1s"
+        // A gateway that starts takes no viewer until it has the list, but no longer than this.
+        wait:    duration & >="0s" | *"1s"
     }
 
     // Titles stand on `copies` cells in a row, the first by a hash of the title; on all servers if not given.
--- a/crates/elderpick-gateway/src/shell.rs
+++ b/crates/elderpick-gateway/src/shell.rs
@@ -14,9 +14,11 @@
 use tokio::task::{AbortHandle, spawn_local};
 
 use crate::config::Config;
+use crate::door::Door;
 use crate::engine::{Answer, Ask, Decide, Engine, Input, Output, Said, SetUp, Token};
 use crate::front;
 use crate::host::{self, Events, Lost, Pool};
+use crate::liveness::{Listening, Next};
 
 /// Time for the engine: microseconds since 1970, never running backwards.
 pub trait Clock {
@@ -58,8 +60,7 @@
     list: RefCell<Option<AbortHandle>>,
     timer: Notify,
     next_ask: Cell<Ask>,
-    pub viewers: Cell<usize>,
-    pub by_address: RefCell<HashMap<std::net::IpAddr, usize>>,
+    pub door: RefCell<Door>,
 }
 
 impl<D: Decide + 'static> Shell<D> {
@@ -193,7 +194,7 @@
 
     fn reach(&self, server: &ServerId) -> Option<(SocketAddr, String)> {
         let engine = self.engine.borrow();
-        engine.servers.get(server).map(|s| (s.address, engine.config.name.clone()))
+        engine.members.get(server).map(|s| (s.address, engine.config.name.clone()))
     }
 
     /// A word to a host that changes nothing for the viewer: tried twice, then given up and logged.
@@ -226,32 +227,38 @@
         });
     }
 
-    /// Listens to what a host tells. A stream that breaks is opened again at once; when that fails twice, or another
-    /// process answers, what played there is lost.
+    /// Listens to what a host tells, until it is lost.
     fn follow(self: &Rc<Self>, server: ServerId) {
         let Some((to, gateway)) = self.reach(&server) else { return };
         let (shell, followed) = (self.clone(), server.clone());
         let (connect, mute) = (self.limit(|c| c.limits.connect), self.limit(|c| c.limits.mute));
         let task = spawn_local(async move {
-            let (mut failed, mut epoch) = (0, None::<i64>);
-            'open: while failed < 3 {
-                if failed > 0 {
-                    tokio::time::sleep(Duration::from_millis(50) * failed).await;
-                }
-                let Ok(mut events) = Events::open(to, "/events", &gateway, connect).await else {
-                    failed += 1;
-                    continue;
-                };
-                while let Some(message) = events.next(mute).await {
-                    let Some(said) = said(&message) else { continue };
-                    failed = 0;
-                    match said {
-                        Heard::Began(at) if epoch.is_some_and(|known| known != at) => break 'open,
-                        Heard::Began(at) => epoch = Some(at),
-                        Heard::Said(said) => shell.feed(Input::Said { server: server.clone(), said }),
+            let mut listening = Listening::default();
+            loop {
+                let mut next = Next::Listen;
+                if let Ok(mut events) = Events::open(to, "/events", &gateway, connect).await {
+                    while let Some(message) = events.next(mute).await {
+                        match said(&message) {
+                            Some(Heard::Began(at)) => next = listening.began(at),
+                            Some(Heard::Said(said)) => {
+                                listening.heard();
+                                shell.feed(Input::Said { server: server.clone(), said });
+                            }
+                            None => {}
+                        }
+                        if next == Next::Lost {
+                            break;
+                        }
                     }
                 }
-                failed += 1;
+                if next != Next::Lost {
+                    next = listening.broke();
+                }
+                match next {
+                    Next::Open { after } => tokio::time::sleep(span(after)).await,
+                    Next::Listen => {}
+                    Next::Lost => break,
+                }
             }
             tracing::warn!(server = host::name(&server), "lost");
             shell.pool.forget(to);
@@ -399,11 +406,15 @@
         list: RefCell::default(),
         timer: Notify::new(),
         next_ask: Cell::new(0),
-        viewers: Cell::new(0),
-        by_address: RefCell::default(),
+        door: RefCell::new(Door::new(config.limits.connections, config.limits.per_address)),
     });
     shell.feed(Input::Tick);
     spawn_local(tick(shell.clone()));
+    // Without the list all servers pass for cold: who connects meanwhile waits in the listener's queue.
+    let until = tokio::time::Instant::now() + span(config.list.wait);
+    while !shell.engine.borrow().members.heard() && tokio::time::Instant::now() < until {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
     let accepting = spawn_local(front::accept(listener, shell.clone()));
     tracing::info!(%address, gateway = config.name, me = config.me, "listening");
     ready(address);
