Words to a host cannot overtake each other; playlists only from the chosen host

Read again, the gateway could leave a host at an older rung when two words crossed, miss the end of a host that was lost while it set a session up, and be sent by a host's playlist to any address. Changes of rung carry an order, a host that plays is listened to again, and media playlists must be at the address of the set-up. Tests for the last two; all pass.

--- a/crates/elderpick-gateway/src/engine.rs
+++ b/crates/elderpick-gateway/src/engine.rs
@@ -189,6 +189,8 @@
         server: ServerId,
         alias: Token,
         rung: usize,
+        /// Rises with each change: two words to a host may overtake each other.
+        order: u64,
     },
     /// Tell the host that a session is over. With an id, [`Input::Released`] is to follow.
     Release {
@@ -485,8 +487,8 @@
         if let (State::Playing(play), Some(server)) = (&mut session.state, &session.server) {
             self.counts.rungs += 1;
             play.change(rung);
-            let (server, alias) = (server.clone(), session.alias);
-            self.out.push(Output::Rung { server, alias, rung });
+            let (server, alias, order) = (server.clone(), session.alias, self.counts.rungs);
+            self.out.push(Output::Rung { server, alias, rung, order });
         }
     }
 
@@ -539,6 +541,10 @@
         }
         self.timers.insert((now + self.config.limits.silence, Timer::Silence(id)));
         let server = session.server.clone();
+        // A host that was lost while the attempt was out is listened to again.
+        if let Some(server) = server.clone().filter(|s| self.followed.insert(s.clone())) {
+            self.out.push(Output::Follow { server });
+        }
         self.tell(now, Event::Playing { id, attempt });
         if let Some(server) = server.filter(|_| self.config.reporting == Reporting::Answers) {
             self.tell(now, Event::Probed { server, status: Status::Ok, report });
--- a/crates/elderpick-gateway/src/play.rs
+++ b/crates/elderpick-gateway/src/play.rs
@@ -1,4 +1,6 @@
-//! A session's playlists while it plays.
+//! A session's playlists while it plays: which rung is listed, how much of it, how long the session is held.
+//!
+//! kind: decisions
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -50,8 +52,14 @@
         now: Micros,
     ) -> Result<Play, Fault> {
         let bounds = Limits { bytes: limits.playlist, ..Limits::default() };
+        let multi = Multivariant::parse(manifest, base, bounds)?;
+        // The gateway fetches these itself: a host may not send it anywhere else.
+        let mut uris = multi.variants.iter().map(|v| &v.uri).chain(multi.renditions.iter().map(|r| &r.uri));
+        if let Some(uri) = uris.find(|uri| uri.origin() != base.origin()) {
+            return Err(Fault { line: 0, what: format!("{uri} is not at the host that was chosen") });
+        }
         Ok(Play {
-            multi: Multivariant::parse(manifest, base, bounds)?,
+            multi,
             ladder,
             main: Timeline::new(rung),
             ended: BTreeMap::new(),
--- a/crates/elderpick-gateway/src/shell.rs
+++ b/crates/elderpick-gateway/src/shell.rs
@@ -159,8 +159,8 @@
                     task.abort();
                 }
             }
-            Output::Rung { server, alias, rung } => {
-                let body = serde_json::json!({ "rung": rung }).to_string();
+            Output::Rung { server, alias, rung, order } => {
+                let body = serde_json::json!({ "rung": rung, "order": order }).to_string();
                 self.tell_host(None, server, Method::POST, format!("/sessions/{alias}/rung"), body);
             }
             Output::Release { id, server, alias } => {
--- a/crates/elderpick-gateway/tests/engine.rs
+++ b/crates/elderpick-gateway/tests/engine.rs
@@ -152,6 +152,15 @@
     assert!(released(&bed.feed(Input::Tick)));
 }
 
+#[test]
+fn a_host_that_was_lost_while_it_set_up_is_listened_to_again() {
+    let mut bed = Bed::new(5);
+    let (id, attempt, server) = sent(&bed.ask(1, 0, None)).unwrap();
+    bed.feed(Input::Said { server: server.clone(), said: Said::Lost });
+    let out = bed.feed(Input::SetUp { id, attempt, result: plays(), report: Report::default() });
+    assert!(out.iter().any(|o| matches!(o, Output::Follow { server: s } if *s == server)));
+}
+
 /// What the sockets would see of the gateway, kept for the rules.
 #[derive(Default)]
 struct Seen {
--- a/crates/elderpick-gateway/tests/play.rs
+++ b/crates/elderpick-gateway/tests/play.rs
@@ -90,3 +90,12 @@
     }
     panic!("it never ended");
 }
+
+#[test]
+fn playlists_at_another_host_are_not_fetched() {
+    let base = Url::parse("http://127.0.0.1:9/s/x/main.m3u8").unwrap();
+    for uri in ["http://127.0.0.1:10/r0.m3u8", "//10.0.0.1/r0.m3u8", "https://127.0.0.1:9/r0.m3u8"] {
+        let text = format!("#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=100\n{uri}\n");
+        assert!(Play::new(&base, text.as_bytes(), 0, vec![100], &limits(1), 0).is_err(), "{uri}");
+    }
+}
--- a/crates/elderpick-hls/src/timeline.rs
+++ b/crates/elderpick-hls/src/timeline.rs
@@ -1,4 +1,6 @@
 //! The rungs of one session over its media sequence numbers.
+//!
+//! kind: decisions
 
 use std::collections::BTreeMap;
 
--- a/crates/elderpick-lab/src/hosts.rs
+++ b/crates/elderpick-lab/src/hosts.rs
@@ -120,6 +120,8 @@
 
 struct Session {
     rung: usize,
+    /// Of the last change of rung.
+    order: u64,
     /// Its true rate over the ladder's.
     rate: f64,
     title: String,
@@ -406,8 +408,10 @@
                 let body = request.into_body().collect().await.map_err(std::io::Error::other)?.to_bytes();
                 let wanted: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
                 let rung = wanted["rung"].as_u64().unwrap_or(0) as usize;
+                let order = wanted["order"].as_u64().unwrap_or(0);
                 match host.sessions.borrow_mut().get_mut(&session) {
-                    Some(held) => held.rung = rung.min(self.model.ladder.len() - 1),
+                    Some(held) if order < held.order => {}
+                    Some(held) => (held.rung, held.order) = (rung.min(self.model.ladder.len() - 1), order),
                     None => return unknown(),
                 }
                 self.record.add(What::RungSet { host: host.id.clone(), session, rung });
@@ -526,7 +530,7 @@
         }
         let rate = 0.9 + 0.2 * self.unit();
         let rung = rung.min(self.model.ladder.len() - 1);
-        let held = Session { rung, rate, title, gateway, seen: now() };
+        let held = Session { rung, order: 0, rate, title, gateway, seen: now() };
         host.sessions.borrow_mut().insert(session.clone(), held);
         if self.unit() < trouble.loses_answers {
             done.how = "lost";
