Settings whose definitions double at each step end in a problem, not in hours

Sixty lines that each name the one before twice would have been worked out two to the sixtieth times. A file now has half a million steps; what needs more is told as a problem with its place.

--- a/crates/elderpick-settings/src/tests.rs
+++ b/crates/elderpick-settings/src/tests.rs
@@ -80,6 +80,17 @@
     assert!(Schema::new("s", "#Gateway: #Gateway").unwrap().unify("#Gateway", "").is_err());
 }
 
+#[test]
+fn definitions_that_double_at_each_step_end_in_a_problem() {
+    let mut text = String::from(
+        "listen: \"127.0.0.1:0\", me: 0, ladder: [], classes: [#d60]\n#d0: {name: \"a\", aim: \"1s\"}\n",
+    );
+    (1..=60).for_each(|k| text += &format!("#d{k}: #d{} & #d{}\n", k - 1, k - 1));
+    let problems = unify(&text).unwrap_err();
+    assert!(problems.iter().any(|p| p.rule.contains("steps")), "{problems:?}");
+    assert!(unify(&text.replace("[#d60]", "[#d8]")).is_ok());
+}
+
 #[test]
 fn a_field_given_twice_must_agree() {
     let rest = "listen: \"127.0.0.1:0\", classes: [{name: \"a\", aim: \"1s\"}], ladder: []";
--- a/crates/elderpick-settings/src/value.rs
+++ b/crates/elderpick-settings/src/value.rs
@@ -11,13 +11,16 @@
     file: &'a Record,
     problems: Vec<Problem>,
     depth: usize,
+    steps: usize,
 }
 
 /// Definitions that refer to one another are followed so deep.
 const DEEPEST: usize = 200;
+/// Values that are worked out for one file: definitions that double at each step end here.
+const MOST_STEPS: usize = 500_000;
 
 pub fn unify(schema: &Record, name: &str, file: &Record) -> Result<Value, Vec<Problem>> {
-    let mut scope = Scope { schema, file, problems: Vec::new(), depth: 0 };
+    let mut scope = Scope { schema, file, problems: Vec::new(), depth: 0, steps: 0 };
     let place = Place { line: 1, column: 1 };
     let root = Node { place, kind: Kind::Name(name.to_owned()) };
     let mut data = file.clone();
@@ -25,9 +28,16 @@
     let data = Node { place, kind: Kind::Record(data) };
     let value = scope.meet(&root, Some(&data), place, "");
     let mut problems = scope.problems;
-    if problems.is_empty() {
+    if problems.is_empty() && scope.steps < MOST_STEPS {
         return Ok(value);
     }
+    if scope.steps >= MOST_STEPS {
+        problems.retain(|p| p.field.is_empty());
+        if problems.is_empty() {
+            let rule = format!("needs more than {MOST_STEPS} steps to work out");
+            problems.push(Problem { place, field: String::new(), rule, found: String::new() });
+        }
+    }
     problems.sort_by(|a, b| (a.place, &a.field).cmp(&(b.place, &b.field)));
     problems.dedup();
     Err(problems)
@@ -50,6 +60,15 @@
         Value::Null
     }
 
+    /// Counts a step. When they are spent the rest of the file is not looked at, and that is told once.
+    fn spent(&mut self, place: Place) -> bool {
+        self.steps += 1;
+        if self.steps == MOST_STEPS {
+            self.wrong(place, "", format!("needs more than {MOST_STEPS} steps to work out"), "");
+        }
+        self.steps >= MOST_STEPS
+    }
+
     fn definition(&self, name: &str) -> Option<Node> {
         let found = self.file.field(name).or_else(|| self.schema.field(name));
         found.filter(|f| f.name.starts_with('#')).map(|f| f.node.clone())
@@ -57,6 +76,9 @@
 
     /// The data with its references to definitions and its `&` worked out, where those are records.
     fn plain(&mut self, data: &Node, path: &str) -> Node {
+        if self.spent(data.place) {
+            return Node { place: data.place, kind: Kind::Null };
+        }
         match &data.kind {
             Kind::Name(name) if name.starts_with('#') => match self.definition(name) {
                 Some(node) if self.depth < DEEPEST => {
@@ -109,6 +131,9 @@
 
     /// The value of `data` under `rule`, or of the rule's default where there is no data.
     fn meet(&mut self, rule: &Node, data: Option<&Node>, place: Place, path: &str) -> Value {
+        if self.spent(place) {
+            return Value::Null;
+        }
         if self.depth >= DEEPEST {
             return self.wrong(place, path, "definitions may not refer to themselves", "");
         }
