--- a/crates/elderpick-gateway/src/engine.rs
+++ b/crates/elderpick-gateway/src/engine.rs
@@ -337,14 +337,13 @@
             Input::Leave { token } => {
                 if let Some(&id) = self.tokens.get(&token) {
                     self.counts.left += 1;
-                    self.release(now, id, Status::Ok);
+                    self.release(id, Status::Ok);
                 }
             }
             Input::Drain => self.draining = true,
             Input::End => {
-                let mut ids: Vec<_> = self.sessions.keys().copied().collect();
-                ids.sort_unstable();
-                ids.into_iter().for_each(|id| self.release(now, id, Status::Cancelled));
+                let ids: Vec<_> = self.sessions.keys().copied().collect();
+                ids.into_iter().for_each(|id| self.release(id, Status::Cancelled));
             }
             Input::Tick => self.run_timers(now),
         }
@@ -380,12 +379,12 @@
                 Action::Send { id, server, timeout } => self.send(now, id, server, timeout),
                 Action::Refuse { id, retry_after } => {
                     self.counts.refused += 1;
-                    self.give_up(now, id, Answer::Refused { retry_after });
+                    self.give_up(id, Answer::Refused { retry_after });
                 }
                 Action::Fail { id } => {
                     self.counts.failed += 1;
                     let late = self.sessions.get(&id).is_some_and(|s| s.last == Status::TimedOut);
-                    self.give_up(now, id, Answer::Failed { late });
+                    self.give_up(id, Answer::Failed { late });
                 }
                 Action::Probe { server } => self.out.push(Output::Probe { server }),
                 Action::Subscribe => self.out.push(Output::Subscribe),
@@ -413,7 +412,15 @@
         // A further try of a session that is held joins it, and has the same answer.
         if let Some(session) = key.as_ref().and_then(|key| self.viewers.get(key)).copied() {
             match self.sessions.get_mut(&session) {
-                Some(held) if matches!(held.state, State::Placing) && held.asks.len() < MOST_ASKS => {
+                Some(held) if matches!(held.state, State::Placing) => {
+                    // One more than may wait: it must not begin a second session, and it cannot be refused, since
+                    // an attempt may have run.
+                    if held.asks.len() >= MOST_ASKS {
+                        self.counts.over_bound += 1;
+                        self.counts.failed += 1;
+                        let answer = Answer::Failed { late: false };
+                        return self.out.push(Output::Answer { ask, answer });
+                    }
                     self.counts.joined += 1;
                     held.asks.push(ask);
                     self.asks.insert(ask, session);
@@ -477,7 +484,7 @@
         if session.asks.is_empty() && matches!(session.state, State::Placing) {
             self.counts.left += 1;
             self.tell(now, Event::Gone { id });
-            self.give_up(now, id, Answer::Failed { late: false });
+            self.give_up(id, Answer::Failed { late: false });
         }
     }
 
@@ -564,7 +571,7 @@
     }
 
     /// Answers at once all who wait, and ends what is still out.
-    fn give_up(&mut self, now: Micros, id: RequestId, answer: Answer) {
+    fn give_up(&mut self, id: RequestId, answer: Answer) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
         for ask in std::mem::take(&mut session.asks) {
             self.asks.remove(&ask);
@@ -572,7 +579,7 @@
         }
         if session.server.is_some() {
             self.out.push(Output::Cancel { id, attempt: session.attempts - 1 });
-            self.release(now, id, Status::Cancelled);
+            self.release(id, Status::Cancelled);
         } else {
             self.forget(id);
         }
@@ -580,7 +587,7 @@
 
     /// Tells the host that a session is over. The core hears of it when the host has taken it, so that a seat counts
     /// as held as long as the host may hold it.
-    fn release(&mut self, _now: Micros, id: RequestId, status: Status) {
+    fn release(&mut self, id: RequestId, status: Status) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
         if matches!(session.state, State::Releasing(_)) {
             return;
@@ -634,7 +641,7 @@
             self.timers.insert((until, Timer::Silence(id)));
         } else {
             self.counts.left += 1;
-            self.release(now, id, Status::Ok);
+            self.release(id, Status::Ok);
         }
     }
 
@@ -655,9 +662,8 @@
             }
             Said::Lost => {
                 let playing = |s: &Session| there(s) && !matches!(s.state, State::Placing);
-                let mut ids: Vec<_> =
+                let ids: Vec<_> =
                     self.sessions.iter().filter(|(_, s)| playing(s)).map(|(id, _)| *id).collect();
-                ids.sort_unstable();
                 self.followed.remove(&server);
                 if ids.is_empty() {
                     // Nothing was lost, but a host that answers no more is known to be so.
@@ -669,19 +675,19 @@
             }
         };
         // The core takes what is told of a server with any session there.
-        let id = self.sessions.iter().filter(|(_, s)| there(s)).map(|(id, _)| *id).min();
+        let id = self.sessions.iter().filter(|(_, s)| there(s)).map(|(id, _)| *id).next();
         if let Some(id) = id {
             self.tell(now, Event::Noted { id, server, note });
         }
     }
 
     /// The session's playlists, for a viewer that asks for one now.
-    pub fn play(&mut self, now: Micros, token: Token) -> Option<(RequestId, &mut Play)> {
+    pub fn play(&mut self, now: Micros, token: Token) -> Option<&mut Play> {
         let id = *self.tokens.get(&token)?;
         let session = self.sessions.get_mut(&id)?;
         session.seen = now;
         match &mut session.state {
-            State::Playing(play) => Some((id, play)),
+            State::Playing(play) => Some(play),
             _ => None,
         }
     }
--- a/crates/elderpick-gateway/src/front.rs
+++ b/crates/elderpick-gateway/src/front.rs
@@ -223,7 +223,7 @@
     let Some(token) = Token::parse(token) else { return plain(StatusCode::NOT_FOUND, "no such session") };
     let now = shell.now();
     let wanted = shell.with_engine(|engine| {
-        let (_, play) = engine.play(now, token)?;
+        let play = engine.play(now, token)?;
         Some(play.part(name).map(|part| (part, play.wanted(part, query))))
     });
     let (part, wanted) = match wanted {
@@ -247,7 +247,7 @@
         }
     }
     let now = shell.now();
-    let shaped = shell.with_engine(|e| e.play(now, token).map(|(_, play)| play.shape(now, part, fetched)));
+    let shaped = shell.with_engine(|e| e.play(now, token).map(|play| play.shape(now, part, fetched)));
     match shaped {
         None => gone(),
         Some(Ok(shaped)) => playlist(shaped.text),
--- a/crates/elderpick-gateway/src/host.rs
+++ b/crates/elderpick-gateway/src/host.rs
@@ -192,6 +192,8 @@
     body: Incoming,
     _connection: Connection,
     buffer: Vec<u8>,
+    /// So much of the buffer holds no end of an event.
+    looked: usize,
 }
 
 /// Most bytes of one event.
@@ -207,13 +209,16 @@
         if answer.status() != StatusCode::OK {
             return Err(Lost::Cut);
         }
-        Ok(Events { body: answer.into_body(), _connection: connection, buffer: Vec::new() })
+        Ok(Events { body: answer.into_body(), _connection: connection, buffer: Vec::new(), looked: 0 })
     }
 
     /// The next event. Comments keep the stream awake and are skipped; silence for `within` ends it.
     pub async fn next(&mut self, within: Duration) -> Option<Message> {
         loop {
-            if let Some(end) = self.buffer.windows(2).position(|w| w == b"\n\n") {
+            let from = self.looked.saturating_sub(1);
+            let end = self.buffer[from..].windows(2).position(|w| w == b"\n\n").map(|k| from + k);
+            self.looked = if end.is_some() { 0 } else { self.buffer.len() };
+            if let Some(end) = end {
                 let block: Vec<u8> = self.buffer.drain(..end + 2).collect();
                 let mut message = Message::default();
                 for line in String::from_utf8_lossy(&block).lines() {
--- a/crates/elderpick-gateway/tests/engine.rs
+++ b/crates/elderpick-gateway/tests/engine.rs
@@ -161,6 +161,20 @@
     assert!(out.iter().any(|o| matches!(o, Output::Follow { server: s } if *s == server)));
 }
 
+#[test]
+fn retries_beyond_those_that_may_wait_begin_no_second_session() {
+    let mut bed = Bed::new(6);
+    let (id, attempt, _) = sent(&bed.ask(0, 1, Some(9))).unwrap();
+    for ask in 1..20 {
+        let out = bed.ask(ask, 1, Some(9));
+        assert!(sent(&out).is_none(), "one attempt for one viewer");
+        let failed = matches!(answers(&out)[..], [(_, Answer::Failed { late: false })]);
+        assert_eq!(failed, ask >= 8, "those over the bound are answered at once, and not as refused");
+    }
+    let out = bed.feed(Input::SetUp { id, attempt, result: plays(), report: Report::default() });
+    assert_eq!((answers(&out).len(), bed.engine.sessions()), (8, 1));
+}
+
 /// What the sockets would see of the gateway, kept for the rules.
 #[derive(Default)]
 struct Seen {
--- a/crates/elderpick-hls/src/media.rs
+++ b/crates/elderpick-hls/src/media.rs
@@ -150,12 +150,13 @@
                 (range, in_head) = (Some((size, from)), false);
             } else if let Some(list) = tag(line, "#EXT-X-KEY") {
                 // Several in a row are the same key for several formats; one after a segment replaces them.
+                let none = attribute(list, "METHOD") == Some("NONE");
                 let list = format!("#EXT-X-KEY:{}", vars.absolute(n, base, list)?);
                 let fresh = last_keyed != out.segments.len() || keys.is_empty();
                 let mut now = if fresh { Vec::new() } else { keys.to_vec() };
                 now.push(list);
                 last_keyed = out.segments.len();
-                if attribute(line, "METHOD") == Some("NONE") || line.contains("METHOD=NONE") {
+                if none {
                     now.clear();
                 }
                 (keys, in_head) = (now.into(), false);
--- a/crates/elderpick-hls/tests/rewriting.rs
+++ b/crates/elderpick-hls/tests/rewriting.rs
@@ -111,7 +111,7 @@
 #[test]
 fn ranges_keys_parts_and_strange_lines_survive() {
     let text = "#EXTM3U\n#EXT-X-TARGETDURATION:4\n#EXT-X-SERVER-CONTROL:CAN-BLOCK-RELOAD=YES,CAN-SKIP-UNTIL=24.0\n\
-                #EXT-X-PART-INF:PART-TARGET=1\n#EXT-X-ODD\n#EXT-X-KEY:METHOD=AES-128,URI=\"k1\"\n\
+                #EXT-X-PART-INF:PART-TARGET=1\n#EXT-X-ODD\n#EXT-X-KEY:METHOD=AES-128,URI=\"k1?METHOD=NONE\"\n\
                 #EXT-X-KEY:METHOD=SAMPLE-AES,URI=\"skd://x\",KEYFORMAT=\"com.apple\"\n#EXTINF:4,\n\
                 #EXT-X-BYTERANGE:100@0\nall.ts\n#EXTINF:4,\n#EXT-X-BYTERANGE:50\nall.ts\n#EXT-X-KEY:METHOD=NONE\n\
                 #EXT-X-PROGRAM-DATE-TIME:2026-01-01T00:00:00Z\n#EXT-X-PART:DURATION=1,URI=\"p1\"\n#EXTINF:4,title\n\
@@ -122,7 +122,7 @@
         "#EXT-X-SERVER-CONTROL:CAN-BLOCK-RELOAD=YES\n",
         "#EXT-X-ODD\n",
         "#EXT-X-KEY:METHOD=SAMPLE-AES,URI=\"skd://x\",KEYFORMAT=\"com.apple\"\n",
-        "#EXT-X-KEY:METHOD=AES-128,URI=\"http://127.0.0.1:9000/s/abc/k1\"\n",
+        "#EXT-X-KEY:METHOD=AES-128,URI=\"http://127.0.0.1:9000/s/abc/k1?METHOD=NONE\"\n",
         "#EXT-X-BYTERANGE:50@100\n",
         "#EXT-X-KEY:METHOD=NONE\n#EXT-X-PROGRAM-DATE-TIME:2026",
         "#EXT-X-PART:DURATION=1,URI=\"http://127.0.0.1:9000/s/abc/p2\"\n#EXT-X-PRELOAD-HINT",
--- a/crates/elderpick-settings/src/tests.rs
+++ b/crates/elderpick-settings/src/tests.rs
@@ -96,6 +96,9 @@
     let rest = "listen: \"127.0.0.1:0\", classes: [{name: \"a\", aim: \"1s\"}], ladder: []";
     assert!(unify(&format!("me: 1, me: 1, {rest}")).is_ok());
     assert!(unify(&format!("me: 1, me: 2, {rest}")).is_err());
+    assert!(unify(&format!("me: 1 & int, {rest}")).is_ok());
+    assert!(unify(&format!("me: <3 & 2, {rest}")).is_ok());
+    assert!(unify(&format!("me: 3 & <3, {rest}")).is_err());
 }
 
 proptest::proptest! {
--- a/crates/elderpick-settings/src/value.rs
+++ b/crates/elderpick-settings/src/value.rs
@@ -122,6 +122,17 @@
                         }
                         Node { place: b.place, kind: b_kind }
                     }
+                    // A value under a rule of the file's own.
+                    (value, rule) if literal(&value) => {
+                        let value = Node { place: a.place, kind: value };
+                        self.scalar(&Node { place: b.place, kind: rule }, &value, path);
+                        value
+                    }
+                    (rule, value) if literal(&value) => {
+                        let value = Node { place: b.place, kind: value };
+                        self.scalar(&Node { place: a.place, kind: rule }, &value, path);
+                        value
+                    }
                     (_, b_kind) => Node { place: b.place, kind: b_kind },
                 }
             }
