--- /dev/null
+++ b/crates/elderpick-entitle/src/log.rs
@@ -0,0 +1,217 @@
+//! The form in which taken seats outlive a gateway's process: a log of records with checksums.
+//!
+//! A log begins with a line that names the form and the machine's boot. Each record is a frame: length and a check of
+//! it, a checksum of the content, the content as JSON. Checksums take in the frame's place in the log, so that a frame
+//! which is missing or moved shows. What a write left unfinished can be told from damage: an unfinished frame is
+//! shorter than its own checked length, and was never acknowledged; anything else that does not fit is damage.
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// One change of what is taken.
+#[derive(Clone, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Record {
+    Taken {
+        seat: u64,
+        licence: String,
+        holder: String,
+    },
+    Freed {
+        seat: u64,
+    },
+    /// Names of seats go on after this one.
+    Last {
+        seat: u64,
+    },
+}
+
+const FORM: &str = "elderpick seats 1 ";
+const HEAD: usize = 16;
+/// Longest content of a frame, in bytes.
+const MOST: u32 = 4096;
+
+/// The first line of a log. `boot` names the time since the machine was started, as the system tells it.
+pub fn begin(boot: &str) -> Vec<u8> {
+    let boot: String = boot.chars().filter(char::is_ascii_graphic).take(64).collect();
+    format!("{FORM}{boot}\n").into_bytes()
+}
+
+/// Appends one record to a log that is `at` bytes long so far.
+pub fn append(to: &mut Vec<u8>, at: u64, record: &Record) {
+    let place = at + to.len() as u64;
+    let content = serde_json::to_vec(record).unwrap_or_default();
+    let length = (content.len() as u32).to_le_bytes();
+    to.extend(length);
+    to.extend((xxh3_64_with_seed(&length, place) as u32).to_le_bytes());
+    to.extend(xxh3_64_with_seed(&content, place).to_le_bytes());
+    to.extend(content);
+}
+
+/// How a log ends.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum End {
+    Whole,
+    /// A write was not finished: what it was to tell was never acknowledged.
+    Torn,
+    /// It is not what was written.
+    Damaged(String),
+}
+
+/// What a log tells.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Replayed {
+    pub boot: String,
+    /// Seats that are taken: name, licence, holder.
+    pub taken: Vec<(u64, String, String)>,
+    /// Last name that was given.
+    pub last: u64,
+    pub records: usize,
+    /// Bytes that are good.
+    pub good: u64,
+    pub end: End,
+}
+
+/// Reads a log as far as it is good.
+pub fn replay(log: &[u8]) -> Replayed {
+    let mut all = std::collections::BTreeMap::new();
+    let mut out =
+        Replayed { boot: String::new(), taken: Vec::new(), last: 0, records: 0, good: 0, end: End::Whole };
+    let line = log.iter().position(|&b| b == b'\n').filter(|&at| at < 128);
+    let first = line.and_then(|at| std::str::from_utf8(&log[..at]).ok()).and_then(|l| l.strip_prefix(FORM));
+    let Some(boot) = first else {
+        out.end = End::Damaged("it does not begin as such a log does".into());
+        return out;
+    };
+    out.boot = boot.to_owned();
+    let mut at = boot.len() + FORM.len() + 1;
+    while at < log.len() {
+        out.good = at as u64;
+        let Some(head) = log[at..].first_chunk::<HEAD>() else {
+            out.end = End::Torn;
+            break;
+        };
+        let [l0, l1, l2, l3, c0, c1, c2, c3, sum @ ..] = *head;
+        let (length, check) = ([l0, l1, l2, l3], u32::from_le_bytes([c0, c1, c2, c3]));
+        let long = u32::from_le_bytes(length);
+        if xxh3_64_with_seed(&length, at as u64) as u32 != check || long > MOST {
+            out.end = End::Damaged(format!("no frame begins at byte {at}"));
+            break;
+        }
+        let Some(content) = log.get(at + HEAD..at + HEAD + long as usize) else {
+            out.end = End::Torn;
+            break;
+        };
+        let good = xxh3_64_with_seed(content, at as u64) == u64::from_le_bytes(sum);
+        match serde_json::from_slice(content) {
+            Ok(record) if good => match record {
+                Record::Taken { seat, licence, holder } => {
+                    out.last = out.last.max(seat);
+                    all.insert(seat, (licence, holder));
+                }
+                Record::Freed { seat } => {
+                    all.remove(&seat);
+                }
+                Record::Last { seat } => out.last = out.last.max(seat),
+            },
+            _ => {
+                out.end = End::Damaged(format!("the frame at byte {at} does not match its checksum"));
+                break;
+            }
+        }
+        out.records += 1;
+        at += HEAD + long as usize;
+    }
+    if out.end == End::Whole {
+        out.good = at as u64;
+    }
+    out.taken = all.into_iter().map(|(seat, (licence, holder))| (seat, licence, holder)).collect();
+    out
+}
+
+/// Smallest log that is worth writing anew, in bytes.
+const SMALL: u64 = 1 << 20;
+
+/// Whether a log should be written anew, with what is taken only: it holds over four times what that needs.
+pub fn should_compact(length: u64, taken: usize, bytes_each: u64) -> bool {
+    length > SMALL && length > 4 * taken as u64 * bytes_each.max(64)
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    fn written(records: &[Record]) -> (Vec<u8>, Vec<usize>) {
+        let (mut log, mut ends) = (begin("boot"), Vec::new());
+        ends.push(log.len());
+        for record in records {
+            append(&mut log, 0, record);
+            ends.push(log.len());
+        }
+        (log, ends)
+    }
+
+    fn some() -> Vec<Record> {
+        let taken = |seat| Record::Taken { seat, licence: "course".into(), holder: format!("h{seat}") };
+        vec![taken(1), taken(2), Record::Freed { seat: 1 }, taken(3), Record::Last { seat: 9 }, taken(10)]
+    }
+
+    #[test]
+    fn what_is_written_is_read_in_one_piece_or_in_many() {
+        let (log, _) = written(&some());
+        let mut pieces = begin("boot");
+        for record in &some() {
+            let mut piece = Vec::new();
+            append(&mut piece, pieces.len() as u64, record);
+            pieces.extend(piece);
+        }
+        assert_eq!(log, pieces);
+        let read = replay(&log);
+        let seats: Vec<u64> = read.taken.iter().map(|t| t.0).collect();
+        assert_eq!((seats, read.last, read.records, read.end), (vec![2, 3, 10], 10, 6, End::Whole));
+        assert_eq!(read.good, log.len() as u64);
+    }
+
+    #[test]
+    fn a_log_cut_at_any_byte_tells_all_that_was_finished_and_is_no_damage() {
+        let (log, ends) = written(&some());
+        for cut in ends[0]..=log.len() {
+            let whole = ends.iter().filter(|&&end| end <= cut).count() - 1;
+            let read = replay(&log[..cut]);
+            assert_eq!((read.records, read.good as usize), (whole, ends[whole]), "cut at {cut}");
+            assert_eq!(read.end, if cut == ends[whole] { End::Whole } else { End::Torn }, "cut at {cut}");
+        }
+        assert!((0..ends[0]).all(|cut| matches!(replay(&log[..cut]).end, End::Damaged(_))));
+    }
+
+    #[test]
+    fn any_flipped_bit_after_the_first_line_is_damage() {
+        let (log, ends) = written(&some());
+        for bit in ends[0] * 8..log.len() * 8 {
+            let mut bad = log.clone();
+            bad[bit / 8] ^= 1 << (bit % 8);
+            assert!(matches!(replay(&bad).end, End::Damaged(_)), "bit {bit}");
+        }
+    }
+
+    #[test]
+    fn a_frame_that_is_missing_is_damage() {
+        let (log, ends) = written(&some());
+        for k in 0..some().len() - 1 {
+            let without = [&log[..ends[k]], &log[ends[k + 1]..]].concat();
+            assert!(matches!(replay(&without).end, End::Damaged(_)), "without {k}");
+        }
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..Default::default() })]
+        #[test]
+        fn any_bytes_are_read_without_a_panic(bytes in proptest::collection::vec(any::<u8>(), 0..400), headed: bool) {
+            let log = if headed { [begin("b"), bytes].concat() } else { bytes };
+            let read = replay(&log);
+            prop_assert!(read.good <= log.len() as u64);
+        }
+    }
+}
