Licensed classes on sockets: tokens, seats, redirects, a seventh line in the drill

Cause: the entitlement crate was not asked by anything. Change: the gateway verifies tokens, asks the desk before the core, keeps the log on a thread of its own, watches its files, answers operators over a local socket; elderpick token, keys and seats; the lab's issuer stand-in, a licensed class, seats judged from hosts' records, and a double that sells too much.

--- a/crates/elderpick-gateway/src/config.rs
+++ b/crates/elderpick-gateway/src/config.rs
@@ -41,6 +41,7 @@
     pub top: Option<usize>,
     pub seats: Option<usize>,
     pub live: bool,
+    pub licensed: bool,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -112,6 +113,25 @@
     pub level: String,
 }
 
+/// Tokens and seats of licensed classes.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Entitlement {
+    pub keys: PathBuf,
+    pub sheet: PathBuf,
+    pub revoked: Option<PathBuf>,
+    pub state: PathBuf,
+    pub audience: String,
+    pub issuer: Option<String>,
+    pub skew: Micros,
+    pub grace: Micros,
+    pub linger: Micros,
+    pub hold: Micros,
+    pub sync: elderpick_entitle::keeper::Sync,
+    pub within: Micros,
+    pub reload: Micros,
+    pub seats: usize,
+}
+
 /// A gateway's settings; the fields are described in the schema.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Config {
@@ -140,6 +160,8 @@
     pub attempts: usize,
     pub retry_after: Option<Micros>,
     pub limits: Limits,
+    pub entitlement: Option<Entitlement>,
+    pub control: Option<PathBuf>,
     pub drain: Micros,
     pub log: Log,
 }
@@ -180,6 +202,8 @@
             must(class.name.chars().all(plain), &field("name"), "must be letters, digits, '-', '_', '.'", {
                 format!("{:?}", class.name)
             });
+            let known = !class.licensed || config.entitlement.is_some();
+            must(known, &field("licensed"), "must have `entitlement` in the settings", "none".into());
             let waits = class.patience > config.limits.margin;
             must(waits, &field("patience"), "must be over `limits.margin`", format!("{} us", class.patience));
         }
@@ -188,9 +212,22 @@
         if !wrong.is_empty() {
             return Err(wrong.join("\n"));
         }
-        if config.inventory.is_relative() {
-            let folder = Path::new(file).parent().unwrap_or(Path::new("."));
-            config.inventory = folder.join(&config.inventory);
+        let least = config.limits.silence + config.limits.lead;
+        let hold = config.entitlement.as_ref().map_or(least, |e| e.hold);
+        let rule = "must be at least `limits.silence` and `limits.lead` together";
+        if hold < least {
+            return Err(format!("{file}: entitlement.hold: {rule}, found {} ms", hold / 1000));
+        }
+        // Files are named from where the settings stand.
+        let folder = Path::new(file).parent().unwrap_or(Path::new("."));
+        let mut files = vec![&mut config.inventory];
+        files.extend(&mut config.control);
+        if let Some(e) = &mut config.entitlement {
+            files.extend([&mut e.keys, &mut e.sheet, &mut e.state]);
+            files.extend(&mut e.revoked);
+        }
+        for path in files {
+            *path = folder.join(&path);
         }
         Ok(config)
     }
--- a/crates/elderpick-gateway/src/engine.rs
+++ b/crates/elderpick-gateway/src/engine.rs
@@ -7,7 +7,7 @@
 //! time, when a viewer counts as gone, and what must be released at a host before the core may count a seat as free.
 //! Everything enters by [`Engine::handle`] with the time and leaves as [`Output`]s.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::IpAddr;
 
 use elderpick_core::Controller;
@@ -15,6 +15,8 @@
     Action, Event, ListKind, Micros, Note, Report, RequestId, ServerId, ServerState, Status, Viewing,
 };
 
+use elderpick_entitle::desk::SeatId;
+
 use crate::config::{Config, Listed, Reporting};
 use crate::membership::{Membership, Told};
 use crate::play::Play;
@@ -64,12 +66,21 @@
     pub sid: String,
 }
 
+/// The seat that a licensed session has.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Seated {
+    pub seat: SeatId,
+    /// What another device plays with it ends.
+    pub takes_over: bool,
+}
+
 /// A request for a session.
 #[derive(Clone, Debug)]
 pub struct Wanted {
     pub class: usize,
     pub title: String,
     pub viewer: Option<Viewer>,
+    pub seated: Option<Seated>,
     /// When it came.
     pub came: Micros,
     /// Highest rate that the viewer can use, bits a second.
@@ -141,6 +152,10 @@
     Leave {
         token: Token,
     },
+    /// The right to a seat is over: its session ends.
+    Lapse {
+        seat: SeatId,
+    },
     /// No new session from now on.
     Drain,
     /// All that plays ends.
@@ -198,6 +213,11 @@
         server: ServerId,
         alias: Token,
     },
+    /// No session has the seat any more. `willing` if its viewer was done with it or never had a session.
+    Left {
+        seat: SeatId,
+        willing: bool,
+    },
     Probe {
         server: ServerId,
     },
@@ -260,6 +280,8 @@
 /// Requests that may wait for the answer of one session.
 const MOST_ASKS: usize = 8;
 const MOST_TITLE: usize = 256;
+/// Ended sessions of which it is remembered that their right was over.
+const MOST_LAPSED: usize = 4096;
 
 pub struct Engine<D> {
     core: D,
@@ -270,6 +292,9 @@
     aliases: HashMap<Token, RequestId>,
     viewers: HashMap<(Viewer, usize, String), RequestId>,
     asks: HashMap<Ask, RequestId>,
+    /// The session that has each seat.
+    seats: HashMap<SeatId, RequestId>,
+    lapsed: VecDeque<Token>,
     timers: BTreeSet<(Micros, Timer)>,
     followed: BTreeSet<ServerId>,
     next: u64,
@@ -291,6 +316,8 @@
             aliases: HashMap::new(),
             viewers: HashMap::new(),
             asks: HashMap::new(),
+            seats: HashMap::new(),
+            lapsed: VecDeque::new(),
             timers: BTreeSet::new(),
             followed: BTreeSet::new(),
             next: 0,
@@ -340,6 +367,14 @@
                     self.release(id, Status::Ok);
                 }
             }
+            Input::Lapse { seat } => {
+                if let Some(&id) = self.seats.get(&seat) {
+                    let token = self.sessions[&id].token;
+                    self.lapsed.truncate(MOST_LAPSED - 1);
+                    self.lapsed.push_front(token);
+                    self.stop(now, id);
+                }
+            }
             Input::Drain => self.draining = true,
             Input::End => {
                 let ids: Vec<_> = self.sessions.keys().copied().collect();
@@ -409,8 +444,12 @@
     fn ask(&mut self, now: Micros, ask: Ask, wanted: Wanted, token: Token, alias: Token) {
         self.counts.asked += 1;
         let key = wanted.viewer.clone().map(|v| (v, wanted.class, wanted.title.clone()));
+        let held = match wanted.seated {
+            Some(seated) => self.with_seat(now, seated, &wanted),
+            None => key.as_ref().and_then(|key| self.viewers.get(key)).copied(),
+        };
         // A further try of a session that is held joins it, and has the same answer.
-        if let Some(session) = key.as_ref().and_then(|key| self.viewers.get(key)).copied() {
+        if let Some(session) = held {
             match self.sessions.get_mut(&session) {
                 Some(held) if matches!(held.state, State::Placing) => {
                     // One more than may wait: it must not begin a second session, and it cannot be refused, since
@@ -454,6 +493,7 @@
         let top = wanted.top_bits.map_or(usize::MAX, fits).max(class.floor);
         let viewing =
             Viewing { class: wanted.class, title: wanted.title.clone(), left, hint: None, home, copies, top };
+        let seated = wanted.seated;
         let session = Session {
             token,
             alias,
@@ -473,9 +513,53 @@
         if let Some(key) = key {
             self.viewers.insert(key, id);
         }
+        if let Some(seated) = seated {
+            self.seats.insert(seated.seat, id);
+        }
         self.tell(now, Event::Request { id, viewing });
     }
 
+    /// The session that a request with a seat joins. A seat has one session: another one that has it is ended.
+    fn with_seat(&mut self, now: Micros, seated: Seated, wanted: &Wanted) -> Option<RequestId> {
+        let id = *self.seats.get(&seated.seat)?;
+        let held = self.sessions.get(&id)?;
+        let same = (held.wanted.class, &held.wanted.title) == (wanted.class, &wanted.title);
+        if same && !seated.takes_over && !matches!(held.state, State::Releasing(_)) {
+            return Some(id);
+        }
+        self.seats.remove(&seated.seat);
+        self.stop(now, id);
+        None
+    }
+
+    /// Ends a session whatever it is at.
+    fn stop(&mut self, now: Micros, id: RequestId) {
+        let Some(session) = self.sessions.get(&id) else { return };
+        if matches!(session.state, State::Placing) && session.server.is_none() {
+            self.tell(now, Event::Gone { id });
+            self.give_up(id, Answer::Failed { late: false });
+        } else {
+            self.release(id, Status::Cancelled);
+        }
+    }
+
+    /// Whether a session has the seat, be it one that is being ended.
+    pub fn has_session(&self, seat: SeatId) -> bool {
+        self.seats.contains_key(&seat)
+    }
+
+    /// The seat, class and title of a session that plays.
+    pub fn seat_of(&self, token: Token) -> Option<(SeatId, usize, String)> {
+        let session = self.sessions.get(self.tokens.get(&token)?)?;
+        let seated = session.wanted.seated?;
+        Some((seated.seat, session.wanted.class, session.wanted.title.clone()))
+    }
+
+    /// Whether a session ended since its right was over.
+    pub fn has_lapsed(&self, token: Token) -> bool {
+        self.lapsed.contains(&token)
+    }
+
     /// The last of a session's viewers left before the answer: nothing more is sent for it.
     fn ask_dropped(&mut self, now: Micros, ask: Ask) {
         let Some(id) = self.asks.remove(&ask) else { return };
@@ -581,7 +665,7 @@
             self.out.push(Output::Cancel { id, attempt: session.attempts - 1 });
             self.release(id, Status::Cancelled);
         } else {
-            self.forget(id);
+            self.forget(id, true);
         }
     }
 
@@ -617,12 +701,18 @@
     fn ended(&mut self, now: Micros, id: RequestId, status: Status) {
         let Some(attempt) = self.sessions.get(&id).map(|s| s.attempts.saturating_sub(1)) else { return };
         self.counts.ended += 1;
-        self.forget(id);
+        self.forget(id, status == Status::Ok);
         self.tell(now, Event::Outcome { id, attempt, status, closed: true, report: Report::default() });
     }
 
-    fn forget(&mut self, id: RequestId) {
+    fn forget(&mut self, id: RequestId, willing: bool) {
         let Some(session) = self.sessions.remove(&id) else { return };
+        if let Some(Seated { seat, .. }) =
+            session.wanted.seated.filter(|s| self.seats.get(&s.seat) == Some(&id))
+        {
+            self.seats.remove(&seat);
+            self.out.push(Output::Left { seat, willing });
+        }
         self.tokens.remove(&session.token);
         self.aliases.remove(&session.alias);
         if let Some(viewer) = session.wanted.viewer {
--- a/crates/elderpick-gateway/src/front.rs
+++ b/crates/elderpick-gateway/src/front.rs
@@ -1,7 +1,8 @@
 //! Viewers, as the gateway speaks to them: HLS over HTTP/1.1.
 //!
 //! `GET /watch/CLASS/TITLE/index.m3u8` asks for a session; its answer is the final one. `GET /s/TOKEN/…` are the
-//! session's media playlists, `DELETE /s/TOKEN` ends it.
+//! session's media playlists, `DELETE /s/TOKEN` ends it. Of a licensed class the first brings an entitlement token; a
+//! later one that is brought to any of these renews the right.
 
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
@@ -18,8 +19,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
+use elderpick_entitle::desk::Denied;
+
 use crate::door::Entry;
 use crate::engine::{Answer, Ask, Decide, Input, Token, Viewer, Wanted};
+use crate::entitle::Barred;
 use crate::shell::{Shell, fetch, span};
 
 type Reply = Response<Full<Bytes>>;
@@ -109,7 +113,10 @@
     let get = request.method() == Method::GET;
     match parts[..] {
         ["watch", class, title, "index.m3u8"] if get => watch(shell, from, class, title, &request).await,
-        ["s", token, name] if get => part(shell, token, name, request.uri().query()).await,
+        ["s", session, name] if get => {
+            let query = request.uri().query();
+            part(shell, session, name, query, token(request.headers(), query)).await
+        }
         ["s", token] if request.method() == Method::DELETE => match Token::parse(token) {
             Some(token) => {
                 shell.feed(Input::Leave { token });
@@ -133,6 +140,52 @@
     of_headers.chain(of_query).filter_map(|text| sfv::Parser::parse_dictionary(&text).ok()).collect()
 }
 
+/// The entitlement token that a request brings: `Authorization: Bearer …` (RFC 6750), or `token=` in the query.
+fn token(headers: &HeaderMap, query: Option<&str>) -> Option<String> {
+    let header = headers.get(header::AUTHORIZATION).and_then(|v| v.to_str().ok());
+    let bearer =
+        header.and_then(|v| v.split_once(' ')).filter(|(kind, _)| kind.eq_ignore_ascii_case("bearer"));
+    let of_query = query.unwrap_or_default().split('&').find_map(|pair| pair.strip_prefix("token="));
+    bearer.map(|(_, token)| token.trim()).or(of_query).map(str::to_owned)
+}
+
+/// What tells one player from another: its session id if it tells one, or else its address and what it calls itself.
+fn device(from: SocketAddr, sid: Option<&str>, headers: &HeaderMap) -> u64 {
+    let agent = headers.get(header::USER_AGENT).map_or(&b""[..], |v| v.as_bytes());
+    let of_address = [from.ip().to_string().as_bytes(), b" ", agent].concat();
+    xxhash_rust::xxh3::xxh3_64(sid.map_or(&of_address[..], str::as_bytes))
+}
+
+/// Why there is no seat, or where it is.
+fn barred<D: Decide + 'static>(shell: &Rc<Shell<D>>, why: &Barred, uri: &http::Uri) -> Reply {
+    let query = uri.query().unwrap_or_default();
+    if let Barred::Denied(Denied::Elsewhere { at: Some(at), gateway }) = why {
+        if query.split('&').any(|pair| pair == SENT_ON) {
+            tracing::error!(gateway, "a viewer was sent here by a gateway whose sheet differs");
+        } else {
+            let query = if query.is_empty() { SENT_ON.to_owned() } else { format!("{query}&{SENT_ON}") };
+            let place = HeaderValue::from_str(&format!("{at}{}?{query}", uri.path()));
+            let mut reply = plain(StatusCode::TEMPORARY_REDIRECT, "another gateway counts this seat");
+            reply.headers_mut().extend(place.ok().map(|p| (header::LOCATION, p)));
+            return reply;
+        }
+    }
+    let (status, text, again) = why.reply(shell.times());
+    let mut reply = plain(StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE), text);
+    let headers = reply.headers_mut();
+    if status == 401 {
+        let asks = if matches!(why, Barred::NoToken) { "Bearer" } else { "Bearer error=\"invalid_token\"" };
+        headers.insert(header::WWW_AUTHENTICATE, HeaderValue::from_static(asks));
+    }
+    if let Some(again) = again {
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(again.as_secs().max(1)));
+    }
+    reply
+}
+
+/// Stands in the query of a request that was sent on: it is not sent on again.
+const SENT_ON: &str = "sent=1";
+
 /// Tells the engine when a request's connection closes before the answer.
 struct Asking<D: Decide + 'static>(Rc<Shell<D>>, Ask);
 
@@ -149,6 +202,7 @@
     title: &str,
     request: &Request<Incoming>,
 ) -> Reply {
+    let came = shell.now();
     let classes = shell.with_engine(|e| e.config.classes.iter().position(|c| c.name == class));
     let Some(class) = classes else { return plain(StatusCode::NOT_FOUND, "no such class") };
     let title = percent_encoding::percent_decode_str(title).decode_utf8();
@@ -170,12 +224,27 @@
     };
     let sid =
         item("sid").and_then(|v| v.as_str().map(str::to_owned)).filter(|s| !s.is_empty() && s.len() <= 64);
+    let licensed = shell.with_engine(|e| e.config.classes[class].licensed);
+    let seating = match licensed {
+        false => None,
+        true => {
+            let brought = token(request.headers(), request.uri().query());
+            match shell
+                .seat(brought.as_deref(), device(from, sid.as_deref(), request.headers()), class, &title)
+                .await
+            {
+                Ok(seating) => Some(seating),
+                Err(why) => return barred(&shell, &why, request.uri()),
+            }
+        }
+    };
     let trace = request.headers().get("traceparent").and_then(|t| t.to_str().ok());
     let wanted = Wanted {
         class,
         title: title.into_owned(),
         viewer: sid.map(|sid| Viewer { from: from.ip(), sid }),
-        came: shell.now(),
+        seated: seating.as_ref().map(|s| s.seated),
+        came,
         top_bits: item("tb")
             .and_then(|v| v.as_int())
             .and_then(|kb| u64::try_from(kb).ok())
@@ -186,6 +255,7 @@
     let asking = Asking(shell, ask);
     let answer = answer.await;
     drop(asking);
+    drop(seating);
     match answer {
         Ok(Answer::Plays { token, manifest }) => {
             tracing::debug!(%from, "plays");
@@ -218,9 +288,16 @@
     token: &str,
     name: &str,
     query: Option<&str>,
+    brought: Option<String>,
 ) -> Reply {
-    let gone = || plain(StatusCode::GONE, "the session is over");
     let Some(token) = Token::parse(token) else { return plain(StatusCode::NOT_FOUND, "no such session") };
+    let gone = || match shell.with_engine(|e| e.has_lapsed(token)) {
+        true => plain(StatusCode::FORBIDDEN, "the entitlement has ended"),
+        false => plain(StatusCode::GONE, "the session is over"),
+    };
+    if let Some(Err(why)) = brought.map(|brought| shell.renew(&brought, token)) {
+        return barred(&shell, &why, &http::Uri::default());
+    }
     let now = shell.now();
     let wanted = shell.with_engine(|engine| {
         let play = engine.play(now, token)?;
--- a/crates/elderpick-gateway/src/lib.rs
+++ b/crates/elderpick-gateway/src/lib.rs
@@ -2,17 +2,21 @@
 //!
 //! [`engine`] holds the life of sessions without sockets; [`shell`] is its runtime on tokio's current-thread
 //! executor; [`host`] speaks to media hosts and [`front`] to viewers. What is decided besides stands in [`door`]
-//! (who may connect), [`liveness`] (which host is lost) and [`membership`] (what servers there are).
+//! (who may connect), [`liveness`] (which host is lost) and [`membership`] (what servers there are). [`entitle`] brings viewers' tokens to
+//! the desk of `elderpick-entitle`, [`state`] keeps its log, [`control`] shows operators what it holds.
 
 pub mod config;
+pub mod control;
 pub mod door;
 pub mod engine;
+pub mod entitle;
 pub mod front;
 pub mod host;
 pub mod liveness;
 pub mod membership;
 pub mod play;
 pub mod shell;
+pub mod state;
 
 use std::path::Path;
 
--- a/crates/elderpick-gateway/src/schema.cue
+++ b/crates/elderpick-gateway/src/schema.cue
@@ -17,6 +17,8 @@
     // Sessions of one title that one gateway may hold.
     seats?:   int & >0
     live:     bool | *false
+    // Its viewers bring an entitlement token, and take a seat of its licence.
+    licensed: bool | *false
 }
 
 #Rung: {
@@ -100,6 +102,34 @@
         playlist:      size & >="1KiB" | *"1MiB"
         idle_per_host: int & >=0 | *16
     }
+    // Tokens and seats of licensed classes.
+    entitlement?: {
+        // Files, watched: the keys that verify, the sheet of licences and terms, what is withdrawn.
+        keys:     string & !=""
+        sheet:    string & !=""
+        revoked?: string & !=""
+        // The log of seats that are taken.
+        state:    string & !=""
+        // Tokens must be for this audience, and from this issuer if one is named.
+        audience: string & !=""
+        issuer?:  string & !=""
+        // How far clocks of gateways and issuers may differ.
+        skew:     duration & >="0s" | *"2s"
+        // A right lasts so long after its token's end.
+        grace:    duration & >="0s" | *"10s"
+        // A seat whose session broke off is kept for its holder so long.
+        linger:   duration & >="0s" | *"5s"
+        // After a restart, seats of the killed process count as taken so long. What it let play must be over by then.
+        hold:     duration & >="1s" | *"30s"
+        // Seats outlive a loss of power before they are used, within `within`, or when the system likes.
+        sync:     *"always" | "soon" | "never"
+        within:   duration & >="1ms" | *"50ms"
+        // The files are looked at so often.
+        reload:   duration & >="50ms" | *"2s"
+        seats:    int & >=1 | *30000
+    }
+    // A socket for `elderpick seats show` and the like, of the gateway's own user.
+    control?: string & !=""
     // After SIGTERM what plays goes on so long.
     drain: duration & >="0s" | *"30s"
     log: {
--- a/crates/elderpick-gateway/src/shell.rs
+++ b/crates/elderpick-gateway/src/shell.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use elderpick_core::api::{ListKind, Micros, RequestId, ServerId, ServerState, Status};
+use elderpick_entitle::Times;
 use http::Method;
 use rand::Rng;
 use serde::Deserialize;
@@ -16,13 +17,19 @@
 use crate::config::Config;
 use crate::door::Door;
 use crate::engine::{Answer, Ask, Decide, Engine, Input, Output, Said, SetUp, Token};
-use crate::front;
+use crate::entitle::{self, Seats};
 use crate::host::{self, Events, Lost, Pool};
 use crate::liveness::{Listening, Next};
+use crate::{control, front};
 
 /// Time for the engine: microseconds since 1970, never running backwards.
 pub trait Clock {
     fn now(&self) -> Micros;
+
+    /// Wall time as the machine believes now, with its steps.
+    fn wall(&self) -> Micros {
+        self.now()
+    }
 }
 
 /// Wall time as it was at the start, going on by the monotonic clock: what gateways agree on as closely as their
@@ -43,6 +50,10 @@
     fn now(&self) -> Micros {
         self.wall + self.began.elapsed().as_micros() as Micros
     }
+
+    fn wall(&self) -> Micros {
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros)
+    }
 }
 
 pub(crate) fn span(micros: Micros) -> Duration {
@@ -61,6 +72,7 @@
     timer: Notify,
     next_ask: Cell<Ask>,
     pub door: RefCell<Door>,
+    pub seats: entitle::Cell,
 }
 
 impl<D: Decide + 'static> Shell<D> {
@@ -68,6 +80,20 @@
         self.clock.now()
     }
 
+    pub fn times(&self) -> Times {
+        Times { mono: self.clock.now(), wall: self.clock.wall() }
+    }
+
+    /// What is due next may have changed.
+    pub fn wake(&self) {
+        self.timer.notify_one();
+    }
+
+    fn next_timer(&self) -> Option<Micros> {
+        let seats = self.seats.borrow().as_ref().and_then(Seats::next_end);
+        self.engine.borrow().next_timer().into_iter().chain(seats).min()
+    }
+
     pub fn with_engine<T>(&self, f: impl FnOnce(&mut Engine<D>) -> T) -> T {
         f(&mut self.engine.borrow_mut())
     }
@@ -183,6 +209,10 @@
                     shell.feed(Input::Probed { server, status, report });
                 });
             }
+            Output::Left { seat, willing } => {
+                let plays = self.engine.borrow().has_session(seat);
+                self.with_desk(|desk, t| desk.over(t, seat, plays, willing));
+            }
             Output::Follow { server } => self.follow(server),
             Output::Subscribe | Output::Fetch => self.subscribe(),
         }
@@ -361,7 +391,7 @@
 
 async fn tick<D: Decide + 'static>(shell: Rc<Shell<D>>) {
     loop {
-        let due = shell.engine.borrow().next_timer();
+        let due = shell.next_timer();
         let Some(due) = due else {
             shell.timer.notified().await;
             continue;
@@ -380,6 +410,7 @@
                 tokio::task::yield_now().await;
             }
         }
+        shell.with_desk(|desk, t| desk.advance(t));
         shell.feed(Input::Tick);
     }
 }
@@ -407,7 +438,13 @@
         timer: Notify::new(),
         next_ask: Cell::new(0),
         door: RefCell::new(Door::new(config.limits.connections, config.limits.per_address)),
+        seats: RefCell::default(),
     });
+    *shell.seats.borrow_mut() = Seats::open(&config, shell.times())?;
+    shell.watch_files();
+    if let Some(path) = &config.control {
+        control::listen(path, shell.clone())?;
+    }
     shell.feed(Input::Tick);
     spawn_local(tick(shell.clone()));
     // Without the list all servers pass for cold: who connects meanwhile waits in the listener's queue.
--- a/crates/elderpick-lab/src/check.rs
+++ b/crates/elderpick-lab/src/check.rs
@@ -1,10 +1,11 @@
-//! The checker: judges the six rules from what went over the sockets. It knows nothing of a gateway's insides.
+//! The checker: judges the six rules, and that seats of licences are kept, from what went over the sockets. It knows nothing of a gateway's insides.
 //!
 //! kind: tool
 
 use std::collections::BTreeMap;
 
 use crate::fleet::{BUDGET, ClassOf, GRACE};
+use crate::issuer::Granted;
 use crate::record::{Line, What};
 
 /// What was found of one rule.
@@ -25,6 +26,7 @@
 pub struct Service {
     pub asked: usize,
     pub plays: usize,
+    pub sent_on: usize,
     pub refused: usize,
     pub failed: usize,
     pub left: usize,
@@ -59,7 +61,7 @@
     traceparent.split('-').nth(1).unwrap_or(traceparent)
 }
 
-pub fn check(lines: &[Line], classes: &[ClassOf]) -> Verdict {
+pub fn check(lines: &[Line], classes: &[ClassOf], granted: &[Granted]) -> Verdict {
     let class_of = |name: &str| classes.iter().find(|c| c.name == name);
     let end = lines.last().map_or(0, |l| l.at);
     // Attempts by the viewer's request, and when gateways were down or stood still.
@@ -104,7 +106,7 @@
                     }
                 }
             }
-            What::Asked { trace, viewer, gateway, class } => {
+            What::Asked { trace, viewer, gateway, class, .. } => {
                 asked.insert(trace, (line.at, gateway, class));
                 viewers.insert(trace, viewer);
                 service.entry(class.clone()).or_default().asked += 1;
@@ -132,6 +134,7 @@
     rules.push(Rule { number: 4, name: "no cold server pushed over", judged: cold, broken: pushed, margin });
     rules.push(terms(lines, &class_of));
     rules.push(budget(&attempts, &asked));
+    rules.push(licences(lines, granted));
     let further = attempts.values().map(|a| a.len() - 1).sum();
     Verdict { rules, service, further, downs }
 }
@@ -178,7 +181,8 @@
         let of = service.entry((*class).to_owned()).or_default();
         match code {
             Some(200) => of.plays += 1,
-            Some(503) => of.refused += 1,
+            Some(307) => of.sent_on += 1,
+            Some(503 | 403) => of.refused += 1,
             Some(502 | 504) => of.failed += 1,
             Some(other) => broken.push(format!("{gateway} answered {other}")),
             None if was_away(gateway, *at, line.at) => excused += 1,
@@ -356,6 +360,57 @@
     Rule { number: 6, name: "further attempts within budget", judged, broken, margin }
 }
 
+/// Seats in use, as hosts saw it: holders with a session that plays at a host and that its viewer has not ended. The
+/// sessions of a killed gateway count until their host ends them.
+fn licences(lines: &[Line], granted: &[Granted]) -> Rule {
+    let (mut broken, mut judged, mut fullest) = (Vec::new(), 0, 0.0f64);
+    let mut seats: BTreeMap<&str, &(String, String)> = BTreeMap::new();
+    // Sessions at hosts by their name: host, the request that they are for, and whether they play.
+    let mut held: BTreeMap<&str, (&str, &str, bool)> = BTreeMap::new();
+    for line in lines {
+        match &line.what {
+            What::Asked { trace, seat: Some(seat), .. } => {
+                seats.insert(trace, seat);
+            }
+            What::SetUp { host, session, trace, .. } if seats.contains_key(trace_id(trace)) => {
+                held.insert(session, (host, trace_id(trace), false));
+            }
+            What::SetUpDone { host, session, how } => {
+                let Some(of) = held.get_mut(session.as_str()).filter(|of| of.0 == host) else { continue };
+                if how != "plays" {
+                    held.remove(session.as_str());
+                    continue;
+                }
+                of.2 = true;
+                let (licence, _) = seats[of.1];
+                let mut holders: Vec<&str> = held
+                    .values()
+                    .filter(|of| of.2)
+                    .map(|of| seats[of.1])
+                    .filter(|s| s.0 == *licence)
+                    .map(|s| &*s.1)
+                    .collect();
+                holders.sort_unstable();
+                holders.dedup();
+                let Some((_, most, _)) = granted.iter().find(|g| g.0 == licence) else { continue };
+                judged += 1;
+                fullest = fullest.max(holders.len() as f64 / f64::from(*most));
+                if holders.len() > *most as usize {
+                    broken.push(format!("{} holders of {licence} play, {most} seats granted", holders.len()));
+                }
+            }
+            What::Over { host, session } if held.get(session.as_str()).is_some_and(|of| of.0 == host) => {
+                held.remove(session.as_str());
+            }
+            What::Down { host, .. } => held.retain(|_, of| of.0 != host),
+            What::Played { trace, .. } => held.retain(|_, of| of.1 != trace),
+            _ => {}
+        }
+    }
+    let margin = format!("{:.0}% of a licence's seats in use at most", fullest * 100.0);
+    Rule { number: 7, name: "seats in use never over granted", judged, broken, margin }
+}
+
 impl Verdict {
     pub fn broken(&self) -> bool {
         self.rules.iter().any(|r| !r.broken.is_empty())
@@ -380,10 +435,11 @@
             }
         }
         out += &format!(
-            "\n{:<12} {:>6} {:>6} {:>8} {:>7} {:>5} {:>6} {:>7} {:>9} {:>6} {:>6}\n",
+            "\n{:<12} {:>6} {:>6} {:>7} {:>8} {:>7} {:>5} {:>6} {:>7} {:>9} {:>6} {:>6}\n",
             "class",
             "asked",
             "plays",
+            "sent on",
             "refused",
             "failed",
             "left",
@@ -395,9 +451,10 @@
         );
         for (class, s) in &self.service {
             out += &format!(
-                "{class:<12} {:>6} {:>6} {:>8} {:>7} {:>5} {:>6} {:>7} {:>9} {:>6} {:>6}\n",
+                "{class:<12} {:>6} {:>6} {:>7} {:>8} {:>7} {:>5} {:>6} {:>7} {:>9} {:>6} {:>6}\n",
                 s.asked,
                 s.plays,
+                s.sent_on,
                 s.refused,
                 s.failed,
                 s.left,
--- a/crates/elderpick-lab/src/fleet.rs
+++ b/crates/elderpick-lab/src/fleet.rs
@@ -12,6 +12,7 @@
 use tokio::task::spawn_local;
 
 use crate::hosts::{Model, World};
+use crate::issuer::{self, Issuer};
 use crate::mutants::Mutant;
 use crate::record::{Record, What};
 use crate::viewers;
@@ -20,7 +21,7 @@
     pub name: String,
     pub address: Cell<Option<SocketAddr>>,
     child: RefCell<Option<Child>>,
-    settings: PathBuf,
+    pub settings: PathBuf,
 }
 
 pub struct Fleet {
@@ -30,6 +31,7 @@
     pub crowd: Cell<f64>,
     pub classes: Vec<ClassOf>,
     pub mutant: Option<Mutant>,
+    pub issuer: Issuer,
     program: PathBuf,
     folder: PathBuf,
     pub logs: bool,
@@ -47,6 +49,15 @@
     pub part: f64,
 }
 
+/// Licences of a usual fleet. The first is cut into parts that gateways count apart.
+pub const GRANTED: [issuer::Granted; 3] =
+    [("course-101", 7, false), ("course-202", 3, true), ("course-303", 2, false)];
+/// What fleets' settings say of seats, in microseconds.
+pub const SEAT_GRACE: i64 = 1_000_000;
+pub const SEAT_SKEW: i64 = 100_000;
+/// Longer than a host holds a session of which it hears nothing more.
+pub const HOLD: i64 = 10_000_000;
+
 pub const GRACE: i64 = 1_000_000;
 pub const BUDGET: (f64, f64, i64) = (2.0, 0.05, 10_000_000);
 
@@ -54,9 +65,10 @@
     let class =
         |name, patience, floor, seats, paid, part| ClassOf { name, patience, floor, seats, paid, part };
     vec![
-        class("sheet-zoom", 3_000_000, 1, None, false, 0.4),
-        class("label-clip", 2_000_000, 0, None, false, 0.4),
-        class("exam-sheet", 2_500_000, 0, Some(3), true, 0.2),
+        class("sheet-zoom", 3_000_000, 1, None, false, 0.35),
+        class("label-clip", 2_000_000, 0, None, false, 0.35),
+        class("exam-sheet", 2_500_000, 0, Some(3), true, 0.18),
+        class(issuer::CLASS, 2_500_000, 0, None, true, 0.12),
     ]
 }
 
@@ -80,6 +92,25 @@
         mutant: Option<Mutant>,
         program: PathBuf,
         logs: bool,
+    ) -> Result<Rc<Fleet>, String> {
+        let mut issuer = Issuer::new(GRANTED.to_vec(), 4, gateways);
+        if gateways > 1 {
+            // In the middle of a bad day the first gateway counts no more seats.
+            issuer = issuer.turns(14_000_000, (1..gateways).collect());
+        }
+        issuer.over = if mutant == Some(Mutant::OverSold) { 9 } else { 1 };
+        Fleet::start_with(model, (hosts, racks, gateways), seed, mutant, issuer, program, logs).await
+    }
+
+    /// The same with licences of one's own.
+    pub async fn start_with(
+        model: Model,
+        (hosts, racks, gateways): (usize, usize, usize),
+        seed: u64,
+        mutant: Option<Mutant>,
+        issuer: Issuer,
+        program: PathBuf,
+        logs: bool,
     ) -> Result<Rc<Fleet>, String> {
         static NEXT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
         let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
@@ -91,10 +122,14 @@
             std::fs::write(&path, text).map_err(|why| format!("{}: {why}", path.display())).map(|()| path)
         };
         write("inventory.csv", world.inventory())?;
+        write("keys.json", issuer.public_keys())?;
+        write("sheet.cue", issuer.sheet(&[]))?;
+        write("revoked.txt", String::new())?;
         let mut all = Vec::new();
         for me in 0..gateways {
             let settings = write(&format!("gateway-{me}.cue"), settings(&world, me, gateways))?;
             let (address, child) = (Cell::new(None), RefCell::new(None));
+            elderpick_gateway::state::create(&folder.join(format!("seats-{me}.log")))?;
             all.push(Gateway { name: format!("gateway-{me}"), address, child, settings });
         }
         let fleet = Rc::new(Fleet {
@@ -103,6 +138,7 @@
             crowd: Cell::new(1.0),
             classes: classes(),
             mutant,
+            issuer,
             program,
             folder,
             logs,
@@ -121,10 +157,30 @@
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
-        tokio::time::sleep(Duration::from_millis(50)).await;
+        // Gateways have read by now where the others are.
+        tokio::time::sleep(Duration::from_millis(350)).await;
         Ok(fleet)
     }
 
+    /// Writes a file that gateways watch, whole.
+    pub fn put(&self, name: &str, text: &str) -> Result<(), String> {
+        let (path, new) = (self.folder.join(name), self.folder.join(format!("{name}.new")));
+        let told = |why: std::io::Error| format!("{}: {why}", path.display());
+        std::fs::write(&new, text).and_then(|()| std::fs::rename(&new, &path)).map_err(told)
+    }
+
+    /// Tells gateways where they are reached now, and the terms as they are.
+    pub fn write_sheet(&self) -> Result<(), String> {
+        let at = self.gateways.iter().enumerate();
+        let at = at.filter_map(|(k, g)| Some((k, format!("http://{}", g.address.get()?))));
+        self.put("sheet.cue", &self.issuer.sheet(&at.collect::<Vec<_>>()))
+    }
+
+    /// Where a gateway listens for operators.
+    pub fn control(&self, k: usize) -> PathBuf {
+        self.folder.join(format!("control-{k}.sock"))
+    }
+
     /// A gateway's process id, while it runs.
     pub fn process(&self, k: usize) -> Option<u32> {
         self.gateways.get(k)?.child.borrow().as_ref()?.id()
@@ -152,7 +208,7 @@
             return Err(format!("{} did not start", gateway.name));
         }
         self.world.record.add(What::GatewayUp { gateway: gateway.name.clone() });
-        Ok(())
+        self.write_sheet()
     }
 
     /// Kills a gateway as a crash would.
@@ -243,6 +299,7 @@
     {{name: "sheet-zoom", aim: "1.5s", patience: "3s", worth: 2, floor: 1}},
     {{name: "label-clip", aim: "800ms", patience: "2s"}},
     {{name: "exam-sheet", aim: "1.5s", patience: "2.5s", worth: 2, effect: "paid", seats: 3}},
+    {{name: "course-clip", aim: "1.5s", patience: "2.5s", worth: 2, effect: "paid", licensed: true}},
 ]
 ladder: [
 {ladder}
@@ -256,8 +313,18 @@
 budget: {{free: {free}, share: {share}, window: "{window}us"}}
 retry_after: "1s"
 limits: {{silence: "{silence}s", lead: "2s", mute: "2s"}}
+entitlement: {{
+    keys: "keys.json", sheet: "sheet.cue", revoked: "revoked.txt", state: "seats-{me}.log"
+    audience: "{audience}", issuer: "lab"
+    skew: "{skew}us", grace: "{grace}us", linger: "3s", hold: "{hold}us", reload: "100ms"
+}}
+control: "control-{me}.sock"
 drain: "2s"
 "#,
+        audience = issuer::AUDIENCE,
+        skew = SEAT_SKEW,
+        grace = SEAT_GRACE,
+        hold = HOLD,
         places = model.places,
         silence = model.silence,
         ladder = ladder.join("\n"),
--- a/crates/elderpick-lab/src/lib.rs
+++ b/crates/elderpick-lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod fuzz;
 pub mod hosts;
+pub mod issuer;
 pub mod measure;
 pub mod mutants;
 pub mod record;
--- a/crates/elderpick-lab/src/main.rs
+++ b/crates/elderpick-lab/src/main.rs
@@ -233,7 +233,7 @@
         std::fs::write(&file, text.join("\n") + "\n").map_err(|why| format!("{}: {why}", file.display()))?;
     }
     match codes.iter().all(|c| *c == Some(0)) {
-        true => Ok(check::check(&lines, &fleet.classes)),
+        true => Ok(check::check(&lines, &fleet.classes, &fleet.issuer.granted)),
         false => Err(format!("gateways ended with {codes:?}")),
     }
 }
--- a/crates/elderpick-lab/src/mutants.rs
+++ b/crates/elderpick-lab/src/mutants.rs
@@ -23,9 +23,11 @@
     NoSeats,
     /// Rule 6: attempts are not rationed.
     NoBudget,
+    /// Seats: the sheet grants more than was sold.
+    OverSold,
 }
 
-pub const ALL: [Mutant; 7] = [
+pub const ALL: [Mutant; 8] = [
     Mutant::Silent,
     Mutant::PaidTwice,
     Mutant::DrainBlind,
@@ -33,6 +35,7 @@
     Mutant::LowFloor,
     Mutant::NoSeats,
     Mutant::NoBudget,
+    Mutant::OverSold,
 ];
 
 impl Mutant {
@@ -45,6 +48,7 @@
             Mutant::ColdRush => 4,
             Mutant::LowFloor | Mutant::NoSeats => 5,
             Mutant::NoBudget => 6,
+            Mutant::OverSold => 7,
         }
     }
 }
--- a/crates/elderpick-lab/src/record.rs
+++ b/crates/elderpick-lab/src/record.rs
@@ -21,6 +21,9 @@
         viewer: String,
         gateway: String,
         class: String,
+        /// The licence and the holder that its token names.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        seat: Option<(String, String)>,
     },
     /// It got the final answer.
     Replied {
--- a/crates/elderpick-lab/src/viewers.rs
+++ b/crates/elderpick-lab/src/viewers.rs
@@ -14,6 +14,7 @@
 use url::Url;
 
 use crate::fleet::{ClassOf, Fleet};
+use crate::issuer;
 use crate::record::What;
 
 /// One request on a connection of its own; dropping the future closes it.
@@ -145,20 +146,42 @@
         None => format!("carex-{}", (1.0 / (unit() + 0.03)) as usize),
     };
     let sid = format!("{:016x}", rand::rng().random::<u64>());
-    for _ in 0..4 {
+    // Of a licensed class: which licence, and how the token is carried.
+    let licences = &fleet.issuer.granted;
+    let licence = (class.name == issuer::CLASS)
+        .then(|| licences[((unit() * licences.len() as f64) as usize).min(licences.len() - 1)].0);
+    let in_header = unit() < 0.5;
+    let mut sent_on: Option<SocketAddr> = None;
+    for _ in 0..6 {
         let up: Vec<_> = fleet.gateways.iter().filter_map(|g| g.address.get().map(|a| (g, a))).collect();
-        let Some((gateway, to)) = up.get((unit() * unit() * up.len() as f64) as usize).copied() else {
-            return;
+        let chosen = match sent_on.take() {
+            Some(to) => up.iter().find(|(_, a)| *a == to).copied(),
+            None => up.get((unit() * unit() * up.len() as f64) as usize).copied(),
+        };
+        let Some((gateway, to)) = chosen else {
+            if up.is_empty() {
+                return;
+            }
+            continue;
         };
         let trace = format!("{:032x}", rand::rng().random::<u128>());
-        let path = format!("/watch/{}/{title}/index.m3u8", class.name);
+        // Some tokens end while they are used.
+        let lasts = if unit() < 0.2 { 3_000_000 } else { 60_000_000 };
+        let token = licence.map(|licence| fleet.issuer.token(licence, &sid, lasts).0);
+        let query = token.as_ref().filter(|_| !in_header).map_or(String::new(), |t| format!("?token={t}"));
+        let path = format!("/watch/{}/{title}/index.m3u8{query}", class.name);
         let headers = |trace: &str| {
             let parent = format!("00-{trace}-0000000000000001-01");
-            [("traceparent", parent), ("cmcd-session", format!("sid=\"{sid}\""))]
+            let mut all = vec![("traceparent", parent), ("cmcd-session", format!("sid=\"{sid}\""))];
+            all.extend(
+                token.as_ref().filter(|_| in_header).map(|t| ("authorization", format!("Bearer {t}"))),
+            );
+            all
         };
         let asked = |trace: &str| {
             let (trace, viewer, gateway) = (trace.to_owned(), sid.clone(), gateway.name.clone());
-            record.add(What::Asked { trace, viewer, gateway, class: class.name.into() });
+            let seat = licence.map(|licence| (licence.to_owned(), sid.clone()));
+            record.add(What::Asked { trace, viewer, gateway, class: class.name.into(), seat });
         };
         asked(&trace);
         // Some ask again on a second connection while the first request is out; some leave at once.
@@ -194,6 +217,11 @@
         };
         record.add(What::Replied { trace: trace.clone(), code });
         match code {
+            307 => {
+                let place =
+                    headers.get(http::header::LOCATION).and_then(|p| Url::parse(p.to_str().ok()?).ok());
+                sent_on = place.and_then(|p| Some(SocketAddr::new(p.host_str()?.parse().ok()?, p.port()?)));
+            }
             200 => {
                 let Ok(at) = Url::parse(&format!("http://{to}{path}")) else { return };
                 let most = if unit() < 0.2 { 2 } else { usize::MAX };
@@ -223,6 +251,7 @@
                 }
                 tokio::time::sleep(Duration::from_secs_f64(after.unwrap_or(1) as f64 + 0.3 * unit())).await;
             }
+            401 | 403 => tokio::time::sleep(Duration::from_secs_f64(0.3 + unit())).await,
             _ if class.paid => return,
             _ => tokio::time::sleep(Duration::from_secs_f64(0.3 + unit())).await,
         }
--- a/crates/elderpick/src/main.rs
+++ b/crates/elderpick/src/main.rs
@@ -1,5 +1,7 @@
 //! The operators' program.
 
+mod entitle;
+
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -27,6 +29,15 @@
     /// Look at inventories.
     #[command(subcommand)]
     Inventory(Inventory),
+    /// Make, read and check entitlement tokens.
+    #[command(subcommand)]
+    Token(entitle::Token),
+    /// The keys that sign and verify tokens.
+    #[command(subcommand)]
+    Keys(entitle::Keys),
+    /// Seats of licences: who has them, and whether a sheet is good.
+    #[command(subcommand)]
+    Seats(entitle::Seats),
 }
 
 #[derive(Subcommand)]
@@ -66,6 +77,9 @@
             );
             Ok(())
         }
+        Command::Token(command) => entitle::token(command),
+        Command::Keys(command) => entitle::keys(command),
+        Command::Seats(command) => entitle::seats(command),
         Command::Settings(Settings::Schema) => {
             print!("{}", elderpick_gateway::config::SCHEMA);
             Ok(())
