A wait for the disk no longer holds the lock that the disk's thread needs

Cause: what a watch channel's wait gives is a read lock; held while the desk asked the channel again, with the log's thread waiting to write, the gateway stood still for good. Seen as a gateway that did not end, in one of four debug runs of the drills. Change: the wait gives a plain bool; the fleet tells which gateway does not end and where its threads are.

--- a/crates/elderpick-gateway/src/entitle.rs
+++ b/crates/elderpick-gateway/src/entitle.rs
@@ -224,9 +224,10 @@
             let seats = seats.as_ref().ok_or(Barred::NoToken)?;
             (seats.journal.kept(), seats.journal.given() + seats.left.len() as u64)
         };
-        let keeping =
-            tokio::time::timeout(span(patience / DISK), kept.wait_for(|k| k.records >= given)).await;
-        if !matches!(keeping, Ok(Ok(_))) {
+        // What the wait gives is a lock on the channel: held on, this thread and the log's would wait for one another.
+        let keeping = async { kept.wait_for(|k| k.records >= given).await.is_ok() };
+        let keeping = tokio::time::timeout(span(patience / DISK), keeping).await;
+        if keeping != Ok(true) {
             if let Some(seats) = self.seats.borrow_mut().as_mut() {
                 seats.counts.slow += 1;
             }
--- a/crates/elderpick-lab/src/fleet.rs
+++ b/crates/elderpick-lab/src/fleet.rs
@@ -252,6 +252,11 @@
             let child = gateway.child.borrow_mut().take();
             let Some(mut child) = child else { continue };
             let ended = tokio::time::timeout(Duration::from_secs(10), child.wait()).await;
+            match &ended {
+                Ok(Ok(status)) if status.success() => {}
+                Ok(status) => eprintln!("{} ended: {status:?}", gateway.name),
+                Err(_) => eprintln!("{} does not end: {:?}", gateway.name, child.id().map(stuck)),
+            }
             codes.push(ended.ok().and_then(|s| s.ok()).and_then(|s| s.code()));
         }
         codes
@@ -278,6 +283,18 @@
     }
 }
 
+/// Where a process' threads are, as the system tells.
+fn stuck(process: u32) -> Vec<String> {
+    let threads = std::fs::read_dir(format!("/proc/{process}/task")).into_iter().flatten().flatten();
+    let read = |path: std::path::PathBuf| std::fs::read_to_string(path).unwrap_or_default();
+    let one = |thread: std::fs::DirEntry| {
+        let state = read(thread.path().join("stat"));
+        let name = state.split(' ').take(3).collect::<Vec<_>>().join(" ");
+        format!("{name} in {}", read(thread.path().join("wchan")))
+    };
+    threads.map(one).collect()
+}
+
 /// Settings of one gateway of the fleet.
 pub fn settings(world: &World, me: usize, gateways: usize) -> String {
     let model = &world.model;
