--- a/crates/elderpick-lab/src/fleet.rs
+++ b/crates/elderpick-lab/src/fleet.rs
@@ -24,6 +24,12 @@
     pub settings: PathBuf,
 }
 
+impl Gateway {
+    fn log_name(&self) -> String {
+        format!("{}.log", self.name)
+    }
+}
+
 pub struct Fleet {
     pub world: Rc<World>,
     pub gateways: Vec<Gateway>,
@@ -65,10 +71,10 @@
     let class =
         |name, patience, floor, seats, paid, part| ClassOf { name, patience, floor, seats, paid, part };
     vec![
-        class("sheet-zoom", 3_000_000, 1, None, false, 0.35),
-        class("label-clip", 2_000_000, 0, None, false, 0.35),
-        class("exam-sheet", 2_500_000, 0, Some(3), true, 0.18),
-        class(issuer::CLASS, 2_500_000, 0, None, true, 0.12),
+        class("sheet-zoom", 3_000_000, 1, None, false, 0.3),
+        class("label-clip", 2_000_000, 0, None, false, 0.3),
+        class("exam-sheet", 2_500_000, 0, Some(3), true, 0.2),
+        class(issuer::CLASS, 2_500_000, 0, None, true, 0.2),
     ]
 }
 
@@ -176,9 +182,19 @@
         self.put("sheet.cue", &self.issuer.sheet(&at.collect::<Vec<_>>()))
     }
 
-    /// Where a gateway listens for operators.
-    pub fn control(&self, k: usize) -> PathBuf {
-        self.folder.join(format!("control-{k}.sock"))
+    /// A file of the fleet, by name.
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.folder.join(name)
+    }
+
+    /// What a gateway has logged, if logs are not shown.
+    pub fn log_of(&self, k: usize) -> String {
+        std::fs::read_to_string(self.path(&self.gateways[k].log_name())).unwrap_or_default()
+    }
+
+    /// What a gateway tells operators of its seats.
+    pub async fn seats(&self, k: usize) -> Result<serde_json::Value, String> {
+        elderpick_gateway::control::ask(&self.path(&format!("control-{k}.sock")), "/seats").await
     }
 
     /// A gateway's process id, while it runs.
@@ -195,7 +211,12 @@
             command.arg("--mutant").arg(name.unwrap_or_default());
         }
         command.stdin(Stdio::null()).stdout(Stdio::piped()).kill_on_drop(true);
-        command.stderr(if self.logs { Stdio::inherit() } else { Stdio::null() });
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(self.path(&gateway.log_name()));
+        command.stderr(match log {
+            _ if self.logs => Stdio::inherit(),
+            Ok(log) => log.into(),
+            Err(_) => Stdio::null(),
+        });
         let mut child = command.spawn().map_err(|why| format!("{}: {why}", self.program.display()))?;
         let out = child.stdout.take().ok_or("no standard output")?;
         let mut lines = BufReader::new(out).lines();
--- a/crates/elderpick-lab/src/issuer.rs
+++ b/crates/elderpick-lab/src/issuer.rs
@@ -24,7 +24,7 @@
 }
 
 pub struct Issuer {
-    keys: KeySet,
+    pub keys: RefCell<KeySet>,
     pub granted: Vec<Granted>,
     pub block: u32,
     pub terms: RefCell<Vec<Term>>,
@@ -44,7 +44,7 @@
         }
         let from = now() - 3_600_000_000;
         let term = Term { from, until: from + 24 * 3_600_000_000, gateways: (0..gateways).collect() };
-        Issuer { keys, granted, block, terms: RefCell::new(vec![term]), over: 1 }
+        Issuer { keys: RefCell::new(keys), granted, block, terms: RefCell::new(vec![term]), over: 1 }
     }
 
     /// From a moment on, so far from now, other gateways count: a second term.
@@ -61,7 +61,7 @@
 
     /// What gateways verify with.
     pub fn public_keys(&self) -> String {
-        self.keys.write(false)
+        self.keys.borrow().write(false)
     }
 
     /// The sheet as a settings text; `at` says where gateways are reached.
@@ -107,6 +107,6 @@
             classes: vec![CLASS.into()],
             titles: vec![],
         };
-        (token::issue(&claims, &self.keys).unwrap_or_default(), expires)
+        (token::issue(&claims, &self.keys.borrow()).unwrap_or_default(), expires)
     }
 }
--- a/crates/elderpick-lab/src/lib.rs
+++ b/crates/elderpick-lab/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod mutants;
 pub mod record;
 pub mod script;
+pub mod seats;
 pub mod viewers;
--- a/crates/elderpick-lab/src/main.rs
+++ b/crates/elderpick-lab/src/main.rs
@@ -11,7 +11,7 @@
 use elderpick_lab::hosts::Model;
 use elderpick_lab::mutants::{ALL, Double, Mutant};
 use elderpick_lab::record::What;
-use elderpick_lab::{check, fuzz, measure, script, viewers};
+use elderpick_lab::{check, fuzz, measure, script, seats, viewers};
 
 /// Stand-ins, drills and measurements for elderpick, all on loopback.
 #[derive(Parser)]
@@ -66,6 +66,19 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Renew, retry and expire seats on three gateways that are killed, and compare seats in use with seats granted.
+    Seats {
+        #[arg(long, default_value_t = 100_000)]
+        operations: usize,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// A gateway is killed about so often.
+        #[arg(long, value_parser = duration, default_value = "3s")]
+        kill_every: Duration,
+        /// Show the gateways' logs.
+        #[arg(long)]
+        log: bool,
+    },
     /// A day on which everything happens once.
     BadDay {
         #[arg(long, default_value_t = 1)]
@@ -111,6 +124,13 @@
         (Command::Drill(Drill::Mutants { seed }), Ok(runtime)) => {
             tokio::task::LocalSet::new().block_on(&runtime, mutants(seed))
         }
+        (Command::Drill(Drill::Seats { operations, seed, kill_every, log }), Ok(runtime)) => {
+            tokio::task::LocalSet::new().block_on(&runtime, async {
+                let seen = seats::run(operations, kill_every, seed, this_program()?, log).await?;
+                print!("{}", seen.table());
+                if seen.good() { Ok(()) } else { Err("seats were not kept".into()) }
+            })
+        }
         (Command::Drill(Drill::BadDay { seed, lasts, script, mutant, record, log }), Ok(runtime)) => {
             let day = bad_day(seed, lasts, script, mutant, record, log);
             tokio::task::LocalSet::new().block_on(&runtime, day)
