Entitlement: the operators' commands tested, a fuzz target, a count that sees overselling

Cause: the commands and the readers of tokens, keys, sheets and logs had no test of the program itself.

--- a/crates/elderpick-lab/src/fuzz.rs
+++ b/crates/elderpick-lab/src/fuzz.rs
@@ -5,6 +5,10 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 
+use elderpick_entitle::desk::Revoked;
+use elderpick_entitle::keys::{Algorithm, Key, KeySet};
+use elderpick_entitle::sheet::Sheet;
+use elderpick_entitle::{log, token};
 use elderpick_hls::{Limits, Media, Multivariant, Reveal, Timeline, Variables};
 use elderpick_inventory::Format;
 use rand::{Rng, SeedableRng};
@@ -16,9 +20,42 @@
     Playlist,
     Settings,
     Inventory,
+    /// Tokens, key sets, sheets, lists of what is withdrawn and logs of seats.
+    Entitlement,
 }
 
-pub const TARGETS: [Target; 3] = [Target::Playlist, Target::Settings, Target::Inventory];
+pub const TARGETS: [Target; 4] = [Target::Playlist, Target::Settings, Target::Inventory, Target::Entitlement];
+
+/// Keys that sign for the fuzzer alone.
+fn keys() -> KeySet {
+    let mut keys = KeySet::default();
+    let key = Key::new("fuzz", Algorithm::Hs256, [7; 32]);
+    key.and_then(|key| keys.add(key)).expect("a key");
+    keys
+}
+
+fn entitlement(input: &[u8]) -> bool {
+    let read = log::replay(input);
+    assert!(read.good as usize <= input.len());
+    let Ok(text) = std::str::from_utf8(input) else { return false };
+    let asked = token::Asked { audience: "front".into(), issuer: None, skew: 0 };
+    let keys = keys();
+    if let Ok((_, _, claims)) = token::inspect(text) {
+        // What is understood of a token is what a token with it says.
+        if let Ok(issued) = token::issue(&claims, &keys) {
+            assert_eq!(token::inspect(&issued).map(|(_, _, again)| again), Ok(claims.clone()));
+        }
+        // Only the keys decide whether it is taken: no mutation of the corpus makes a signature.
+        let taken = token::verify(text, &keys, &asked, claims.not_before.unwrap_or(0));
+        return taken.is_ok() || KeySet::read(input).is_ok();
+    }
+    assert!(token::verify(text, &keys, &asked, 0).is_err());
+    if let Ok(set) = KeySet::read(input) {
+        assert!(KeySet::read(set.write(true).as_bytes()).is_ok());
+        return true;
+    }
+    Sheet::read("f", text).is_ok() || Revoked::read("f", text).is_ok()
+}
 
 /// Feeds one input. What must hold of any input is asserted; a panic is a find.
 fn feed(target: Target, input: &[u8]) -> bool {
@@ -50,6 +87,7 @@
             let own = elderpick_settings::Schema::new("f", text).map(|s| s.unify("#Class", text).is_ok());
             read.is_ok() || own.is_ok()
         }
+        Target::Entitlement => entitlement(input),
         Target::Inventory => [Format::Csv, Format::Yaml].into_iter().any(|format| {
             let read = elderpick_inventory::read("f", input, format, &[], &[]);
             if let Err(faults) = &read {
--- a/crates/elderpick-lab/src/main.rs
+++ b/crates/elderpick-lab/src/main.rs
@@ -75,6 +75,9 @@
         /// A gateway is killed about so often.
         #[arg(long, value_parser = duration, default_value = "3s")]
         kill_every: Duration,
+        /// Grant so many times what was sold, to see that it is noticed.
+        #[arg(long, default_value_t = 1)]
+        oversell: u32,
         /// Show the gateways' logs.
         #[arg(long)]
         log: bool,
@@ -124,9 +127,9 @@
         (Command::Drill(Drill::Mutants { seed }), Ok(runtime)) => {
             tokio::task::LocalSet::new().block_on(&runtime, mutants(seed))
         }
-        (Command::Drill(Drill::Seats { operations, seed, kill_every, log }), Ok(runtime)) => {
+        (Command::Drill(Drill::Seats { operations, seed, kill_every, oversell, log }), Ok(runtime)) => {
             tokio::task::LocalSet::new().block_on(&runtime, async {
-                let seen = seats::run(operations, kill_every, seed, this_program()?, log).await?;
+                let seen = seats::run(operations, kill_every, seed, this_program()?, (log, oversell)).await?;
                 print!("{}", seen.table());
                 if seen.good() { Ok(()) } else { Err("seats were not kept".into()) }
             })
--- a/crates/elderpick-lab/src/seats.rs
+++ b/crates/elderpick-lab/src/seats.rs
@@ -174,9 +174,9 @@
         }
         let Some(Answer { code: 200, gateway: home, session: Some(mut session) }) = answer else {
             if let Some(Answer { code, .. }) = answer.filter(|a| {
-                !matches!(a.code, 503 | 502 | 307)
-                    && !ended(a.code, right)
-                    && !(a.code == 403 && self.unclear.get())
+                !(matches!(a.code, 503 | 502 | 307)
+                    || ended(a.code, right)
+                    || a.code == 403 && self.unclear.get())
             }) {
                 self.run.beliefs.borrow_mut().odd(format!("first try answered {code}"));
             }
@@ -280,13 +280,14 @@
     }
 }
 
-/// Runs until so many operations were made, then lets all go home and looks what is left.
+/// Runs until so many operations were made, then lets all go home and looks what is left. A sheet that grants `oversell`
+/// times what was sold shows that the count sees it.
 pub async fn run(
     operations: usize,
     kill_every: Duration,
     seed: u64,
     program: PathBuf,
-    log: bool,
+    (log, oversell): (bool, u32),
 ) -> Result<Seen, String> {
     // Room is no question here.
     let model = Model {
@@ -298,7 +299,8 @@
         set_up: 200,
         ..Model::default()
     };
-    let issuer = Issuer::new(LICENCES.to_vec(), BLOCK, 3);
+    let mut issuer = Issuer::new(LICENCES.to_vec(), BLOCK, 3);
+    issuer.over = oversell;
     let fleet = Fleet::start_with(model, (4, 2, 3), seed, None, issuer, program, log).await?;
     let run = Rc::new(Run { fleet: fleet.clone(), beliefs: RefCell::default(), stop: Cell::new(false) });
     let began = std::time::Instant::now();
--- a/crates/elderpick-lab/tests/seats.rs
+++ b/crates/elderpick-lab/tests/seats.rs
@@ -361,7 +361,8 @@
 fn many_renewals_retries_and_expiries_with_kills_give_no_seat_twice_and_lose_none() {
     run(async {
         let program = env!("CARGO_BIN_EXE_elderpick-lab").into();
-        let seen = elderpick_lab::seats::run(3_000, Duration::from_secs(3), 3, program, false).await.unwrap();
+        let seen =
+            elderpick_lab::seats::run(3_000, Duration::from_secs(3), 3, program, (false, 1)).await.unwrap();
         assert!(seen.good() && seen.kills > 0, "{}", seen.table());
         assert!(seen.counts["renewals"] > 100, "{}", seen.table());
     });
--- a/crates/elderpick/src/entitle.rs
+++ b/crates/elderpick/src/entitle.rs
@@ -227,7 +227,7 @@
             println!("{:<24} {:<9} {:<9} {:<8} verifies until", "key", "algorithm", "state", "private");
             for key in key_set(&file)?.iter() {
                 let private = if key.can_sign() { "here" } else { "-" };
-                let until = key.until.map_or("retired".into(), time);
+                let until = key.until.map_or("-".into(), time);
                 println!(
                     "{:<24} {:<9} {:<9} {private:<8} {until}",
                     key.id,
