--- a/crates/elderpick-lab/src/lib.rs
+++ b/crates/elderpick-lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! Everything runs on loopback, on ports that the system chooses, in one process but for the gateways.
 
 pub mod check;
+pub mod entitle_bench;
 pub mod fleet;
 pub mod fuzz;
 pub mod hosts;
--- a/crates/elderpick-lab/src/main.rs
+++ b/crates/elderpick-lab/src/main.rs
@@ -11,7 +11,7 @@
 use elderpick_lab::hosts::Model;
 use elderpick_lab::mutants::{ALL, Double, Mutant};
 use elderpick_lab::record::What;
-use elderpick_lab::{check, fuzz, measure, script, seats, viewers};
+use elderpick_lab::{check, entitle_bench, fuzz, measure, script, seats, viewers};
 
 /// Stand-ins, drills and measurements for elderpick, all on loopback.
 #[derive(Parser)]
@@ -37,6 +37,8 @@
     Drill(Drill),
     /// Measure one gateway: decisions, latency, set-ups, memory, playlists. Takes about a minute.
     Measure,
+    /// Measure tokens, the count of seats, its log, and ways of sharing seats. Takes about half a minute.
+    MeasureSeats,
     /// Feed a parser mutated inputs from a corpus.
     Fuzz {
         target: Target,
@@ -123,6 +125,13 @@
         (Command::Measure, Ok(runtime)) => {
             tokio::task::LocalSet::new().block_on(&runtime, async { measure::run(this_program()?).await })
         }
+        (Command::MeasureSeats, Ok(runtime)) => runtime.block_on(async {
+            let folder = std::env::temp_dir().join(format!("elderpick-measure-{}", std::process::id()));
+            std::fs::create_dir_all(&folder).map_err(|why| format!("{}: {why}", folder.display()))?;
+            let done = entitle_bench::run(&folder).await;
+            let _ = std::fs::remove_dir_all(&folder);
+            done
+        }),
         (Command::Play { uri }, Ok(runtime)) => tokio::task::LocalSet::new().block_on(&runtime, play(&uri)),
         (Command::Drill(Drill::Mutants { seed }), Ok(runtime)) => {
             tokio::task::LocalSet::new().block_on(&runtime, mutants(seed))
