--- a/crates/elderpick-gateway/src/state.rs
+++ b/crates/elderpick-gateway/src/state.rs
@@ -79,6 +79,8 @@
 const MOST_WAITING: usize = 4096;
 /// After a write failed, it is tried again so much later.
 const AGAIN: Duration = Duration::from_millis(500);
+/// At its end the gateway waits so long for the disk.
+const AT_END: Duration = Duration::from_secs(2);
 
 impl Journal {
     /// Opens the log, or begins one. What it told is to be looked at.
@@ -130,9 +132,12 @@
 
 impl Drop for Journal {
     fn drop(&mut self) {
+        // What was answered is kept already; a disk that hangs does not hold the program's end up.
         self.sender = None;
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
+        let until = Instant::now() + AT_END;
+        let Some(thread) = self.thread.take() else { return };
+        while !thread.is_finished() && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(1));
         }
     }
 }
