--- /dev/null
+++ b/crates/elderpick-ledger/src/book.rs
@@ -0,0 +1,698 @@
+//! What one gateway knows of use: the fold of its records.
+//!
+//! A session's records tell when it began, each change of its rung, marks of how far it has come, and its end. From them
+//! come entries, one for each period that the session touches, numbered without gaps in the order of the records. A
+//! period that is closed takes nothing more: what is late, and corrections, go to the next open one and say whose they
+//! are, so that a closed period's totals never change.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Micros;
+use crate::calendar::{Calendar, Period};
+
+/// Who has a session and what it plays.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct Facts {
+    /// Who pays.
+    pub tenant: String,
+    pub licence: String,
+    pub class: String,
+    pub title: String,
+    /// Who plays, as far as it is known: the holder of an entitlement, or a player's own id. Empty if nothing is.
+    pub viewer: String,
+    /// Wall time of the start.
+    pub started: Micros,
+}
+
+/// How a session ended.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// Its viewer left or fell silent.
+    Left,
+    /// Its media host ended it or was lost.
+    Cut,
+    /// The right to it ended.
+    Lapsed,
+    /// The gateway was killed; the use is as it was marked last.
+    Killed,
+}
+
+/// One thing that happened. Spans are monotonic, from the session's start.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Record {
+    /// A process of the gateway began. `nonce` tells two that continue the same records apart.
+    Epoch {
+        epoch: u64,
+        nonce: u64,
+        at: Micros,
+    },
+    Begun {
+        session: String,
+        facts: Facts,
+        rung: usize,
+    },
+    Rung {
+        session: String,
+        at: Micros,
+        rung: usize,
+    },
+    /// How far sessions that play have come, and how many requests each has had.
+    Marks {
+        list: Vec<(String, Micros)>,
+    },
+    Over {
+        session: String,
+        span: Micros,
+        tries: u32,
+        outcome: Outcome,
+    },
+    /// Use that is not in the records, and why.
+    Gap {
+        from: Micros,
+        until: Micros,
+        why: String,
+    },
+    Corrected(Correction),
+    Closed {
+        until: Micros,
+    },
+    /// An export holds the entries from `first` to `last`.
+    Prepared {
+        export: u64,
+        first: u64,
+        last: u64,
+    },
+    /// It was handed over, and this is the digest of its manifest.
+    Handed {
+        export: u64,
+        digest: String,
+    },
+}
+
+/// A change to what an entry told. Amounts are differences and may be below zero.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct Correction {
+    /// Number of the entry that it corrects, which may be a correction itself.
+    pub of: u64,
+    /// The period of that entry.
+    pub period: String,
+    pub tenant: String,
+    pub licence: String,
+    pub class: String,
+    pub uses: i64,
+    pub at_rung: Vec<Micros>,
+    pub why: String,
+    pub at: Micros,
+}
+
+/// What an entry is.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    Use,
+    Correction,
+    Gap,
+}
+
+/// One line of the ledger.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct Entry {
+    pub number: u64,
+    pub epoch: u64,
+    pub nonce: u64,
+    pub kind: Kind,
+    /// The period that it is billed in.
+    pub period: String,
+    /// The period that it is of, if that was closed already.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub late_for: Option<String>,
+    pub tenant: String,
+    pub licence: String,
+    pub class: String,
+    pub title: String,
+    pub session: String,
+    pub viewer: String,
+    /// Which part of the session it is, of how many.
+    pub part: u32,
+    pub parts: u32,
+    /// One for the first part of a session, none for the others.
+    pub uses: i64,
+    /// Requests that joined the session, with the first.
+    pub tries: u32,
+    /// Wall time of its beginning, and how long.
+    pub from: Micros,
+    pub span: Micros,
+    /// Time at each rung from the lowest.
+    pub at_rung: Vec<Micros>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub outcome: Option<Outcome>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub corrects: Option<u64>,
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub why: String,
+}
+
+/// Sums of a tenant in a period.
+#[derive(Clone, PartialEq, Eq, Default, Debug, Serialize, Deserialize)]
+pub struct Total {
+    pub entries: u64,
+    pub uses: i64,
+    pub at_rung: Vec<Micros>,
+}
+
+impl Total {
+    pub fn add(&mut self, entry: &Entry) {
+        self.entries += 1;
+        self.uses += entry.uses;
+        if self.at_rung.len() < entry.at_rung.len() {
+            self.at_rung.resize(entry.at_rung.len(), 0);
+        }
+        self.at_rung.iter_mut().zip(&entry.at_rung).for_each(|(sum, one)| *sum += one);
+    }
+
+    /// Time at all rungs.
+    pub fn time(&self) -> Micros {
+        self.at_rung.iter().sum()
+    }
+}
+
+/// Why something cannot be done.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Refused {
+    /// The session is not open, or is already.
+    Session,
+    /// The period does not close before this.
+    TooEarly(Micros),
+    /// It is closed already.
+    Closed,
+    /// There is no such entry.
+    NoEntry,
+    /// A correction must say why, and change something.
+    Empty,
+    /// The last export was not handed over yet.
+    Pending(u64),
+    /// Nothing new to export.
+    Nothing,
+    /// There is no such export, or it was handed over with another digest.
+    Export,
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refused::Session => f.write_str("the session is not as the record supposes"),
+            Refused::TooEarly(at) => write!(f, "the period does not close before {at} us"),
+            Refused::Closed => f.write_str("the period is closed already"),
+            Refused::NoEntry => f.write_str("there is no such entry"),
+            Refused::Empty => f.write_str("a correction must change something and say why"),
+            Refused::Pending(export) => write!(f, "export {export} was not handed over yet"),
+            Refused::Nothing => f.write_str("there is nothing new to export"),
+            Refused::Export => f.write_str("there is no such export, or it was handed over with other bytes"),
+        }
+    }
+}
+
+/// A session that plays.
+#[derive(Clone, PartialEq, Eq, Debug)]
+struct Open {
+    facts: Facts,
+    /// Changes of rung, by time from the start.
+    rungs: Vec<(Micros, usize)>,
+    marked: Micros,
+}
+
+/// An export, and what it was acknowledged with.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Export {
+    pub number: u64,
+    pub first: u64,
+    pub last: u64,
+    pub digest: Option<String>,
+}
+
+/// Changes of rung that a session keeps apart; later ones count at the rung that it had last.
+const MOST_RUNGS: usize = 4096;
+/// Rungs of a ladder.
+const MOST_RUNG: usize = 64;
+
+/// What a gateway knows of use.
+#[derive(Clone, Debug)]
+pub struct Book {
+    calendar: Calendar,
+    epoch: (u64, u64),
+    open: BTreeMap<String, Open>,
+    totals: BTreeMap<(String, String), Total>,
+    entries: u64,
+    /// Periods up to this moment are closed.
+    closed: Micros,
+    exports: Vec<Export>,
+    /// Records that did not fit what was known; none, unless records are of two gateways.
+    pub odd: u64,
+}
+
+impl Book {
+    pub fn new(calendar: Calendar) -> Book {
+        Book {
+            calendar,
+            epoch: (0, 0),
+            open: BTreeMap::new(),
+            totals: BTreeMap::new(),
+            entries: 0,
+            closed: Micros::MIN,
+            exports: Vec::new(),
+            odd: 0,
+        }
+    }
+
+    /// Takes a record in, and gives out the entries that come of it.
+    pub fn apply(&mut self, record: &Record, out: &mut impl FnMut(Entry)) {
+        match record {
+            Record::Epoch { epoch, nonce, .. } => self.epoch = (*epoch, *nonce),
+            Record::Begun { session, facts, rung } => {
+                let open = Open { facts: facts.clone(), rungs: vec![(0, *rung)], marked: 0 };
+                self.odd += u64::from(self.open.insert(session.clone(), open).is_some());
+            }
+            Record::Rung { session, at, rung } => match self.open.get_mut(session) {
+                Some(open) if open.rungs.len() < MOST_RUNGS => {
+                    let at = (*at).max(open.rungs.last().map_or(0, |r| r.0));
+                    open.rungs.push((at, *rung));
+                    open.marked = open.marked.max(at);
+                }
+                Some(_) => {}
+                None => self.odd += 1,
+            },
+            Record::Marks { list } => {
+                for (session, span) in list {
+                    if let Some(open) = self.open.get_mut(session) {
+                        open.marked = open.marked.max(*span);
+                    }
+                }
+            }
+            Record::Over { session, span, tries, outcome } => match self.open.remove(session) {
+                Some(open) => self.ended(session, &open, *span, *tries, *outcome, out),
+                None => self.odd += 1,
+            },
+            Record::Gap { from, until, why } => {
+                let (period, late_for) = self.place(*from);
+                let span = (until - from).max(0);
+                let gap = Entry {
+                    kind: Kind::Gap,
+                    from: *from,
+                    span,
+                    why: why.clone(),
+                    ..self.blank(period, late_for)
+                };
+                self.enter(gap, out);
+            }
+            Record::Corrected(c) => {
+                let own = self.calendar.period(self.closed.max(0));
+                let is_closed = self.closed > Micros::MIN && c.period < own.name;
+                let (period, late_for) = match is_closed {
+                    true => (own.name, Some(c.period.clone())),
+                    false => (c.period.clone(), None),
+                };
+                let entry = Entry {
+                    kind: Kind::Correction,
+                    tenant: c.tenant.clone(),
+                    licence: c.licence.clone(),
+                    class: c.class.clone(),
+                    uses: c.uses,
+                    from: c.at,
+                    at_rung: c.at_rung.clone(),
+                    corrects: Some(c.of),
+                    why: c.why.clone(),
+                    ..self.blank(period, late_for)
+                };
+                self.enter(entry, out);
+            }
+            Record::Closed { until } => self.closed = self.closed.max(*until),
+            Record::Prepared { export, first, last } => {
+                self.exports.push(Export { number: *export, first: *first, last: *last, digest: None });
+            }
+            Record::Handed { export, digest } => {
+                match self.exports.iter_mut().find(|e| e.number == *export) {
+                    Some(handed) => handed.digest = Some(digest.clone()),
+                    None => self.odd += 1,
+                }
+            }
+        }
+    }
+
+    /// The period that takes what is of a moment now, and that which it is of if that is closed.
+    fn place(&self, at: Micros) -> (String, Option<String>) {
+        let own = self.calendar.period(at);
+        match own.from < self.closed {
+            true => (self.calendar.period(self.closed).name, Some(own.name)),
+            false => (own.name, None),
+        }
+    }
+
+    fn blank(&self, period: String, late_for: Option<String>) -> Entry {
+        Entry {
+            number: 0,
+            epoch: self.epoch.0,
+            nonce: self.epoch.1,
+            kind: Kind::Use,
+            period,
+            late_for,
+            tenant: String::new(),
+            licence: String::new(),
+            class: String::new(),
+            title: String::new(),
+            session: String::new(),
+            viewer: String::new(),
+            part: 0,
+            parts: 1,
+            uses: 0,
+            tries: 0,
+            from: 0,
+            span: 0,
+            at_rung: Vec::new(),
+            outcome: None,
+            corrects: None,
+            why: String::new(),
+        }
+    }
+
+    fn enter(&mut self, mut entry: Entry, out: &mut impl FnMut(Entry)) {
+        self.entries += 1;
+        entry.number = self.entries;
+        self.totals.entry((entry.period.clone(), entry.tenant.clone())).or_default().add(&entry);
+        out(entry);
+    }
+
+    fn ended(
+        &mut self,
+        session: &str,
+        open: &Open,
+        span: Micros,
+        tries: u32,
+        outcome: Outcome,
+        out: &mut impl FnMut(Entry),
+    ) {
+        let facts = &open.facts;
+        let parts = self.calendar.split(facts.started, span.max(0));
+        let count = parts.len() as u32;
+        for (part, (_, from, long)) in parts.into_iter().enumerate() {
+            let (period, late_for) = self.place(from);
+            let begins = from - facts.started;
+            let entry = Entry {
+                tenant: facts.tenant.clone(),
+                licence: facts.licence.clone(),
+                class: facts.class.clone(),
+                title: facts.title.clone(),
+                session: session.to_owned(),
+                viewer: facts.viewer.clone(),
+                part: part as u32,
+                parts: count,
+                uses: i64::from(part == 0),
+                tries,
+                from,
+                span: long,
+                at_rung: at_rungs(&open.rungs, begins, begins + long),
+                outcome: Some(outcome),
+                ..self.blank(period, late_for)
+            };
+            self.enter(entry, out);
+        }
+    }
+
+    /// A session plays.
+    pub fn begin(&self, session: &str, facts: Facts, rung: usize) -> Result<Record, Refused> {
+        let free = !self.open.contains_key(session);
+        let session = session.to_owned();
+        free.then_some(Record::Begun { session, facts, rung }).ok_or(Refused::Session)
+    }
+
+    /// What a process that begins has to tell: its epoch, and the end of what the one before left open.
+    pub fn start(&self, nonce: u64, at: Micros) -> Vec<Record> {
+        let epoch = Record::Epoch { epoch: self.epoch.0 + 1, nonce, at };
+        let killed = self.open.iter().map(|(session, open)| Record::Over {
+            session: session.clone(),
+            span: open.marked,
+            tries: 1,
+            outcome: Outcome::Killed,
+        });
+        std::iter::once(epoch).chain(killed).collect()
+    }
+
+    /// The earliest period that is not closed, if it may be closed at a moment.
+    pub fn close(&self, period: &Period, now: Micros) -> Result<Record, Refused> {
+        if period.until <= self.closed {
+            return Err(Refused::Closed);
+        }
+        let at = self.calendar.closes(period);
+        if now < at {
+            return Err(Refused::TooEarly(at));
+        }
+        Ok(Record::Closed { until: period.until })
+    }
+
+    /// Corrects an entry, which the caller has looked up.
+    pub fn correct(&self, of: &Entry, change: Correction) -> Result<Record, Refused> {
+        if of.number == 0 || of.number > self.entries || change.of != of.number || change.period != of.period
+        {
+            return Err(Refused::NoEntry);
+        }
+        let nothing = change.uses == 0 && change.at_rung.iter().all(|&t| t == 0);
+        if nothing || change.why.trim().is_empty() || change.at_rung.len() > MOST_RUNG {
+            return Err(Refused::Empty);
+        }
+        Ok(Record::Corrected(change))
+    }
+
+    /// Sets apart what is new for the next export. One that is prepared goes first.
+    pub fn prepare(&self) -> Result<Record, Refused> {
+        let last = self.exports.last();
+        if let Some(pending) = last.filter(|e| e.digest.is_none()) {
+            return Err(Refused::Pending(pending.number));
+        }
+        let first = last.map_or(1, |e| e.last + 1);
+        if first > self.entries {
+            return Err(Refused::Nothing);
+        }
+        Ok(Record::Prepared { export: last.map_or(1, |e| e.number + 1), first, last: self.entries })
+    }
+
+    /// An export was taken. A second time with the same bytes is no harm and needs no record.
+    pub fn hand(&self, export: u64, digest: &str) -> Result<Option<Record>, Refused> {
+        let known = self.exports.iter().find(|e| e.number == export).ok_or(Refused::Export)?;
+        match &known.digest {
+            None => Ok(Some(Record::Handed { export, digest: digest.into() })),
+            Some(before) if before == digest => Ok(None),
+            Some(_) => Err(Refused::Export),
+        }
+    }
+
+    pub fn exports(&self) -> &[Export] {
+        &self.exports
+    }
+
+    pub fn totals(&self) -> &BTreeMap<(String, String), Total> {
+        &self.totals
+    }
+
+    pub fn entries(&self) -> u64 {
+        self.entries
+    }
+
+    pub fn epoch(&self) -> u64 {
+        self.epoch.0
+    }
+
+    /// Sessions that play, as far as is known.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Periods up to this moment are closed.
+    pub fn closed(&self) -> Micros {
+        self.closed
+    }
+
+    pub fn calendar(&self) -> &Calendar {
+        &self.calendar
+    }
+}
+
+/// Time at each rung between two moments of a session. It adds up to the time between them.
+fn at_rungs(rungs: &[(Micros, usize)], from: Micros, until: Micros) -> Vec<Micros> {
+    let mut at = Vec::new();
+    for (k, &(begins, rung)) in rungs.iter().enumerate() {
+        let ends = rungs.get(k + 1).map_or(Micros::MAX, |next| next.0);
+        let long = ends.min(until) - begins.max(from);
+        if long > 0 {
+            let rung = rung.min(MOST_RUNG - 1);
+            if at.len() <= rung {
+                at.resize(rung + 1, 0);
+            }
+            at[rung] += long;
+        }
+    }
+    at
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+    use crate::calendar::Every;
+
+    const S: Micros = 1_000_000;
+    const DAY: Micros = 86_400 * S;
+    /// The first day of 2026, UTC.
+    const START: Micros = 1_767_225_600 * S;
+
+    fn book() -> Book {
+        Book::new(Calendar::new("UTC", Every::Day, 3600 * S).unwrap())
+    }
+
+    fn facts(started: Micros) -> Facts {
+        Facts {
+            tenant: "botany".into(),
+            licence: "course".into(),
+            class: "exam".into(),
+            title: "carex".into(),
+            viewer: "ann".into(),
+            started,
+        }
+    }
+
+    fn all(book: &mut Book, records: &[Record]) -> Vec<Entry> {
+        let mut out = Vec::new();
+        records.iter().for_each(|r| book.apply(r, &mut |e| out.push(e)));
+        out
+    }
+
+    fn session(name: &str, started: Micros, span: Micros) -> [Record; 2] {
+        let begun = Record::Begun { session: name.into(), facts: facts(started), rung: 1 };
+        [begun, Record::Over { session: name.into(), span, tries: 1, outcome: Outcome::Left }]
+    }
+
+    #[test]
+    fn a_session_over_midnight_is_cut_and_its_changes_of_rung_fall_where_they_were() {
+        let mut book = book();
+        let started = START + DAY - 100 * S;
+        let [begun, over] = session("s", started, 250 * S);
+        let down = Record::Rung { session: "s".into(), at: 60 * S, rung: 0 };
+        let up = Record::Rung { session: "s".into(), at: 200 * S, rung: 2 };
+        let entries = all(&mut book, &[begun, down, up, over]);
+        let told: Vec<_> = entries.iter().map(|e| (&*e.period, e.uses, e.span, e.at_rung.clone())).collect();
+        assert_eq!(
+            told,
+            [
+                ("2026-01-01", 1, 100 * S, vec![40 * S, 60 * S]),
+                ("2026-01-02", 0, 150 * S, vec![100 * S, 0, 50 * S]),
+            ]
+        );
+    }
+
+    #[test]
+    fn what_is_late_and_what_corrects_goes_to_the_next_open_period_and_closed_totals_stand() {
+        let mut book = book();
+        let entries = all(&mut book, &session("a", START + 5 * S, 10 * S));
+        let day = book.calendar().period(START);
+        assert_eq!(book.close(&day, day.until + 3599 * S), Err(Refused::TooEarly(day.until + 3600 * S)));
+        let closed = book.close(&day, day.until + 3600 * S).unwrap();
+        all(&mut book, &[closed]);
+        assert_eq!(book.close(&day, day.until + DAY), Err(Refused::Closed));
+        let before = book.totals()[&("2026-01-01".into(), "botany".into())].clone();
+        let late = all(&mut book, &session("b", START + 50 * S, 10 * S));
+        assert_eq!((&*late[0].period, late[0].late_for.as_deref()), ("2026-01-02", Some("2026-01-01")));
+        let change = |of: &Entry, uses, time: Micros| Correction {
+            of: of.number,
+            period: of.period.clone(),
+            tenant: of.tenant.clone(),
+            licence: of.licence.clone(),
+            class: of.class.clone(),
+            uses,
+            at_rung: vec![0, time],
+            why: "billed to the wrong course".into(),
+            at: START + 2 * DAY,
+        };
+        let record = book.correct(&entries[0], change(&entries[0], -1, -10 * S)).unwrap();
+        let corrected = all(&mut book, &[record]);
+        let told = (&*corrected[0].period, corrected[0].late_for.as_deref(), corrected[0].corrects);
+        assert_eq!(told, ("2026-01-02", Some("2026-01-01"), Some(1)));
+        // And the correction was wrong.
+        let record = book.correct(&corrected[0], change(&corrected[0], 1, 10 * S)).unwrap();
+        assert_eq!(all(&mut book, &[record])[0].corrects, Some(corrected[0].number));
+        assert_eq!(book.totals()[&("2026-01-01".into(), "botany".into())], before);
+        let next = &book.totals()[&("2026-01-02".into(), "botany".into())];
+        assert_eq!((next.entries, next.uses, next.time()), (3, 1, 10 * S));
+        let nothing = Correction { uses: 0, at_rung: vec![], ..change(&entries[0], 0, 0) };
+        assert_eq!(book.correct(&entries[0], nothing), Err(Refused::Empty));
+    }
+
+    #[test]
+    fn a_killed_process_leaves_what_was_marked_and_the_next_epoch_says_so() {
+        let mut book = book();
+        let begun = Record::Begun { session: "s".into(), facts: facts(START), rung: 0 };
+        let epoch = book.start(7, START);
+        all(&mut book, &epoch);
+        all(&mut book, &[begun, Record::Marks { list: vec![("s".into(), 15 * S), ("gone".into(), S)] }]);
+        let records = book.start(8, START + 60 * S);
+        let entries = all(&mut book, &records);
+        assert_eq!(
+            (entries[0].span, entries[0].outcome, entries[0].epoch),
+            (15 * S, Some(Outcome::Killed), 2)
+        );
+        assert_eq!((book.open(), book.odd, book.epoch()), (0, 0, 2));
+    }
+
+    #[test]
+    fn exports_are_numbered_without_gaps_and_each_is_handed_over_once() {
+        let mut book = book();
+        assert_eq!(book.prepare(), Err(Refused::Nothing));
+        all(&mut book, &session("a", START, S));
+        let first = book.prepare().unwrap();
+        assert_eq!(first, Record::Prepared { export: 1, first: 1, last: 1 });
+        all(&mut book, &[first]);
+        all(&mut book, &session("b", START, S));
+        assert_eq!(book.prepare(), Err(Refused::Pending(1)));
+        assert_eq!(book.hand(2, "x"), Err(Refused::Export));
+        let handed = book.hand(1, "x").unwrap().unwrap();
+        all(&mut book, &[handed]);
+        assert_eq!((book.hand(1, "x"), book.hand(1, "y")), (Ok(None), Err(Refused::Export)));
+        assert_eq!(book.prepare(), Ok(Record::Prepared { export: 2, first: 2, last: 2 }));
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(13), ..Default::default() })]
+        #[test]
+        fn parts_of_any_session_add_up_to_it(
+            started in 0i64..3 * DAY,
+            span in 0i64..4 * DAY,
+            changes in proptest::collection::vec((0i64..4 * DAY, 0usize..5), 0..12),
+            closed in 0i64..4,
+        ) {
+            let mut book = book();
+            if closed > 0 {
+                all(&mut book, &[Record::Closed { until: START + closed * DAY }]);
+            }
+            let [begun, over] = session("s", START + started, span);
+            let mut records = vec![begun];
+            let mut changes = changes;
+            changes.sort_unstable();
+            let inside = changes.iter().filter(|c| c.0 < span);
+            records.extend(inside.map(|&(at, rung)| Record::Rung { session: "s".into(), at, rung }));
+            records.push(over);
+            let entries = all(&mut book, &records);
+            prop_assert_eq!(entries.iter().map(|e| e.span).sum::<i64>(), span);
+            prop_assert_eq!(entries.iter().flat_map(|e| &e.at_rung).sum::<i64>(), span);
+            prop_assert_eq!(entries.iter().map(|e| e.uses).sum::<i64>(), 1);
+            for entry in &entries {
+                prop_assert_eq!(entry.at_rung.iter().sum::<i64>(), entry.span);
+                prop_assert!(book.calendar().period(START + closed * DAY).name <= entry.period || closed == 0);
+            }
+            let total: i64 = book.totals().values().map(Total::time).sum();
+            prop_assert_eq!(total, span);
+        }
+    }
+}
--- /dev/null
+++ b/crates/elderpick-ledger/src/calendar.rs
@@ -0,0 +1,152 @@
+//! Periods: spans of time that are billed together, by the calendar of a place.
+
+use jiff::civil::Date;
+use jiff::tz::TimeZone;
+use jiff::{Timestamp, ToSpan};
+use serde::{Deserialize, Serialize};
+
+use crate::Micros;
+
+/// How long periods are.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Every {
+    Day,
+    Month,
+}
+
+/// One period: from its first moment up to but not with the next one's.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct Period {
+    /// As `2026-12` or `2026-12-01`; names sort as time does.
+    pub name: String,
+    pub from: Micros,
+    pub until: Micros,
+}
+
+#[derive(Clone, Debug)]
+pub struct Calendar {
+    zone: TimeZone,
+    every: Every,
+    /// Entries of a period are taken so long after its end.
+    pub lateness: Micros,
+}
+
+/// Moments beyond which there is no calendar, some thousand years from now either way.
+const LAST: Micros = 200_000_000_000_000_000;
+
+impl Calendar {
+    /// `zone` is a name of the IANA database, as `Europe/Dublin`.
+    pub fn new(zone: &str, every: Every, lateness: Micros) -> Result<Calendar, String> {
+        let zone = TimeZone::get(zone).map_err(|why| format!("{zone:?} is no time zone: {why}"))?;
+        Ok(Calendar { zone, every, lateness: lateness.max(0) })
+    }
+
+    /// The first moment of a day here. Where a day begins in a gap of the clock, the moment after the gap.
+    fn begin(&self, day: Date) -> Micros {
+        let first = self.zone.to_ambiguous_timestamp(day.at(0, 0, 0, 0)).compatible();
+        first.map_or(LAST, Timestamp::as_microsecond)
+    }
+
+    /// The period that a moment belongs to.
+    pub fn period(&self, wall: Micros) -> Period {
+        let moment = Timestamp::from_microsecond(wall.clamp(-LAST, LAST)).unwrap_or_default();
+        let day = self.zone.to_datetime(moment).date();
+        let (first, next, name) = match self.every {
+            Every::Day => (day, day.checked_add(1.day()), day.to_string()),
+            Every::Month => {
+                let first = day.first_of_month();
+                (first, first.checked_add(1.month()), format!("{:04}-{:02}", first.year(), first.month()))
+            }
+        };
+        Period { name, from: self.begin(first), until: next.map_or(LAST, |next| self.begin(next)) }
+    }
+
+    /// When a period closes.
+    pub fn closes(&self, period: &Period) -> Micros {
+        period.until.saturating_add(self.lateness)
+    }
+
+    /// Cuts a span into its parts by period: where each begins and how long it is. The parts follow one another and
+    /// add up to the whole; a span of nothing has one part of nothing.
+    pub fn split(&self, from: Micros, span: Micros) -> Vec<(Period, Micros, Micros)> {
+        let (mut at, end) = (from, from.saturating_add(span.max(0)));
+        let mut parts = Vec::new();
+        loop {
+            let period = self.period(at);
+            let until = period.until.min(end);
+            if until >= end || until <= at {
+                parts.push((period, at, end - at));
+                return parts;
+            }
+            parts.push((period, at, until - at));
+            at = until;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    const HOUR: Micros = 3_600_000_000;
+
+    fn at(text: &str) -> Micros {
+        text.parse::<Timestamp>().unwrap().as_microsecond()
+    }
+
+    fn calendar(zone: &str, every: Every) -> Calendar {
+        Calendar::new(zone, every, HOUR).unwrap()
+    }
+
+    #[test]
+    fn months_end_where_the_place_says() {
+        let dublin = calendar("Europe/Dublin", Every::Month);
+        // Summer time: the month begins an hour before UTC's.
+        assert_eq!(dublin.period(at("2026-06-30T22:59:59Z")).name, "2026-06");
+        let july = dublin.period(at("2026-06-30T23:00:00Z"));
+        assert_eq!((&*july.name, july.from), ("2026-07", at("2026-06-30T23:00:00Z")));
+        let february = dublin.period(at("2028-02-29T12:00:00Z"));
+        assert_eq!(february.until, at("2028-03-01T00:00:00Z"));
+        assert_eq!(dublin.closes(&february), at("2028-03-01T01:00:00Z"));
+        assert!(Calendar::new("Nowhere/At_All", Every::Day, 0).is_err());
+    }
+
+    #[test]
+    fn days_of_a_clock_change_are_as_long_as_they_are() {
+        let days = calendar("America/New_York", Every::Day);
+        let long = |day: &str| {
+            let period = days.period(at(day));
+            period.until - period.from
+        };
+        assert_eq!(long("2026-03-08T12:00:00Z"), 23 * HOUR);
+        assert_eq!(long("2026-11-01T12:00:00Z"), 25 * HOUR);
+        // A day that begins in a gap of the clock: midnight does not exist in Beirut on the last Sunday of March.
+        let beirut = calendar("Asia/Beirut", Every::Day).period(at("2026-03-29T12:00:00Z"));
+        assert_eq!(beirut.until - beirut.from, 23 * HOUR);
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 300, rng_seed: proptest::test_runner::RngSeed::Fixed(12), ..Default::default() })]
+        #[test]
+        fn parts_follow_one_another_and_add_up(
+            from in 0i64..4_000_000_000_000_000,
+            span in 0i64..8_000_000_000_000,
+            month: bool,
+            zone in 0usize..4,
+        ) {
+            let zone = ["UTC", "Europe/Dublin", "Asia/Kolkata", "Pacific/Apia"][zone];
+            let calendar = calendar(zone, if month { Every::Month } else { Every::Day });
+            let parts = calendar.split(from, span);
+            prop_assert_eq!(parts.iter().map(|p| p.2).sum::<i64>(), span);
+            let mut next = from;
+            for (period, begins, long) in &parts {
+                prop_assert_eq!(*begins, next);
+                prop_assert!(period.from <= *begins && begins + long <= period.until);
+                next += long;
+            }
+        }
+    }
+}
