--- a/crates/elderpick-ledger/src/reconcile.rs
+++ b/crates/elderpick-ledger/src/reconcile.rs
@@ -163,11 +163,11 @@
 /// Counts sessions that go on from another as part of its use.
 fn retries(sessions: &[(usize, &Entry)], window: Micros, report: &mut Report) {
     // The whole of a session, not its first part alone: the parts of it follow one another.
-    let mut by: BTreeMap<(&str, &str, &str, &str, &str), Vec<(usize, &Entry)>> = BTreeMap::new();
+    let mut by: BTreeMap<[&str; 5], Vec<(usize, &Entry)>> = BTreeMap::new();
     for &(k, e) in sessions {
-        by.entry((&e.tenant, &e.licence, &e.class, &e.title, &e.viewer)).or_default().push((k, e));
+        by.entry([&e.tenant, &e.licence, &e.class, &e.title, &e.viewer]).or_default().push((k, e));
     }
-    for ((tenant, _, _, title, viewer), mut of) in by {
+    for ([tenant, _, _, title, viewer], mut of) in by {
         of.sort_by_key(|(k, e)| (e.from, *k, e.number));
         let mut going: Option<Going> = None;
         for (gateway, entry) in of {
@@ -299,7 +299,8 @@
         a.session("bob", 4 * S, 10 * S);
         a.session("", 0, S);
         b.session("", 0, S);
-        (a.export(), b.export());
+        a.export();
+        b.export();
         let report = reconcile(&[a.exports.clone(), b.exports.clone()].concat(), 30 * S);
         assert_eq!(billed(&report), (7, 5, 57 * S));
         let over = Finding::Over {
