--- a/crates/elderpick-gateway/src/config.rs
+++ b/crates/elderpick-gateway/src/config.rs
@@ -42,6 +42,7 @@
     pub seats: Option<usize>,
     pub live: bool,
     pub licensed: bool,
+    pub tenant: String,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -132,6 +133,26 @@
     pub seats: usize,
 }
 
+/// What is done with licensed classes while the ledger cannot be kept.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Full {
+    GoOn,
+    Refuse,
+}
+
+/// Use, for billing.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Ledger {
+    pub folder: PathBuf,
+    pub zone: String,
+    pub every: elderpick_ledger::calendar::Every,
+    pub lateness: Micros,
+    pub mark: Micros,
+    pub segment: usize,
+    pub full: Full,
+}
+
 /// A gateway's settings; the fields are described in the schema.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Config {
@@ -161,6 +182,7 @@
     pub retry_after: Option<Micros>,
     pub limits: Limits,
     pub entitlement: Option<Entitlement>,
+    pub ledger: Option<Ledger>,
     pub control: Option<PathBuf>,
     pub drain: Micros,
     pub log: Log,
@@ -226,6 +248,7 @@
             files.extend([&mut e.keys, &mut e.sheet, &mut e.state]);
             files.extend(&mut e.revoked);
         }
+        files.extend(config.ledger.as_mut().map(|l| &mut l.folder));
         for path in files {
             *path = folder.join(&path);
         }
--- a/crates/elderpick-gateway/src/engine.rs
+++ b/crates/elderpick-gateway/src/engine.rs
@@ -16,6 +16,7 @@
 };
 
 use elderpick_entitle::desk::SeatId;
+use elderpick_ledger::book::Outcome;
 
 use crate::config::{Config, Listed, Reporting};
 use crate::membership::{Membership, Told};
@@ -74,6 +75,37 @@
     pub takes_over: bool,
 }
 
+/// Who is billed for a session, and who plays it as far as that is known.
+#[derive(Clone, PartialEq, Eq, Default, Debug)]
+pub struct Payer {
+    pub tenant: String,
+    pub licence: String,
+    pub viewer: String,
+}
+
+/// What the ledger is to know of a session. Names are those that media hosts know; times are the engine's.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Use {
+    Began {
+        session: Token,
+        payer: Payer,
+        class: usize,
+        title: String,
+        rung: usize,
+    },
+    Rung {
+        session: Token,
+        rung: usize,
+    },
+    /// `at` may be before now: a viewer that fell silent used it no longer than it wanted to.
+    Over {
+        session: Token,
+        at: Micros,
+        tries: u32,
+        outcome: Outcome,
+    },
+}
+
 /// A request for a session.
 #[derive(Clone, Debug)]
 pub struct Wanted {
@@ -81,6 +113,7 @@
     pub title: String,
     pub viewer: Option<Viewer>,
     pub seated: Option<Seated>,
+    pub payer: Payer,
     /// When it came.
     pub came: Micros,
     /// Highest rate that the viewer can use, bits a second.
@@ -213,6 +246,7 @@
         server: ServerId,
         alias: Token,
     },
+    Use(Use),
     /// No session has the seat any more. `willing` if its viewer was done with it or never had a session.
     Left {
         seat: SeatId,
@@ -267,6 +301,10 @@
     rung: usize,
     last: Status,
     seen: Micros,
+    /// Requests that had it, with the first.
+    tries: u32,
+    /// When its use ended and how, once it has.
+    used: Option<(Micros, Outcome)>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
@@ -300,6 +338,7 @@
     next: u64,
     draining: bool,
     began: bool,
+    now: Micros,
     pub counts: Counts,
     actions: Vec<Action>,
     out: Vec<Output>,
@@ -323,6 +362,7 @@
             next: 0,
             draining: false,
             began: false,
+            now: 0,
             counts: Counts::default(),
             actions: Vec::new(),
             out: Vec::new(),
@@ -351,6 +391,7 @@
             let entries = self.members.entries();
             self.tell(now, Event::List { kind: ListKind::Restored, entries });
         }
+        self.now = now;
         match input {
             Input::List { kind, servers } => self.list(now, kind, servers),
             Input::Ask { ask, wanted, token, alias } => self.ask(now, ask, wanted, token, alias),
@@ -461,13 +502,15 @@
                         return self.out.push(Output::Answer { ask, answer });
                     }
                     self.counts.joined += 1;
+                    held.tries += 1;
                     held.asks.push(ask);
                     self.asks.insert(ask, session);
                     return;
                 }
-                Some(Session { state: State::Playing(play), token, seen, .. }) => {
+                Some(Session { state: State::Playing(play), token, seen, tries, .. }) => {
                     self.counts.joined += 1;
                     *seen = now;
+                    *tries += 1;
                     let answer = Answer::Plays { token: *token, manifest: play.manifest(*token) };
                     return self.out.push(Output::Answer { ask, answer });
                 }
@@ -505,6 +548,8 @@
             rung: 0,
             last: Status::Ok,
             seen: now,
+            tries: 1,
+            used: None,
         };
         self.sessions.insert(id, session);
         self.tokens.insert(token, id);
@@ -577,6 +622,7 @@
         session.rung = rung;
         if let (State::Playing(play), Some(server)) = (&mut session.state, &session.server) {
             self.counts.rungs += 1;
+            self.out.push(Output::Use(Use::Rung { session: session.alias, rung }));
             play.change(rung);
             let (server, alias, order) = (server.clone(), session.alias, self.counts.rungs);
             self.out.push(Output::Rung { server, alias, rung, order });
@@ -624,6 +670,14 @@
         };
         let answer = Answer::Plays { token: session.token, manifest: play.manifest(session.token) };
         session.state = State::Playing(Box::new(play));
+        let began = Use::Began {
+            session: session.alias,
+            payer: session.wanted.payer.clone(),
+            class: session.wanted.class,
+            title: session.wanted.title.clone(),
+            rung: session.rung,
+        };
+        self.out.push(Output::Use(began));
         session.seen = now;
         self.counts.played += 1;
         for ask in std::mem::take(&mut session.asks) {
@@ -685,6 +739,14 @@
             }
             self.out.push(Output::Cancel { id, attempt: session.attempts - 1 });
         }
+        if matches!(session.state, State::Playing(_)) {
+            let outcome = match status {
+                Status::Ok => Outcome::Left,
+                _ if self.lapsed.front() == Some(&session.token) => Outcome::Lapsed,
+                _ => Outcome::Cut,
+            };
+            session.used.get_or_insert((self.now, outcome));
+        }
         session.state = State::Releasing(status);
         self.tokens.remove(&session.token);
         let alias = session.alias;
@@ -707,6 +769,11 @@
 
     fn forget(&mut self, id: RequestId, willing: bool) {
         let Some(session) = self.sessions.remove(&id) else { return };
+        let playing = matches!(session.state, State::Playing(_)).then_some((self.now, Outcome::Cut));
+        if let Some((at, outcome)) = session.used.or(playing) {
+            let over = Use::Over { session: session.alias, at, tries: session.tries, outcome };
+            self.out.push(Output::Use(over));
+        }
         if let Some(Seated { seat, .. }) =
             session.wanted.seated.filter(|s| self.seats.get(&s.seat) == Some(&id))
         {
@@ -731,6 +798,10 @@
             self.timers.insert((until, Timer::Silence(id)));
         } else {
             self.counts.left += 1;
+            let used = (until - self.config.limits.silence, Outcome::Left);
+            if let Some(session) = self.sessions.get_mut(&id) {
+                session.used = Some(used);
+            }
             self.release(id, Status::Ok);
         }
     }
--- a/crates/elderpick-gateway/src/entitle.rs
+++ b/crates/elderpick-gateway/src/entitle.rs
@@ -14,7 +14,7 @@
 use tokio::task::spawn_local;
 
 use crate::config::{Config, Entitlement};
-use crate::engine::{Decide, Input, Seated, Token};
+use crate::engine::{Decide, Input, Payer, Seated, Token};
 use crate::shell::{Shell, span};
 use crate::state::Journal;
 
@@ -27,6 +27,8 @@
     Denied(Denied),
     /// The disk did not keep the seat's record in time.
     Slow,
+    /// Use cannot be written down, and the settings say that it is refused then.
+    NoLedger,
 }
 
 /// Counts since the start.
@@ -145,6 +147,7 @@
 pub(crate) struct Seating<D: Decide + 'static> {
     shell: Rc<Shell<D>>,
     pub seated: Seated,
+    pub payer: Payer,
 }
 
 impl<D: Decide + 'static> Drop for Seating<D> {
@@ -203,6 +206,9 @@
         class: usize,
         title: &str,
     ) -> Result<Seating<D>, Barred> {
+        if self.uses.borrow().as_ref().is_some_and(|uses| uses.refuses()) {
+            return Err(Barred::NoLedger);
+        }
         let claims = self.verified(text)?;
         let (name, patience) = self.with_engine(|e| {
             let class = &e.config.classes[class];
@@ -217,7 +223,12 @@
         if fresh {
             tracing::info!(token = claims.id, licence = claims.licence, seat = seat.0, "seat taken");
         }
-        let seating = Seating { shell: self.clone(), seated: Seated { seat, takes_over } };
+        let payer = Payer {
+            tenant: claims.tenant.clone(),
+            licence: claims.licence.clone(),
+            viewer: claims.holder.clone(),
+        };
+        let seating = Seating { shell: self.clone(), seated: Seated { seat, takes_over }, payer };
         // A seat is used once all that was written so far is kept: its own record is among that.
         let (mut kept, given) = {
             let seats = self.seats.borrow();
@@ -351,6 +362,7 @@
         match self {
             Barred::NoToken => (401, "this class needs an entitlement token", None),
             Barred::Flawed(flaw) => (401, flaw.to_viewer(), None),
+            Barred::NoLedger => (503, "use cannot be billed now", soon),
             Barred::Slow => (503, "seats cannot be kept now", soon),
             Barred::Denied(why) => match why {
                 Denied::Revoked => (403, "the entitlement was withdrawn", None),
--- a/crates/elderpick-gateway/src/front.rs
+++ b/crates/elderpick-gateway/src/front.rs
@@ -22,7 +22,7 @@
 use elderpick_entitle::desk::Denied;
 
 use crate::door::Entry;
-use crate::engine::{Answer, Ask, Decide, Input, Token, Viewer, Wanted};
+use crate::engine::{Answer, Ask, Decide, Input, Payer, Token, Viewer, Wanted};
 use crate::entitle::Barred;
 use crate::shell::{Shell, fetch, span};
 
@@ -239,11 +239,20 @@
         }
     };
     let trace = request.headers().get("traceparent").and_then(|t| t.to_str().ok());
+    let payer = match &seating {
+        Some(seating) => seating.payer.clone(),
+        None => Payer {
+            tenant: shell.with_engine(|e| e.config.classes[class].tenant.clone()),
+            licence: String::new(),
+            viewer: sid.clone().unwrap_or_default(),
+        },
+    };
     let wanted = Wanted {
         class,
         title: title.into_owned(),
         viewer: sid.map(|sid| Viewer { from: from.ip(), sid }),
         seated: seating.as_ref().map(|s| s.seated),
+        payer,
         came,
         top_bits: item("tb")
             .and_then(|v| v.as_int())
--- a/crates/elderpick-gateway/src/schema.cue
+++ b/crates/elderpick-gateway/src/schema.cue
@@ -19,6 +19,8 @@
     live:     bool | *false
     // Its viewers bring an entitlement token, and take a seat of its licence.
     licensed: bool | *false
+    // Who is billed for its use where no token says so.
+    tenant:   string & !="" | *"unnamed"
 }
 
 #Rung: {
@@ -128,6 +130,20 @@
         reload:   duration & >="50ms" | *"2s"
         seats:    int & >=1 | *30000
     }
+    // Use, for billing.
+    ledger?: {
+        folder:   string & !=""
+        // Periods are cut by the calendar of this place, a name of the IANA database.
+        zone:     string & !="" | *"UTC"
+        every:    *"month" | "day"
+        // A period takes entries so long after its end.
+        lateness: duration & >="0s" | *"24h"
+        // A kill loses at most so much of the use of a session that plays.
+        mark:     duration & >="100ms" | *"5s"
+        segment:  size & >="64KiB" | *"64MiB"
+        // While it cannot be kept, licensed classes go on and a gap is told, or they are refused.
+        full:     *"go_on" | "refuse"
+    }
     // A socket for `elderpick seats show` and the like, of the gateway's own user.
     control?: string & !=""
     // After SIGTERM what plays goes on so long.
--- a/crates/elderpick-gateway/src/shell.rs
+++ b/crates/elderpick-gateway/src/shell.rs
@@ -16,9 +16,10 @@
 
 use crate::config::Config;
 use crate::door::Door;
-use crate::engine::{Answer, Ask, Decide, Engine, Input, Output, Said, SetUp, Token};
+use crate::engine::{Answer, Ask, Decide, Engine, Input, Output, Said, SetUp, Token, Use};
 use crate::entitle::{self, Seats};
 use crate::host::{self, Events, Lost, Pool};
+use crate::ledger::Uses;
 use crate::liveness::{Listening, Next};
 use crate::{control, front};
 
@@ -73,6 +74,7 @@
     next_ask: Cell<Ask>,
     pub door: RefCell<Door>,
     pub seats: entitle::Cell,
+    pub uses: RefCell<Option<Uses>>,
 }
 
 impl<D: Decide + 'static> Shell<D> {
@@ -84,6 +86,20 @@
         Times { mono: self.clock.now(), wall: self.clock.wall() }
     }
 
+    /// Tells the ledger from time to time how far what plays has come.
+    fn mark_uses(self: &Rc<Self>) {
+        let Some(every) = self.uses.borrow().as_ref().map(|u| span(u.settings.mark)) else { return };
+        let shell = self.clone();
+        spawn_local(async move {
+            loop {
+                tokio::time::sleep(every).await;
+                if let Some(uses) = shell.uses.borrow().as_ref() {
+                    uses.mark(shell.times());
+                }
+            }
+        });
+    }
+
     /// What is due next may have changed.
     pub fn wake(&self) {
         self.timer.notify_one();
@@ -209,6 +225,16 @@
                     shell.feed(Input::Probed { server, status, report });
                 });
             }
+            Output::Use(what) => {
+                let t = self.times();
+                let class = match &what {
+                    Use::Began { class, .. } => self.engine.borrow().config.classes[*class].name.clone(),
+                    _ => String::new(),
+                };
+                if let Some(uses) = self.uses.borrow_mut().as_mut() {
+                    uses.told(t, &class, what);
+                }
+            }
             Output::Left { seat, willing } => {
                 let plays = self.engine.borrow().has_session(seat);
                 self.with_desk(|desk, t| desk.over(t, seat, plays, willing));
@@ -439,9 +465,11 @@
         next_ask: Cell::new(0),
         door: RefCell::new(Door::new(config.limits.connections, config.limits.per_address)),
         seats: RefCell::default(),
+        uses: RefCell::new(Uses::open(&config)?),
     });
     *shell.seats.borrow_mut() = Seats::open(&config, shell.times())?;
     shell.watch_files();
+    shell.mark_uses();
     if let Some(path) = &config.control {
         control::listen(path, shell.clone())?;
     }
@@ -480,6 +508,8 @@
     while shell.engine.borrow().sessions() > 0 && tokio::time::Instant::now() < released {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
+    // What was used is written down before the end.
+    drop(shell.uses.borrow_mut().take());
     let counts = shell.engine.borrow().counts;
     tracing::info!(?counts, "ended");
     Ok(())
--- a/crates/elderpick-gateway/tests/engine.rs
+++ b/crates/elderpick-gateway/tests/engine.rs
@@ -54,8 +54,16 @@
         self.next += 2;
         let viewer = sid.map(|sid| Viewer { from: [127, 0, 0, 1].into(), sid: sid.to_string() });
         let title = "carex".to_owned();
-        let wanted =
-            Wanted { class, title, viewer, seated: None, came: self.now, top_bits: None, trace: None };
+        let wanted = Wanted {
+            class,
+            title,
+            viewer,
+            seated: None,
+            payer: Default::default(),
+            came: self.now,
+            top_bits: None,
+            trace: None,
+        };
         let (token, alias) = (Token(self.next), Token(self.next + 1));
         self.feed(Input::Ask { ask, wanted, token, alias })
     }
--- a/crates/elderpick-lab/src/check.rs
+++ b/crates/elderpick-lab/src/check.rs
@@ -1,10 +1,12 @@
-//! The checker: judges the six rules, and that seats of licences are kept, from what went over the sockets. It knows nothing of a gateway's insides.
+//! The checker: judges the six rules, that seats of licences are kept and that use is billed, from what went over the sockets. It knows nothing of a gateway's insides.
 //!
 //! kind: tool
 
 use std::collections::BTreeMap;
 
-use crate::fleet::{BUDGET, ClassOf, GRACE};
+use elderpick_ledger::book::{Entry, Kind};
+
+use crate::fleet::{BUDGET, ClassOf, GRACE, MARK};
 use crate::issuer::Granted;
 use crate::record::{Line, What};
 
@@ -411,6 +413,79 @@
     Rule { number: 7, name: "seats in use never over granted", judged, broken, margin }
 }
 
+/// How much later than it happened a gateway may take note of a host that is lost.
+const MUTE: i64 = 2_500_000;
+
+/// Use that is billed, against what hosts played for viewers who were told so. `entries` are those of all gateways.
+pub fn billed(lines: &[Line], entries: &[Entry]) -> Rule {
+    let mut broken = Vec::new();
+    // Sessions at hosts: whose request, at which gateway, and from when until when they played.
+    let mut played: BTreeMap<&str, (&str, &str, i64, i64)> = BTreeMap::new();
+    let mut answered: BTreeMap<&str, i64> = BTreeMap::new();
+    let mut killed: Vec<(&str, i64)> = Vec::new();
+    let mut set_up: BTreeMap<&str, (&str, &str, &str)> = BTreeMap::new();
+    let end = lines.last().map_or(0, |l| l.at);
+    for line in lines {
+        match &line.what {
+            What::SetUp { host, gateway, session, trace, .. } => {
+                set_up.insert(session, (host, trace_id(trace), gateway));
+            }
+            What::SetUpDone { host, session, how } if how == "plays" => {
+                if let Some((_, trace, gateway)) = set_up.get(session.as_str()).filter(|of| of.0 == host) {
+                    played.insert(session, (trace, gateway, line.at, end));
+                }
+            }
+            What::Over { host, session } if set_up.get(session.as_str()).is_some_and(|of| of.0 == host) => {
+                if let Some(of) = played.get_mut(session.as_str()) {
+                    of.3 = of.3.min(line.at);
+                }
+            }
+            What::Down { host, .. } => {
+                let there = played.iter_mut().filter(|(session, _)| set_up[*session].0 == host);
+                there.for_each(|(_, of)| of.3 = of.3.min(line.at));
+            }
+            What::GatewayDown { gateway } => killed.push((gateway, line.at)),
+            What::Replied { trace, code: 200 } => {
+                answered.insert(trace, line.at);
+            }
+            _ => {}
+        }
+    }
+    let mut bills: BTreeMap<&str, (usize, i64)> = BTreeMap::new();
+    for entry in entries.iter().filter(|e| e.kind == Kind::Use) {
+        let bill = bills.entry(&entry.session).or_default();
+        bill.0 += usize::from(entry.part == 0);
+        bill.1 += entry.span;
+    }
+    let (mut sum, mut sum_billed) = (0, 0);
+    for (session, (trace, gateway, from, until)) in &played {
+        let kill = killed.iter().find(|(name, at)| name == gateway && at >= from && at - SEEN <= *until);
+        match bills.get(session) {
+            Some((1, span)) => {
+                (sum, sum_billed) = (sum + until - from, sum_billed + span);
+                let most = until - from + MUTE + SEEN;
+                // What a killed gateway did not mark is lost, and no more than that.
+                let least = kill.map_or(0, |(_, at)| at.min(until) - from - MARK - 2 * SEEN);
+                if *span > most || *span < least {
+                    let (ms, held) = (span / 1000, (until - from) / 1000);
+                    broken.push(format!("{gateway}: {session} is billed {ms} ms and was held {held} ms"));
+                }
+            }
+            Some((n, _)) => broken.push(format!("{gateway}: {session} is billed {n} times")),
+            // Its viewer was never told, or the gateway was killed before it could write.
+            None if !answered.contains_key(trace) => {}
+            None if kill.is_some_and(|(_, at)| at - from < 2 * SEEN) => {}
+            None => broken.push(format!("{gateway}: {session} was played and is not billed")),
+        }
+    }
+    for session in bills.keys().filter(|s| !played.contains_key(*s)) {
+        broken.push(format!("{session} is billed and no host played it"));
+    }
+    let seconds = |us: i64| us / 1_000_000;
+    let margin = format!("{} s billed of {} s held at hosts", seconds(sum_billed), seconds(sum));
+    Rule { number: 8, name: "use billed is use played", judged: played.len(), broken, margin }
+}
+
 impl Verdict {
     pub fn broken(&self) -> bool {
         self.rules.iter().any(|r| !r.broken.is_empty())
@@ -468,3 +543,64 @@
         out + &format!("further attempts {}, hosts that went down {}\n", self.further, self.downs)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use elderpick_ledger::book::{Book, Facts, Outcome, Record};
+    use elderpick_ledger::calendar::{Calendar, Every};
+
+    use super::*;
+
+    /// One session of ten seconds at a host, and the entries of a ledger that tells of it so often and so long.
+    fn judged(times: usize, span: i64, told: bool) -> usize {
+        let line = |at: i64, what| Line { at: at * 1_000_000, what };
+        let (host, session, trace) = ("h".to_owned(), "s".to_owned(), "00-t-1-01".to_owned());
+        let mut lines = vec![
+            line(
+                1,
+                What::SetUp {
+                    host: host.clone(),
+                    gateway: "g".into(),
+                    session: session.clone(),
+                    class: "c".into(),
+                    title: "t".into(),
+                    rung: 0,
+                    trace,
+                },
+            ),
+            line(1, What::SetUpDone { host: host.clone(), session: session.clone(), how: "plays".into() }),
+            line(11, What::Over { host, session }),
+        ];
+        if told {
+            lines.push(line(12, What::Replied { trace: "t".into(), code: 200 }));
+        }
+        let mut entries = Vec::new();
+        for _ in 0..times {
+            let mut book = Book::new(Calendar::new("UTC", Every::Day, 0).unwrap());
+            let facts = Facts {
+                tenant: "t".into(),
+                licence: String::new(),
+                class: "c".into(),
+                title: "t".into(),
+                viewer: String::new(),
+                started: 0,
+            };
+            let over = Record::Over {
+                session: "s".into(),
+                span: span * 1_000_000,
+                tries: 1,
+                outcome: Outcome::Left,
+            };
+            for record in [Record::Begun { session: "s".into(), facts, rung: 0 }, over] {
+                book.apply(&record, &mut |e| entries.push(e));
+            }
+        }
+        billed(&lines, &entries).broken.len()
+    }
+
+    #[test]
+    fn use_that_is_not_billed_or_twice_or_too_long_is_seen() {
+        assert_eq!((judged(1, 10, true), judged(1, 9, true), judged(0, 0, false)), (0, 0, 0));
+        assert_eq!((judged(0, 0, true), judged(2, 10, true), judged(1, 14, true)), (1, 1, 1));
+    }
+}
--- a/crates/elderpick-lab/src/fleet.rs
+++ b/crates/elderpick-lab/src/fleet.rs
@@ -64,6 +64,9 @@
 /// Longer than a host holds a session of which it hears nothing more.
 pub const HOLD: i64 = 10_000_000;
 
+/// A kill loses at most so much use of a session, in microseconds.
+pub const MARK: i64 = 500_000;
+
 pub const GRACE: i64 = 1_000_000;
 pub const BUDGET: (f64, f64, i64) = (2.0, 0.05, 10_000_000);
 
@@ -192,9 +195,36 @@
         std::fs::read_to_string(self.path(&self.gateways[k].log_name())).unwrap_or_default()
     }
 
+    /// Asks a gateway over its control socket.
+    pub async fn ask(
+        &self,
+        k: usize,
+        what: &str,
+        command: Option<String>,
+    ) -> Result<serde_json::Value, String> {
+        let path = self.path(&format!("control-{k}.sock"));
+        elderpick_gateway::control::ask(&path, what, command).await.map_err(|why| why.to_string())
+    }
+
+    /// Exports the ledgers of all gateways, which have ended, and reads the exports.
+    pub fn export_ledgers(&self) -> Result<Vec<elderpick_ledger::export::Export>, String> {
+        use elderpick_gateway::ledger::{Command, Ledger, exports};
+        let to = self.path("exports");
+        for gateway in &self.gateways {
+            let config = elderpick_gateway::config::Config::open(&gateway.settings)?;
+            let settings = config.ledger.as_ref().ok_or("no ledger")?;
+            let mut ledger = Ledger::open(&config.name, settings)?;
+            ledger.begin()?;
+            if ledger.run(Command::Show)?["entries"] != 0 {
+                ledger.run(Command::Export { to: to.clone() })?;
+            }
+        }
+        if to.exists() { exports(&[to]) } else { Ok(Vec::new()) }
+    }
+
     /// What a gateway tells operators of its seats.
     pub async fn seats(&self, k: usize) -> Result<serde_json::Value, String> {
-        elderpick_gateway::control::ask(&self.path(&format!("control-{k}.sock")), "/seats").await
+        self.ask(k, "/seats", None).await
     }
 
     /// A gateway's process id, while it runs.
@@ -356,6 +386,7 @@
     audience: "{audience}", issuer: "lab"
     skew: "{skew}us", grace: "{grace}us", linger: "3s", hold: "{hold}us", reload: "100ms"
 }}
+ledger: {{folder: "ledger-{me}", every: "day", lateness: "0s", mark: "{mark}us", segment: "64KiB"}}
 control: "control-{me}.sock"
 drain: "2s"
 "#,
@@ -363,6 +394,7 @@
         skew = SEAT_SKEW,
         grace = SEAT_GRACE,
         hold = HOLD,
+        mark = MARK,
         places = model.places,
         silence = model.silence,
         ladder = ladder.join("\n"),
--- a/crates/elderpick-lab/src/main.rs
+++ b/crates/elderpick-lab/src/main.rs
@@ -12,6 +12,7 @@
 use elderpick_lab::mutants::{ALL, Double, Mutant};
 use elderpick_lab::record::What;
 use elderpick_lab::{check, entitle_bench, fuzz, measure, script, seats, viewers};
+use elderpick_ledger::reconcile::{Finding, reconcile};
 
 /// Stand-ins, drills and measurements for elderpick, all on loopback.
 #[derive(Parser)]
@@ -264,8 +265,19 @@
         let text: Vec<String> = lines.iter().filter_map(|l| serde_json::to_string(l).ok()).collect();
         std::fs::write(&file, text.join("\n") + "\n").map_err(|why| format!("{}: {why}", file.display()))?;
     }
+    // The ledgers as an office would get them: exported by each gateway, and nothing else.
+    let exports = fleet.export_ledgers()?;
+    let report = reconcile(&exports, 30_000_000);
+    let entries: Vec<_> = exports.into_iter().flat_map(|e| e.entries).collect();
+    let mut billed = check::billed(&lines, &entries);
+    let bad = report.findings.iter().filter(|f| !matches!(f, Finding::Over { .. }));
+    billed.broken.extend(bad.map(ToString::to_string));
     match codes.iter().all(|c| *c == Some(0)) {
-        true => Ok(check::check(&lines, &fleet.classes, &fleet.issuer.granted)),
+        true => {
+            let mut verdict = check::check(&lines, &fleet.classes, &fleet.issuer.granted);
+            verdict.rules.push(billed);
+            Ok(verdict)
+        }
         false => Err(format!("gateways ended with {codes:?}")),
     }
 }
--- a/crates/elderpick/src/entitle.rs
+++ b/crates/elderpick/src/entitle.rs
@@ -123,7 +123,7 @@
     },
 }
 
-fn duration(text: &str) -> Result<i64, String> {
+pub fn duration(text: &str) -> Result<i64, String> {
     let span: jiff::SignedDuration = text.parse().map_err(|why: jiff::Error| why.to_string())?;
     i64::try_from(span.as_micros()).map_err(|why| why.to_string())
 }
@@ -292,7 +292,7 @@
     let live = config.control.as_ref().map(|path| {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(|why| format!("no runtime: {why}"))?;
-        runtime.block_on(control::ask(path, "/seats"))
+        runtime.block_on(control::ask(path, "/seats", None)).map_err(|why| why.to_string())
     });
     let shown = match live {
         Some(Ok(shown)) => shown,
--- a/crates/elderpick/src/main.rs
+++ b/crates/elderpick/src/main.rs
@@ -1,6 +1,7 @@
 //! The operators' program.
 
 mod entitle;
+mod ledger;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -38,6 +39,9 @@
     /// Seats of licences: who has them, and whether a sheet is good.
     #[command(subcommand)]
     Seats(entitle::Seats),
+    /// Use, for billing: totals, periods, corrections, exports and their reconciliation.
+    #[command(subcommand)]
+    Ledger(ledger::Ledger),
 }
 
 #[derive(Subcommand)]
@@ -80,6 +84,7 @@
         Command::Token(command) => entitle::token(command),
         Command::Keys(command) => entitle::keys(command),
         Command::Seats(command) => entitle::seats(command),
+        Command::Ledger(command) => ledger::ledger(command),
         Command::Settings(Settings::Schema) => {
             print!("{}", elderpick_gateway::config::SCHEMA);
             Ok(())
