--- a/crates/elderpick-gateway/src/ledger.rs
+++ b/crates/elderpick-gateway/src/ledger.rs
@@ -50,7 +50,18 @@
         let mut text = Vec::new();
         match File::open(&path) {
             Ok(mut file) => drop(file.read_to_end(&mut text).map_err(told(&path))?),
-            Err(why) if why.kind() == std::io::ErrorKind::NotFound => return Ok((number, length, link)),
+            Err(why) if why.kind() == std::io::ErrorKind::NotFound => {
+                // One that is missing before others must not pass for the end.
+                let later = std::fs::read_dir(folder)
+                    .into_iter()
+                    .flatten()
+                    .flatten()
+                    .filter_map(|f| f.file_name().to_str()?.strip_suffix(".jsonl")?.parse::<u64>().ok());
+                return match later.filter(|&later| later > number + 1).min() {
+                    Some(later) => Err(format!("{}: missing, and segment {later} is there", path.display())),
+                    None => Ok((number, length, link)),
+                };
+            }
             Err(why) => return Err(told(&path)(why)),
         }
         let (next, good, end) = chain::read(&text, &link, |record: Record| take(&record));
@@ -172,7 +183,7 @@
     }
 
     /// Keeps records and then counts them.
-    fn take(&mut self, records: &[Record]) -> Result<(), String> {
+    pub fn take(&mut self, records: &[Record]) -> Result<(), String> {
         self.segments.append(records).map_err(told(&self.segments.folder))?;
         records.iter().for_each(|record| self.book.apply(record, &mut |_| ()));
         Ok(())
@@ -200,6 +211,10 @@
         let files = export::write(&self.gateway, number, &before.unwrap_or_default(), &entries)?;
         let name = export::name(&self.gateway, number);
         std::fs::create_dir_all(to).map_err(told(to))?;
+        let manifest = to.join(format!("{name}.manifest.json"));
+        if std::fs::read(&manifest).is_ok_and(|there| there != files.manifest) {
+            return Err(format!("{}: another export of this number is there", manifest.display()));
+        }
         // The manifest last: where it stands, all of the export does.
         for (ending, bytes) in
             [("jsonl", &files.jsonl), ("csv", &files.csv), ("manifest.json", &files.manifest)]
@@ -208,9 +223,6 @@
             if std::fs::read(&path).is_ok_and(|there| there == *bytes) {
                 continue;
             }
-            if ending == "manifest.json" && path.exists() {
-                return Err(format!("{}: another export of this number is there", path.display()));
-            }
             let new = to.join(format!(".{name}.{ending}.new"));
             let mut file = File::create(&new).map_err(told(&new))?;
             file.write_all(bytes).and_then(|()| file.sync_all()).map_err(told(&new))?;
--- a/crates/elderpick-lab/src/fleet.rs
+++ b/crates/elderpick-lab/src/fleet.rs
@@ -206,6 +206,13 @@
         elderpick_gateway::control::ask(&path, what, command).await.map_err(|why| why.to_string())
     }
 
+    /// Has a gateway that runs export its ledger.
+    pub async fn export_ledger(&self, k: usize) -> Result<(), String> {
+        let command = elderpick_gateway::ledger::Command::Export { to: self.path("exports") };
+        let command = serde_json::to_string(&command).map_err(|why| why.to_string())?;
+        self.ask(k, "/ledger", Some(command)).await.map(|_| ())
+    }
+
     /// Exports the ledgers of all gateways, which have ended, and reads the exports.
     pub fn export_ledgers(&self) -> Result<Vec<elderpick_ledger::export::Export>, String> {
         use elderpick_gateway::ledger::{Command, Ledger, exports};
@@ -215,8 +222,12 @@
             let settings = config.ledger.as_ref().ok_or("no ledger")?;
             let mut ledger = Ledger::open(&config.name, settings)?;
             ledger.begin()?;
-            if ledger.run(Command::Show)?["entries"] != 0 {
-                ledger.run(Command::Export { to: to.clone() })?;
+            // Once for what was not handed over, once for the rest.
+            for _ in 0..2 {
+                match ledger.run(Command::Export { to: to.clone() }) {
+                    Err(why) if why.contains("nothing new") => break,
+                    done => drop(done?),
+                }
             }
         }
         if to.exists() { exports(&[to]) } else { Ok(Vec::new()) }
--- a/crates/elderpick-lab/src/main.rs
+++ b/crates/elderpick-lab/src/main.rs
@@ -256,7 +256,18 @@
     for event in script.events.clone() {
         tokio::task::spawn_local(script::play(fleet.clone(), event));
     }
+    // An office that fetches the ledgers while all goes on, also from gateways that are just being killed.
+    let office = fleet.clone();
+    let office = tokio::task::spawn_local(async move {
+        loop {
+            tokio::time::sleep(Duration::from_secs(2)).await;
+            for k in 0..office.gateways.len() {
+                let _ = office.export_ledger(k).await;
+            }
+        }
+    });
     fleet.viewers(script.arrivals, Duration::from_micros(script.length as u64)).await;
+    office.abort();
     // What was asked last gets its answer.
     tokio::time::sleep(Duration::from_millis(3_500)).await;
     let lines = fleet.world.record.lines();
