--- a/crates/elderpick-lab/src/lib.rs
+++ b/crates/elderpick-lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fuzz;
 pub mod hosts;
 pub mod issuer;
+pub mod ledger_bench;
 pub mod measure;
 pub mod mutants;
 pub mod record;
--- a/crates/elderpick-lab/src/main.rs
+++ b/crates/elderpick-lab/src/main.rs
@@ -11,7 +11,7 @@
 use elderpick_lab::hosts::Model;
 use elderpick_lab::mutants::{ALL, Double, Mutant};
 use elderpick_lab::record::What;
-use elderpick_lab::{check, entitle_bench, fuzz, measure, script, seats, viewers};
+use elderpick_lab::{check, entitle_bench, fuzz, ledger_bench, measure, script, seats, viewers};
 use elderpick_ledger::reconcile::{Finding, reconcile};
 
 /// Stand-ins, drills and measurements for elderpick, all on loopback.
@@ -40,6 +40,11 @@
     Measure,
     /// Measure tokens, the count of seats, its log, and ways of sharing seats. Takes about half a minute.
     MeasureSeats,
+    /// Measure the ledger: writing, reading, exports, reconciliation, and what it adds to a reply.
+    MeasureLedger {
+        #[arg(long, default_value_t = 1_000_000)]
+        entries: u64,
+    },
     /// Feed a parser mutated inputs from a corpus.
     Fuzz {
         target: Target,
@@ -126,13 +131,14 @@
         (Command::Measure, Ok(runtime)) => {
             tokio::task::LocalSet::new().block_on(&runtime, async { measure::run(this_program()?).await })
         }
-        (Command::MeasureSeats, Ok(runtime)) => runtime.block_on(async {
-            let folder = std::env::temp_dir().join(format!("elderpick-measure-{}", std::process::id()));
-            std::fs::create_dir_all(&folder).map_err(|why| format!("{}: {why}", folder.display()))?;
-            let done = entitle_bench::run(&folder).await;
-            let _ = std::fs::remove_dir_all(&folder);
-            done
-        }),
+        (Command::MeasureSeats, Ok(runtime)) => {
+            runtime.block_on(in_folder(async |folder: &Path| entitle_bench::run(folder).await))
+        }
+        (Command::MeasureLedger { entries }, Ok(runtime)) => {
+            let measured =
+                in_folder(async |folder: &Path| ledger_bench::run(folder, entries, this_program()?).await);
+            tokio::task::LocalSet::new().block_on(&runtime, measured)
+        }
         (Command::Play { uri }, Ok(runtime)) => tokio::task::LocalSet::new().block_on(&runtime, play(&uri)),
         (Command::Drill(Drill::Mutants { seed }), Ok(runtime)) => {
             tokio::task::LocalSet::new().block_on(&runtime, mutants(seed))
@@ -176,6 +182,15 @@
     }
 }
 
+/// Does something with a folder that is gone afterwards.
+async fn in_folder(work: impl AsyncFnOnce(&Path) -> Result<(), String>) -> Result<(), String> {
+    let folder = std::env::temp_dir().join(format!("elderpick-measure-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).map_err(|why| format!("{}: {why}", folder.display()))?;
+    let done = work(&folder).await;
+    let _ = std::fs::remove_dir_all(&folder);
+    done
+}
+
 fn this_program() -> Result<PathBuf, String> {
     std::env::current_exe().map_err(|why| format!("this program cannot be found: {why}"))
 }
