--- a/crates/elderpick-entitle/src/desk.rs
+++ b/crates/elderpick-entitle/src/desk.rs
@@ -150,6 +150,16 @@
     held: Micros,
 }
 
+impl Lease {
+    /// Another token for it: an older one does not shorten what a newer one gave.
+    fn renew(&mut self, by_token: Micros, right: Micros, token: &str) {
+        self.by_token = self.by_token.max(by_token);
+        self.right = self.right.max(right);
+        self.until = self.right;
+        self.token = token.to_owned();
+    }
+}
+
 /// Counts since the start.
 #[derive(Clone, Copy, PartialEq, Eq, Default, Hash, Debug)]
 pub struct Counts {
@@ -499,15 +509,11 @@
             if other && devices == Devices::Refuse {
                 return Err(Denied::Device);
             }
-            // An older token does not shorten what a newer one gave.
             self.put(seat, |lease| {
                 if lease.found {
                     (lease.by_token, lease.right) = (by_token, right);
                 }
-                lease.by_token = lease.by_token.max(by_token);
-                lease.right = lease.right.max(right);
-                lease.until = lease.right;
-                lease.token = claims.id.clone();
+                lease.renew(by_token, right, &claims.id);
                 lease.device = device;
                 lease.pending += 1;
                 lease.found = false;
@@ -577,10 +583,7 @@
         }
         self.counts.renewed += 1;
         self.put(seat, |lease| {
-            lease.by_token = lease.by_token.max(by_token);
-            lease.right = lease.right.max(right);
-            lease.until = lease.right;
-            lease.token = claims.id.clone();
+            lease.renew(by_token, right, &claims.id);
         });
         Ok(())
     }
