A ledger keeps the calendar that it was cut by

Cause: a read-through found that another zone or length of period in the settings would fold old records into other entries: exported files and closed totals would change. Change: each epoch tells its calendar; a ledger of another one is not opened, and the message names what it must be. Result: the ledger's tests pass, with one more that changes either setting.

--- a/crates/elderpick-gateway/src/ledger.rs
+++ b/crates/elderpick-gateway/src/ledger.rs
@@ -144,6 +144,12 @@
         lock.try_lock().map_err(|_| format!("{}: another process has this ledger", folder.display()))?;
         let mut book = Book::new(Calendar::new(&settings.zone, settings.every, settings.lateness)?);
         let place = read(folder, gateway, |record| book.apply(record, &mut |_| ()))?;
+        if let Some(other) = book.other_calendar() {
+            let folder = folder.display();
+            return Err(format!(
+                "{folder}: ledger.zone, ledger.every: must stay {other}, or take another folder"
+            ));
+        }
         let files = Files { folder: folder.clone(), file: None };
         let segments = Segments::new(files, settings.segment as u64, place);
         Ok(Ledger { gateway: gateway.into(), book, folder: folder.clone(), segments, _lock: lock })
--- a/crates/elderpick-gateway/tests/ledger.rs
+++ b/crates/elderpick-gateway/tests/ledger.rs
@@ -221,3 +221,18 @@
     assert_eq!(sum("1970-01-01", "tenant-0"), Some(1_000_000), "a closed period's total stands");
     assert_eq!(sum("1970-01-02", "tenant-0"), Some(-1_000_000));
 }
+
+#[test]
+fn a_ledger_keeps_the_calendar_that_it_was_cut_by() {
+    let folder = Folder::new("calendar");
+    sessions(&mut open(&folder.at("l")), 0..3);
+    let others = [
+        config::Ledger { zone: "Asia/Kolkata".into(), ..settings(folder.at("l")) },
+        config::Ledger { every: Every::Month, ..settings(folder.at("l")) },
+    ];
+    for other in others {
+        let why = Ledger::open("g", &other).err().unwrap();
+        assert!(why.contains("must stay europe/dublin by day"), "{why}");
+    }
+    assert!(Ledger::open("g", &settings(folder.at("l"))).is_ok());
+}
--- a/crates/elderpick-ledger/src/book.rs
+++ b/crates/elderpick-ledger/src/book.rs
@@ -50,6 +50,9 @@
         epoch: u64,
         nonce: u64,
         at: Micros,
+        /// Name of the calendar that it cuts time by.
+        #[serde(default)]
+        calendar: String,
     },
     Begun {
         session: String,
@@ -245,6 +248,8 @@
 pub struct Book {
     calendar: Calendar,
     epoch: (u64, u64),
+    /// Name of the calendar that the last epoch told.
+    cut_by: String,
     open: BTreeMap<String, Open>,
     totals: BTreeMap<(String, String), Total>,
     entries: u64,
@@ -260,6 +265,7 @@
         Book {
             calendar,
             epoch: (0, 0),
+            cut_by: String::new(),
             open: BTreeMap::new(),
             totals: BTreeMap::new(),
             entries: 0,
@@ -272,7 +278,10 @@
     /// Takes a record in, and gives out the entries that come of it.
     pub fn apply(&mut self, record: &Record, out: &mut impl FnMut(Entry)) {
         match record {
-            Record::Epoch { epoch, nonce, .. } => self.epoch = (*epoch, *nonce),
+            Record::Epoch { epoch, nonce, calendar, .. } => {
+                self.epoch = (*epoch, *nonce);
+                self.cut_by.clone_from(calendar);
+            }
             Record::Begun { session, facts, rung } => {
                 let open = Open { facts: facts.clone(), rungs: vec![(0, *rung)], marked: 0 };
                 self.odd += u64::from(self.open.insert(session.clone(), open).is_some());
@@ -431,7 +440,8 @@
 
     /// What a process that begins has to tell: its epoch, and the end of what the one before left open.
     pub fn start(&self, nonce: u64, at: Micros) -> Vec<Record> {
-        let epoch = Record::Epoch { epoch: self.epoch.0 + 1, nonce, at };
+        let epoch =
+            Record::Epoch { epoch: self.epoch.0 + 1, nonce, at, calendar: self.calendar.name().into() };
         let killed = self.open.iter().map(|(session, open)| Record::Over {
             session: session.clone(),
             span: open.marked,
@@ -505,6 +515,12 @@
         self.epoch.0
     }
 
+    /// The calendar that the records were cut by, if it is another one than this book's: entries that were exported
+    /// and periods that were closed would not be what they were.
+    pub fn other_calendar(&self) -> Option<&str> {
+        Some(&*self.cut_by).filter(|name| !name.is_empty() && *name != self.calendar.name())
+    }
+
     /// Sessions that play, as far as is known.
     pub fn open(&self) -> usize {
         self.open.len()
--- a/crates/elderpick-ledger/src/calendar.rs
+++ b/crates/elderpick-ledger/src/calendar.rs
@@ -26,6 +26,7 @@
 
 #[derive(Clone, Debug)]
 pub struct Calendar {
+    name: String,
     zone: TimeZone,
     every: Every,
     /// Entries of a period are taken so long after its end.
@@ -38,8 +39,14 @@
 impl Calendar {
     /// `zone` is a name of the IANA database, as `Europe/Dublin`.
     pub fn new(zone: &str, every: Every, lateness: Micros) -> Result<Calendar, String> {
+        let name = format!("{zone} by {every:?}").to_lowercase();
         let zone = TimeZone::get(zone).map_err(|why| format!("{zone:?} is no time zone: {why}"))?;
-        Ok(Calendar { zone, every, lateness: lateness.max(0) })
+        Ok(Calendar { name, zone, every, lateness: lateness.max(0) })
+    }
+
+    /// What cuts time: the zone, and how long periods are.
+    pub fn name(&self) -> &str {
+        &self.name
     }
 
     /// The first moment of a day here. Where a day begins in a gap of the clock, the moment after the gap.
--- a/crates/elderpick-ledger/src/reconcile.rs
+++ b/crates/elderpick-ledger/src/reconcile.rs
@@ -336,7 +336,7 @@
         // A disk from before the third export: the gateway starts again from there.
         let mut old = Gateway { name: "a", book: a.book.clone(), entries: vec![], exports: vec![] };
         old.book = Book::new(Calendar::new("UTC", Every::Day, 0).unwrap());
-        old.take(&[Record::Epoch { epoch: 1, nonce: 99, at: START }]);
+        old.take(&[Record::Epoch { epoch: 1, nonce: 99, at: START, calendar: String::new() }]);
         old.session("eve", 0, S);
         old.export();
         let findings = reconcile(&[&all[1..], &old.exports].concat(), S).findings;
