A set-up waits until its host has said which process it is

It listened only to hosts that it had sent to, and the list was all that it knew of the others.

Now all hosts of the list are listened to from the start, each tells when its process began, and nothing is written to one whose events are not open: the set-up waits for the word, goes to no process but the one that it was decided on, and is told to the core as never run otherwise. The start that a host tells itself counts if it is newer than the list's; while no list is known it does not end the blind start.

The new socket case (two hosts back cold, list a minute late, 40 requests) fails on the code before and holds on this. policy.rs and the adapter did not change.

--- a/crates/elderpick-gateway/src/engine.rs
+++ b/crates/elderpick-gateway/src/engine.rs
@@ -122,6 +122,18 @@
     pub trace: Option<String>,
 }
 
+/// Whether a set-up that was decided may be written now.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Word {
+    Write,
+    /// It is to be heard first whether the process there is the one that was decided on.
+    Wait,
+    /// The list takes it out of service: the set-up never ran.
+    Withdrawn,
+    /// The process that was decided on is no more.
+    Lost,
+}
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub enum SetUp {
@@ -141,6 +153,10 @@
     Uplink(f64),
     /// It ended a session.
     Ended(Token),
+    /// When its process began, by its own clock.
+    Began(Micros),
+    /// It is not listened to at the moment, so that it is not known whether it is the same process.
+    Broke,
     /// It cannot be reached any more, or is another process: what it played is lost.
     Lost,
 }
@@ -334,7 +350,11 @@
     seats: HashMap<SeatId, RequestId>,
     lapsed: VecDeque<Token>,
     timers: BTreeSet<(Micros, Timer)>,
+    /// Servers that are listened to, and those of them that have not said yet which process they are.
     followed: BTreeSet<ServerId>,
+    deaf: BTreeSet<ServerId>,
+    /// How often each server was lost.
+    falls: BTreeMap<ServerId, u64>,
     next: u64,
     draining: bool,
     began: bool,
@@ -359,6 +379,8 @@
             lapsed: VecDeque::new(),
             timers: BTreeSet::new(),
             followed: BTreeSet::new(),
+            deaf: BTreeSet::new(),
+            falls: BTreeMap::new(),
             next: 0,
             draining: false,
             began: false,
@@ -383,6 +405,38 @@
         self.members.get(server).is_some_and(|s| self.core.may_write(s.entry.state))
     }
 
+    /// How often the server was lost so far; a set-up is decided on the process that runs until the next time.
+    pub fn falls(&self, server: &ServerId) -> u64 {
+        self.falls.get(server).copied().unwrap_or(0)
+    }
+
+    /// What is to become of a set-up that was decided when the server had been lost `falls` times. The list is late: a
+    /// server that came back cold passes for warm until it is told, so that each gateway hears it from the server
+    /// itself before it writes.
+    pub fn word(&self, server: &ServerId, falls: u64) -> Word {
+        if !self.may_write(server) {
+            Word::Withdrawn
+        } else if self.falls(server) != falls {
+            Word::Lost
+        } else if self.deaf.contains(server) {
+            Word::Wait
+        } else {
+            Word::Write
+        }
+    }
+
+    /// Whether all that is listened to has said which process it is.
+    pub fn hears_all(&self) -> bool {
+        self.deaf.is_empty()
+    }
+
+    fn follow(&mut self, server: &ServerId) {
+        if self.followed.insert(server.clone()) {
+            self.deaf.insert(server.clone());
+            self.out.push(Output::Follow { server: server.clone() });
+        }
+    }
+
     /// Takes what happened and appends what is to be done.
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
         if !self.began {
@@ -399,6 +453,10 @@
             Input::SetUp { id, attempt, result, report } => self.set_up(now, id, attempt, result, report),
             Input::Released { id } => self.released(now, id),
             Input::Probed { server, status, report } => {
+                // One that is back is listened to before it is given anything.
+                if status == Status::Ok && self.members.get(&server).is_some() {
+                    self.follow(&server);
+                }
                 self.tell(now, Event::Probed { server, status, report })
             }
             Input::Said { server, said } => self.said(now, server, said),
@@ -479,6 +537,10 @@
             tracing::warn!(server, "in the list but not in the inventory");
         }
         self.counts.unknown_servers = self.members.unknown_told;
+        let up = entries.iter().filter(|e| e.state == ServerState::Up).map(|e| e.server.clone());
+        for server in up.collect::<Vec<_>>() {
+            self.follow(&server);
+        }
         self.tell(now, Event::List { kind, entries });
     }
 
@@ -637,19 +699,18 @@
         self.counts.attempts += 1;
         self.counts.further += u64::from(attempt > 0);
         self.timers.insert((now + timeout.max(0), Timer::Attempt(id, attempt)));
-        if self.followed.insert(server.clone()) {
-            self.out.push(Output::Follow { server: server.clone() });
-        }
-        self.out.push(Output::SetUp {
+        let set_up = Output::SetUp {
             id,
             attempt,
-            server,
+            server: server.clone(),
             alias: session.alias,
             class: session.wanted.class,
             title: session.wanted.title.clone(),
             rung: session.rung,
             trace: session.wanted.trace.clone(),
-        });
+        };
+        self.follow(&server);
+        self.out.push(set_up);
     }
 
     fn set_up(&mut self, now: Micros, id: RequestId, attempt: usize, result: SetUp, report: Report) {
@@ -687,8 +748,8 @@
         self.timers.insert((now + self.config.limits.silence, Timer::Silence(id)));
         let server = session.server.clone();
         // A host that was lost while the attempt was out is listened to again.
-        if let Some(server) = server.clone().filter(|s| self.followed.insert(s.clone())) {
-            self.out.push(Output::Follow { server });
+        if let Some(server) = &server {
+            self.follow(server);
         }
         self.tell(now, Event::Playing { id, attempt });
         if let Some(server) = server.filter(|_| self.config.reporting == Reporting::Answers) {
@@ -821,7 +882,22 @@
                 }
                 return;
             }
+            Said::Broke => {
+                self.deaf.insert(server);
+                return;
+            }
+            Said::Began(at) => {
+                self.deaf.remove(&server);
+                // While the list is not known all servers pass for cold, and this must not end that.
+                let entry = self.members.began(&server, at.min(now));
+                if let Some(entry) = entry.filter(|_| self.members.heard()) {
+                    self.tell(now, Event::List { kind: ListKind::Changes, entries: vec![entry] });
+                }
+                return;
+            }
             Said::Lost => {
+                self.deaf.remove(&server);
+                *self.falls.entry(server.clone()).or_default() += 1;
                 let playing = |s: &Session| there(s) && !matches!(s.state, State::Placing);
                 let ids: Vec<_> =
                     self.sessions.iter().filter(|(_, s)| playing(s)).map(|(id, _)| *id).collect();
--- a/crates/elderpick-gateway/src/membership.rs
+++ b/crates/elderpick-gateway/src/membership.rs
@@ -11,6 +11,7 @@
 //! | named twice in one message | the last word counts, but a word that takes it out of service is never undone by it |
 //! | an older start than is known | the known one stands: a server must not pass for warm by old news |
 //! | no start told | the known one stands; none is invented |
+//! | the server itself tells a newer start than the list | the newer one counts, its state stays as the list says |
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -60,6 +61,14 @@
         self.heard
     }
 
+    /// A server says itself when its process began. Its entry, if that is news.
+    pub fn began(&mut self, server: &ServerId, at: Micros) -> Option<Entry> {
+        let entry = &mut self.servers.get_mut(server)?.entry;
+        let news = entry.started < Some(at);
+        entry.started = entry.started.max(Some(at));
+        news.then(|| entry.clone())
+    }
+
     /// Takes news of the list. Gives the entries that the core is to hear, and names that were never met before.
     pub fn list(&mut self, kind: ListKind, told: Vec<Told>) -> (Vec<Entry>, Vec<String>) {
         if kind == ListKind::Failed {
@@ -138,9 +147,15 @@
         m.list(ListKind::Changes, vec![told("a", Up, Some(20))]);
         m.list(ListKind::Changes, vec![told("a", Draining, None)]);
         assert_eq!(state(&m, "a"), (Draining, Some(50)));
+        // What the server says itself counts if it is newer, and says nothing of its state.
+        let a = ServerId("a".into());
+        assert!(m.began(&a, 40).is_none() && m.began(&ServerId("x".into()), 60).is_none());
+        assert_eq!(m.began(&a, 60).map(|e| (e.state, e.started)), Some((Draining, Some(60))));
+        m.list(ListKind::Changes, vec![told("a", Draining, Some(50))]);
+        assert_eq!(state(&m, "a"), (Draining, Some(60)));
         // A failed call changes nothing.
         assert!(m.list(ListKind::Failed, vec![told("a", Up, Some(90))]).0.is_empty());
-        assert_eq!(state(&m, "a"), (Draining, Some(50)));
+        assert_eq!(state(&m, "a"), (Draining, Some(60)));
     }
 
     #[test]
--- a/crates/elderpick-gateway/src/shell.rs
+++ b/crates/elderpick-gateway/src/shell.rs
@@ -16,7 +16,7 @@
 
 use crate::config::Config;
 use crate::door::Door;
-use crate::engine::{Answer, Ask, Decide, Engine, Input, Output, Said, SetUp, Token, Use};
+use crate::engine::{Answer, Ask, Decide, Engine, Input, Output, Said, SetUp, Token, Use, Word};
 use crate::entitle::{self, Seats};
 use crate::host::{self, Events, Lost, Pool};
 use crate::ledger::Uses;
@@ -71,6 +71,8 @@
     following: RefCell<BTreeMap<ServerId, AbortHandle>>,
     list: RefCell<Option<AbortHandle>>,
     timer: Notify,
+    /// News of which process a host is.
+    heard: Notify,
     next_ask: Cell<Ask>,
     pub door: RefCell<Door>,
     pub seats: entitle::Cell,
@@ -118,10 +120,15 @@
     pub fn feed(self: &Rc<Self>, input: Input) {
         let (mut out, now) = (Vec::new(), self.now());
         let before = self.engine.borrow().next_timer();
+        let news =
+            matches!(input, Input::Said { said: Said::Began(_) | Said::Lost, .. } | Input::List { .. });
         self.engine.borrow_mut().handle(now, input, &mut out);
         for output in out {
             self.carry_out(output);
         }
+        if news {
+            self.heard.notify_waiters();
+        }
         if self.engine.borrow().next_timer() != before {
             self.timer.notify_one();
         }
@@ -164,9 +171,17 @@
                     .headers_mut()
                     .extend(trace.map(|t| (http::HeaderName::from_static("traceparent"), t)));
                 let shell = self.clone();
+                let falls = self.engine.borrow().falls(&server);
                 let task = spawn_local(async move {
-                    let still = || shell.engine.borrow().may_write(&server);
-                    let answer = shell.pool.call(to, request, still).await;
+                    let word = || shell.engine.borrow().word(&server, falls);
+                    while word() == Word::Wait {
+                        shell.heard.notified().await;
+                    }
+                    let answer = match word() {
+                        Word::Lost => Err(Lost::NotSent),
+                        Word::Withdrawn => Err(Lost::Withdrawn),
+                        _ => shell.pool.call(to, request, || word() == Word::Write).await,
+                    };
                     shell.attempts.borrow_mut().remove(&(id, attempt));
                     let (result, report) = match answer {
                         Ok(answer) => {
@@ -295,7 +310,12 @@
                 if let Ok(mut events) = Events::open(to, "/events", &gateway, connect).await {
                     while let Some(message) = events.next(mute).await {
                         match said(&message) {
-                            Some(Heard::Began(at)) => next = listening.began(at),
+                            Some(Heard::Began(at)) => {
+                                next = listening.began(at);
+                                if next != Next::Lost {
+                                    shell.feed(Input::Said { server: server.clone(), said: Said::Began(at) });
+                                }
+                            }
                             Some(Heard::Said(said)) => {
                                 listening.heard();
                                 shell.feed(Input::Said { server: server.clone(), said });
@@ -311,7 +331,10 @@
                     next = listening.broke();
                 }
                 match next {
-                    Next::Open { after } => tokio::time::sleep(span(after)).await,
+                    Next::Open { after } => {
+                        shell.feed(Input::Said { server: server.clone(), said: Said::Broke });
+                        tokio::time::sleep(span(after)).await;
+                    }
                     Next::Listen => {}
                     Next::Lost => break,
                 }
@@ -462,6 +485,7 @@
         following: RefCell::default(),
         list: RefCell::default(),
         timer: Notify::new(),
+        heard: Notify::new(),
         next_ask: Cell::new(0),
         door: RefCell::new(Door::new(config.limits.connections, config.limits.per_address)),
         seats: RefCell::default(),
@@ -477,7 +501,8 @@
     spawn_local(tick(shell.clone()));
     // Without the list all servers pass for cold: who connects meanwhile waits in the listener's queue.
     let until = tokio::time::Instant::now() + span(config.list.wait);
-    while !shell.engine.borrow().members.heard() && tokio::time::Instant::now() < until {
+    let told = || shell.with_engine(|e| e.members.heard() && e.hears_all());
+    while !told() && tokio::time::Instant::now() < until {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     let accepting = spawn_local(front::accept(listener, shell.clone()));
--- a/crates/elderpick-gateway/tests/engine.rs
+++ b/crates/elderpick-gateway/tests/engine.rs
@@ -5,7 +5,9 @@
 use elderpick_core::Controller;
 use elderpick_core::api::{ListKind, Micros, Report, RequestId, ServerId, ServerState, Status};
 use elderpick_gateway::config::Config;
-use elderpick_gateway::engine::{Answer, Ask, Engine, Input, Output, Said, SetUp, Token, Viewer, Wanted};
+use elderpick_gateway::engine::{
+    Answer, Ask, Engine, Input, Output, Said, SetUp, Token, Viewer, Wanted, Word,
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -17,6 +19,7 @@
     {name: "exam", aim: "800ms", patience: "2s", effect: "paid", seats: 2},
 ]
 inventory: "FILE", list: address: "127.0.0.1:1", links: "600kB/s"
+cold: {warm_up: "10s", least: 0.1, multiple: 2, window: "1s"}
 budget: {free: 4, share: 0.3, window: "5s"}
 "#;
 const MANIFEST: &[u8] =
@@ -119,6 +122,44 @@
     assert!(sent(&out).is_some_and(|(_, _, to)| to != server));
 }
 
+#[test]
+fn nothing_is_written_to_a_server_before_it_has_said_which_process_it_is() {
+    let mut bed = Bed::new(8);
+    let (_, _, server) = sent(&bed.ask(1, 0, None)).unwrap();
+    let falls = bed.engine.falls(&server);
+    let said = |bed: &mut Bed, said| {
+        bed.feed(Input::Said { server: server.clone(), said });
+        bed.engine.word(&server, falls)
+    };
+    assert_eq!(bed.engine.word(&server, falls), Word::Wait);
+    assert_eq!(said(&mut bed, Said::Began(7)), Word::Write);
+    assert_eq!(said(&mut bed, Said::Broke), Word::Wait);
+    assert_eq!(said(&mut bed, Said::Began(7)), Word::Write);
+    // It is another process: what was decided on the old one never ran, whatever is heard afterwards.
+    assert_eq!((said(&mut bed, Said::Broke), said(&mut bed, Said::Lost)), (Word::Wait, Word::Lost));
+    assert_eq!(said(&mut bed, Said::Began(9)), Word::Lost);
+}
+
+#[test]
+fn a_server_that_says_that_it_just_began_takes_set_ups_at_the_cold_pace_though_the_list_is_late() {
+    let mut bed = Bed::new(9);
+    let all: Vec<_> = bed.engine.members.entries().into_iter().map(|e| e.server).collect();
+    assert!(
+        all.iter().all(|s| bed.engine.word(s, 0) == Word::Wait),
+        "all that the list names are listened to"
+    );
+    let sent_of = |bed: &mut Bed, first: u64| {
+        (first..first + 40).filter(|&ask| sent(&bed.ask(ask, 0, None)).is_some()).count()
+    };
+    let warm = sent_of(&mut bed, 100);
+    for server in &all {
+        let began = bed.now;
+        bed.feed(Input::Said { server: server.clone(), said: Said::Began(began) });
+    }
+    let cold = sent_of(&mut bed, 200);
+    assert!(warm > 4 * cold.max(1), "{warm} warm, {cold} cold");
+}
+
 #[test]
 fn a_seat_is_free_only_when_the_host_has_let_the_session_go() {
     let mut bed = Bed::new(3);
--- a/crates/elderpick-lab/src/main.rs
+++ b/crates/elderpick-lab/src/main.rs
@@ -295,7 +295,8 @@
     let exports = fleet.export_ledgers()?;
     let report = reconcile(&exports, 30_000_000);
     let entries: Vec<_> = exports.into_iter().flat_map(|e| e.entries).collect();
-    let mut billed = check::billed(&lines, &entries);
+    // What began after the last line that is judged otherwise is billed as well.
+    let mut billed = check::billed(&fleet.world.record.lines(), &entries);
     let bad = report.findings.iter().filter(|f| !matches!(f, Finding::Over { .. }));
     billed.broken.extend(bad.map(ToString::to_string));
     match codes.iter().all(|c| *c == Some(0)) {
--- a/crates/elderpick-lab/tests/hard_cases.rs
+++ b/crates/elderpick-lab/tests/hard_cases.rs
@@ -2,6 +2,7 @@
 //!
 //! Times are asked for only as bounds that the rules set: an answer comes before the viewer's time is up.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -11,7 +12,7 @@
 
 use elderpick_lab::fleet::Fleet;
 use elderpick_lab::hosts::Model;
-use elderpick_lab::record::What;
+use elderpick_lab::record::{Line, What};
 use elderpick_lab::viewers::{call, play};
 use http::Method;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -226,6 +227,30 @@
     });
 }
 
+#[test]
+fn a_host_that_came_back_cold_is_not_pushed_over_though_the_list_is_late() {
+    run(async {
+        let (fleet, to) = fleet(Model::default(), 2).await;
+        fleet.world.list.late.set(Duration::from_secs(60));
+        for host in &fleet.world.hosts {
+            fleet.world.crash(host, false);
+            fleet.world.restart(host).await;
+        }
+        let asked: Vec<_> = (0..40)
+            .map(|k| {
+                let path = format!("/watch/label-clip/carex-{k}/index.m3u8");
+                spawn_local(async move { ask(to, &path, &[]).await.0 })
+            })
+            .collect();
+        for code in asked {
+            assert!([200, 503].contains(&code.await.unwrap()));
+        }
+        let pushed = |l: &Line| matches!(l.what, What::Down { pushed: true, .. });
+        assert!(!fleet.world.record.lines().iter().any(pushed));
+        assert_eq!(fleet.world.running(), 2);
+    });
+}
+
 // ---- Scripted peers ----
 
 /// A gateway before hosts that are scripted byte by byte. The list service is gone from the start.
@@ -267,24 +292,48 @@
     Scripted { _child: child, to: line.strip_prefix("listening ").unwrap().parse().unwrap(), folder }
 }
 
-/// A peer that reads a request and then says these bytes; with `hold` it keeps the connection open after them.
-async fn peer(says: Vec<u8>, hold: bool) -> SocketAddr {
+const HELLO: &[u8] =
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nevent: hello\ndata: {\"started_us\":7}\n\n";
+
+/// A peer that reads a request and then says these bytes; with `hold` it keeps the connection open after them. To
+/// gateways that listen it tells which process it is, unless it is `deaf`. Set-ups that reached it are counted.
+async fn peer(says: Vec<u8>, hold: bool, deaf: bool) -> (SocketAddr, Rc<Cell<usize>>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
+    let (address, reached) = (listener.local_addr().unwrap(), Rc::new(Cell::new(0)));
+    let count = reached.clone();
     spawn_local(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
-            let says = says.clone();
+            let (says, count) = (says.clone(), count.clone());
             spawn_local(async move {
                 let mut got = vec![0; 4096];
-                let _ = stream.read(&mut got).await;
-                let _ = stream.write_all(&says).await;
-                if hold {
+                let read = stream.read(&mut got).await.unwrap_or(0);
+                count.set(count.get() + usize::from(got[..read].starts_with(b"POST")));
+                let listens = got[..read].starts_with(b"GET /events") && !deaf;
+                let _ = stream.write_all(if listens { HELLO } else { &says }).await;
+                if hold || listens {
                     std::future::pending::<()>().await;
                 }
             });
         }
     });
-    address
+    (address, reached)
+}
+
+#[test]
+fn a_host_that_does_not_say_which_process_it_is_gets_no_set_up() {
+    run(async {
+        for (name, says, hold) in
+            [("deaf", &b"HTTP/1.1 404 Not Found\r\n\r\n"[..], false), ("mute", b"", true)]
+        {
+            let (host, reached) = peer(says.to_vec(), hold, true).await;
+            let gateway = scripted(name, &[host], "").await;
+            for path in [WATCH, PAID] {
+                // It never ran: also a paid class may be refused, and is, in time.
+                assert!([503, 504].contains(&ask(gateway.to, path, &[]).await.0), "{name} {path}");
+            }
+            assert_eq!(reached.get(), 0, "{name}");
+        }
+    });
 }
 
 #[test]
@@ -309,7 +358,7 @@
             ("silent", Vec::new(), true),
         ];
         for (name, says, hold) in cases {
-            let host = peer(says, hold).await;
+            let (host, _) = peer(says, hold, false).await;
             for path in [WATCH, PAID] {
                 let gateway = scripted(name, &[host], "").await;
                 let (code, ..) = ask(gateway.to, path, &[]).await;
@@ -329,7 +378,12 @@
         spawn_local(async move {
             while let Ok((mut stream, _)) = listener.accept().await {
                 spawn_local(async move {
-                    let _ = stream.read(&mut vec![0; 4096]).await;
+                    let mut got = vec![0; 4096];
+                    let read = stream.read(&mut got).await.unwrap_or(0);
+                    if got[..read].starts_with(b"GET /events") {
+                        let _ = stream.write_all(HELLO).await;
+                        return std::future::pending::<()>().await;
+                    }
                     tokio::time::sleep(Duration::from_millis(2_100)).await;
                     let _ = stream.write_all(b"HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n").await;
                 });
