Ledger: starts from the newest segment, bounded disk, exports over HTTP, reconciling in pieces

Each segment now begins with what was known by then, chained like any record: a start reads the newest one, entries are looked up from the segment that has them, and segments whose entries were all handed over go when the folder passes `keep` (a record says so first). Exports are written entry by entry on a thread of their own, at most a million entries each, into a folder or to `http://` with Idempotency-Key and Content-Digest (RFC 9530); what answers mean is decided without I/O in `deliver`. Reconciliation reads exports piece by piece and puts sessions aside in heaps by who plays what; tenants may be renamed or split on the bill by a table. A session cut at a period's end now counts to its real end when a retry is looked for.

--- a/crates/elderpick-gateway/src/config.rs
+++ b/crates/elderpick-gateway/src/config.rs
@@ -150,6 +150,7 @@
     pub lateness: Micros,
     pub mark: Micros,
     pub segment: usize,
+    pub keep: usize,
     pub full: Full,
 }
 
--- a/crates/elderpick-gateway/src/ledger.rs
+++ b/crates/elderpick-gateway/src/ledger.rs
@@ -4,7 +4,8 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::fs::{File, OpenOptions};
-use std::io::Write;
+use std::io::{BufRead, BufReader, Write};
+use std::ops::ControlFlow;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, mpsc};
@@ -14,8 +15,7 @@
 use elderpick_ledger::Micros;
 use elderpick_ledger::book::{Book, Correction, Entry, Facts, Kind, Record};
 use elderpick_ledger::calendar::Calendar;
-use elderpick_ledger::segments::{self, Disk, Place, Segments};
-use elderpick_ledger::{chain, export};
+use elderpick_ledger::segments::{self, Disk, From, Place, Segments};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tokio::sync::oneshot;
@@ -23,6 +23,12 @@
 use crate::config;
 use crate::engine::{Token, Use};
 
+mod handover;
+mod office;
+
+use handover::Work;
+pub use office::{exports, reconcile};
+
 /// Segments as files, `00000001.jsonl` and on, in a folder.
 struct Files {
     folder: PathBuf,
@@ -73,26 +79,46 @@
         file.sync_all()
     }
 
+    fn remove(&mut self, segment: u64) -> std::io::Result<()> {
+        std::fs::remove_file(self.at(segment))
+    }
+
     fn read(&self, segment: u64) -> std::io::Result<Vec<u8>> {
-        match std::fs::read(self.at(segment)) {
-            Err(why) if why.kind() == std::io::ErrorKind::NotFound => {
-                Err(std::io::Error::other(format!("{segment:08}.jsonl: missing, and later ones are there")))
-            }
-            read => read,
-        }
+        std::fs::read(self.at(segment))
+    }
+
+    fn head(&self, segment: u64) -> std::io::Result<Vec<u8>> {
+        let mut line = Vec::new();
+        BufReader::new(File::open(self.at(segment))?).read_until(b'\n', &mut line)?;
+        Ok(line)
     }
 
-    fn last(&self) -> std::io::Result<u64> {
-        let names = std::fs::read_dir(&self.folder)?.flatten();
-        let numbers = names.filter_map(|f| f.file_name().to_str()?.strip_suffix(".jsonl")?.parse().ok());
-        Ok(numbers.max().unwrap_or(0))
+    fn segments(&self) -> std::io::Result<Vec<(u64, u64)>> {
+        let mut all = Vec::new();
+        for file in std::fs::read_dir(&self.folder)? {
+            let file = file?;
+            let name = file.file_name();
+            let number = name.to_str().and_then(|n| n.strip_suffix(".jsonl")?.parse().ok());
+            if let Some(number) = number {
+                // One that was let go meanwhile is not there any more.
+                all.extend(file.metadata().ok().map(|m| (number, m.len())));
+            }
+        }
+        all.sort_unstable();
+        Ok(all)
     }
 }
 
-/// Reads all records in order.
-fn read(folder: &Path, gateway: &str, take: impl FnMut(&Record)) -> Result<Place, String> {
+/// Reads records in order, from a place on and as long as they are wanted.
+fn read(
+    folder: &Path,
+    gateway: &str,
+    from: From,
+    mut take: impl FnMut(&Record) -> ControlFlow<()>,
+) -> Result<Place, String> {
     let files = Files { folder: folder.to_owned(), file: None };
-    segments::read(&files, gateway, take).map_err(|why| format!("{}: {why}", folder.display()))
+    let read = segments::read(&files, gateway, from, |record| take(record).is_continue());
+    read.map_err(|why| format!("{}: {why}", folder.display()))
 }
 
 /// What operators ask of a ledger.
@@ -104,13 +130,13 @@
     Close {
         period: String,
     },
-    /// Writes what is new into a folder, or what an export that was not handed over had.
+    /// Hands over what is new, to a folder or `http://` receiver, or what an export that was not handed over had.
     Export {
-        to: PathBuf,
+        to: String,
     },
-    /// Writes an export again: the same bytes.
+    /// Hands an export over again: the same bytes.
     Again {
-        to: PathBuf,
+        to: String,
         export: u64,
     },
     Correct {
@@ -128,6 +154,10 @@
     book: Book,
     folder: PathBuf,
     segments: Segments<Files>,
+    /// Bytes of records that are kept, about.
+    keep: u64,
+    /// The segment at whose beginning it was looked last whether old ones can go.
+    looked: u64,
     _lock: File,
 }
 
@@ -143,7 +173,10 @@
         let lock = File::create(folder.join("lock")).map_err(told(folder))?;
         lock.try_lock().map_err(|_| format!("{}: another process has this ledger", folder.display()))?;
         let mut book = Book::new(Calendar::new(&settings.zone, settings.every, settings.lateness)?);
-        let place = read(folder, gateway, |record| book.apply(record, &mut |_| ()))?;
+        let place = read(folder, gateway, From::Newest, |record| {
+            book.apply(record, &mut |_| ());
+            ControlFlow::Continue(())
+        })?;
         if let Some(other) = book.other_calendar() {
             let folder = folder.display();
             return Err(format!(
@@ -151,8 +184,10 @@
             ));
         }
         let files = Files { folder: folder.clone(), file: None };
-        let segments = Segments::new(files, settings.segment as u64, place);
-        Ok(Ledger { gateway: gateway.into(), book, folder: folder.clone(), segments, _lock: lock })
+        let segments = Segments::new(files, gateway, settings.segment as u64, place);
+        let keep = settings.keep as u64;
+        let (gateway, folder) = (gateway.into(), folder.clone());
+        Ok(Ledger { gateway, book, folder, segments, keep, looked: 0, _lock: lock })
     }
 
     /// Begins a new epoch: what the process before left open ends where it was marked last.
@@ -163,56 +198,118 @@
 
     /// Keeps records and then counts them.
     pub fn take(&mut self, records: &[Record]) -> Result<(), String> {
-        self.segments.append(records).map_err(told(&self.folder))?;
+        self.segments.append(self.book.state(), records).map_err(told(&self.folder))?;
         records.iter().for_each(|record| self.book.apply(record, &mut |_| ()));
         Ok(())
     }
 
-    /// Entries of these numbers, from the records.
-    fn entries(&self, first: u64, last: u64) -> Result<Vec<Entry>, String> {
-        let mut book = Book::new(self.book.calendar().clone());
-        let mut found = Vec::new();
-        read(&self.folder, &self.gateway, |record| {
-            book.apply(record, &mut |entry| {
-                if (first..=last).contains(&entry.number) {
-                    found.push(entry);
-                }
+    /// Lets go of old segments when the folder has more than is to be kept; looked at once a segment. Only what was
+    /// handed over goes.
+    pub fn tidy(&mut self) -> Result<(), String> {
+        if self.looked == self.segments.segment() {
+            return Ok(());
+        }
+        self.looked = self.segments.segment();
+        let there = self.segments.disk.segments().map_err(told(&self.folder))?;
+        let mut over = there.iter().map(|s| s.1).sum::<u64>().saturating_sub(self.keep);
+        if over > 0 {
+            // The first that may stay: all before it are over what is kept.
+            let stay = there.iter().find(|(_, bytes)| {
+                let stays = over == 0;
+                over = over.saturating_sub(*bytes);
+                stays
             });
+            let upto = stay.map_or(self.looked, |s| s.0);
+            let kept = self.book.state().kept_from();
+            let begins = segments::index(&self.segments.disk).map_err(told(&self.folder))?;
+            let begins: Vec<_> = begins.into_iter().filter(|(s, _)| *s > kept && *s <= upto).collect();
+            if let Some(record) = self.book.let_go(&begins) {
+                self.take(&[record])?;
+            }
+            if self.book.state().kept_from() < upto {
+                let waiting = self.book.waiting();
+                tracing::warn!(waiting, "the ledger is over `keep`, and its oldest entries are not exported");
+            }
+        }
+        self.segments.remove_before(self.book.state().kept_from()).map_err(told(&self.folder))
+    }
+
+    fn entry(&self, number: u64) -> Result<Entry, String> {
+        let mut found = None;
+        let of = (&*self.folder, &*self.gateway, self.book.calendar());
+        handover::entries(of, (number, number), |entry| {
+            found = Some(entry);
+            Ok(())
         })?;
-        Ok(found)
+        found.ok_or_else(|| "there is no such entry".into())
     }
 
-    fn write(&mut self, number: u64, to: &Path) -> Result<(String, String), String> {
+    fn work(&self, number: u64, to: &str) -> Result<Work, String> {
         let exports = self.book.exports();
-        let of = exports.iter().find(|e| e.number == number).ok_or("there is no such export")?;
+        let of = exports
+            .iter()
+            .find(|e| e.number == number)
+            .ok_or("there is no such export, or it is kept no more")?;
         let before = exports.iter().find(|e| e.number + 1 == number).and_then(|e| e.digest.clone());
-        let entries = self.entries(of.first, of.last)?;
-        let files = export::write(&self.gateway, number, &before.unwrap_or_default(), &entries)?;
-        let name = export::name(&self.gateway, number);
-        std::fs::create_dir_all(to).map_err(told(to))?;
-        let manifest = to.join(format!("{name}.manifest.json"));
-        if std::fs::read(&manifest).is_ok_and(|there| there != files.manifest) {
-            return Err(format!("{}: another export of this number is there", manifest.display()));
+        if number > 1 && before.is_none() {
+            return Err("what comes before this export is kept no more".into());
         }
-        // The manifest last: where it stands, all of the export does.
-        for (ending, bytes) in
-            [("jsonl", &files.jsonl), ("csv", &files.csv), ("manifest.json", &files.manifest)]
-        {
-            let path = to.join(format!("{name}.{ending}"));
-            if std::fs::read(&path).is_ok_and(|there| there == *bytes) {
-                continue;
+        Ok(Work {
+            folder: self.folder.clone(),
+            gateway: self.gateway.clone(),
+            calendar: self.book.calendar().clone(),
+            number,
+            first: of.first,
+            last: of.last,
+            before: before.unwrap_or_default(),
+            to: to.into(),
+        })
+    }
+
+    /// Begins what a command asks. What is worked out beside the records' thread comes back as work.
+    fn begin_command(&mut self, command: Command) -> Result<Begun, String> {
+        match command {
+            Command::Export { to } => {
+                let pending = self.book.exports().last().filter(|e| e.digest.is_none()).map(|e| e.number);
+                let number = match pending {
+                    Some(number) => number,
+                    None => {
+                        let record = self.book.prepare().map_err(|why| why.to_string())?;
+                        self.take(std::slice::from_ref(&record))?;
+                        self.book.exports().last().map_or(0, |e| e.number)
+                    }
+                };
+                Ok(Begun::Work(self.work(number, &to)?, true))
             }
-            let new = to.join(format!(".{name}.{ending}.new"));
-            let mut file = File::create(&new).map_err(told(&new))?;
-            file.write_all(bytes).and_then(|()| file.sync_all()).map_err(told(&new))?;
-            std::fs::rename(&new, &path).map_err(told(&path))?;
+            Command::Again { to, export } => Ok(Begun::Work(self.work(export, &to)?, false)),
+            other => self.quick(other).map(Begun::Done),
+        }
+    }
+
+    /// An export was handed over, for the first time or again.
+    fn handed(&mut self, number: u64, first: bool, done: (String, String)) -> Result<Value, String> {
+        let (name, digest) = done;
+        if first {
+            let record = self.book.hand(number, &digest).map_err(|why| why.to_string())?;
+            self.take(&record.into_iter().collect::<Vec<_>>())?;
         }
-        File::open(to).and_then(|folder| folder.sync_all()).map_err(told(to))?;
-        Ok((name, chain::digest(&files.manifest)))
+        let waiting = self.book.waiting();
+        Ok(json!({ "export": number, "name": name, "digest": digest, "waiting": waiting }))
     }
 
     /// Does what an operator asks.
     pub fn run(&mut self, command: Command) -> Result<Value, String> {
+        match self.begin_command(command)? {
+            Begun::Done(done) => Ok(done),
+            Begun::Work(work, first) => {
+                let number = work.number;
+                let done = work.run()?;
+                self.handed(number, first, done)
+            }
+        }
+    }
+
+    fn quick(&mut self, command: Command) -> Result<Value, String> {
         let refused = |why: elderpick_ledger::book::Refused| why.to_string();
         match command {
             Command::Show => {
@@ -225,7 +322,7 @@
                 });
                 Ok(
                     json!({ "gateway": self.gateway, "epoch": self.book.epoch(), "entries": self.book.entries(),
-                    "open": self.book.open(), "closed_us": self.book.closed(), "odd": self.book.odd,
+                    "open": self.book.open(), "closed_us": self.book.closed(), "odd": self.book.odd(),
                     "totals": totals.collect::<Vec<_>>(), "exports": exports.collect::<Vec<_>>() }),
                 )
             }
@@ -241,27 +338,8 @@
                 self.take(&[record])?;
                 Ok(json!({ "closed": of.name }))
             }
-            Command::Export { to } => {
-                let pending = self.book.exports().last().filter(|e| e.digest.is_none()).map(|e| e.number);
-                let number = match pending {
-                    Some(number) => number,
-                    None => {
-                        let record = self.book.prepare().map_err(refused)?;
-                        self.take(std::slice::from_ref(&record))?;
-                        self.book.exports().last().map_or(0, |e| e.number)
-                    }
-                };
-                let (name, digest) = self.write(number, &to)?;
-                let record = self.book.hand(number, &digest).map_err(refused)?;
-                self.take(&record.into_iter().collect::<Vec<_>>())?;
-                Ok(json!({ "export": number, "name": name, "digest": digest }))
-            }
-            Command::Again { to, export } => {
-                let (name, digest) = self.write(export, &to)?;
-                Ok(json!({ "export": export, "name": name, "digest": digest }))
-            }
             Command::Correct { entry, uses, at_rung, tenant, why } => {
-                let of = self.entries(entry, entry)?.pop().ok_or("there is no such entry")?;
+                let of = self.entry(entry)?;
                 let change = Correction {
                     of: entry,
                     period: of.period.clone(),
@@ -276,9 +354,10 @@
                 let record = self.book.correct(&of, change).map_err(refused)?;
                 self.take(&[record])?;
                 let number = self.book.entries();
-                let entry = self.entries(number, number)?.pop();
-                Ok(json!({ "entry": number, "kind": Kind::Correction, "period": entry.map(|e| e.period) }))
+                let period = self.entry(number)?.period;
+                Ok(json!({ "entry": number, "kind": Kind::Correction, "period": period }))
             }
+            Command::Export { .. } | Command::Again { .. } => Err("it takes its time".into()),
         }
     }
 }
@@ -288,11 +367,27 @@
 pub fn verify(gateway: &str, settings: &config::Ledger) -> Result<(u64, u64, u64), String> {
     let mut book = Book::new(Calendar::new(&settings.zone, settings.every, settings.lateness)?);
     let mut records = 0;
-    read(&settings.folder, gateway, |record| {
+    read(&settings.folder, gateway, From::Oldest, |record| {
         records += 1;
         book.apply(record, &mut |_| ());
+        ControlFlow::Continue(())
     })?;
-    Ok((records, book.entries(), book.odd))
+    Ok((records, book.entries(), book.odd()))
+}
+
+/// How a command began.
+enum Begun {
+    Done(Value),
+    /// An export that is to be handed over, for the first time or again.
+    Work(Work, bool),
+}
+
+/// An export that is on its way, on a thread of its own.
+struct Out {
+    number: u64,
+    first: bool,
+    thread: std::thread::JoinHandle<Result<(String, String), String>>,
+    answer: oneshot::Sender<Result<Value, String>>,
 }
 
 enum Job {
@@ -314,6 +409,8 @@
 /// Records that are held while the disk takes none.
 const MOST_HELD: usize = 100_000;
 const AGAIN: Duration = Duration::from_millis(500);
+/// While an export is on its way it is looked so often whether it is there.
+const WORKS: Duration = Duration::from_millis(20);
 
 impl Writer {
     /// Opens the ledger and begins to write it.
@@ -374,8 +471,14 @@
     let mut held: VecDeque<Record> = VecDeque::new();
     // Since when records are left out.
     let mut gap: Option<Micros> = None;
+    let mut out: Option<Out> = None;
     loop {
-        let job = match jobs.recv_timeout(if held.is_empty() { Duration::from_secs(3600) } else { AGAIN }) {
+        let wait = match (&out, held.is_empty()) {
+            (Some(_), _) => WORKS,
+            (None, true) => Duration::from_secs(3600),
+            (None, false) => AGAIN,
+        };
+        let job = match jobs.recv_timeout(wait) {
             Ok(job) => Some(job),
             Err(mpsc::RecvTimeoutError::Timeout) => None,
             Err(mpsc::RecvTimeoutError::Disconnected) => break,
@@ -419,35 +522,32 @@
             }
             Err(_) => {}
         }
-        if let Some((command, answer)) = asked {
-            let _ = answer.send(ledger.run(command));
+        if let Some(done) = out.take_if(|out| out.thread.is_finished()) {
+            let worked = done.thread.join().unwrap_or_else(|_| Err("the export's thread broke off".into()));
+            let told = worked.and_then(|worked| ledger.handed(done.number, done.first, worked));
+            let _ = done.answer.send(told);
         }
-    }
-    let _ = ledger.take(held.make_contiguous());
-}
-
-/// Reads exports from folders.
-pub fn exports(folders: &[PathBuf]) -> Result<Vec<export::Export>, String> {
-    let mut all = Vec::new();
-    for folder in folders {
-        let mut names: Vec<PathBuf> = std::fs::read_dir(folder)
-            .map_err(told(folder))?
-            .filter_map(|f| Some(f.ok()?.path()))
-            .filter(|p| p.to_string_lossy().ends_with(".manifest.json"))
-            .collect();
-        names.sort();
-        for manifest in names {
-            let stem = manifest.to_string_lossy().trim_end_matches(".manifest.json").to_owned();
-            let open = |path: &Path| std::fs::read(path).map_err(told(path));
-            let files = export::Files {
-                manifest: open(&manifest)?,
-                jsonl: open(Path::new(&format!("{stem}.jsonl")))?,
-                csv: open(Path::new(&format!("{stem}.csv")))?,
+        if let Some((command, answer)) = asked {
+            let exports = matches!(command, Command::Export { .. } | Command::Again { .. });
+            let begun = match exports && out.is_some() {
+                true => Err("another export is on its way".into()),
+                false => ledger.begin_command(command),
             };
-            all.push(export::read(&files).map_err(|why| format!("{stem}: {why}"))?);
+            match begun {
+                Ok(Begun::Work(work, first)) => {
+                    let number = work.number;
+                    let thread = std::thread::spawn(move || work.run());
+                    out = Some(Out { number, first, thread, answer });
+                }
+                Ok(Begun::Done(done)) => drop(answer.send(Ok(done))),
+                Err(why) => drop(answer.send(Err(why))),
+            }
+        }
+        if let Err(why) = ledger.tidy() {
+            tracing::warn!(%why, "old segments stay");
         }
     }
-    Ok(all)
+    let _ = ledger.take(held.make_contiguous());
 }
 
 /// The sessions that play, as the ledger is told of them.
--- a/crates/elderpick-gateway/src/schema.cue
+++ b/crates/elderpick-gateway/src/schema.cue
@@ -141,6 +141,8 @@
         // A kill loses at most so much of the use of a session that plays.
         mark:     duration & >="100ms" | *"5s"
         segment:  size & >="64KiB" | *"64MiB"
+        // Records of more bytes than this are let go, oldest first, once what they tell was exported.
+        keep:     size & >="1MiB" | *"20GiB"
         // While it cannot be kept, licensed classes go on and a gap is told, or they are refused.
         full:     *"go_on" | "refuse"
     }
--- a/crates/elderpick-lab/src/fleet.rs
+++ b/crates/elderpick-lab/src/fleet.rs
@@ -208,7 +208,12 @@
 
     /// Has a gateway that runs export its ledger.
     pub async fn export_ledger(&self, k: usize) -> Result<(), String> {
-        let command = elderpick_gateway::ledger::Command::Export { to: self.path("exports") };
+        self.export_ledger_to(k, self.path("exports").display().to_string()).await
+    }
+
+    /// The same to a folder or receiver.
+    pub async fn export_ledger_to(&self, k: usize, to: String) -> Result<(), String> {
+        let command = elderpick_gateway::ledger::Command::Export { to };
         let command = serde_json::to_string(&command).map_err(|why| why.to_string())?;
         self.ask(k, "/ledger", Some(command)).await.map(|_| ())
     }
@@ -224,7 +229,7 @@
             ledger.begin()?;
             // Once for what was not handed over, once for the rest.
             for _ in 0..2 {
-                match ledger.run(Command::Export { to: to.clone() }) {
+                match ledger.run(Command::Export { to: to.display().to_string() }) {
                     Err(why) if why.contains("nothing new") => break,
                     done => drop(done?),
                 }
--- a/crates/elderpick-lab/src/ledger_bench.rs
+++ b/crates/elderpick-lab/src/ledger_bench.rs
@@ -6,10 +6,10 @@
 use std::time::{Duration, Instant};
 
 use elderpick_gateway::config;
-use elderpick_gateway::ledger::{Command, Ledger, exports};
+use elderpick_gateway::ledger::{Command, Ledger, reconcile};
 use elderpick_ledger::book::{Facts, Outcome, Record};
 use elderpick_ledger::calendar::Every;
-use elderpick_ledger::reconcile::reconcile;
+use elderpick_ledger::reconcile::Renamed;
 use hdrhistogram::Histogram;
 use http::Method;
 
@@ -25,6 +25,7 @@
         lateness: 0,
         mark: 5_000_000,
         segment: 64 << 20,
+        keep: 1 << 40,
         full: config::Full::GoOn,
     }
 }
@@ -95,11 +96,14 @@
     for g in 0..4 {
         let name = format!("gateway-{g}");
         let mut ledger = Ledger::open(&name, &settings(folder.join(format!("ledger-{g}"))))?;
-        ledger.run(Command::Export { to: to.clone() })?;
+        while {
+            let done = ledger.run(Command::Export { to: to.display().to_string() })?;
+            done["waiting"].as_u64().is_some_and(|waiting| waiting > 0)
+        } {}
     }
     println!("  exported in {:.1} s", began.elapsed().as_secs_f64());
     let began = Instant::now();
-    let report = reconcile(&exports(&[to])?, 30_000_000);
+    let report = reconcile(&[to], 30_000_000, Renamed::default())?;
     println!("  reconciled in {:.1} s, {:.0} MB resident at most", began.elapsed().as_secs_f64(), resident());
     if report.entries < entries {
         return Err(format!("{} entries came back", report.entries));
--- a/crates/elderpick-lab/src/lib.rs
+++ b/crates/elderpick-lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ledger_bench;
 pub mod measure;
 pub mod mutants;
+pub mod receiver;
 pub mod record;
 pub mod script;
 pub mod seats;
--- a/crates/elderpick-ledger/src/chain.rs
+++ b/crates/elderpick-ledger/src/chain.rs
@@ -3,16 +3,16 @@
 //! A line that was removed, edited or moved shows, and all after it. A line without its end is a write that was not
 //! finished; it was never acknowledged.
 
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
 /// The hash of a chain up to a line: the first half of SHA-256, as hex.
-#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug)]
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug, Serialize, Deserialize)]
 pub struct Link(String);
 
-/// Longest line, in bytes.
-const MOST: usize = 64 << 10;
+/// Longest line, in bytes: that of a state with many tenants and sessions.
+const MOST: usize = 64 << 20;
 const HASH: usize = 32;
 
 impl Link {
@@ -42,9 +42,30 @@
     }
 }
 
+/// SHA-256 of a text that comes piece by piece.
+#[derive(Clone, Default)]
+pub struct Hash(Sha256);
+
+impl Hash {
+    pub fn take(&mut self, bytes: &[u8]) {
+        self.0.update(bytes);
+    }
+
+    pub fn bytes(self) -> [u8; 32] {
+        self.0.finalize().into()
+    }
+
+    /// As hex.
+    pub fn digest(self) -> String {
+        self.bytes().iter().map(|byte| format!("{byte:02x}")).collect()
+    }
+}
+
 /// SHA-256 of a text, as hex.
 pub fn digest(text: &[u8]) -> String {
-    Sha256::digest(text).iter().map(|byte| format!("{byte:02x}")).collect()
+    let mut hash = Hash::default();
+    hash.take(text);
+    hash.digest()
 }
 
 /// Appends a record to a text and gives the link after it.
--- a/crates/elderpick-ledger/src/lib.rs
+++ b/crates/elderpick-ledger/src/lib.rs
@@ -8,11 +8,13 @@
 //! - [`chain`] is the form of the records on disk: lines chained by hash.
 //! - [`segments`] says what is written when, on a disk that may fail at any time.
 //! - [`export`] writes what is handed over, the same bytes each time, and reads it again.
+//! - [`deliver`] says how an export is handed over to a receiver that answers, late or not at all.
 //! - [`reconcile`] works out the use of all gateways from their exports alone.
 
 pub mod book;
 pub mod calendar;
 pub mod chain;
+pub mod deliver;
 pub mod export;
 pub mod reconcile;
 pub mod segments;
--- a/crates/elderpick-ledger/src/reconcile.rs
+++ b/crates/elderpick-ledger/src/reconcile.rs
@@ -8,9 +8,12 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+use serde::{Deserialize, Serialize};
+
 use crate::Micros;
 use crate::book::{Entry, Kind, Total};
-use crate::export::Export;
+use crate::chain::Hash;
+use crate::export::{Export, Manifest};
 
 /// Something that is not as it must be.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug)]
@@ -81,126 +84,260 @@
     pub gateways: usize,
     pub exports: usize,
     pub entries: u64,
+    /// Findings that were counted and not told.
+    pub more: u64,
 }
 
-/// A use that may still go on: where it is, and until when.
-struct Going {
-    until: Micros,
-    gateway: usize,
+/// A session that may be the retry of another one, or have one itself: so much of it as is needed to see that.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug, Serialize, Deserialize)]
+pub struct Seen {
+    /// Tenant, licence, class, title, viewer.
+    pub who: [String; 5],
+    pub from: Micros,
+    pub span: Micros,
+    pub gateway: usize,
+    pub number: u64,
+    pub period: String,
+    /// Of a session that was cut at a period's end; only the first part may be a retry.
+    pub part: u32,
 }
 
-/// Takes exports in any order.
-pub fn reconcile(exports: &[Export], window: Micros) -> Report {
-    let mut report = Report { exports: exports.len(), ..Report::default() };
-    let mut of: BTreeMap<&str, BTreeMap<u64, &Export>> = BTreeMap::new();
-    for export in exports {
-        let (gateway, number) = (&*export.manifest.gateway, export.manifest.export);
-        let before = of.entry(gateway).or_default().insert(number, export);
-        if before.is_some_and(|before| before.digest != export.digest) {
-            report.findings.push(Finding::Twice { gateway: gateway.into(), export: number });
+impl Seen {
+    /// One of so many heaps, each of which may be looked at alone: all sessions that may belong together are in one.
+    pub fn heap(&self, of: usize) -> usize {
+        let mut hash = Hash::default();
+        for word in &self.who {
+            hash.take(&(word.len() as u64).to_le_bytes());
+            hash.take(word.as_bytes());
         }
+        let digits = hash.digest();
+        let number = u64::from_str_radix(&digits[..15], 16).unwrap_or(0);
+        (number % of.max(1) as u64) as usize
     }
-    report.gateways = of.len();
-    let mut sessions: Vec<(usize, &Entry)> = Vec::new();
-    for (k, (gateway, exports)) in of.iter().enumerate() {
-        series(gateway, exports, &mut report.findings);
-        for entry in exports.values().flat_map(|e| &e.entries) {
-            report.entries += 1;
-            let billed = report.billed.entry((entry.period.clone(), entry.tenant.clone())).or_default();
-            billed.total.add(entry);
-            billed.sessions = billed.sessions.saturating_add(entry.uses);
-            billed.uses = billed.uses.saturating_add(entry.uses);
-            if entry.kind == Kind::Use && entry.part == 0 && !entry.viewer.is_empty() {
-                sessions.push((k, entry));
+}
+
+/// Tenants that bear another name on the bill, all of them or by licence. Ledgers and their totals stay as they are.
+#[derive(Clone, PartialEq, Eq, Default, Debug)]
+pub struct Renamed(BTreeMap<(String, String), String>);
+
+impl Renamed {
+    /// Reads a table with the columns `tenant,licence,to`; an empty licence stands for all that have no row of their own.
+    pub fn read(table: &[u8]) -> Result<Renamed, String> {
+        let mut renamed = Renamed::default();
+        let mut reader = csv::Reader::from_reader(table);
+        let head = reader.headers().map_err(|why| why.to_string())?;
+        if head.iter().ne(["tenant", "licence", "to"]) {
+            return Err("line 1: must be tenant,licence,to".into());
+        }
+        for row in reader.records() {
+            let row = row.map_err(|why| why.to_string())?;
+            let line = row.position().map_or(0, csv::Position::line);
+            let word = |k: usize| row.get(k).unwrap_or_default().trim().to_owned();
+            if word(0).is_empty() || word(2).is_empty() {
+                return Err(format!("line {line}: tenant and to must not be empty"));
             }
+            if renamed.0.insert((word(0), word(1)), word(2)).is_some() {
+                return Err(format!("line {line}: {:?} with licence {:?} is there twice", word(0), word(1)));
+            }
+        }
+        Ok(renamed)
+    }
+
+    fn rename(&self, entry: &mut Entry) {
+        if self.0.is_empty() {
+            return;
+        }
+        let own = self.0.get(&(entry.tenant.clone(), entry.licence.clone()));
+        if let Some(to) = own.or_else(|| self.0.get(&(entry.tenant.clone(), String::new()))) {
+            entry.tenant.clone_from(to);
         }
     }
-    retries(&sessions, window, &mut report);
-    report.findings.sort();
-    report
 }
 
-/// Looks at the exports of one gateway as a row.
-fn series(gateway: &str, exports: &BTreeMap<u64, &Export>, findings: &mut Vec<Finding>) {
-    let name = || gateway.to_owned();
-    let mut next = 1;
-    let (mut digest, mut last) = ("", 0u64);
-    let mut epochs: BTreeMap<u64, u64> = BTreeMap::new();
-    let mut known = std::collections::BTreeSet::new();
-    for (&number, export) in exports {
-        let missing = next..number;
-        let whole = missing.is_empty();
-        findings.extend(missing.take(1000).map(|export| Finding::Missing { gateway: name(), export }));
-        if whole && export.manifest.before != digest {
-            findings.push(Finding::Broken { gateway: name(), export: number });
+/// Findings that are told; more are counted.
+const MOST_FINDINGS: usize = 10_000;
+
+/// The series of one gateway's exports, as far as it was taken.
+struct Series {
+    name: String,
+    number: u64,
+    digest: String,
+    last: u64,
+    /// Numbers of entries that some export had, as ranges.
+    known: Vec<(u64, u64)>,
+    epochs: BTreeMap<u64, u64>,
+}
+
+/// Takes exports one after the other and holds none of their entries. Gateways come one after the other, the exports of
+/// each by their numbers; see [`Reconciler::next`].
+pub struct Reconciler {
+    report: Report,
+    renamed: Renamed,
+    series: Option<Series>,
+    window: Micros,
+}
+
+impl Reconciler {
+    pub fn new(window: Micros, renamed: Renamed) -> Reconciler {
+        Reconciler { report: Report::default(), renamed, series: None, window }
+    }
+
+    fn find(&mut self, finding: Finding) {
+        let findings = &mut self.report.findings;
+        if findings.last() == Some(&finding) {
+        } else if findings.len() < MOST_FINDINGS {
+            findings.push(finding);
+        } else {
+            self.report.more += 1;
         }
-        if whole && export.manifest.first != last.saturating_add(1) || export.manifest.first <= last {
-            findings.push(Finding::Numbers { gateway: name(), export: number });
+    }
+
+    /// Begins the next export. Whether its entries are to be given; not those of one that came already.
+    ///
+    /// # Panics
+    ///
+    /// Where exports do not come in order of gateway and number.
+    pub fn next(&mut self, manifest: &Manifest, digest: &str) -> bool {
+        let name = || manifest.gateway.clone();
+        let (export, report) = (manifest.export, &mut self.report);
+        report.exports += 1;
+        let mut series = self.series.take();
+        if series.as_ref().is_none_or(|s| s.name != manifest.gateway) {
+            assert!(series.is_none_or(|s| s.name < manifest.gateway), "exports come in order");
+            let (known, epochs) = (Vec::new(), BTreeMap::new());
+            report.gateways += 1;
+            series = Some(Series { name: name(), number: 0, digest: String::new(), last: 0, known, epochs });
         }
-        (next, digest, last) = (number.saturating_add(1), &export.digest, export.manifest.last);
-        for entry in &export.entries {
-            known.insert(entry.number);
-            if *epochs.entry(entry.epoch).or_insert(entry.nonce) != entry.nonce {
-                findings.push(Finding::Epochs { gateway: name(), epoch: entry.epoch });
-            }
-            match entry.kind {
-                Kind::Gap => findings.push(Finding::Gap {
-                    gateway: name(),
-                    from: entry.from,
-                    span: entry.span,
-                    why: entry.why.clone(),
-                }),
-                Kind::Correction if !entry.corrects.is_some_and(|of| known.contains(&of)) => {
-                    findings.push(Finding::Orphan { gateway: name(), entry: entry.number });
-                }
-                _ => {}
+        let Some(mut s) = series else { return false };
+        assert!(s.number <= export, "exports come in order");
+        if s.number == export && s.number > 0 {
+            if s.digest != digest {
+                self.find(Finding::Twice { gateway: name(), export });
             }
+            self.series = Some(s);
+            return false;
         }
+        let missing = s.number + 1..export;
+        let whole = missing.is_empty();
+        missing.take(1000).for_each(|export| self.find(Finding::Missing { gateway: name(), export }));
+        if whole && manifest.before != s.digest {
+            self.find(Finding::Broken { gateway: name(), export });
+        }
+        if whole && manifest.first != s.last.saturating_add(1) || manifest.first <= s.last {
+            self.find(Finding::Numbers { gateway: name(), export });
+        }
+        (s.number, s.digest, s.last) = (export, digest.into(), manifest.last);
+        match s.known.last_mut() {
+            Some((_, last)) if last.saturating_add(1) == manifest.first => *last = manifest.last,
+            _ => s.known.push((manifest.first, manifest.last)),
+        }
+        self.series = Some(s);
+        true
     }
-    findings.dedup();
-}
 
-/// Counts sessions that go on from another as part of its use.
-fn retries(sessions: &[(usize, &Entry)], window: Micros, report: &mut Report) {
-    // The whole of a session, not its first part alone: the parts of it follow one another.
-    let mut by: BTreeMap<[&str; 5], Vec<(usize, &Entry)>> = BTreeMap::new();
-    for &(k, e) in sessions {
-        by.entry([&e.tenant, &e.licence, &e.class, &e.title, &e.viewer]).or_default().push((k, e));
+    /// Takes an entry of the export that was begun. A session that is to be looked at with others comes back.
+    pub fn entry(&mut self, mut entry: Entry) -> Option<Seen> {
+        self.renamed.rename(&mut entry);
+        self.report.entries += 1;
+        let key = (entry.period.clone(), entry.tenant.clone());
+        let billed = match self.report.billed.get_mut(&key) {
+            Some(billed) => billed,
+            None => self.report.billed.entry(key).or_default(),
+        };
+        billed.total.add(&entry);
+        billed.sessions = billed.sessions.saturating_add(entry.uses);
+        billed.uses = billed.uses.saturating_add(entry.uses);
+        let series = self.series.as_mut()?;
+        let gateway = series.name.clone();
+        let again = *series.epochs.entry(entry.epoch).or_insert(entry.nonce) != entry.nonce;
+        let number = entry.number;
+        // An entry can only correct what was made before it.
+        let known = |of: u64| of < number && series.known.iter().any(|(a, z)| (*a..=*z).contains(&of));
+        let orphan = entry.kind == Kind::Correction && !entry.corrects.is_some_and(known);
+        if again {
+            self.find(Finding::Epochs { gateway: gateway.clone(), epoch: entry.epoch });
+        }
+        if orphan {
+            self.find(Finding::Orphan { gateway: gateway.clone(), entry: number });
+        }
+        if entry.kind == Kind::Gap {
+            let (from, span, why) = (entry.from, entry.span, entry.why.clone());
+            self.find(Finding::Gap { gateway, from, span, why });
+        }
+        (entry.kind == Kind::Use && !entry.viewer.is_empty()).then_some(Seen {
+            who: [entry.tenant, entry.licence, entry.class, entry.title, entry.viewer],
+            from: entry.from,
+            span: entry.span,
+            gateway: self.report.gateways,
+            number,
+            period: entry.period,
+            part: entry.part,
+        })
     }
-    for ([tenant, _, _, title, viewer], mut of) in by {
-        of.sort_by_key(|(k, e)| (e.from, *k, e.number));
+
+    /// Looks at all sessions of one heap: those that go on from another one are part of its use.
+    pub fn heap(&mut self, mut heap: Vec<Seen>) {
+        heap.sort();
         let mut going: Option<Going> = None;
-        for (gateway, entry) in of {
-            let until = entry.from.saturating_add(entry.span);
+        let mut who: Option<[String; 5]> = None;
+        for seen in heap {
+            if who.as_ref() != Some(&seen.who) {
+                (who, going) = (Some(seen.who.clone()), None);
+            }
+            let until = seen.from.saturating_add(seen.span);
             match &mut going {
-                Some(g) if entry.from <= g.until.saturating_add(window) => {
-                    if let Some(billed) = report.billed.get_mut(&(entry.period.clone(), entry.tenant.clone()))
-                    {
+                Some(g) if seen.from <= g.until.saturating_add(self.window) => {
+                    let [tenant, _, _, title, viewer] = seen.who;
+                    let billed = self.report.billed.get_mut(&(seen.period, tenant.clone()));
+                    if let Some(billed) = billed.filter(|_| seen.part == 0) {
                         billed.uses = billed.uses.saturating_sub(1);
                     }
-                    let over = g.until.min(until).saturating_sub(entry.from);
-                    if over > 0 && g.gateway != gateway {
-                        report.findings.push(Finding::Over {
-                            tenant: tenant.into(),
-                            viewer: viewer.into(),
-                            title: title.into(),
-                            span: over,
-                        });
-                    }
+                    let span = g.until.min(until).saturating_sub(seen.from);
+                    let elsewhere = g.gateway != seen.gateway;
                     if until > g.until {
-                        *g = Going { until, gateway };
+                        *g = Going { until, gateway: seen.gateway };
+                    }
+                    if span > 0 && elsewhere {
+                        self.find(Finding::Over { tenant, viewer, title, span });
                     }
                 }
-                _ => going = Some(Going { until, gateway }),
+                _ => going = Some(Going { until, gateway: seen.gateway }),
             }
         }
     }
+
+    pub fn finish(mut self) -> Report {
+        self.report.findings.sort();
+        self.report.findings.dedup();
+        self.report
+    }
+}
+
+/// A use that may still go on: where it is, and until when.
+struct Going {
+    until: Micros,
+    gateway: usize,
+}
+
+/// Takes exports in any order, all in memory.
+pub fn reconcile(exports: &[Export], window: Micros) -> Report {
+    let mut sorted: Vec<&Export> = exports.iter().collect();
+    sorted.sort_by_key(|e| (&e.manifest.gateway, e.manifest.export, &e.digest));
+    let mut reconciler = Reconciler::new(window, Renamed::default());
+    let mut seen = Vec::new();
+    for export in sorted {
+        if reconciler.next(&export.manifest, &export.digest) {
+            seen.extend(export.entries.iter().filter_map(|e| reconciler.entry(e.clone())));
+        }
+    }
+    reconciler.heap(seen);
+    reconciler.finish()
 }
 
 impl Report {
     /// Whether anything is not as it must be.
     pub fn clean(&self) -> bool {
-        self.findings.is_empty()
+        self.findings.is_empty() && self.more == 0
     }
 
     /// A plain table, with a bar for the time.
@@ -219,7 +356,11 @@
         }
         out +=
             &format!("{} entries in {} exports of {} gateways\n", self.entries, self.exports, self.gateways);
-        self.findings.iter().fold(out, |out, finding| out + &format!("! {finding}\n"))
+        out = self.findings.iter().fold(out, |out, finding| out + &format!("! {finding}\n"));
+        if self.more > 0 {
+            out += &format!("! and {} more\n", self.more);
+        }
+        out
     }
 }
 
--- a/crates/elderpick/src/ledger.rs
+++ b/crates/elderpick/src/ledger.rs
@@ -6,7 +6,7 @@
 use elderpick_gateway::config::Config;
 use elderpick_gateway::control::{self, Asked};
 use elderpick_gateway::ledger::{self as store, Command, Ledger as Store};
-use elderpick_ledger::reconcile::reconcile;
+use elderpick_ledger::reconcile::Renamed;
 use serde_json::{Value, json};
 
 #[derive(Args)]
@@ -37,18 +37,19 @@
         #[command(flatten)]
         of: Of,
     },
-    /// Write what is new into a folder, numbered; what was not handed over before goes first, the same bytes.
+    /// Hand over what is new, numbered; what was not handed over before goes first, the same bytes.
     Export {
-        #[arg(long, value_name = "FOLDER")]
-        to: PathBuf,
+        /// A folder, or `http://ADDRESS:PORT/PATH` of a receiver.
+        #[arg(long, value_name = "WHERE")]
+        to: String,
         #[command(flatten)]
         of: Of,
     },
-    /// Write an export again, the same bytes.
+    /// Hand an export over again, the same bytes.
     Again {
         export: u64,
-        #[arg(long, value_name = "FOLDER")]
-        to: PathBuf,
+        #[arg(long, value_name = "WHERE")]
+        to: String,
         #[command(flatten)]
         of: Of,
     },
@@ -76,6 +77,9 @@
         /// A session that begins so long after another of the same viewer and title is a retry of it.
         #[arg(long, value_parser = crate::entitle::duration, default_value = "30s")]
         window: i64,
+        /// A table `tenant,licence,to` of tenants that bear another name on the bill.
+        #[arg(long, value_name = "FILE")]
+        renamed: Option<PathBuf>,
         /// Print CSV.
         #[arg(long)]
         csv: bool,
@@ -99,8 +103,13 @@
     Store::open(&config.name, settings)?.run(command)
 }
 
-fn absolute(path: &Path) -> Result<PathBuf, String> {
-    std::path::absolute(path).map_err(|why| format!("{}: {why}", path.display()))
+/// A folder's path from the root, for a gateway that runs elsewhere; a receiver's address as it is.
+fn place(to: &str) -> Result<String, String> {
+    if to.starts_with("http://") {
+        return Ok(to.into());
+    }
+    let path = std::path::absolute(Path::new(to)).map_err(|why| format!("{to}: {why}"))?;
+    path.into_os_string().into_string().map_err(|_| format!("{to}: the path must be UTF-8"))
 }
 
 fn print(of: &Of, done: &Value, text: impl FnOnce(&Value) -> String) {
@@ -125,14 +134,18 @@
             });
         }
         Ledger::Export { to, of } => {
-            let done = done(&of, Command::Export { to: absolute(&to)? })?;
-            print(&of, &done, |done| {
-                format!("export {}: {} in {}", done["export"], done["name"], to.display())
-            });
+            // One export has so many entries at most; there may be more.
+            loop {
+                let done = done(&of, Command::Export { to: place(&to)? })?;
+                print(&of, &done, |done| format!("export {}: {} in {to}", done["export"], done["name"]));
+                if done["waiting"].as_u64().unwrap_or(0) == 0 {
+                    break;
+                }
+            }
         }
         Ledger::Again { export, to, of } => {
-            let done = done(&of, Command::Again { to: absolute(&to)?, export })?;
-            print(&of, &done, |done| format!("export {export}: {} in {}", done["name"], to.display()));
+            let done = done(&of, Command::Again { to: place(&to)?, export })?;
+            print(&of, &done, |done| format!("export {export}: {} in {to}", done["name"]));
         }
         Ledger::Correct { entry, uses, at_rung, tenant, why, of } => {
             let done = done(&of, Command::Correct { entry, uses, at_rung, tenant, why })?;
@@ -140,8 +153,16 @@
                 format!("entry {} corrects {entry}, billed in {}", done["entry"], done["period"])
             });
         }
-        Ledger::Reconcile { folders, window, csv } => {
-            let report = reconcile(&store::exports(&folders)?, window);
+        Ledger::Reconcile { folders, window, renamed, csv } => {
+            let renamed = match &renamed {
+                None => Renamed::default(),
+                Some(file) => {
+                    let named = |why: String| format!("{}: {why}", file.display());
+                    let table = std::fs::read(file).map_err(|why| named(why.to_string()))?;
+                    Renamed::read(&table).map_err(named)?
+                }
+            };
+            let report = store::reconcile(&folders, window, renamed)?;
             if csv {
                 println!("period,tenant,sessions,uses,us");
                 for ((period, tenant), b) in &report.billed {
