Ledger: bytes delivered, one write for what comes within 50 ms, reconciling on all cores

Need: bytes were not in the entries, each set-up cost a sync of its own, and reconciliation ran on one core.

Media hosts may tell bytes in the answer to a session's end (CMSD-Dynamic `elderpick-bytes`) or with `ended`; the parts of a session that a period's end cuts add up to them. The ledger's thread waits `commit` (50 ms) after the first record, so that a burst goes with one write and sync; a kill loses no more than that. Gateways' exports are reconciled on up to four threads, heaps too, and merged.

Splitting of bytes is in the property test of parts.

--- a/crates/elderpick-gateway/src/config.rs
+++ b/crates/elderpick-gateway/src/config.rs
@@ -149,6 +149,7 @@
     pub every: elderpick_ledger::calendar::Every,
     pub lateness: Micros,
     pub mark: Micros,
+    pub commit: Micros,
     pub segment: usize,
     pub keep: usize,
     pub full: Full,
--- a/crates/elderpick-gateway/src/engine.rs
+++ b/crates/elderpick-gateway/src/engine.rs
@@ -103,6 +103,8 @@
         at: Micros,
         tries: u32,
         outcome: Outcome,
+        /// What its host says that it delivered.
+        bytes: Option<u64>,
     },
 }
 
@@ -151,8 +153,8 @@
     Delivered(f64),
     Link(f64),
     Uplink(f64),
-    /// It ended a session.
-    Ended(Token),
+    /// It ended a session, and delivered so many bytes if it tells.
+    Ended(Token, Option<u64>),
     /// When its process began, by its own clock.
     Began(Micros),
     /// It is not listened to at the moment, so that it is not known whether it is the same process.
@@ -187,6 +189,8 @@
     },
     Released {
         id: RequestId,
+        /// What its host says that it delivered.
+        bytes: Option<u64>,
     },
     Probed {
         server: ServerId,
@@ -321,6 +325,8 @@
     tries: u32,
     /// When its use ended and how, once it has.
     used: Option<(Micros, Outcome)>,
+    /// What its host says that it delivered.
+    bytes: Option<u64>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
@@ -451,7 +457,7 @@
             Input::Ask { ask, wanted, token, alias } => self.ask(now, ask, wanted, token, alias),
             Input::AskDropped { ask } => self.ask_dropped(now, ask),
             Input::SetUp { id, attempt, result, report } => self.set_up(now, id, attempt, result, report),
-            Input::Released { id } => self.released(now, id),
+            Input::Released { id, bytes } => self.released(now, id, bytes),
             Input::Probed { server, status, report } => {
                 // One that is back is listened to before it is given anything.
                 if status == Status::Ok && self.members.get(&server).is_some() {
@@ -612,6 +618,7 @@
             seen: now,
             tries: 1,
             used: None,
+            bytes: None,
         };
         self.sessions.insert(id, session);
         self.tokens.insert(token, id);
@@ -814,9 +821,10 @@
         self.out.push(Output::Release { id: Some(id), server, alias });
     }
 
-    fn released(&mut self, now: Micros, id: RequestId) {
-        let Some(session) = self.sessions.get(&id) else { return };
+    fn released(&mut self, now: Micros, id: RequestId, bytes: Option<u64>) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
         let State::Releasing(status) = session.state else { return };
+        session.bytes = bytes;
         self.ended(now, id, status);
     }
 
@@ -832,7 +840,8 @@
         let Some(session) = self.sessions.remove(&id) else { return };
         let playing = matches!(session.state, State::Playing(_)).then_some((self.now, Outcome::Cut));
         if let Some((at, outcome)) = session.used.or(playing) {
-            let over = Use::Over { session: session.alias, at, tries: session.tries, outcome };
+            let (tries, bytes) = (session.tries, session.bytes);
+            let over = Use::Over { session: session.alias, at, tries, outcome, bytes };
             self.out.push(Output::Use(over));
         }
         if let Some(Seated { seat, .. }) =
@@ -873,9 +882,12 @@
             Said::Delivered(share) => Note::Delivered(share),
             Said::Link(asked) => Note::LinkAsked(asked),
             Said::Uplink(asked) => Note::UplinkAsked(asked),
-            Said::Ended(alias) => {
+            Said::Ended(alias, bytes) => {
                 let id = self.aliases.get(&alias).copied();
                 let Some(id) = id.filter(|id| self.sessions.get(id).is_some_and(there)) else { return };
+                if let Some(session) = self.sessions.get_mut(&id) {
+                    session.bytes = bytes;
+                }
                 // While it is placed the attempt's own answer decides.
                 if matches!(self.sessions[&id].state, State::Playing(_)) {
                     self.ended(now, id, Status::Cancelled);
--- a/crates/elderpick-gateway/src/host.rs
+++ b/crates/elderpick-gateway/src/host.rs
@@ -160,26 +160,40 @@
     }
 }
 
-/// The load that an answer tells in CMSD-Dynamic (CTA-5006): the last member that has our keys.
-pub fn load(headers: &HeaderMap) -> Report {
-    let mut report = Report::default();
+/// Gives the numbers of CMSD-Dynamic (CTA-5006) by key to each of its members.
+fn told(headers: &HeaderMap, mut member: impl FnMut(&dyn Fn(&str) -> Option<f64>)) {
     for value in headers.get_all("cmsd-dynamic") {
         let Ok(list) = sfv::Parser::parse_list(value.as_bytes()) else { continue };
-        for member in list {
-            let sfv::ListEntry::Item(item) = member else { continue };
-            let number = |key: &str| {
+        for item in list {
+            let sfv::ListEntry::Item(item) = item else { continue };
+            member(&|key| {
                 let bare = item.params.get(key)?;
                 let decimal = bare.as_decimal().and_then(|d| d.to_string().parse::<f64>().ok());
                 decimal.or_else(|| bare.as_int().map(|i| i as f64)).filter(|n| *n >= 0.0)
-            };
-            report.link = number("elderpick-link").or(report.link);
-            report.uplink = number("elderpick-uplink").or(report.uplink);
-            report.streams = number("elderpick-streams").or(report.streams);
+            });
         }
     }
+}
+
+/// The load that an answer tells: the last member that has our keys.
+pub fn load(headers: &HeaderMap) -> Report {
+    let mut report = Report::default();
+    told(headers, |number| {
+        report.link = number("elderpick-link").or(report.link);
+        report.uplink = number("elderpick-uplink").or(report.uplink);
+        report.streams = number("elderpick-streams").or(report.streams);
+    });
     report
 }
 
+/// The bytes that a session got, as the answer to its end tells. Structured fields have integers up to 10^15, which a
+/// float holds exactly.
+pub fn delivered(headers: &HeaderMap) -> Option<u64> {
+    let mut bytes = None;
+    told(headers, |number| bytes = number("elderpick-bytes").or(bytes));
+    bytes.map(|b| b as u64)
+}
+
 /// One server-sent event.
 #[derive(Clone, PartialEq, Eq, Default, Debug)]
 pub struct Message {
--- a/crates/elderpick-gateway/src/ledger.rs
+++ b/crates/elderpick-gateway/src/ledger.rs
@@ -143,6 +143,8 @@
         entry: u64,
         uses: i64,
         at_rung: Vec<Micros>,
+        #[serde(default)]
+        bytes: i64,
         tenant: Option<String>,
         why: String,
     },
@@ -315,7 +317,7 @@
             Command::Show => {
                 let totals = self.book.totals().iter().map(|((period, tenant), total)| {
                     json!({ "period": period, "tenant": tenant, "entries": total.entries, "uses": total.uses,
-                        "us": total.time(), "at_rung_us": total.at_rung })
+                        "us": total.time(), "at_rung_us": total.at_rung, "bytes": total.bytes })
                 });
                 let exports = self.book.exports().iter().map(|e| {
                     json!({ "export": e.number, "first": e.first, "last": e.last, "handed": e.digest.is_some() })
@@ -338,7 +340,7 @@
                 self.take(&[record])?;
                 Ok(json!({ "closed": of.name }))
             }
-            Command::Correct { entry, uses, at_rung, tenant, why } => {
+            Command::Correct { entry, uses, at_rung, bytes, tenant, why } => {
                 let of = self.entry(entry)?;
                 let change = Correction {
                     of: entry,
@@ -348,6 +350,7 @@
                     class: of.class.clone(),
                     uses,
                     at_rung,
+                    bytes,
                     why,
                     at: now(),
                 };
@@ -418,11 +421,12 @@
         let mut ledger = Ledger::open(gateway, settings)?;
         ledger.begin()?;
         let (jobs, taken) = mpsc::sync_channel(MOST_WAITING);
+        let commit = crate::shell::span(settings.commit);
         let good = Arc::new(AtomicBool::new(true));
         let mut writer = Writer { jobs: Some(jobs), thread: None, good, left_out: Arc::default() };
         let (good, left_out) = (writer.good.clone(), writer.left_out.clone());
         let thread = std::thread::Builder::new().name("ledger".into());
-        let begun = thread.spawn(move || write(ledger, &taken, &good, &left_out));
+        let begun = thread.spawn(move || write(ledger, commit, &taken, &good, &left_out));
         writer.thread = Some(begun.map_err(|why| format!("no thread for the ledger: {why}"))?);
         Ok(writer)
     }
@@ -467,7 +471,13 @@
     }
 }
 
-fn write(mut ledger: Ledger, jobs: &mpsc::Receiver<Job>, good: &AtomicBool, left_out: &AtomicU64) {
+fn write(
+    mut ledger: Ledger,
+    commit: Duration,
+    jobs: &mpsc::Receiver<Job>,
+    good: &AtomicBool,
+    left_out: &AtomicU64,
+) {
     let mut held: VecDeque<Record> = VecDeque::new();
     // Since when records are left out.
     let mut gap: Option<Micros> = None;
@@ -483,6 +493,10 @@
             Err(mpsc::RecvTimeoutError::Timeout) => None,
             Err(mpsc::RecvTimeoutError::Disconnected) => break,
         };
+        if matches!(job, Some(Job::Records(_))) && out.is_none() {
+            // Its sender waits for nothing: what comes within a moment goes with the same write.
+            std::thread::sleep(commit);
+        }
         let mut asked = None;
         // All that came meanwhile goes with one write.
         for job in job.into_iter().chain(std::iter::from_fn(|| jobs.try_recv().ok())) {
@@ -584,9 +598,15 @@
                 let Some(began) = self.open.get(&session) else { return };
                 Record::Rung { session: session.to_string(), at: t.mono - began, rung }
             }
-            Use::Over { session, at, tries, outcome } => {
+            Use::Over { session, at, tries, outcome, bytes } => {
                 let Some(began) = self.open.remove(&session) else { return };
-                Record::Over { session: session.to_string(), span: (at - began).max(0), tries, outcome }
+                Record::Over {
+                    session: session.to_string(),
+                    span: (at - began).max(0),
+                    tries,
+                    outcome,
+                    bytes,
+                }
             }
         };
         self.writer.give(vec![record]);
--- a/crates/elderpick-gateway/src/ledger/office.rs
+++ b/crates/elderpick-gateway/src/ledger/office.rs
@@ -3,6 +3,7 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, BufWriter, Read, Write};
 use std::path::{Path, PathBuf};
+use std::sync::Mutex;
 
 use elderpick_ledger::Micros;
 use elderpick_ledger::export::{self, Manifest, Reading};
@@ -78,55 +79,103 @@
     Ok(all)
 }
 
-/// Sessions that are held in memory at once, about: a heap has so many.
-const HEAP: u64 = 200_000;
-/// Heaps, each an open file.
-const MOST_HEAPS: u64 = 256;
+/// Sessions of one heap, about: so many are held in memory at once by each thread.
+const HEAP: u64 = 50_000;
+/// Heaps, of each of which every thread has an open file.
+const MOST_HEAPS: u64 = 128;
+const MOST_THREADS: usize = 4;
+
+/// Does work on several threads, each of which takes what is next until nothing is left.
+fn share<T: Send, W: Send>(
+    items: impl Iterator<Item = T> + Send,
+    workers: Vec<W>,
+    work: impl Fn(&mut W, T) -> Result<(), String> + Sync,
+) -> Result<Vec<W>, String> {
+    let items = Mutex::new(items.fuse());
+    let next = || items.lock().ok().and_then(|mut items| items.next());
+    let one = |mut worker: W| -> Result<W, String> {
+        while let Some(item) = next() {
+            work(&mut worker, item)?;
+        }
+        Ok(worker)
+    };
+    std::thread::scope(|scope| {
+        let threads: Vec<_> = workers.into_iter().map(|worker| scope.spawn(|| one(worker))).collect();
+        let joined = threads.into_iter().map(|t| t.join().map_err(|_| "a thread broke off".to_owned())?);
+        joined.collect()
+    })
+}
 
 /// Reconciles all exports in folders. Sessions that may belong together are put aside in files, by who plays what, in as
-/// many heaps as make each of them small; only one is looked at at a time.
+/// many heaps as make each of them small; each thread looks at one of them at a time.
 pub fn reconcile(folders: &[PathBuf], window: Micros, renamed: Renamed) -> Result<Report, String> {
     let all = lies(folders)?;
     let entries = all.iter().map(|l| l.manifest.last.saturating_sub(l.manifest.first)).sum::<u64>();
     let count = (entries / HEAP + 1).min(MOST_HEAPS) as usize;
-    let aside = Aside::new(count)?;
-    let mut heaps = aside.files.iter().map(|p| File::create(p).map(BufWriter::new).map_err(told(p)));
-    let mut heaps = heaps.by_ref().collect::<Result<Vec<_>, _>>()?;
-    let mut reconciler = Reconciler::new(window, renamed);
-    for one in &all {
-        if !reconciler.next(&one.manifest, &one.digest) {
-            continue;
+    let threads = std::thread::available_parallelism().map_or(1, |n| n.get()).min(MOST_THREADS);
+    let aside = Aside::new()?;
+    let mut whole = Reconciler::new(window, renamed);
+    let heaps = |thread: usize| -> Result<Vec<BufWriter<File>>, String> {
+        let path = |heap| aside.at(thread, heap);
+        (0..count)
+            .map(|heap| File::create(path(heap)).map(BufWriter::new).map_err(told(&path(heap))))
+            .collect()
+    };
+    let readers = (0..threads).map(|k| Ok((whole.part(k as u32), heaps(k)?)));
+    let readers = readers.collect::<Result<Vec<_>, String>>()?;
+    // A gateway's exports follow one another.
+    let gateways = all.chunk_by(|a, b| a.manifest.gateway == b.manifest.gateway);
+    let readers = share(gateways, readers, |(reconciler, heaps), exports| {
+        for one in exports {
+            if !reconciler.next(&one.manifest, &one.digest) {
+                continue;
+            }
+            one.read(|entry| {
+                let Some(seen) = reconciler.entry(entry) else { return Ok(()) };
+                let heap = &mut heaps[seen.heap(count)];
+                let kept = serde_json::to_writer(&mut *heap, &seen).map_err(std::io::Error::other);
+                kept.and_then(|()| heap.write_all(b"\n")).map_err(told(&aside.folder))
+            })?;
+        }
+        Ok(())
+    })?;
+    for (reconciler, heaps) in readers {
+        whole.merge(reconciler);
+        for heap in heaps {
+            heap.into_inner().map_err(|why| told(&aside.folder)(why.into_error()))?;
         }
-        one.read(|entry| {
-            let Some(seen) = reconciler.entry(entry) else { return Ok(()) };
-            let heap = seen.heap(count);
-            let kept = serde_json::to_writer(&mut heaps[heap], &seen).map_err(std::io::Error::other);
-            let kept = kept.and_then(|()| heaps[heap].write_all(b"\n"));
-            kept.map_err(told(&aside.files[heap]))
-        })?;
-    }
-    for (heap, path) in heaps.into_iter().zip(&aside.files) {
-        heap.into_inner().map_err(|why| told(path)(why.into_error()))?;
-        let lines = BufReader::new(File::open(path).map_err(told(path))?).split(b'\n');
-        let seen = lines.map(|line| serde_json::from_slice(&line?).map_err(std::io::Error::other));
-        reconciler.heap(seen.collect::<Result<Vec<Seen>, _>>().map_err(told(path))?);
-        let _ = std::fs::remove_file(path);
     }
-    Ok(reconciler.finish())
+    let lookers = (0..threads).map(|_| whole.part(0)).collect();
+    let lookers = share(0..count, lookers, |reconciler, heap| {
+        let mut seen: Vec<Seen> = Vec::new();
+        for path in (0..threads).map(|thread| aside.at(thread, heap)) {
+            for line in BufReader::new(File::open(&path).map_err(told(&path))?).split(b'\n') {
+                let one = line.and_then(|line| serde_json::from_slice(&line).map_err(std::io::Error::other));
+                seen.push(one.map_err(told(&path))?);
+            }
+            let _ = std::fs::remove_file(&path);
+        }
+        reconciler.heap(seen);
+        Ok(())
+    })?;
+    lookers.into_iter().for_each(|looker| whole.merge(looker));
+    Ok(whole.finish())
 }
 
-/// Files that are gone afterwards.
+/// A folder for what is put aside, gone afterwards.
 struct Aside {
     folder: PathBuf,
-    files: Vec<PathBuf>,
 }
 
 impl Aside {
-    fn new(count: usize) -> Result<Aside, String> {
+    fn new() -> Result<Aside, String> {
         let folder = std::env::temp_dir().join(format!("elderpick-{:016x}", rand::random::<u64>()));
         std::fs::create_dir(&folder).map_err(told(&folder))?;
-        let files = (0..count).map(|k| folder.join(k.to_string())).collect();
-        Ok(Aside { folder, files })
+        Ok(Aside { folder })
+    }
+
+    fn at(&self, thread: usize, heap: usize) -> PathBuf {
+        self.folder.join(format!("{thread}-{heap}"))
     }
 }
 
--- a/crates/elderpick-gateway/src/shell.rs
+++ b/crates/elderpick-gateway/src/shell.rs
@@ -280,12 +280,12 @@
         let Some((to, gateway)) = self.reach(&server) else { return };
         let (shell, within) = (self.clone(), self.limit(|c| c.limits.connect * 2));
         spawn_local(async move {
-            let mut told = false;
+            let (mut told, mut bytes) = (false, None);
             for _ in 0..2 {
                 let request = host::request(method.clone(), &path, to, &gateway, body.clone());
                 let answer = tokio::time::timeout(within, shell.pool.call(to, request, || true)).await;
-                told = matches!(answer, Ok(Ok(_)));
-                if told {
+                if let Ok(Ok(answer)) = answer {
+                    (told, bytes) = (true, host::delivered(answer.headers()));
                     break;
                 }
             }
@@ -293,7 +293,7 @@
                 tracing::info!(server = host::name(&server), %method, path, "the host was not told");
             }
             if let Some(id) = id {
-                shell.feed(Input::Released { id });
+                shell.feed(Input::Released { id, bytes });
             }
         });
     }
@@ -386,6 +386,7 @@
         share: Option<f64>,
         asked: Option<f64>,
         session: Option<String>,
+        bytes: Option<u64>,
         started_us: Option<i64>,
     }
     let data: Data = serde_json::from_str(&message.data).ok()?;
@@ -395,7 +396,7 @@
         "delivered" => Said::Delivered(sane(data.share?)?),
         "link" => Said::Link(sane(data.asked?)?),
         "uplink" => Said::Uplink(sane(data.asked?)?),
-        "ended" => Said::Ended(Token::parse(&data.session?)?),
+        "ended" => Said::Ended(Token::parse(&data.session?)?, data.bytes),
         _ => return None,
     }))
 }
--- a/crates/elderpick-gateway/tests/engine.rs
+++ b/crates/elderpick-gateway/tests/engine.rs
@@ -175,7 +175,7 @@
     let out = bed.feed(Input::Leave { token: held[0].1 });
     assert!(out.iter().any(|o| matches!(o, Output::Release { id: Some(id), .. } if *id == held[0].0)));
     assert!(refused(&bed.ask(11, 1, None)), "the host may hold it still");
-    bed.feed(Input::Released { id: held[0].0 });
+    bed.feed(Input::Released { id: held[0].0, bytes: None });
     assert!(sent(&bed.ask(12, 1, None)).is_some());
 }
 
@@ -318,7 +318,7 @@
                     let k = any(&mut rng, seen.releasing.len());
                     let id = *seen.releasing.iter().nth(k).unwrap();
                     seen.releasing.remove(&id);
-                    bed.feed(Input::Released { id })
+                    bed.feed(Input::Released { id, bytes: None })
                 }
                 8 => {
                     let server = ServerId(format!("box-{}", rng.random_range(0..4)).as_str().into());
@@ -365,7 +365,7 @@
         let out = bed.feed(Input::End);
         seen.take(bed.now, out);
         for id in std::mem::take(&mut seen.releasing) {
-            let out = bed.feed(Input::Released { id });
+            let out = bed.feed(Input::Released { id, bytes: None });
             seen.take(bed.now, out);
         }
         assert_eq!(bed.engine.sessions(), 0, "seed {seed}: nothing is leaked");
--- a/crates/elderpick-gateway/tests/ledger.rs
+++ b/crates/elderpick-gateway/tests/ledger.rs
@@ -35,6 +35,7 @@
         every: Every::Day,
         lateness: 0,
         mark: 1,
+        commit: 0,
         segment: 4096,
         keep: 1 << 40,
         full: config::Full::GoOn,
@@ -60,8 +61,13 @@
             started: k * 1_000_000,
         };
         let session = format!("{k:032x}");
-        let over =
-            Record::Over { session: session.clone(), span: 1_000_000, tries: 1, outcome: Outcome::Left };
+        let over = Record::Over {
+            session: session.clone(),
+            span: 1_000_000,
+            tries: 1,
+            outcome: Outcome::Left,
+            bytes: None,
+        };
         ledger.take(&[Record::Begun { session, facts, rung: 1 }, over]).unwrap();
     }
 }
@@ -210,8 +216,14 @@
     // It goes on after a restart, and what was let go says so.
     let mut ledger = Ledger::open("g", &few).unwrap();
     ledger.begin().unwrap();
-    let correct =
-        |entry| Command::Correct { entry, uses: -1, at_rung: vec![], tenant: None, why: "a test".into() };
+    let correct = |entry| Command::Correct {
+        entry,
+        uses: -1,
+        at_rung: vec![],
+        bytes: 0,
+        tenant: None,
+        why: "a test".into(),
+    };
     let why = ledger.run(correct(3)).unwrap_err();
     assert!(why.contains("entry 3 is not in the records that are kept"), "{why}");
     ledger.run(correct(219)).unwrap();
@@ -290,6 +302,7 @@
     let correct = |why: &str| Command::Correct {
         entry: 1,
         uses: -1,
+        bytes: 0,
         at_rung: vec![0, -1_000_000],
         tenant: None,
         why: why.into(),
--- a/crates/elderpick-lab/src/check.rs
+++ b/crates/elderpick-lab/src/check.rs
@@ -316,7 +316,7 @@
                 }
             }
             What::SetUpDone { how, .. } if matches!(how.as_str(), "plays" | "lost") => {}
-            What::SetUpDone { host, session, .. } | What::Over { host, session }
+            What::SetUpDone { host, session, .. } | What::Over { host, session, .. }
                 if held.get(session.as_str()).is_some_and(|(at, _)| at == host) =>
             {
                 held.remove(session.as_str());
@@ -401,7 +401,7 @@
                     broken.push(format!("{} holders of {licence} play, {most} seats granted", holders.len()));
                 }
             }
-            What::Over { host, session } if held.get(session.as_str()).is_some_and(|of| of.0 == host) => {
+            What::Over { host, session, .. } if held.get(session.as_str()).is_some_and(|of| of.0 == host) => {
                 held.remove(session.as_str());
             }
             What::Down { host, .. } => held.retain(|_, of| of.0 != host),
@@ -423,6 +423,7 @@
     let mut played: BTreeMap<&str, (&str, &str, i64, i64)> = BTreeMap::new();
     let mut answered: BTreeMap<&str, i64> = BTreeMap::new();
     let mut killed: Vec<(&str, i64)> = Vec::new();
+    let mut delivered: BTreeMap<&str, i64> = BTreeMap::new();
     let mut set_up: BTreeMap<&str, (&str, &str, &str)> = BTreeMap::new();
     let end = lines.last().map_or(0, |l| l.at);
     for line in lines {
@@ -435,7 +436,10 @@
                     played.insert(session, (trace, gateway, line.at, end));
                 }
             }
-            What::Over { host, session } if set_up.get(session.as_str()).is_some_and(|of| of.0 == host) => {
+            What::Over { host, session, bytes }
+                if set_up.get(session.as_str()).is_some_and(|of| of.0 == host) =>
+            {
+                delivered.insert(session, *bytes as i64);
                 if let Some(of) = played.get_mut(session.as_str()) {
                     of.3 = of.3.min(line.at);
                 }
@@ -451,17 +455,23 @@
             _ => {}
         }
     }
-    let mut bills: BTreeMap<&str, (usize, i64)> = BTreeMap::new();
+    let mut bills: BTreeMap<&str, (usize, i64, Option<i64>)> = BTreeMap::new();
     for entry in entries.iter().filter(|e| e.kind == Kind::Use) {
         let bill = bills.entry(&entry.session).or_default();
         bill.0 += usize::from(entry.part == 0);
         bill.1 += entry.span;
+        bill.2 = bill.2.into_iter().chain(entry.bytes).reduce(|a, b| a + b);
     }
-    let (mut sum, mut sum_billed) = (0, 0);
+    let (mut sum, mut sum_billed, mut sum_bytes) = (0, 0, 0);
     for (session, (trace, gateway, from, until)) in &played {
         let kill = killed.iter().find(|(name, at)| name == gateway && at >= from && at - SEEN <= *until);
         match bills.get(session) {
-            Some((1, span)) => {
+            Some((1, span, bytes)) => {
+                sum_bytes += bytes.unwrap_or(0);
+                // What no host told, since it was lost, is billed without bytes.
+                if let Some(told) = delivered.get(session).filter(|told| bytes.is_some_and(|b| b != **told)) {
+                    broken.push(format!("{gateway}: {session} is billed {bytes:?} bytes and got {told}"));
+                }
                 (sum, sum_billed) = (sum + until - from, sum_billed + span);
                 let most = until - from + MUTE + SEEN;
                 // What a killed gateway did not mark is lost, and no more than that.
@@ -471,7 +481,7 @@
                     broken.push(format!("{gateway}: {session} is billed {ms} ms and was held {held} ms"));
                 }
             }
-            Some((n, _)) => broken.push(format!("{gateway}: {session} is billed {n} times")),
+            Some((n, ..)) => broken.push(format!("{gateway}: {session} is billed {n} times")),
             // Its viewer was never told, or the gateway was killed before it could write.
             None if !answered.contains_key(trace) => {}
             None if kill.is_some_and(|(_, at)| at - from < 2 * SEEN) => {}
@@ -482,7 +492,8 @@
         broken.push(format!("{session} is billed and no host played it"));
     }
     let seconds = |us: i64| us / 1_000_000;
-    let margin = format!("{} s billed of {} s held at hosts", seconds(sum_billed), seconds(sum));
+    let (s, of, mb) = (seconds(sum_billed), seconds(sum), sum_bytes as f64 / 1e6);
+    let margin = format!("{s} s billed of {of} s held at hosts, {mb:.1} MB");
     Rule { number: 8, name: "use billed is use played", judged: played.len(), broken, margin }
 }
 
@@ -553,6 +564,10 @@
 
     /// One session of ten seconds at a host, and the entries of a ledger that tells of it so often and so long.
     fn judged(times: usize, span: i64, told: bool) -> usize {
+        judged_with(times, span, told, Some(500))
+    }
+
+    fn judged_with(times: usize, span: i64, told: bool, bytes: Option<u64>) -> usize {
         let line = |at: i64, what| Line { at: at * 1_000_000, what };
         let (host, session, trace) = ("h".to_owned(), "s".to_owned(), "00-t-1-01".to_owned());
         let mut lines = vec![
@@ -569,7 +584,7 @@
                 },
             ),
             line(1, What::SetUpDone { host: host.clone(), session: session.clone(), how: "plays".into() }),
-            line(11, What::Over { host, session }),
+            line(11, What::Over { host, session, bytes: 500 }),
         ];
         if told {
             lines.push(line(12, What::Replied { trace: "t".into(), code: 200 }));
@@ -590,6 +605,7 @@
                 span: span * 1_000_000,
                 tries: 1,
                 outcome: Outcome::Left,
+                bytes,
             };
             for record in [Record::Begun { session: "s".into(), facts, rung: 0 }, over] {
                 book.apply(&record, &mut |e| entries.push(e));
@@ -601,6 +617,7 @@
     #[test]
     fn use_that_is_not_billed_or_twice_or_too_long_is_seen() {
         assert_eq!((judged(1, 10, true), judged(1, 9, true), judged(0, 0, false)), (0, 0, 0));
+        assert_eq!((judged_with(1, 10, true, None), judged_with(1, 10, true, Some(499))), (0, 1));
         assert_eq!((judged(0, 0, true), judged(2, 10, true), judged(1, 14, true)), (1, 1, 1));
     }
 }
--- a/crates/elderpick-lab/src/hosts.rs
+++ b/crates/elderpick-lab/src/hosts.rs
@@ -127,6 +127,8 @@
     title: String,
     gateway: String,
     seen: i64,
+    /// Bytes of segments that went out.
+    sent: Rc<Cell<u64>>,
 }
 
 pub struct Host {
@@ -169,6 +171,7 @@
 pub enum Stream {
     Whole(Option<Bytes>),
     Paced {
+        sent: Rc<Cell<u64>>,
         left: usize,
         chunk: usize,
         pause: Duration,
@@ -191,7 +194,7 @@
             Stream::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
             Stream::Events(events) => events.poll_recv(context).map(|e| e.map(|b| Ok(Frame::data(b)))),
             Stream::Stuck => Poll::Pending,
-            Stream::Paced { left, chunk, pause, sleep } => {
+            Stream::Paced { sent, left, chunk, pause, sleep } => {
                 if *left == 0 {
                     return Poll::Ready(None);
                 }
@@ -202,6 +205,7 @@
                 sleep.as_mut().reset(next);
                 let size = (*left).min(*chunk);
                 *left -= size;
+                sent.set(sent.get() + size as u64);
                 Poll::Ready(Some(Ok(Frame::data(Bytes::from(vec![0x47; size])))))
             }
         }
@@ -217,6 +221,7 @@
     reply
 }
 
+const CMSD: http::HeaderName = http::HeaderName::from_static("cmsd-dynamic");
 const PLAYLIST: &str = "application/vnd.apple.mpegurl";
 
 impl World {
@@ -363,7 +368,7 @@
             uplink * lies
         );
         let value = http::HeaderValue::from_str(&text).expect("plain text");
-        reply.headers_mut().insert("cmsd-dynamic", value);
+        reply.headers_mut().insert(CMSD, value);
         reply
     }
 
@@ -395,13 +400,16 @@
         match (request.method(), &parts[..]) {
             (&Method::POST, ["sessions"]) => self.set_up(host, gateway, request).await,
             (&Method::DELETE, ["sessions", session]) => {
-                let held = host.sessions.borrow_mut().remove(*session).is_some();
+                let held = host.sessions.borrow_mut().remove(*session);
                 host.over.borrow_mut().insert((*session).to_owned(), now());
-                if held {
-                    let (host, session) = (host.id.clone(), (*session).to_owned());
-                    self.record.add(What::Over { host, session });
+                let mut reply = self.with_load(&host, reply(StatusCode::OK, "text/plain", "over\n"));
+                if let Some(held) = held {
+                    let (host, session, bytes) = (host.id.clone(), (*session).to_owned(), held.sent.get());
+                    let value = http::HeaderValue::from_str(&format!("\"{host}\";elderpick-bytes={bytes}"));
+                    reply.headers_mut().extend(value.ok().map(|v| (CMSD, v)));
+                    self.record.add(What::Over { host, session, bytes });
                 }
-                Ok(self.with_load(&host, reply(StatusCode::OK, "text/plain", "over\n")))
+                Ok(reply)
             }
             (&Method::POST, ["sessions", session, "rung"]) => {
                 let session = (*session).to_owned();
@@ -433,10 +441,10 @@
                 Ok(reply)
             }
             (&Method::GET, ["s", session, rest @ ..]) => {
-                let title = match host.sessions.borrow_mut().get_mut(*session) {
+                let (title, sent) = match host.sessions.borrow_mut().get_mut(*session) {
                     Some(held) => {
                         held.seen = now();
-                        held.title.clone()
+                        (held.title.clone(), held.sent.clone())
                     }
                     None => return unknown(),
                 };
@@ -470,7 +478,7 @@
                         let pause = Duration::from_secs_f64(chunk as f64 / rate.max(1.0));
                         let mut reply = reply(StatusCode::OK, "video/mp2t", "");
                         let sleep = Box::pin(tokio::time::sleep(Duration::ZERO));
-                        *reply.body_mut() = Stream::Paced { left, chunk, pause, sleep };
+                        *reply.body_mut() = Stream::Paced { sent, left, chunk, pause, sleep };
                         Ok(reply)
                     }
                     _ => unknown(),
@@ -530,7 +538,7 @@
         }
         let rate = 0.9 + 0.2 * self.unit();
         let rung = rung.min(self.model.ladder.len() - 1);
-        let held = Session { rung, order: 0, rate, title, gateway, seen: now() };
+        let held = Session { rung, order: 0, rate, title, gateway, seen: now(), sent: Rc::default() };
         host.sessions.borrow_mut().insert(session.clone(), held);
         if self.unit() < trouble.loses_answers {
             done.how = "lost";
@@ -582,12 +590,14 @@
                     .map(|(name, _)| name.clone())
                     .collect();
                 for session in stale {
-                    host.sessions.borrow_mut().remove(&session);
-                    let ended = format!("event: ended\ndata: {{\"session\":\"{session}\"}}\n\n");
+                    let held = host.sessions.borrow_mut().remove(&session);
+                    let bytes = held.map_or(0, |held| held.sent.get());
+                    let ended =
+                        format!("event: ended\ndata: {{\"session\":\"{session}\",\"bytes\":{bytes}}}\n\n");
                     host.listeners
                         .borrow_mut()
                         .retain(|(_, to)| to.try_send(Bytes::from(ended.clone())).is_ok());
-                    self.record.add(What::Over { host: host.id.clone(), session });
+                    self.record.add(What::Over { host: host.id.clone(), session, bytes });
                 }
                 host.over.borrow_mut().retain(|_, at| *at > now() - 60_000_000);
                 let ((link, uplink), share, lies) =
--- a/crates/elderpick-lab/src/ledger_bench.rs
+++ b/crates/elderpick-lab/src/ledger_bench.rs
@@ -24,6 +24,7 @@
         every: Every::Month,
         lateness: 0,
         mark: 5_000_000,
+        commit: 0,
         segment: 64 << 20,
         keep: 1 << 40,
         full: config::Full::GoOn,
@@ -42,7 +43,13 @@
     };
     let session = format!("{k:032x}");
     let rung = Record::Rung { session: session.clone(), at: 20_000_000, rung: 2 };
-    let over = Record::Over { session: session.clone(), span: 60_000_000, tries: 1, outcome: Outcome::Left };
+    let over = Record::Over {
+        session: session.clone(),
+        span: 60_000_000,
+        tries: 1,
+        outcome: Outcome::Left,
+        bytes: Some(k * 1_000),
+    };
     [Record::Begun { session, facts, rung: 1 }, rung, over]
 }
 
--- a/crates/elderpick-lab/src/record.rs
+++ b/crates/elderpick-lab/src/record.rs
@@ -67,6 +67,9 @@
     Over {
         host: String,
         session: String,
+        /// Bytes of segments that went out.
+        #[serde(default)]
+        bytes: u64,
     },
     /// The host's process ended, by a trouble or since it was pushed over when cold.
     Down {
--- a/crates/elderpick-ledger/src/book.rs
+++ b/crates/elderpick-ledger/src/book.rs
@@ -74,6 +74,9 @@
         span: Micros,
         tries: u32,
         outcome: Outcome,
+        /// What its media host says that it delivered.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        bytes: Option<u64>,
     },
     /// Use that is not in the records, and why.
     Gap {
@@ -121,6 +124,8 @@
     pub class: String,
     pub uses: i64,
     pub at_rung: Vec<Micros>,
+    #[serde(default)]
+    pub bytes: i64,
     pub why: String,
     pub at: Micros,
 }
@@ -164,6 +169,9 @@
     pub span: Micros,
     /// Time at each rung from the lowest.
     pub at_rung: Vec<Micros>,
+    /// Bytes delivered, if the media host told; the parts of a session add up to them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub bytes: Option<i64>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub outcome: Option<Outcome>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -178,16 +186,27 @@
     pub entries: u64,
     pub uses: i64,
     pub at_rung: Vec<Micros>,
+    #[serde(default)]
+    pub bytes: i64,
 }
 
 impl Total {
     pub fn add(&mut self, entry: &Entry) {
-        self.entries += 1;
-        self.uses = self.uses.saturating_add(entry.uses);
-        if self.at_rung.len() < entry.at_rung.len() {
-            self.at_rung.resize(entry.at_rung.len(), 0);
+        self.sum(1, entry.uses, &entry.at_rung, entry.bytes.unwrap_or(0));
+    }
+
+    pub fn merge(&mut self, other: &Total) {
+        self.sum(other.entries, other.uses, &other.at_rung, other.bytes);
+    }
+
+    fn sum(&mut self, entries: u64, uses: i64, at_rung: &[Micros], bytes: i64) {
+        self.entries = self.entries.saturating_add(entries);
+        self.uses = self.uses.saturating_add(uses);
+        self.bytes = self.bytes.saturating_add(bytes);
+        if self.at_rung.len() < at_rung.len() {
+            self.at_rung.resize(at_rung.len(), 0);
         }
-        self.at_rung.iter_mut().zip(&entry.at_rung).for_each(|(sum, one)| *sum = sum.saturating_add(*one));
+        self.at_rung.iter_mut().zip(at_rung).for_each(|(sum, one)| *sum = sum.saturating_add(*one));
     }
 
     /// Time at all rungs.
@@ -374,8 +393,8 @@
                     }
                 }
             }
-            Record::Over { session, span, tries, outcome } => match self.state.open.remove(session) {
-                Some(open) => self.ended(session, &open, *span, *tries, *outcome, out),
+            Record::Over { session, span, tries, outcome, bytes } => match self.state.open.remove(session) {
+                Some(open) => self.ended(session, &open, *span, (*tries, *outcome, *bytes), out),
                 None => self.state.odd += 1,
             },
             Record::Gap { from, until, why } => {
@@ -405,6 +424,7 @@
                     uses: c.uses,
                     from: c.at,
                     at_rung: c.at_rung.clone(),
+                    bytes: (c.bytes != 0).then_some(c.bytes),
                     corrects: Some(c.of),
                     why: c.why.clone(),
                     ..self.blank(period, late_for)
@@ -462,6 +482,7 @@
             from: 0,
             span: 0,
             at_rung: Vec::new(),
+            bytes: None,
             outcome: None,
             corrects: None,
             why: String::new(),
@@ -480,8 +501,7 @@
         session: &str,
         open: &Open,
         span: Micros,
-        tries: u32,
-        outcome: Outcome,
+        (tries, outcome, bytes): (u32, Outcome, Option<u64>),
         out: &mut impl FnMut(Entry),
     ) {
         let facts = &open.facts;
@@ -490,6 +510,14 @@
         for (part, (_, from, long)) in parts.into_iter().enumerate() {
             let (period, late_for) = self.place(from);
             let begins = from.saturating_sub(facts.started);
+            // Delivered evenly, as far as is known; the last part takes what rounding leaves.
+            let upto = |at: Micros| {
+                let of = bytes.map(|b| i128::from(b).min(i128::from(i64::MAX)));
+                of.map(|b| if at >= span { b } else { b * i128::from(at.max(0)) / i128::from(span.max(1)) })
+            };
+            let ends = if part as u32 + 1 == count { span } else { begins.saturating_add(long) };
+            let begun = if part == 0 { Some(0) } else { upto(begins) };
+            let bytes = upto(ends).zip(begun).map(|(z, a)| (z - a) as i64);
             let entry = Entry {
                 tenant: facts.tenant.clone(),
                 licence: facts.licence.clone(),
@@ -504,6 +532,7 @@
                 from,
                 span: long,
                 at_rung: at_rungs(&open.rungs, begins, begins.saturating_add(long)),
+                bytes,
                 outcome: Some(outcome),
                 ..self.blank(period, late_for)
             };
@@ -527,6 +556,7 @@
             span: open.marked,
             tries: 1,
             outcome: Outcome::Killed,
+            bytes: None,
         });
         std::iter::once(epoch).chain(killed).collect()
     }
@@ -552,7 +582,7 @@
         {
             return Err(Refused::NoEntry);
         }
-        let nothing = change.uses == 0 && change.at_rung.iter().all(|&t| t == 0);
+        let nothing = change.uses == 0 && change.bytes == 0 && change.at_rung.iter().all(|&t| t == 0);
         if nothing || change.why.trim().is_empty() || change.at_rung.len() > MOST_RUNG {
             return Err(Refused::Empty);
         }
@@ -692,7 +722,7 @@
 
     fn session(name: &str, started: Micros, span: Micros) -> [Record; 2] {
         let begun = Record::Begun { session: name.into(), facts: facts(started), rung: 1 };
-        [begun, Record::Over { session: name.into(), span, tries: 1, outcome: Outcome::Left }]
+        [begun, Record::Over { session: name.into(), span, tries: 1, outcome: Outcome::Left, bytes: None }]
     }
 
     #[test]
@@ -732,6 +762,7 @@
             licence: of.licence.clone(),
             class: of.class.clone(),
             uses,
+            bytes: 0,
             at_rung: vec![0, time],
             why: "billed to the wrong course".into(),
             at: START + 2 * DAY,
@@ -796,7 +827,11 @@
             if closed > 0 {
                 all(&mut book, &[Record::Closed { until: START + closed * DAY }]);
             }
-            let [begun, over] = session("s", START + started, span);
+            let [begun, mut over] = session("s", START + started, span);
+            let told = span as u64 * 3 + 7;
+            if let Record::Over { bytes, .. } = &mut over {
+                *bytes = Some(told);
+            }
             let mut records = vec![begun];
             let mut changes = changes;
             changes.sort_unstable();
@@ -807,6 +842,8 @@
             prop_assert_eq!(entries.iter().map(|e| e.span).sum::<i64>(), span);
             prop_assert_eq!(entries.iter().flat_map(|e| &e.at_rung).sum::<i64>(), span);
             prop_assert_eq!(entries.iter().map(|e| e.uses).sum::<i64>(), 1);
+            prop_assert_eq!(entries.iter().filter_map(|e| e.bytes).sum::<i64>(), told as i64);
+            prop_assert!(entries.iter().all(|e| e.bytes.is_some_and(|b| b >= 0)));
             for entry in &entries {
                 prop_assert_eq!(entry.at_rung.iter().sum::<i64>(), entry.span);
                 prop_assert!(book.calendar().period(START + closed * DAY).name <= entry.period || closed == 0);
--- a/crates/elderpick-ledger/src/export.rs
+++ b/crates/elderpick-ledger/src/export.rs
@@ -83,7 +83,7 @@
     }
 }
 
-const COLUMNS: [&str; 18] = [
+const COLUMNS: [&str; 19] = [
     "number",
     "kind",
     "period",
@@ -99,6 +99,7 @@
     "from_us",
     "span_us",
     "at_rung_us",
+    "bytes",
     "outcome",
     "corrects",
     "why",
@@ -143,6 +144,7 @@
             e.from.to_string(),
             e.span.to_string(),
             rungs.join(" "),
+            e.bytes.map_or(String::new(), |b| b.to_string()),
             word(serde_json::to_value(e.outcome)),
             e.corrects.map_or(String::new(), |c| c.to_string()),
             e.why.clone(),
--- a/crates/elderpick-ledger/src/reconcile.rs
+++ b/crates/elderpick-ledger/src/reconcile.rs
@@ -175,11 +175,35 @@
     renamed: Renamed,
     series: Option<Series>,
     window: Micros,
+    /// Numbers its gateways from here on.
+    first: usize,
 }
 
 impl Reconciler {
     pub fn new(window: Micros, renamed: Renamed) -> Reconciler {
-        Reconciler { report: Report::default(), renamed, series: None, window }
+        Reconciler { report: Report::default(), renamed, series: None, window, first: 0 }
+    }
+
+    /// One of several that share the gateways among them, each gateway at one of them; see [`Reconciler::merge`].
+    pub fn part(&self, part: u32) -> Reconciler {
+        let first = (part as usize + 1) << 20;
+        Reconciler { first, ..Reconciler::new(self.window, self.renamed.clone()) }
+    }
+
+    /// Takes in what another one found.
+    pub fn merge(&mut self, other: Reconciler) {
+        let (report, other) = (&mut self.report, other.report);
+        report.gateways += other.gateways;
+        report.exports += other.exports;
+        report.entries += other.entries;
+        report.more += other.more;
+        for (key, billed) in other.billed {
+            let into = report.billed.entry(key).or_default();
+            into.sessions = into.sessions.saturating_add(billed.sessions);
+            into.uses = into.uses.saturating_add(billed.uses);
+            into.total.merge(&billed.total);
+        }
+        other.findings.into_iter().for_each(|finding| self.find(finding));
     }
 
     fn find(&mut self, finding: Finding) {
@@ -268,7 +292,7 @@
             who: [entry.tenant, entry.licence, entry.class, entry.title, entry.viewer],
             from: entry.from,
             span: entry.span,
-            gateway: self.report.gateways,
+            gateway: self.first + self.report.gateways,
             number,
             period: entry.period,
             part: entry.part,
@@ -288,8 +312,8 @@
             match &mut going {
                 Some(g) if seen.from <= g.until.saturating_add(self.window) => {
                     let [tenant, _, _, title, viewer] = seen.who;
-                    let billed = self.report.billed.get_mut(&(seen.period, tenant.clone()));
-                    if let Some(billed) = billed.filter(|_| seen.part == 0) {
+                    if seen.part == 0 {
+                        let billed = self.report.billed.entry((seen.period, tenant.clone())).or_default();
                         billed.uses = billed.uses.saturating_sub(1);
                     }
                     let span = g.until.min(until).saturating_sub(seen.from);
@@ -344,15 +368,17 @@
     pub fn table(&self) -> String {
         let most = self.billed.values().map(|b| b.total.time()).max().unwrap_or(0).max(1);
         let mut out = format!(
-            "{:<10} {:<20} {:>9} {:>9} {:>14}  time\n",
-            "period", "tenant", "sessions", "uses", "seconds"
+            "{:<10} {:<20} {:>9} {:>9} {:>14} {:>14}  time\n",
+            "period", "tenant", "sessions", "uses", "seconds", "bytes"
         );
         for ((period, tenant), b) in &self.billed {
             let time = b.total.time();
             let bar = "#".repeat((i128::from(time.max(0)) * 30 / i128::from(most)) as usize);
             let seconds = format!("{}.{:06}", time / 1_000_000, (time % 1_000_000).abs());
-            out +=
-                &format!("{period:<10} {tenant:<20} {:>9} {:>9} {seconds:>14}  {bar}\n", b.sessions, b.uses);
+            out += &format!(
+                "{period:<10} {tenant:<20} {:>9} {:>9} {seconds:>14} {:>14}  {bar}\n",
+                b.sessions, b.uses, b.total.bytes
+            );
         }
         out +=
             &format!("{} entries in {} exports of {} gateways\n", self.entries, self.exports, self.gateways);
@@ -404,7 +430,13 @@
                 started: START + from,
             };
             let session = format!("{viewer}-{from}");
-            let over = Record::Over { session: session.clone(), span, tries: 1, outcome: Outcome::Left };
+            let over = Record::Over {
+                session: session.clone(),
+                span,
+                tries: 1,
+                outcome: Outcome::Left,
+                bytes: None,
+            };
             self.take(&[Record::Begun { session, facts, rung: 0 }, over]);
         }
 
@@ -497,6 +529,7 @@
             licence: "course".into(),
             class: "exam".into(),
             uses: -1,
+            bytes: 0,
             at_rung: vec![-10 * S],
             why: "a test".into(),
             at: START,
--- a/crates/elderpick-ledger/src/segments.rs
+++ b/crates/elderpick-ledger/src/segments.rs
@@ -328,7 +328,8 @@
             viewer: String::new(),
             started: 0,
         };
-        let over = Record::Over { session: k.to_string(), span: 1, tries: 1, outcome: Outcome::Left };
+        let over =
+            Record::Over { session: k.to_string(), span: 1, tries: 1, outcome: Outcome::Left, bytes: None };
         [Record::Begun { session: k.to_string(), facts, rung: 0 }, over]
     }
 
--- a/crates/elderpick-ledger/tests/export_protocol.rs
+++ b/crates/elderpick-ledger/tests/export_protocol.rs
@@ -79,7 +79,10 @@
                 started: 0,
             };
             keep(&mut next, &Record::Begun { session: session.clone(), facts, rung: 0 });
-            keep(&mut next, &Record::Over { session, span: 1, tries: 1, outcome: Outcome::Left });
+            keep(
+                &mut next,
+                &Record::Over { session, span: 1, tries: 1, outcome: Outcome::Left, bytes: None },
+            );
         }
         Step::Prepare => {
             if world.writing.is_some() {
--- a/crates/elderpick/src/ledger.rs
+++ b/crates/elderpick/src/ledger.rs
@@ -62,6 +62,9 @@
         /// Microseconds more or less at each rung from the lowest, with commas between.
         #[arg(long, value_delimiter = ',', allow_hyphen_values = true)]
         at_rung: Vec<i64>,
+        /// Bytes more or less.
+        #[arg(long, default_value_t = 0, allow_hyphen_values = true)]
+        bytes: i64,
         /// Whom to bill, if not the entry's own tenant: to move use, take it from one and give it to the other.
         #[arg(long)]
         tenant: Option<String>,
@@ -147,8 +150,8 @@
             let done = done(&of, Command::Again { to: place(&to)?, export })?;
             print(&of, &done, |done| format!("export {export}: {} in {to}", done["name"]));
         }
-        Ledger::Correct { entry, uses, at_rung, tenant, why, of } => {
-            let done = done(&of, Command::Correct { entry, uses, at_rung, tenant, why })?;
+        Ledger::Correct { entry, uses, at_rung, bytes, tenant, why, of } => {
+            let done = done(&of, Command::Correct { entry, uses, at_rung, bytes, tenant, why })?;
             print(&of, &done, |done| {
                 format!("entry {} corrects {entry}, billed in {}", done["entry"], done["period"])
             });
@@ -164,10 +167,11 @@
             };
             let report = store::reconcile(&folders, window, renamed)?;
             if csv {
-                println!("period,tenant,sessions,uses,us");
+                println!("period,tenant,sessions,uses,us,bytes");
                 for ((period, tenant), b) in &report.billed {
                     let tenant = tenant.replace('"', "\"\"");
-                    println!("{period},\"{tenant}\",{},{},{}", b.sessions, b.uses, b.total.time());
+                    let (time, bytes) = (b.total.time(), b.total.bytes);
+                    println!("{period},\"{tenant}\",{},{},{time},{bytes}", b.sessions, b.uses);
                 }
                 report.findings.iter().for_each(|finding| eprintln!("{finding}"));
             } else {
