--- a/crates/elderpick-gateway/src/ledger.rs
+++ b/crates/elderpick-gateway/src/ledger.rs
@@ -230,7 +230,7 @@
             }
             if self.book.state().kept_from() < upto {
                 let waiting = self.book.waiting();
-                tracing::warn!(waiting, "the ledger is over `keep`, and its oldest entries are not exported");
+                tracing::warn!(waiting, "the ledger is over keep, and its oldest entries are not exported");
             }
         }
         self.segments.remove_before(self.book.state().kept_from()).map_err(told(&self.folder))
