--- a/crates/elderpick-lab/src/lib.rs
+++ b/crates/elderpick-lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod hosts;
 pub mod issuer;
 pub mod ledger_bench;
+pub mod link;
 pub mod measure;
 pub mod mutants;
 pub mod receiver;
