SRT sessions run through the gateway: the same core, seats and ledger, packets pass through

Need: a second front that shares core, decisions and rules with the first. A caller's stream id becomes the same request as a manifest does; the host that the core chose is set up by the same wire, says where it listens, and is called with the caller's own handshake, so that recovery and encryption stay between the two ends. The gateway changes four bytes of each packet and drops what does not come from the session's own addresses. Every no has one reason in the handshake.

--- a/crates/elderpick-gateway/src/config.rs
+++ b/crates/elderpick-gateway/src/config.rs
@@ -133,6 +133,15 @@
     pub seats: usize,
 }
 
+/// Sessions over UDP.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Srt {
+    pub listen: SocketAddr,
+    pub callers: usize,
+    pub per_address: usize,
+    pub linger: Micros,
+}
+
 /// What is done with licensed classes while the ledger cannot be kept.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -185,6 +194,7 @@
     pub limits: Limits,
     pub entitlement: Option<Entitlement>,
     pub ledger: Option<Ledger>,
+    pub srt: Option<Srt>,
     pub control: Option<PathBuf>,
     pub drain: Micros,
     pub log: Log,
--- a/crates/elderpick-gateway/src/control.rs
+++ b/crates/elderpick-gateway/src/control.rs
@@ -73,6 +73,10 @@
             let shown = shell.seats.borrow().as_ref().map(|s| s.show(t).to_string());
             shown.map_or_else(none, |text| reply(StatusCode::OK, text))
         }
+        (&Method::GET, "/listening") => {
+            let [hls, srt] = [&shell.listening, &shell.srt].map(|at| at.get().map(|at| at.to_string()));
+            reply(StatusCode::OK, serde_json::json!({ "hls": hls, "srt": srt }).to_string())
+        }
         (&Method::POST, "/ledger") => {
             let body = http_body_util::Limited::new(request.into_body(), MOST_COMMAND).collect().await;
             let command = body.ok().and_then(|body| serde_json::from_slice(&body.to_bytes()).ok());
--- a/crates/elderpick-gateway/src/engine.rs
+++ b/crates/elderpick-gateway/src/engine.rs
@@ -8,7 +8,7 @@
 //! Everything enters by [`Engine::handle`] with the time and leaves as [`Output`]s.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use elderpick_core::Controller;
 use elderpick_core::api::{
@@ -108,9 +108,19 @@
     },
 }
 
+/// How a viewer gets a session.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Via {
+    /// Playlists from here, segments from the host.
+    Hls,
+    /// Packets that pass through here.
+    Srt,
+}
+
 /// A request for a session.
 #[derive(Clone, Debug)]
 pub struct Wanted {
+    pub via: Via,
     pub class: usize,
     pub title: String,
     pub viewer: Option<Viewer>,
@@ -144,6 +154,11 @@
         base: url::Url,
         manifest: bytes::Bytes,
     },
+    /// The host waits for packets at this address, under this stream id.
+    Flows {
+        at: SocketAddr,
+        stream_id: String,
+    },
     Failed(Status),
 }
 
@@ -223,6 +238,11 @@
         token: Token,
         manifest: String,
     },
+    Flows {
+        token: Token,
+        at: SocketAddr,
+        stream_id: String,
+    },
     Refused {
         retry_after: Option<Micros>,
     },
@@ -243,6 +263,7 @@
         attempt: usize,
         server: ServerId,
         alias: Token,
+        via: Via,
         class: usize,
         title: String,
         rung: usize,
@@ -305,6 +326,8 @@
     /// Attempts are made.
     Placing,
     Playing(Box<Play>),
+    /// Packets pass.
+    Flowing,
     /// The host is being told that it is over.
     Releasing(Status),
 }
@@ -329,6 +352,12 @@
     bytes: Option<u64>,
 }
 
+impl Session {
+    fn plays(&self) -> bool {
+        matches!(self.state, State::Playing(_) | State::Flowing)
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 enum Timer {
     /// An attempt has run out of time. Comes before the core's alarms of the same moment.
@@ -637,7 +666,8 @@
     fn with_seat(&mut self, now: Micros, seated: Seated, wanted: &Wanted) -> Option<RequestId> {
         let id = *self.seats.get(&seated.seat)?;
         let held = self.sessions.get(&id)?;
-        let same = (held.wanted.class, &held.wanted.title) == (wanted.class, &wanted.title);
+        let hls = (held.wanted.via, wanted.via) == (Via::Hls, Via::Hls);
+        let same = hls && (held.wanted.class, &held.wanted.title) == (wanted.class, &wanted.title);
         if same && !seated.takes_over && !matches!(held.state, State::Releasing(_)) {
             return Some(id);
         }
@@ -689,10 +719,17 @@
     fn rate(&mut self, id: RequestId, rung: usize) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
         session.rung = rung;
-        if let (State::Playing(play), Some(server)) = (&mut session.state, &session.server) {
+        let play = match &mut session.state {
+            State::Playing(play) => Some(play),
+            State::Flowing => None,
+            State::Placing | State::Releasing(_) => return,
+        };
+        if let Some(server) = &session.server {
             self.counts.rungs += 1;
             self.out.push(Output::Use(Use::Rung { session: session.alias, rung }));
-            play.change(rung);
+            if let Some(play) = play {
+                play.change(rung);
+            }
             let (server, alias, order) = (server.clone(), session.alias, self.counts.rungs);
             self.out.push(Output::Rung { server, alias, rung, order });
         }
@@ -711,6 +748,7 @@
             attempt,
             server: server.clone(),
             alias: session.alias,
+            via: session.wanted.via,
             class: session.wanted.class,
             title: session.wanted.title.clone(),
             rung: session.rung,
@@ -723,21 +761,29 @@
     fn set_up(&mut self, now: Micros, id: RequestId, attempt: usize, result: SetUp, report: Report) {
         let current = |s: &&mut Session| s.attempts == attempt + 1 && matches!(s.state, State::Placing);
         let Some(session) = self.sessions.get_mut(&id).filter(current) else { return };
-        let (base, manifest) = match result {
-            SetUp::Plays { base, manifest } => (base, manifest),
-            SetUp::Failed(status) => return self.attempt_failed(now, id, attempt, status, report),
-        };
-        let ladder = self.config.ladder_bits(session.wanted.class);
-        let play = match Play::new(&base, &manifest, session.rung, ladder, &self.config.limits, now) {
-            Ok(play) => play,
-            Err(why) => {
-                let server = session.server.as_ref().map(|s| &*s.0);
-                tracing::warn!(session = id.0, server, attempt, %why, "the host's playlist cannot be used");
-                return self.attempt_failed(now, id, attempt, Status::Failed, report);
+        let token = session.token;
+        let (state, answer) = match (result, session.wanted.via) {
+            (SetUp::Flows { at, stream_id }, Via::Srt) => {
+                (State::Flowing, Answer::Flows { token, at, stream_id })
+            }
+            (SetUp::Plays { base, manifest }, Via::Hls) => {
+                let ladder = self.config.ladder_bits(session.wanted.class);
+                match Play::new(&base, &manifest, session.rung, ladder, &self.config.limits, now) {
+                    Ok(play) => {
+                        let manifest = play.manifest(token);
+                        (State::Playing(Box::new(play)), Answer::Plays { token, manifest })
+                    }
+                    Err(why) => {
+                        let server = session.server.as_ref().map(|s| &*s.0);
+                        tracing::warn!(session = id.0, server, attempt, %why, "the host's playlist cannot be used");
+                        return self.attempt_failed(now, id, attempt, Status::Failed, report);
+                    }
+                }
             }
+            (SetUp::Failed(status), _) => return self.attempt_failed(now, id, attempt, status, report),
+            _ => return self.attempt_failed(now, id, attempt, Status::Failed, report),
         };
-        let answer = Answer::Plays { token: session.token, manifest: play.manifest(session.token) };
-        session.state = State::Playing(Box::new(play));
+        session.state = state;
         let began = Use::Began {
             session: session.alias,
             payer: session.wanted.payer.clone(),
@@ -807,7 +853,7 @@
             }
             self.out.push(Output::Cancel { id, attempt: session.attempts - 1 });
         }
-        if matches!(session.state, State::Playing(_)) {
+        if session.plays() {
             let outcome = match status {
                 Status::Ok => Outcome::Left,
                 _ if self.lapsed.front() == Some(&session.token) => Outcome::Lapsed,
@@ -838,7 +884,7 @@
 
     fn forget(&mut self, id: RequestId, willing: bool) {
         let Some(session) = self.sessions.remove(&id) else { return };
-        let playing = matches!(session.state, State::Playing(_)).then_some((self.now, Outcome::Cut));
+        let playing = session.plays().then_some((self.now, Outcome::Cut));
         if let Some((at, outcome)) = session.used.or(playing) {
             let (tries, bytes) = (session.tries, session.bytes);
             let over = Use::Over { session: session.alias, at, tries, outcome, bytes };
@@ -862,8 +908,11 @@
 
     fn silence(&mut self, now: Micros, id: RequestId) {
         let Some(session) = self.sessions.get(&id) else { return };
-        let State::Playing(play) = &session.state else { return };
-        let until = play.wanted_until(session.seen, &self.config.limits);
+        let until = match &session.state {
+            State::Playing(play) => play.wanted_until(session.seen, &self.config.limits),
+            State::Flowing => session.seen + self.config.limits.silence,
+            _ => return,
+        };
         if until > now {
             self.timers.insert((until, Timer::Silence(id)));
         } else {
@@ -889,7 +938,7 @@
                     session.bytes = bytes;
                 }
                 // While it is placed the attempt's own answer decides.
-                if matches!(self.sessions[&id].state, State::Playing(_)) {
+                if self.sessions[&id].plays() {
                     self.ended(now, id, Status::Cancelled);
                 }
                 return;
@@ -930,6 +979,16 @@
         }
     }
 
+    /// Whether packets of the session are to pass. With `heard`, its viewer was heard of just now.
+    pub fn flows(&mut self, now: Micros, token: Token, heard: bool) -> bool {
+        let session = self.tokens.get(&token).and_then(|id| self.sessions.get_mut(id));
+        let Some(session) = session.filter(|s| matches!(s.state, State::Flowing)) else { return false };
+        if heard {
+            session.seen = now;
+        }
+        true
+    }
+
     /// The session's playlists, for a viewer that asks for one now.
     pub fn play(&mut self, now: Micros, token: Token) -> Option<&mut Play> {
         let id = *self.tokens.get(&token)?;
--- a/crates/elderpick-gateway/src/front.rs
+++ b/crates/elderpick-gateway/src/front.rs
@@ -22,7 +22,7 @@
 use elderpick_entitle::desk::Denied;
 
 use crate::door::Entry;
-use crate::engine::{Answer, Ask, Decide, Input, Payer, Token, Viewer, Wanted};
+use crate::engine::{Answer, Ask, Decide, Input, Payer, Token, Via, Viewer, Wanted};
 use crate::entitle::Barred;
 use crate::shell::{Shell, fetch, span};
 
@@ -187,7 +187,7 @@
 const SENT_ON: &str = "sent=1";
 
 /// Tells the engine when a request's connection closes before the answer.
-struct Asking<D: Decide + 'static>(Rc<Shell<D>>, Ask);
+pub(crate) struct Asking<D: Decide + 'static>(pub Rc<Shell<D>>, pub Ask);
 
 impl<D: Decide + 'static> Drop for Asking<D> {
     fn drop(&mut self) {
@@ -248,6 +248,7 @@
         },
     };
     let wanted = Wanted {
+        via: Via::Hls,
         class,
         title: title.into_owned(),
         viewer: sid.map(|sid| Viewer { from: from.ip(), sid }),
@@ -283,7 +284,7 @@
         Ok(Answer::Failed { late: true }) => {
             plain(StatusCode::GATEWAY_TIMEOUT, "no media host answered in time")
         }
-        Ok(Answer::Failed { late: false }) | Err(_) => {
+        Ok(Answer::Failed { late: false } | Answer::Flows { .. }) | Err(_) => {
             plain(StatusCode::BAD_GATEWAY, "no media host plays it")
         }
     }
--- a/crates/elderpick-gateway/src/lib.rs
+++ b/crates/elderpick-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod membership;
 pub mod play;
 pub mod shell;
+mod srt;
 pub mod state;
 
 use std::path::Path;
--- a/crates/elderpick-gateway/src/schema.cue
+++ b/crates/elderpick-gateway/src/schema.cue
@@ -148,6 +148,15 @@
         // While it cannot be kept, licensed classes go on and a gap is told, or they are refused.
         full:     *"go_on" | "refuse"
     }
+    // SRT sessions, by UDP.
+    srt?: {
+        listen:      string & !=""
+        // Callers that are known at once, in all and of one address.
+        callers:     int & >=1 | *10000
+        per_address: int & >=1 | *1000
+        // The answer to a call is given again for so long.
+        linger:      duration & >="0s" | *"5s"
+    }
     // A socket for `elderpick seats show` and the like, of the gateway's own user.
     control?: string & !=""
     // After SIGTERM what plays goes on so long.
--- a/crates/elderpick-gateway/src/shell.rs
+++ b/crates/elderpick-gateway/src/shell.rs
@@ -16,12 +16,12 @@
 
 use crate::config::Config;
 use crate::door::Door;
-use crate::engine::{Answer, Ask, Decide, Engine, Input, Output, Said, SetUp, Token, Use, Word};
+use crate::engine::{Answer, Ask, Decide, Engine, Input, Output, Said, SetUp, Token, Use, Via, Word};
 use crate::entitle::{self, Seats};
 use crate::host::{self, Events, Lost, Pool};
 use crate::ledger::Uses;
 use crate::liveness::{Listening, Next};
-use crate::{control, front};
+use crate::{control, front, srt};
 
 /// Time for the engine: microseconds since 1970, never running backwards.
 pub trait Clock {
@@ -77,6 +77,9 @@
     pub door: RefCell<Door>,
     pub seats: entitle::Cell,
     pub uses: RefCell<Option<Uses>>,
+    /// Where viewers are listened for.
+    pub listening: Cell<Option<SocketAddr>>,
+    pub srt: Cell<Option<SocketAddr>>,
 }
 
 impl<D: Decide + 'static> Shell<D> {
@@ -159,12 +162,15 @@
                     let _ = waits.send(answer);
                 }
             }
-            Output::SetUp { id, attempt, server, alias, class, title, rung, trace } => {
+            Output::SetUp { id, attempt, server, alias, via, class, title, rung, trace } => {
                 let Some((to, gateway)) = self.reach(&server) else { return };
                 let class = self.engine.borrow().config.classes[class].name.clone();
                 tracing::debug!(session = id.0, server = host::name(&server), attempt, rung, "set-up");
-                let body = serde_json::json!({ "session": alias.to_string(), "class": class, "title": title,
+                let mut body = serde_json::json!({ "session": alias.to_string(), "class": class, "title": title,
                     "rung": rung, "attempt": attempt });
+                if via == Via::Srt {
+                    body["via"] = "srt".into();
+                }
                 let mut request = host::request(Method::POST, "/sessions", to, &gateway, body.to_string());
                 let trace = trace.and_then(|t| http::HeaderValue::from_str(&t).ok());
                 request
@@ -192,6 +198,7 @@
                                     let place = place.and_then(|p| p.to_str().ok()).unwrap_or("/");
                                     let root = url::Url::parse(&format!("http://{to}/"));
                                     match root.and_then(|root| root.join(place)) {
+                                        Ok(at) if via == Via::Srt => flows(&at),
                                         Ok(base) => SetUp::Plays { base, manifest: answer.into_body() },
                                         Err(_) => SetUp::Failed(Status::Failed),
                                     }
@@ -436,6 +443,18 @@
     Ok(Some(Input::List { kind, servers: servers.collect() }))
 }
 
+/// Where packets of a session are, as a host tells: `srt://ADDRESS:PORT?streamid=…`.
+fn flows(at: &url::Url) -> SetUp {
+    let host = at.host_str().and_then(|h| h.trim_matches(['[', ']']).parse().ok());
+    let id = at.query_pairs().find(|(key, _)| key == "streamid").map(|(_, id)| id.into_owned());
+    match (at.scheme(), host, at.port(), id) {
+        ("srt", Some(host), Some(port), Some(stream_id)) => {
+            SetUp::Flows { at: SocketAddr::new(host, port), stream_id }
+        }
+        _ => SetUp::Failed(Status::Failed),
+    }
+}
+
 /// A stall is when a timer is so late; then what arrived meanwhile is handled first.
 const STALL: Micros = 20_000;
 
@@ -491,6 +510,8 @@
         door: RefCell::new(Door::new(config.limits.connections, config.limits.per_address)),
         seats: RefCell::default(),
         uses: RefCell::new(Uses::open(&config)?),
+        listening: Cell::new(Some(address)),
+        srt: Cell::new(None),
     });
     *shell.seats.borrow_mut() = Seats::open(&config, shell.times())?;
     shell.watch_files();
@@ -507,6 +528,10 @@
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     let accepting = spawn_local(front::accept(listener, shell.clone()));
+    let passing = match config.srt.clone() {
+        Some(settings) => Some(srt::listen(settings, shell.clone()).await?),
+        None => None,
+    };
     tracing::info!(%address, gateway = config.name, me = config.me, "listening");
     ready(address);
     let signals = |why: std::io::Error| format!("no signals: {why}");
@@ -530,6 +555,9 @@
     }
     shell.feed(Input::End);
     accepting.abort();
+    if let Some(passing) = passing {
+        passing.abort();
+    }
     let released = tokio::time::Instant::now() + Duration::from_secs(1);
     while shell.engine.borrow().sessions() > 0 && tokio::time::Instant::now() < released {
         tokio::time::sleep(Duration::from_millis(10)).await;
--- a/crates/elderpick-gateway/tests/engine.rs
+++ b/crates/elderpick-gateway/tests/engine.rs
@@ -6,7 +6,7 @@
 use elderpick_core::api::{ListKind, Micros, Report, RequestId, ServerId, ServerState, Status};
 use elderpick_gateway::config::Config;
 use elderpick_gateway::engine::{
-    Answer, Ask, Engine, Input, Output, Said, SetUp, Token, Viewer, Wanted, Word,
+    Answer, Ask, Engine, Input, Output, Said, SetUp, Token, Via, Viewer, Wanted, Word,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -58,6 +58,7 @@
         let viewer = sid.map(|sid| Viewer { from: [127, 0, 0, 1].into(), sid: sid.to_string() });
         let title = "carex".to_owned();
         let wanted = Wanted {
+            via: Via::Hls,
             class,
             title,
             viewer,
--- a/crates/elderpick-lab/src/fleet.rs
+++ b/crates/elderpick-lab/src/fleet.rs
@@ -238,6 +238,13 @@
         if to.exists() { exports(&[to]) } else { Ok(Vec::new()) }
     }
 
+    /// Where a gateway takes SRT calls.
+    pub async fn srt(&self, k: usize) -> Result<SocketAddr, String> {
+        let told = self.ask(k, "/listening", None).await?;
+        let at = told["srt"].as_str().and_then(|at| at.parse().ok());
+        at.ok_or_else(|| format!("no SRT: {told}"))
+    }
+
     /// What a gateway tells operators of its seats.
     pub async fn seats(&self, k: usize) -> Result<serde_json::Value, String> {
         self.ask(k, "/seats", None).await
@@ -404,6 +411,7 @@
 }}
 ledger: {{folder: "ledger-{me}", every: "day", lateness: "0s", mark: "{mark}us", segment: "64KiB"}}
 control: "control-{me}.sock"
+srt: listen: "127.0.0.1:0"
 drain: "2s"
 "#,
         audience = issuer::AUDIENCE,
--- a/crates/elderpick-lab/src/hosts.rs
+++ b/crates/elderpick-lab/src/hosts.rs
@@ -118,17 +118,17 @@
     }
 }
 
-struct Session {
-    rung: usize,
+pub(crate) struct Session {
+    pub(crate) rung: usize,
     /// Of the last change of rung.
     order: u64,
     /// Its true rate over the ladder's.
     rate: f64,
     title: String,
     gateway: String,
-    seen: i64,
+    pub(crate) seen: i64,
     /// Bytes of segments that went out.
-    sent: Rc<Cell<u64>>,
+    pub(crate) sent: Rc<Cell<u64>>,
 }
 
 pub struct Host {
@@ -139,7 +139,9 @@
     state: Cell<State>,
     started: Cell<i64>,
     running: Cell<bool>,
-    sessions: RefCell<BTreeMap<String, Session>>,
+    pub(crate) sessions: RefCell<BTreeMap<String, Session>>,
+    /// Where it waits for SRT calls.
+    pub(crate) srt: Cell<Option<SocketAddr>>,
     /// Sessions that were released, perhaps before their set-up came.
     over: RefCell<BTreeMap<String, i64>>,
     arrivals: RefCell<Vec<i64>>,
@@ -238,6 +240,7 @@
                 started: Cell::new(began),
                 running: Cell::new(false),
                 sessions: RefCell::default(),
+                srt: Cell::new(None),
                 over: RefCell::default(),
                 arrivals: RefCell::default(),
                 listeners: RefCell::default(),
@@ -307,6 +310,8 @@
             }
         });
         host.tasks.borrow_mut().push(accepting.abort_handle());
+        let flowing = spawn_local(crate::srt::host(self, host.clone()));
+        host.tasks.borrow_mut().push(flowing.abort_handle());
     }
 
     /// The host's process ends: its connections break and its port is closed.
@@ -546,7 +551,11 @@
         }
         done.how = "plays";
         let mut reply = self.with_load(&host, reply(StatusCode::CREATED, PLAYLIST, self.multivariant()));
-        let place = http::HeaderValue::from_str(&format!("/s/{session}/main.m3u8"));
+        let place = match host.srt.get().filter(|_| wanted["via"] == "srt") {
+            Some(at) => format!("srt://{at}?streamid={session}"),
+            None => format!("/s/{session}/main.m3u8"),
+        };
+        let place = http::HeaderValue::from_str(&place);
         reply.headers_mut().extend(place.ok().map(|p| (http::header::LOCATION, p)));
         Ok(reply)
     }
--- a/crates/elderpick-lab/src/lib.rs
+++ b/crates/elderpick-lab/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod record;
 pub mod script;
 pub mod seats;
+pub mod srt;
 pub mod viewers;
--- a/crates/elderpick-lab/tests/srt.rs
+++ b/crates/elderpick-lab/tests/srt.rs
@@ -5,7 +5,7 @@
 use elderpick_lab::link::{Link, Weather};
 use elderpick_srt::call::{Call, Outcome, Wanted};
 use elderpick_srt::keys::{Keys, Passphrase};
-use elderpick_srt::listen::{Bounds, Caller, Drop, Heard, Listener};
+use elderpick_srt::listen::{self, Bounds, Caller, Drop, Heard, Listener};
 use elderpick_srt::live::{Live, Settings, State};
 use elderpick_srt::packet::{self, Extension, Handshake, reason};
 use elderpick_srt::seq::Seq;
@@ -280,7 +280,7 @@
                     assert!(reply.len() <= datagram.len(), "never more out than in");
                     links[1].push(now, &reply);
                 }
-                Heard::Asked { caller, handshake } => {
+                Heard::Asked { caller, handshake, .. } => {
                     requests += 1;
                     asked.push((now + answer_after, caller, handshake));
                 }
@@ -292,7 +292,10 @@
                 return true;
             }
             let reply = match yes {
-                true => listener.accept(*caller, handshake, 1234, EXTENSION, None),
+                true => {
+                    let answer = listen::answer(handshake, handshake.seq, EXTENSION, None);
+                    listener.accept(*caller, handshake, 1234, (&answer, 0))
+                }
                 false => listener.reject(now, *caller, handshake, reason::OVERLOAD),
             };
             links[1].push(now, &reply.unwrap());
@@ -322,8 +325,9 @@
         let (outcome, requests, listener, now) = called(weather, seed * 7, 400 * MS, yes);
         assert!(requests <= 1, "seed {seed}: {requests} requests");
         match outcome {
-            Some(Outcome::Connected { socket, extension, .. }) => {
-                assert!(yes && requests == 1 && socket == 1234 && extension == EXTENSION, "seed {seed}");
+            Some(Outcome::Connected { answer, .. }) => {
+                assert!(yes && requests == 1 && answer.socket == 1234, "seed {seed}");
+                assert_eq!(answer.extension, Some((true, EXTENSION)), "seed {seed}");
                 ends[0] += 1;
             }
             Some(Outcome::Rejected(why)) => {
--- a/crates/elderpick-srt/src/call.rs
+++ b/crates/elderpick-srt/src/call.rs
@@ -25,11 +25,9 @@
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Outcome {
     Connected {
-        /// The other side's socket, and the number of its first packet.
-        socket: u32,
-        seq: Seq,
-        extension: Extension,
-        /// When the other side's clock was at the answer's timestamp.
+        /// The other side's answer: its socket, the number of its first packet, what it does.
+        answer: Box<Handshake>,
+        /// The other side's clock.
         stamp: u32,
     },
     /// The reason that the other side gave.
@@ -55,6 +53,8 @@
 
 pub struct Call {
     wanted: Wanted,
+    /// A conclusion that is passed on for another caller, and that caller's clock.
+    passed: Option<(Handshake, u32)>,
     state: State,
     began: Micros,
     /// When it is sent again.
@@ -63,7 +63,13 @@
 
 impl Call {
     pub fn new(now: Micros, wanted: Wanted) -> Call {
-        Call { wanted, state: State::Induction, began: now, due: now }
+        Call { wanted, passed: None, state: State::Induction, began: now, due: now }
+    }
+
+    /// A call in the place of another caller, whose conclusion came just now with this timestamp: all that two ends
+    /// agree on is between it and the one that is called. Socket and stream id are this call's own.
+    pub fn passing(now: Micros, wanted: Wanted, conclusion: Handshake, stamp: u32) -> Call {
+        Call { passed: Some((conclusion, stamp)), ..Call::new(now, wanted) }
     }
 
     pub fn next_timer(&self) -> Option<Micros> {
@@ -96,6 +102,11 @@
         let hs = match self.state {
             State::Over => return None,
             State::Induction => hs,
+            State::Conclusion(cookie) if self.passed.is_some() => {
+                let (socket, stream_id) = (self.wanted.socket, Some(self.wanted.stream_id.clone()));
+                let passed = self.passed.as_ref().map_or(hs, |(passed, _)| passed.clone());
+                Handshake { socket, cookie, field: passed.field | 4, stream_id, ..passed }
+            }
             State::Conclusion(cookie) => {
                 let delay = (self.wanted.latency / 1000).clamp(0, 65_535) as u16;
                 let (version, flags) = (VERSION, FLAGS);
@@ -117,7 +128,7 @@
         };
         self.due = now + AGAIN;
         let mut out = Vec::with_capacity(256);
-        let stamp = (now - self.began) as u32;
+        let stamp = ((now - self.began) as u32).wrapping_add(self.passed.as_ref().map_or(0, |p| p.1));
         packet::write_control(&mut out, &Control::Handshake(Box::new(hs)), stamp, 0);
         Some(out)
     }
@@ -145,9 +156,11 @@
                 None
             }
             (State::Conclusion(_), Shake::Conclusion) => {
-                let Some((true, extension)) = hs.extension else { return None };
+                if !matches!(hs.extension, Some((true, _))) {
+                    return None;
+                }
                 self.state = State::Over;
-                Some(Outcome::Connected { socket: hs.socket, seq: hs.seq, extension, stamp })
+                Some(Outcome::Connected { answer: hs, stamp })
             }
             (State::Conclusion(_), Shake::Other(why)) if (1000..0xffff_fffd).contains(&why) => {
                 self.state = State::Over;
--- a/crates/elderpick-srt/src/listen.rs
+++ b/crates/elderpick-srt/src/listen.rs
@@ -23,7 +23,12 @@
     /// To be sent back.
     Reply(Vec<u8>),
     /// A new request. It waits for [`Listener::accept`] or [`Listener::reject`].
-    Asked { caller: Caller, handshake: Box<Handshake> },
+    Asked {
+        caller: Caller,
+        handshake: Box<Handshake>,
+        /// The caller's clock.
+        stamp: u32,
+    },
     /// Nothing is to be done, and why.
     Dropped(Drop),
 }
@@ -91,9 +96,9 @@
 
     /// Takes a datagram whose destination is socket 0.
     pub fn handle(&mut self, now: Micros, from: SocketAddr, datagram: &[u8]) -> Heard {
-        let hs = match packet::read(datagram) {
+        let (hs, stamp) = match packet::read(datagram) {
             Err(_) => return Heard::Dropped(Drop::Malformed),
-            Ok(Packet::Control { control: Control::Handshake(hs), .. }) => hs,
+            Ok(Packet::Control { control: Control::Handshake(hs), stamp, .. }) => (hs, stamp),
             Ok(_) => return Heard::Dropped(Drop::Other),
         };
         let caller = (from, hs.socket);
@@ -131,33 +136,24 @@
                 }
                 self.callers.insert(caller, State::Waits);
                 self.by_address.insert(from.ip(), here + 1);
-                Heard::Asked { caller, handshake: hs }
+                Heard::Asked { caller, handshake: hs, stamp }
             }
             Shake::Other(_) => Heard::Dropped(Drop::Other),
         }
     }
 
-    /// Answers a request: it plays at this socket. The answer is given again until [`Listener::forget`].
+    /// Answers a request: it plays at this socket, with the rest as in `answer`, whose clock stands at `stamp`. The
+    /// answer is given again until [`Listener::forget`].
     pub fn accept(
         &mut self,
         caller: Caller,
         asked: &Handshake,
         socket: u32,
-        extension: Extension,
-        keys: Option<Vec<u8>>,
+        (answer, stamp): (&Handshake, u32),
     ) -> Option<Vec<u8>> {
-        let field = 1 | u16::from(keys.is_some()) << 1;
-        let reply = Handshake {
-            version: 5,
-            field,
-            socket,
-            cookie: 0,
-            extension: Some((true, extension)),
-            keys,
-            stream_id: None,
-            ..*asked
-        };
-        self.answered(caller, written(reply, asked.socket), Micros::MAX)
+        let (cookie, stream_id) = (0, None);
+        let reply = Handshake { socket, cookie, stream_id, address: asked.address, ..answer.clone() };
+        self.answered(caller, stamped(reply, asked.socket, stamp), Micros::MAX)
     }
 
     /// Answers a request: no. The answer is given again for a while.
@@ -215,11 +211,21 @@
 }
 
 fn written(hs: Handshake, to: u32) -> Vec<u8> {
+    stamped(hs, to, 0)
+}
+
+fn stamped(hs: Handshake, to: u32, stamp: u32) -> Vec<u8> {
     let mut out = Vec::with_capacity(128);
-    packet::write_control(&mut out, &Control::Handshake(Box::new(hs)), 0, to);
+    packet::write_control(&mut out, &Control::Handshake(Box::new(hs)), stamp, to);
     out
 }
 
+/// The answer of a listener that plays itself.
+pub fn answer(asked: &Handshake, seq: Seq, extension: Extension, keys: Option<Vec<u8>>) -> Handshake {
+    let field = 1 | u16::from(keys.is_some()) << 1;
+    Handshake { version: 5, field, seq, extension: Some((true, extension)), keys, stream_id: None, ..*asked }
+}
+
 /// A conclusion's answer that says no.
 fn rejection(asked: &Handshake, why: u32) -> Vec<u8> {
     let shake = Shake::Other(why);
