--- a/crates/elderpick-gateway/src/engine.rs
+++ b/crates/elderpick-gateway/src/engine.rs
@@ -328,6 +328,13 @@
     Playing(Box<Play>),
     /// Packets pass.
     Flowing,
+    /// An attempt of a class with seats failed and may have run: the host is being told that it is not wanted, and the
+    /// core hears how it ended when that is done. Until then the seat counts as held.
+    Clearing {
+        attempt: usize,
+        status: Status,
+        report: Report,
+    },
     /// The host is being told that it is over.
     Releasing(Status),
 }
@@ -353,6 +360,11 @@
 }
 
 impl Session {
+    /// Its requests wait for their answer.
+    fn is_placed(&self) -> bool {
+        matches!(self.state, State::Placing | State::Clearing { .. })
+    }
+
     fn plays(&self) -> bool {
         matches!(self.state, State::Playing(_) | State::Flowing)
     }
@@ -589,7 +601,7 @@
         // A further try of a session that is held joins it, and has the same answer.
         if let Some(session) = held {
             match self.sessions.get_mut(&session) {
-                Some(held) if matches!(held.state, State::Placing) => {
+                Some(held) if held.is_placed() => {
                     // One more than may wait: it must not begin a second session, and it cannot be refused, since
                     // an attempt may have run.
                     if held.asks.len() >= MOST_ASKS {
@@ -679,7 +691,7 @@
     /// Ends a session whatever it is at.
     fn stop(&mut self, now: Micros, id: RequestId) {
         let Some(session) = self.sessions.get(&id) else { return };
-        if matches!(session.state, State::Placing) && session.server.is_none() {
+        if session.is_placed() && session.server.is_none() {
             self.tell(now, Event::Gone { id });
             self.give_up(id, Answer::Failed { late: false });
         } else {
@@ -709,7 +721,7 @@
         let Some(id) = self.asks.remove(&ask) else { return };
         let Some(session) = self.sessions.get_mut(&id) else { return };
         session.asks.retain(|&a| a != ask);
-        if session.asks.is_empty() && matches!(session.state, State::Placing) {
+        if session.asks.is_empty() && session.is_placed() {
             self.counts.left += 1;
             self.tell(now, Event::Gone { id });
             self.give_up(id, Answer::Failed { late: false });
@@ -722,7 +734,7 @@
         let play = match &mut session.state {
             State::Playing(play) => Some(play),
             State::Flowing => None,
-            State::Placing | State::Releasing(_) => return,
+            State::Placing | State::Clearing { .. } | State::Releasing(_) => return,
         };
         if let Some(server) = &session.server {
             self.counts.rungs += 1;
@@ -817,11 +829,26 @@
         let may_run = matches!(status, Status::TimedOut | Status::Reset | Status::Cancelled | Status::Failed);
         if let Some(server) = session.server.take().filter(|_| may_run) {
             let alias = session.alias;
-            self.out.push(Output::Release { id: None, server, alias });
+            let seats = self.config.classes[session.wanted.class].seats.is_some();
+            self.out.push(Output::Release { id: seats.then_some(id), server, alias });
+            if seats {
+                session.state = State::Clearing { attempt, status, report };
+                return;
+            }
         }
         self.tell(now, Event::Outcome { id, attempt, status, closed: false, report });
     }
 
+    /// The host has let go of an attempt that failed.
+    fn cleared(&mut self, now: Micros, id: RequestId, attempt: usize, status: Status, report: Report) {
+        self.tell(now, Event::Outcome { id, attempt, status, closed: false, report });
+        // Those who waited were answered meanwhile, and nothing more came of it.
+        let idle = |s: &Session| matches!(s.state, State::Placing) && s.server.is_none() && s.asks.is_empty();
+        if self.sessions.get(&id).is_some_and(idle) {
+            self.forget(id, true);
+        }
+    }
+
     /// Answers at once all who wait, and ends what is still out.
     fn give_up(&mut self, id: RequestId, answer: Answer) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
@@ -832,7 +859,7 @@
         if session.server.is_some() {
             self.out.push(Output::Cancel { id, attempt: session.attempts - 1 });
             self.release(id, Status::Cancelled);
-        } else {
+        } else if !matches!(session.state, State::Clearing { .. }) {
             self.forget(id, true);
         }
     }
@@ -869,7 +896,14 @@
 
     fn released(&mut self, now: Micros, id: RequestId, bytes: Option<u64>) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
-        let State::Releasing(status) = session.state else { return };
+        let status = match session.state {
+            State::Releasing(status) => status,
+            State::Clearing { attempt, status, report } => {
+                session.state = State::Placing;
+                return self.cleared(now, id, attempt, status, report);
+            }
+            _ => return,
+        };
         session.bytes = bytes;
         self.ended(now, id, status);
     }
--- a/crates/elderpick-gateway/src/srt.rs
+++ b/crates/elderpick-gateway/src/srt.rs
@@ -205,6 +205,8 @@
             Err(why) => return self.reject(caller, &asked, why),
         };
         let (wanted, seating) = wanted;
+        let (class, margin) = (wanted.class, self.shell.with_engine(|e| e.config.limits.margin));
+        let deadline = came + self.shell.with_engine(|e| e.config.classes[class].patience) - margin;
         let (ask, answer) = self.shell.ask(wanted);
         if let Some(waiting) = self.waiting.borrow_mut().get_mut(&caller) {
             waiting.ask = Some(ask);
@@ -216,8 +218,10 @@
         match answer {
             Ok(Answer::Flows { token, at, stream_id }) => {
                 let now = self.shell.now();
+                // The host's answer is part of the one that the caller waits for.
+                let within = CALL.min(deadline - now).max(0);
                 let (socket, latency, window, keys) = (self.free_socket(), 0, asked.window, None);
-                let calls = Calls { socket, seq: asked.seq, stream_id, latency, window, keys, within: CALL };
+                let calls = Calls { socket, seq: asked.seq, stream_id, latency, window, keys, within };
                 // Its clock went on while it waited.
                 let stamp = stamp.wrapping_add((now - came) as u32);
                 let call = Call::passing(now, calls, (*asked).clone(), stamp);
@@ -291,9 +295,10 @@
             },
         };
         let seated = seating.as_ref().map(|s| s.seated);
+        // W3C trace context, passed on to media hosts.
+        let trace = id.get("trace").filter(|t| t.len() <= 128).map(str::to_owned);
         let (via, title) = (Via::Srt, id.resource);
-        let wanted =
-            Wanted { via, class, title, viewer: None, seated, payer, came, top_bits: None, trace: None };
+        let wanted = Wanted { via, class, title, viewer: None, seated, payer, came, top_bits: None, trace };
         Ok((wanted, seating))
     }
 
--- a/crates/elderpick-gateway/tests/engine.rs
+++ b/crates/elderpick-gateway/tests/engine.rs
@@ -180,6 +180,41 @@
     assert!(sent(&bed.ask(12, 1, None)).is_some());
 }
 
+#[test]
+fn a_seat_whose_set_up_failed_and_may_have_run_is_free_only_when_the_host_has_let_go() {
+    let mut bed = Bed::new(10);
+    let exam = 1;
+    let (first, attempt, _) = sent(&bed.ask(1, exam, None)).unwrap();
+    let (second, ..) = sent(&bed.ask(2, exam, None)).unwrap();
+    let result = SetUp::Failed(Status::Reset);
+    let out = bed.feed(Input::SetUp { id: first, attempt, result, report: Report::default() });
+    assert!(out.iter().any(|o| matches!(o, Output::Release { id: Some(id), .. } if *id == first)));
+    assert!(answers(&out).is_empty(), "its answer waits for the host's, and for the class's time at most");
+    let refused = |out: &[Output]| matches!(answers(out)[..], [(_, Answer::Refused { .. })]);
+    assert!(refused(&bed.ask(3, exam, None)), "both seats count");
+    let out = bed.feed(Input::Released { id: first, bytes: None });
+    // Paid, and it may have run: never again, and no refusal.
+    assert!(matches!(answers(&out)[..], [(1, Answer::Failed { .. })]), "{out:?}");
+    let (third, attempt, _) = sent(&bed.ask(4, exam, None)).unwrap();
+    // A host that does not answer holds up no viewer: its time ends first.
+    let result = SetUp::Failed(Status::Reset);
+    bed.feed(Input::SetUp { id: third, attempt, result, report: Report::default() });
+    let mut failed = Vec::new();
+    for _ in 0..30 {
+        bed.now += 100_000;
+        failed.extend(answers(&bed.feed(Input::Tick)));
+    }
+    assert!(
+        failed.iter().any(|(ask, answer)| *ask == 4 && matches!(answer, Answer::Failed { .. })),
+        "{failed:?}"
+    );
+    for id in [second, third] {
+        bed.feed(Input::Released { id, bytes: None });
+    }
+    assert_eq!(bed.engine.sessions(), 0, "nothing is left");
+    assert!(sent(&bed.ask(5, exam, None)).is_some() && sent(&bed.ask(6, exam, None)).is_some());
+}
+
 #[test]
 fn silence_and_a_lost_host_end_sessions() {
     let mut bed = Bed::new(4);
--- a/crates/elderpick-lab/src/bad-day.cue
+++ b/crates/elderpick-lab/src/bad-day.cue
@@ -4,6 +4,7 @@
 racks:    2
 gateways: 3
 arrivals: 14
+srt:      0.2
 events: [
     {at: "2s",  for: "3s", kind: "slow", by: 4},
     {at: "3s",  for: "4s", kind: "fast_errors", share: 0.6, by: 0.7},
--- a/crates/elderpick-lab/src/check.rs
+++ b/crates/elderpick-lab/src/check.rs
@@ -475,7 +475,9 @@
                 (sum, sum_billed) = (sum + until - from, sum_billed + span);
                 let most = until - from + MUTE + SEEN;
                 // What a killed gateway did not mark is lost, and no more than that.
-                let least = kill.map_or(0, |(_, at)| at.min(until) - from - MARK - 2 * SEEN);
+                // One that was over before had been ended by the gateway, which knows how long it was used.
+                let held = kill.filter(|(_, at)| at <= until);
+                let least = held.map_or(0, |(_, at)| at - from - MARK - 2 * SEEN);
                 if *span > most || *span < least {
                     let (ms, held) = (span / 1000, (until - from) / 1000);
                     broken.push(format!("{gateway}: {session} is billed {ms} ms and was held {held} ms"));
--- a/crates/elderpick-lab/src/fleet.rs
+++ b/crates/elderpick-lab/src/fleet.rs
@@ -20,6 +20,7 @@
 pub struct Gateway {
     pub name: String,
     pub address: Cell<Option<SocketAddr>>,
+    pub srt: Cell<Option<SocketAddr>>,
     child: RefCell<Option<Child>>,
     pub settings: PathBuf,
 }
@@ -35,6 +36,8 @@
     pub gateways: Vec<Gateway>,
     /// Times the usual arrivals.
     pub crowd: Cell<f64>,
+    /// Part of the viewers of unlicensed classes that come over SRT.
+    pub srt_part: Cell<f64>,
     pub classes: Vec<ClassOf>,
     pub mutant: Option<Mutant>,
     pub issuer: Issuer,
@@ -139,12 +142,14 @@
             let settings = write(&format!("gateway-{me}.cue"), settings(&world, me, gateways))?;
             let (address, child) = (Cell::new(None), RefCell::new(None));
             elderpick_gateway::state::create(&folder.join(format!("seats-{me}.log")))?;
-            all.push(Gateway { name: format!("gateway-{me}"), address, child, settings });
+            let (name, srt) = (format!("gateway-{me}"), Cell::new(None));
+            all.push(Gateway { name, address, srt, child, settings });
         }
         let fleet = Rc::new(Fleet {
             world,
             gateways: all,
             crowd: Cell::new(1.0),
+            srt_part: Cell::new(0.0),
             classes: classes(),
             mutant,
             issuer,
@@ -282,6 +287,7 @@
             return Err(format!("{} did not start", gateway.name));
         }
         self.world.record.add(What::GatewayUp { gateway: gateway.name.clone() });
+        gateway.srt.set(self.srt(k).await.ok());
         self.write_sheet()
     }
 
@@ -289,6 +295,7 @@
     pub async fn kill(&self, k: usize) {
         let gateway = &self.gateways[k];
         gateway.address.set(None);
+        gateway.srt.set(None);
         self.world.record.add(What::GatewayDown { gateway: gateway.name.clone() });
         let child = gateway.child.borrow_mut().take();
         if let Some(mut child) = child {
--- a/crates/elderpick-lab/src/main.rs
+++ b/crates/elderpick-lab/src/main.rs
@@ -268,6 +268,7 @@
 ) -> Result<check::Verdict, String> {
     let size = (script.hosts, script.racks, script.gateways);
     let fleet = Fleet::start(Model::default(), size, seed, mutant, this_program()?, log).await?;
+    fleet.srt_part.set(script.srt);
     for event in script.events.clone() {
         tokio::task::spawn_local(script::play(fleet.clone(), event));
     }
--- a/crates/elderpick-lab/src/script.cue
+++ b/crates/elderpick-lab/src/script.cue
@@ -18,5 +18,6 @@
     gateways: int & >=1 & <=16 | *3
     // New viewers a second.
     arrivals: number & >0 | *12
+    srt:      number & >=0 & <=1 | *0
     events:   [...#Event]
 }
--- a/crates/elderpick-lab/src/script.rs
+++ b/crates/elderpick-lab/src/script.rs
@@ -32,6 +32,8 @@
     pub racks: usize,
     pub gateways: usize,
     pub arrivals: f64,
+    /// Part of the viewers of unlicensed classes that come over SRT.
+    pub srt: f64,
     pub events: Vec<Event>,
 }
 
--- a/crates/elderpick-lab/src/srt.rs
+++ b/crates/elderpick-lab/src/srt.rs
@@ -22,7 +22,7 @@
 use crate::record::now;
 
 const EVERY: Micros = 20_000;
-const TICK: Duration = Duration::from_millis(5);
+const TICK: Duration = Duration::from_millis(10);
 const IDLE: Micros = 3_000_000;
 /// What hosts and players know of each other that gateways do not.
 const SECRET: &str = "between host and player";
@@ -65,7 +65,8 @@
     loop {
         let came = tokio::select! {
             came = socket.recv_from(&mut buffer) => came.ok(),
-            _ = tick.tick() => None,
+            // Nothing flows and nobody is remembered: there is nothing to wake up for.
+            _ = tick.tick(), if !flowing.is_empty() || listener.next_timer().is_some() => None,
         };
         let at = now();
         if let Some((length, from)) = came {
@@ -191,6 +192,19 @@
     stream_id: String,
     encrypted: bool,
     lasts: Duration,
+) -> Result<Played, String> {
+    play_with(to, stream_id, encrypted, (PATIENCE, lasts), |_| ()).await
+}
+
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// The same for a caller that waits so long for its answer, and says at once whether it plays or why not.
+pub async fn play_with(
+    to: SocketAddr,
+    stream_id: String,
+    encrypted: bool,
+    (patience, lasts): (Duration, Duration),
+    answered: impl Fn(Option<u32>),
 ) -> Result<Played, String> {
     let told = |why: std::io::Error| why.to_string();
     let socket = UdpSocket::bind("127.0.0.1:0").await.map_err(told)?;
@@ -206,7 +220,7 @@
         latency: 120_000,
         window: 8192,
         keys: keys.clone(),
-        within: 3_000_000,
+        within: patience.as_micros() as i64,
     };
     let mut call = Call::new(began, wanted);
     let mut played =
@@ -226,11 +240,13 @@
                 None => {}
                 Some(Outcome::Connected { answer, stamp }) => {
                     played.answered = at - began;
+                    answered(None);
                     live = Some(Live::new(at, settings(answer.socket, own, &answer, stamp, keys.clone())));
                     continue;
                 }
                 Some(Outcome::Rejected(why)) => {
                     played.answered = at - began;
+                    answered(Some(why));
                     return Ok(Played { ended: Ended::Rejected(why), ..played });
                 }
                 Some(Outcome::TimedOut) => return Ok(played),
--- a/crates/elderpick-lab/src/viewers.rs
+++ b/crates/elderpick-lab/src/viewers.rs
@@ -6,6 +6,8 @@
 
 use bytes::Bytes;
 use elderpick_hls::{Limits, Media, Multivariant, Variables};
+use elderpick_srt::packet::reason;
+use elderpick_srt::stream_id::StreamId;
 use http::{HeaderMap, Method, Request};
 use http_body_util::{BodyExt, Full};
 use hyper_util::rt::TokioIo;
@@ -16,6 +18,7 @@
 use crate::fleet::{ClassOf, Fleet};
 use crate::issuer;
 use crate::record::What;
+use crate::srt::{self, Ended};
 
 /// One request on a connection of its own; dropping the future closes it.
 pub async fn call(
@@ -135,6 +138,68 @@
     &fleet.classes[0]
 }
 
+/// A viewer that comes over SRT, with its tries.
+async fn over_srt(fleet: Rc<Fleet>, class: ClassOf, title: String, sid: String) {
+    let record = fleet.world.record.clone();
+    let unit = || fleet.world.unit();
+    for _ in 0..4 {
+        let up: Vec<_> = fleet.gateways.iter().filter_map(|g| Some((g, g.srt.get()?))).collect();
+        let Some((gateway, to)) = up.get((unit() * unit() * up.len() as f64) as usize).copied() else {
+            return;
+        };
+        let trace = format!("{:032x}", rand::rng().random::<u128>());
+        let parent = ("trace".to_owned(), format!("00-{trace}-0000000000000001-01"));
+        let id = StreamId {
+            resource: title.clone(),
+            session: sid.clone(),
+            others: vec![("class".into(), class.name.into()), parent],
+            ..StreamId::default()
+        };
+        let (viewer, at) = (sid.clone(), gateway.name.clone());
+        record.add(What::Asked {
+            trace: trace.clone(),
+            viewer,
+            gateway: at,
+            class: class.name.into(),
+            seat: None,
+        });
+        let patience = Duration::from_micros(class.patience as u64);
+        let lasts = Duration::from_secs_f64(1.0 + 6.0 * unit());
+        let answered = |why: Option<u32>| {
+            let code = match why {
+                None => 200,
+                Some(reason::OVERLOAD) => 503,
+                Some(reason::GATEWAY) => 502,
+                // Any other reason is none that such a call should get.
+                Some(why) => why as u16,
+            };
+            record.add(What::Replied { trace: trace.clone(), code });
+        };
+        let Ok(played) = srt::play_with(to, id.write(), unit() < 0.25, (patience, lasts), answered).await
+        else {
+            record.add(What::CutOff { trace });
+            return;
+        };
+        match played.ended {
+            Ended::TimedOut => {
+                record.add(What::LeftWaiting { trace, patient: true });
+                return;
+            }
+            Ended::Left | Ended::Cut => {
+                let (whole, segments) = (played.ended == Ended::Left, (played.packets / 50) as usize);
+                let rung_changes = played.rungs.len().saturating_sub(1);
+                record.add(What::Played { trace, whole, segments, short: 0, rung_changes });
+                if whole {
+                    return;
+                }
+            }
+            Ended::Rejected(reason::GATEWAY) if class.paid => return,
+            Ended::Rejected(_) => {}
+        }
+        tokio::time::sleep(Duration::from_secs_f64(0.5 + unit())).await;
+    }
+}
+
 /// One viewer with all its tries.
 pub async fn viewer(fleet: Rc<Fleet>) {
     let record = fleet.world.record.clone();
@@ -150,6 +215,9 @@
     let licences = &fleet.issuer.granted;
     let licence = (class.name == issuer::CLASS)
         .then(|| licences[((unit() * licences.len() as f64) as usize).min(licences.len() - 1)].0);
+    if licence.is_none() && unit() < fleet.srt_part.get() {
+        return over_srt(fleet.clone(), class, title, sid).await;
+    }
     let in_header = unit() < 0.5;
     let mut sent_on: Option<SocketAddr> = None;
     for _ in 0..6 {
