SRT measured: loss against latency, and what a packet costs the gateway

Need: figures for the second front, repeatable by one command.

Latency added, set-ups a second and memory were not measured.

--- a/crates/elderpick-lab/src/lib.rs
+++ b/crates/elderpick-lab/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod script;
 pub mod seats;
 pub mod srt;
+pub mod srt_bench;
 pub mod viewers;
--- a/crates/elderpick-lab/src/main.rs
+++ b/crates/elderpick-lab/src/main.rs
@@ -11,7 +11,7 @@
 use elderpick_lab::hosts::Model;
 use elderpick_lab::mutants::{ALL, Double, Mutant};
 use elderpick_lab::record::What;
-use elderpick_lab::{check, entitle_bench, fuzz, ledger_bench, measure, script, seats, viewers};
+use elderpick_lab::{check, entitle_bench, fuzz, ledger_bench, measure, script, seats, srt_bench, viewers};
 use elderpick_ledger::reconcile::{Finding, reconcile};
 
 /// Stand-ins, drills and measurements for elderpick, all on loopback.
@@ -45,6 +45,8 @@
         #[arg(long, default_value_t = 1_000_000)]
         entries: u64,
     },
+    /// Measure SRT: loss against latency, and what a packet costs. Takes about half a minute.
+    MeasureSrt,
     /// Feed a parser mutated inputs from a corpus.
     Fuzz {
         target: Target,
@@ -131,6 +133,9 @@
         (Command::Measure, Ok(runtime)) => {
             tokio::task::LocalSet::new().block_on(&runtime, async { measure::run(this_program()?).await })
         }
+        (Command::MeasureSrt, Ok(runtime)) => {
+            tokio::task::LocalSet::new().block_on(&runtime, async { srt_bench::run(this_program()?).await })
+        }
         (Command::MeasureSeats, Ok(runtime)) => {
             runtime.block_on(in_folder(async |folder: &Path| entitle_bench::run(folder).await))
         }
