--- a/crates/elderpick-gateway/src/host.rs
+++ b/crates/elderpick-gateway/src/host.rs
@@ -199,6 +199,8 @@
 pub struct Message {
     pub event: String,
     pub data: String,
+    /// What a later call names to go on behind this event; empty where none is told.
+    pub id: String,
 }
 
 /// A stream of server-sent events, by the HTML standard.
@@ -216,8 +218,21 @@
 impl Events {
     /// Opens a stream; the answer must be 200.
     pub async fn open(to: SocketAddr, path: &str, gateway: &str, within: Duration) -> Result<Events, Lost> {
+        Events::open_behind(to, path, gateway, None, within).await
+    }
+
+    /// Opens a stream that goes on behind the event of this id.
+    pub async fn open_behind(
+        to: SocketAddr,
+        path: &str,
+        gateway: &str,
+        last: Option<u64>,
+        within: Duration,
+    ) -> Result<Events, Lost> {
         let mut connection = open(to, within).await?;
-        let asked = connection.sender.send_request(request(Method::GET, path, to, gateway, String::new()));
+        let mut call = request(Method::GET, path, to, gateway, String::new());
+        call.headers_mut().extend(last.map(|id| (http::HeaderName::from_static("last-event-id"), id.into())));
+        let asked = connection.sender.send_request(call);
         let answer =
             tokio::time::timeout(within, asked).await.map_err(|_| Lost::Cut)?.map_err(|_| Lost::Cut)?;
         if answer.status() != StatusCode::OK {
@@ -240,6 +255,7 @@
                     let value = value.strip_prefix(' ').unwrap_or(value);
                     match field {
                         "event" => message.event = value.to_owned(),
+                        "id" => message.id = value.to_owned(),
                         "data" if message.data.is_empty() => message.data = value.to_owned(),
                         "data" => message.data.extend(["\n", value]),
                         _ => {}
--- a/crates/elderpick-gateway/src/lib.rs
+++ b/crates/elderpick-gateway/src/lib.rs
@@ -38,11 +38,16 @@
 
 /// Logs to standard error, as the settings say. A second call changes nothing.
 pub fn log(config: &config::Config) {
+    log_as(&config.log.level, &config.log.format);
+}
+
+/// Logs to standard error at a level, `json` or as text. A second call changes nothing.
+pub fn log_as(level: &str, format: &str) {
     use tracing_subscriber::EnvFilter;
-    let filter = EnvFilter::new(&config.log.level);
+    let filter = EnvFilter::new(level);
     let to = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
     let to = to.with_ansi(std::io::IsTerminal::is_terminal(&std::io::stderr()));
-    let _ = match config.log.format.as_str() {
+    let _ = match format {
         "json" => to.json().flatten_event(true).try_init(),
         _ => to.with_target(false).try_init(),
     };
--- /dev/null
+++ b/crates/elderpick-node/src/hosts.rs
@@ -0,0 +1,443 @@
+//! Connections to media hosts: a few for each, each with few set-ups on it, since one spoilt answer takes them all along.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use elderpick_core::api::{Micros, Note, Report, ServerId, Status};
+use elderpick_platform::rtsp::{self, Start, cseq};
+use elderpick_sessions::keep::Kept;
+use elderpick_sessions::life::Input;
+use elderpick_sessions::watch::Opened;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+
+use crate::link::Link;
+use crate::node::Node;
+
+/// Set-ups that one connection carries where no further one may be opened.
+const SHARED: usize = 8;
+/// Words that wait for a connection to a host, and how long they are worth saying.
+const KEPT: usize = 256;
+const KEPT_LASTS: Micros = 30_000_000;
+/// A connection that is used no more is kept so long for what may still come on it.
+const RETIRED: Duration = Duration::from_secs(1);
+
+/// One connection to a host.
+pub(crate) struct Line {
+    link: Link,
+    /// Set-ups that are out on it, with the time they were written.
+    out: RefCell<BTreeMap<u64, Micros>>,
+    /// Calls for load and tests that are out on it; calls for load want their result told.
+    asked: RefCell<BTreeMap<u64, bool>>,
+    /// When it was last read from and last written to.
+    read: Cell<Micros>,
+    used: Cell<Micros>,
+    /// Part of a message is held.
+    partial: Cell<bool>,
+    retired: Cell<bool>,
+}
+
+impl Line {
+    fn free(&self) -> bool {
+        !self.retired.get() && self.link.free()
+    }
+
+    fn idle(&self) -> bool {
+        self.out.borrow().is_empty() && self.asked.borrow().is_empty()
+    }
+}
+
+/// What leads to one host.
+struct Ways {
+    lines: Vec<Rc<Line>>,
+    opening: usize,
+    kept: Kept<Vec<u8>>,
+}
+
+impl Default for Ways {
+    fn default() -> Self {
+        Ways { lines: Vec::new(), opening: 0, kept: Kept::new(KEPT, KEPT_LASTS) }
+    }
+}
+
+/// What a call is for.
+enum Call {
+    SetUp { session: u64, bytes: Vec<u8> },
+    Load { session: u64 },
+    Nothing,
+}
+
+pub(crate) struct Hosts {
+    ways: RefCell<BTreeMap<ServerId, Ways>>,
+    /// Descriptors for all hosts.
+    most: usize,
+    connect: Duration,
+    /// A line that was idle so long is not written a set-up to: its host may be closing it.
+    stale: Micros,
+    next_call: Cell<u64>,
+    pub unreadable: Cell<u64>,
+}
+
+impl Hosts {
+    pub fn new(most: usize, connect: Duration, idle: Micros, first_call: u64) -> Hosts {
+        let stale = if idle > 0 { idle / 3 * 2 } else { Micros::MAX };
+        let next_call = Cell::new(first_call | 1);
+        Hosts { ways: RefCell::default(), most, connect, stale, next_call, unreadable: Cell::new(0) }
+    }
+
+    pub fn lines(&self) -> usize {
+        self.ways.borrow().values().map(|w| w.lines.len() + w.opening).sum()
+    }
+
+    fn new_call(&self) -> u64 {
+        // An odd multiplier makes names that no counter of another gateway meets.
+        let call = self.next_call.get();
+        self.next_call.set(call.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(1) | 1);
+        call
+    }
+}
+
+impl Node {
+    /// Whether another line to a host may be opened.
+    fn may_open(&self, server: &ServerId) -> bool {
+        let each = (self.hosts.most / (self.life.borrow().hosts() + 2).max(1)).clamp(2, 16);
+        let ways = self.hosts.ways.borrow();
+        let of_host = ways.get(server).map_or(0, |w| w.lines.len() + w.opening);
+        drop(ways);
+        of_host < each && self.hosts.lines() < self.hosts.most
+    }
+
+    /// The line with the fewest set-ups and calls on it.
+    fn line(&self, server: &ServerId) -> Option<Rc<Line>> {
+        let ways = self.hosts.ways.borrow();
+        let fresh = |line: &&Rc<Line>| line.free() && self.now() - line.read.get() < self.hosts.stale;
+        let lines = ways.get(server)?.lines.iter().filter(fresh);
+        lines.min_by_key(|line| (line.out.borrow().len(), line.asked.borrow().len())).cloned()
+    }
+
+    /// Writes a set-up on an idle line, on a new one, or with others if there may be no further.
+    pub(crate) fn host_set_up(self: &Rc<Self>, server: ServerId, session: u64, bytes: Vec<u8>) {
+        let line = self.line(&server);
+        let load = line.as_ref().map_or(usize::MAX, |line| line.out.borrow().len());
+        match line {
+            Some(line) if load == 0 => self.write_set_up(&server, &line, session, &bytes),
+            _ if self.may_open(&server) => self.open(server, Call::SetUp { session, bytes }),
+            Some(line) if load < SHARED => self.write_set_up(&server, &line, session, &bytes),
+            _ => self.feed_later(Input::Cut { server, session, begun: false }),
+        }
+    }
+
+    /// The last look before the first byte.
+    fn write_set_up(self: &Rc<Self>, server: &ServerId, line: &Rc<Line>, session: u64, bytes: &[u8]) {
+        let now = self.now();
+        if !self.life.borrow().may_write(server, session, now) {
+            return self.feed_later(Input::Kept { server: server.clone(), session });
+        }
+        if line.link.send_now(bytes) {
+            line.out.borrow_mut().insert(session, now);
+            line.used.set(now);
+        } else {
+            line.link.end(true);
+            self.feed_later(Input::Cut { server: server.clone(), session, begun: false });
+        }
+    }
+
+    pub(crate) fn host_withdraw(self: &Rc<Self>, server: &ServerId, session: u64) {
+        let ways = self.hosts.ways.borrow();
+        let lines = ways.get(server).into_iter().flat_map(|w| &w.lines);
+        for line in lines {
+            let Some(written) = line.out.borrow_mut().remove(&session) else { continue };
+            line.link.send(&rtsp::teardown(session, None));
+            // What hangs in the middle of a message, or has said nothing since, is trusted with no other.
+            if line.partial.get() || line.read.get() < written {
+                self.retire(line);
+            }
+        }
+    }
+
+    fn retire(&self, line: &Rc<Line>) {
+        if !line.retired.replace(true) {
+            let line = line.clone();
+            spawn_local(async move {
+                tokio::time::sleep(RETIRED).await;
+                line.link.end(true);
+            });
+        }
+    }
+
+    /// Says something that needs no answer, now or on the next line that comes up.
+    pub(crate) fn host_tell(self: &Rc<Self>, server: ServerId, bytes: Vec<u8>) {
+        if let Some(line) = self.line(&server) {
+            return line.link.send(&bytes);
+        }
+        let mut ways = self.hosts.ways.borrow_mut();
+        let ways = ways.entry(server.clone()).or_default();
+        ways.kept.push(self.now(), bytes);
+        let idle = ways.opening == 0;
+        if idle {
+            self.open_later(server);
+        }
+    }
+
+    fn open_later(self: &Rc<Self>, server: ServerId) {
+        let node = self.clone();
+        spawn_local(async move { node.open(server, Call::Nothing) });
+    }
+
+    pub(crate) fn host_probe(self: &Rc<Self>, server: ServerId) {
+        let session = self.hosts.new_call();
+        match self.line(&server) {
+            Some(line) if line.idle() => self.write_probe(&server, &line, session),
+            _ if self.may_open(&server) => self.open(server, Call::Load { session }),
+            Some(line) => self.write_probe(&server, &line, session),
+            None => self.feed_later(Input::Probed {
+                server,
+                status: Status::ConnectError,
+                report: Report::default(),
+            }),
+        }
+    }
+
+    fn write_probe(self: &Rc<Self>, server: &ServerId, line: &Rc<Line>, session: u64) {
+        line.link.send(&rtsp::options(session, true));
+        line.asked.borrow_mut().insert(session, true);
+        line.used.set(self.now());
+        let (node, line, server) = (self.clone(), line.clone(), server.clone());
+        spawn_local(async move {
+            tokio::time::sleep(node.hosts.connect).await;
+            if line.asked.borrow_mut().remove(&session).is_some() {
+                if line.partial.get() {
+                    node.retire(&line);
+                }
+                let (status, report) = (Status::TimedOut, Report::default());
+                node.feed(Input::Probed { server, status, report });
+            }
+        });
+    }
+
+    /// Tests a host on any line; any word from it will do.
+    pub(crate) fn host_test(self: &Rc<Self>, server: &ServerId) {
+        if let Some(line) = self.line(server) {
+            let session = self.hosts.new_call();
+            line.link.send(&rtsp::options(session, false));
+        }
+    }
+
+    pub(crate) fn host_open(self: &Rc<Self>, server: ServerId) {
+        self.open(server, Call::Nothing);
+    }
+
+    /// Closes all that leads to a host.
+    pub(crate) fn host_forget(&self, server: &ServerId) {
+        let ways = self.hosts.ways.borrow();
+        ways.get(server).into_iter().flat_map(|w| &w.lines).for_each(|line| line.link.end(true));
+    }
+
+    /// Closes what is not needed: lines to hosts that are gone, and more than one that is idle.
+    pub(crate) fn host_tidy(&self) {
+        let (life, now) = (self.life.borrow(), self.now());
+        let mut all = self.hosts.ways.borrow_mut();
+        all.retain(|server, ways| {
+            let known = life.address(server).is_some();
+            let mut spare = ways.lines.iter().filter(|l| !l.retired.get()).count();
+            for line in &ways.lines {
+                let stale = now - line.used.get().max(line.read.get()) > self.hosts.stale;
+                let surplus = spare > 1 && now - line.used.get() > 10_000_000;
+                if line.idle() && (!known || stale || surplus) {
+                    spare = spare.saturating_sub(1);
+                    line.link.end(true);
+                }
+            }
+            known || !ways.lines.is_empty() || ways.opening > 0
+        });
+    }
+
+    fn open(self: &Rc<Self>, server: ServerId, call: Call) {
+        let Some(to) = self.life.borrow().address(&server) else {
+            return self.never_up(server, call, Opened::Refused);
+        };
+        self.hosts.ways.borrow_mut().entry(server.clone()).or_default().opening += 1;
+        let node = self.clone();
+        spawn_local(async move {
+            let up = connect(to, node.hosts.connect).await;
+            if let Some(ways) = node.hosts.ways.borrow_mut().get_mut(&server) {
+                ways.opening -= 1;
+            }
+            // The list may have told of another host at this address meanwhile.
+            let same = node.life.borrow().address(&server) == Some(to);
+            match up {
+                Ok(stream) if same => node.up(server, stream, call).await,
+                Ok(_) => node.never_up(server, call, Opened::Refused),
+                Err(how) => node.never_up(server, call, how),
+            }
+        });
+    }
+
+    fn never_up(self: &Rc<Self>, server: ServerId, call: Call, how: Opened) {
+        self.feed_later(Input::Opened { server: server.clone(), how });
+        match call {
+            Call::SetUp { session, .. } => self.feed_later(Input::Cut { server, session, begun: false }),
+            Call::Load { .. } => {
+                let (status, report) = (Status::ConnectError, Report::default());
+                self.feed_later(Input::Probed { server, status, report });
+            }
+            Call::Nothing => {}
+        }
+    }
+
+    /// A line came up: says what waits for it and reads until it ends.
+    async fn up(self: Rc<Self>, server: ServerId, stream: TcpStream, call: Call) {
+        let now = self.now();
+        let line = Rc::new(Line {
+            link: Link::new(stream),
+            out: RefCell::default(),
+            asked: RefCell::default(),
+            read: Cell::new(now),
+            used: Cell::new(now),
+            partial: Cell::new(false),
+            retired: Cell::new(false),
+        });
+        let kept: Vec<_> = {
+            let mut ways = self.hosts.ways.borrow_mut();
+            let ways = ways.entry(server.clone()).or_default();
+            ways.lines.push(line.clone());
+            ways.kept.take(now).collect()
+        };
+        self.feed(Input::Opened { server: server.clone(), how: Opened::Up });
+        match call {
+            Call::SetUp { session, bytes } => self.write_set_up(&server, &line, session, &bytes),
+            Call::Load { session } => self.write_probe(&server, &line, session),
+            Call::Nothing => {}
+        }
+        kept.iter().for_each(|bytes| line.link.send(bytes));
+        let mut decoder = rtsp::Decoder::default();
+        let mut told = now;
+        let heard = |chunk: &[u8]| {
+            let now = self.now();
+            line.read.set(now);
+            if now - told > 100_000 {
+                told = now;
+                self.feed(Input::Heard { server: server.clone() });
+            }
+            decoder.push(chunk);
+            loop {
+                match decoder.message() {
+                    Ok(Some(message)) => self.host_said(&server, &line, &message),
+                    Ok(None) => break,
+                    Err(why) => {
+                        self.hosts.unreadable.set(self.hosts.unreadable.get() + 1);
+                        tracing::debug!(server = %server, %why, "a host sent what cannot be read");
+                        line.link.end(true);
+                        return false;
+                    }
+                }
+            }
+            line.partial.set(decoder.partial());
+            true
+        };
+        line.link.run(&self.buffer, heard).await;
+        line.link.end(true);
+        if let Some(ways) = self.hosts.ways.borrow_mut().get_mut(&server) {
+            ways.lines.retain(|other| !Rc::ptr_eq(other, &line));
+        }
+        let (out, asked) = (line.out.take(), line.asked.take());
+        drop(line);
+        self.feed(Input::HostClosed { server: server.clone() });
+        for (session, _) in out {
+            self.feed(Input::Cut { server: server.clone(), session, begun: true });
+        }
+        for _ in asked.into_values().filter(|load| *load) {
+            let (status, report) = (Status::Reset, Report::default());
+            self.feed(Input::Probed { server: server.clone(), status, report });
+        }
+    }
+
+    fn host_said(self: &Rc<Self>, server: &ServerId, line: &Rc<Line>, message: &rtsp::Message) {
+        let (session, server) = (message.session, server.clone());
+        tracing::trace!(server = %server, ?message, "a host says");
+        match &message.start {
+            Start::Response { status: 100..=199 } => {}
+            Start::Response { status } => match message.cseq {
+                cseq::SET_UP => {
+                    line.out.borrow_mut().remove(&session);
+                    let input = match set_up_status(*status) {
+                        Status::Ok => Input::Answer { server, session, description: message.body.clone() },
+                        status => Input::Refused { server, session, status, report: self.report(message) },
+                    };
+                    self.feed(input);
+                }
+                cseq::TEARDOWN if *status == 200 => self.feed(Input::ReleaseHeard { server, session }),
+                cseq::OPTIONS => {
+                    let load = line.asked.borrow_mut().remove(&session);
+                    if load == Some(true) {
+                        let status = if *status == 200 { Status::Ok } else { Status::Failed };
+                        self.feed(Input::Probed { server, status, report: self.report(message) });
+                    }
+                }
+                _ => {}
+            },
+            Start::Request { method } => match method.as_str() {
+                "TEARDOWN" => {
+                    line.out.borrow_mut().remove(&session);
+                    line.link.send(&rtsp::response(200, message.cseq, session));
+                    let cause = message.cause().unwrap_or(0);
+                    self.feed(Input::Released { server, session, cause, report: self.report(message) });
+                }
+                "ANNOUNCE" => {
+                    if let Some(note) = note(message) {
+                        self.feed(Input::Noted { server, session, note });
+                    }
+                }
+                "OPTIONS" => line.link.send(&rtsp::response(200, message.cseq, session)),
+                _ => {}
+            },
+        }
+    }
+
+    /// A host's report, by the names that the settings give.
+    fn report(&self, message: &rtsp::Message) -> Report {
+        let mut report = Report::default();
+        for (name, value) in message.state() {
+            match name {
+                "x0" | "util" | "utilization" => report.link = Some(value),
+                "x1" => report.uplink = Some(value),
+                "inflight" | "outstanding" => report.streams = Some(value),
+                _ => {}
+            }
+        }
+        report
+    }
+}
+
+async fn connect(to: SocketAddr, within: Duration) -> Result<TcpStream, Opened> {
+    match tokio::time::timeout(within, TcpStream::connect(to)).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(_)) => Err(Opened::Refused),
+        Err(_) => Err(Opened::Silent),
+    }
+}
+
+/// What an answer to a set-up means.
+fn set_up_status(status: u16) -> Status {
+    match status {
+        200 => Status::Ok,
+        453 => Status::Full,
+        454 => Status::Ignored,
+        504 => Status::Reset,
+        _ => Status::Failed,
+    }
+}
+
+fn note(message: &rtsp::Message) -> Option<Note> {
+    let amount: f64 = message.header("P-Amount")?.trim().parse().ok().filter(|n: &f64| n.is_finite())?;
+    Some(match message.header("X-Note")?.trim() {
+        "d" => Note::Delivered(amount),
+        "r" => Note::Rung(amount.max(0.0) as usize),
+        "l" => Note::LinkAsked(amount),
+        "u" => Note::UplinkAsked(amount),
+        _ => return None,
+    })
+}
--- /dev/null
+++ b/crates/elderpick-node/src/lib.rs
@@ -0,0 +1,155 @@
+//! A gateway on the platform's wire: the sockets around [`elderpick_sessions::life`].
+//!
+//! One thread. `viewers` takes viewers' connections, `hosts` keeps those to media hosts, `journal` follows the list,
+//! `node` carries out what the life of sessions says. It writes nothing to disk.
+
+mod hosts;
+mod journal;
+mod link;
+mod node;
+mod viewers;
+
+use std::cell::{Cell, RefCell};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use elderpick_core::Controller;
+use elderpick_core::api::{ListKind, Micros};
+use elderpick_gateway::shell::WallClock;
+use elderpick_platform::boot::{self, Boot};
+use elderpick_sessions::door::Guests as Door;
+use elderpick_sessions::follow::Follow;
+use elderpick_sessions::keep::Kept;
+use elderpick_sessions::life::{Input, Life};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::spawn_local;
+
+use crate::node::Node;
+
+/// Descriptors that are neither viewers' nor hosts': the listener, the journal, standard streams, the runtime's, and
+/// some to accept and turn away with.
+const RESERVE: usize = 32;
+/// A connection to a host that is not up by then is given up, where the settings tell no other time.
+const CONNECT: Micros = 250_000;
+/// After SIGTERM viewers go on coming for a while; then no new connection is taken.
+const COMING: Duration = Duration::from_millis(900);
+const CROSSING: Duration = Duration::from_millis(150);
+
+/// Reads a configuration file.
+fn read(path: &Path) -> Result<Boot, String> {
+    let told = |why: String| format!("{}: {why}", path.display());
+    let text = std::fs::read(path).map_err(|why| told(why.to_string()))?;
+    Boot::parse(&text).map_err(told)
+}
+
+/// Runs a gateway until SIGTERM or SIGINT. `Err` tells a person what is wrong.
+pub fn run(path: &Path) -> Result<(), String> {
+    let boot = read(path)?;
+    let level = std::env::var("ELDERPICK_LOG").unwrap_or_else(|_| "info".into());
+    elderpick_gateway::log_as(&level, "text");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|why| format!("no runtime: {why}"))?;
+    tokio::task::LocalSet::new().block_on(&runtime, serve(boot, path.to_owned()))
+}
+
+async fn serve(boot: Boot, path: PathBuf) -> Result<(), String> {
+    let listener = TcpListener::bind(boot.listen).await;
+    let listener = listener.map_err(|why| format!("listen: cannot listen on {}: {why}", boot.listen))?;
+    let seed = boot.seed()?;
+    let info = &boot.settings;
+    let core = Controller::new(seed, boot::settings(info)?);
+    let classes = info.profiles.iter().map(|p| p.name.clone()).collect();
+    let life = Life::new(core, classes, info.extra.cells.unwrap_or(1));
+    let for_hosts = boot.limits.sockets * 3 / 8;
+    let for_viewers = boot.limits.sockets - for_hosts - RESERVE.min(boot.limits.sockets / 4);
+    let connect = Some(info.limits.connect_timeout_us).filter(|us| *us > 0).unwrap_or(CONNECT);
+    let connect = Duration::from_micros(connect as u64);
+    let node = Rc::new(Node {
+        life: RefCell::new(life),
+        clock: WallClock::start(),
+        name: boot.name.clone(),
+        zones: info.zones.clone(),
+        kinds: info.flavors.clone(),
+        hosts: hosts::Hosts::new(for_hosts, connect, info.limits.conn_idle_us, seed),
+        guests: RefCell::default(),
+        door: RefCell::new(Door::new(for_viewers)),
+        next_conn: Cell::new(0),
+        buffer: RefCell::new(vec![0; link::CHUNK]),
+        over: RefCell::new(Kept::new(node::RELEASES, node::RELEASES_LAST)),
+        follow: RefCell::new(Follow::new(0)),
+        journal: Cell::new(boot.journal),
+        moved: Default::default(),
+        caught_up: Cell::new(false),
+        ending: Cell::new(false),
+        timer: Default::default(),
+        later: RefCell::default(),
+        feeding: Cell::new(false),
+        unreadable: Cell::new(0),
+        turned_away: Cell::new(0),
+        warned: Cell::new(0),
+    });
+    let mut term = handler(SignalKind::terminate())?;
+    let mut int = handler(SignalKind::interrupt())?;
+    let mut hang_up = handler(SignalKind::hangup())?;
+    begin(&node, &boot);
+    let accepting = spawn_local(viewers::accept(listener, node.clone()));
+    spawn_local(node.clone().run_timers());
+    spawn_local(node.clone().run_chores());
+    spawn_local(journal::follow(node.clone()));
+    tracing::info!(name = %node.name, listen = %boot.listen, hosts = for_hosts, viewers = for_viewers, "serving");
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = hang_up.recv() => reload(&node, &path),
+        }
+    }
+    // Viewers go on coming until the front has heard; what stands is left standing, to be handed over.
+    node.ending.set(true);
+    tracing::info!(open = node.life.borrow().open(), held = node.life.borrow().held(), "ending");
+    tokio::time::sleep(COMING).await;
+    accepting.abort();
+    loop {
+        let idle = node.door.borrow_mut().overdue(node.now(), true);
+        idle.into_iter().for_each(|conn| node.close_guest(conn));
+        tokio::time::sleep(CROSSING).await;
+        if node.life.borrow().open() == 0 {
+            break;
+        }
+    }
+    node.log_state();
+    tracing::info!("ended");
+    Ok(())
+}
+
+fn handler(kind: SignalKind) -> Result<tokio::signal::unix::Signal, String> {
+    signal(kind).map_err(|why| format!("no signals: {why}"))
+}
+
+/// The list as it was known at the start.
+fn begin(node: &Rc<Node>, boot: &Boot) {
+    for (k, event) in boot.known.entries.iter().enumerate() {
+        node.follow.borrow_mut().take(event.pos, event.hosts.whole || k == 0);
+        let kind = if event.hosts.whole { ListKind::Restored } else { ListKind::Changes };
+        let hosts = node.listed(event);
+        node.feed(Input::List { kind, hosts });
+    }
+}
+
+/// Reads the configuration again: the journal may be elsewhere. A file that is not good changes nothing.
+fn reload(node: &Rc<Node>, path: &Path) {
+    match read(path) {
+        Ok(boot) => {
+            for event in boot.known.entries {
+                node.journal_said(event);
+            }
+            if node.journal.replace(boot.journal) != boot.journal {
+                node.moved.notify_one();
+            }
+            tracing::info!(journal = %boot.journal, "configuration read again");
+        }
+        Err(why) => tracing::error!("the configuration stands as it was: {why}"),
+    }
+}
--- /dev/null
+++ b/crates/elderpick-node/src/node.rs
@@ -0,0 +1,237 @@
+//! One gateway: what its tasks share, and how what the sessions' life says is carried out.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use elderpick_core::api::Micros;
+use elderpick_gateway::shell::{Clock, WallClock};
+use elderpick_platform::{rtsp, viewer};
+use elderpick_sessions::door::Guests as Door;
+use elderpick_sessions::follow::Follow;
+use elderpick_sessions::keep::Kept;
+use elderpick_sessions::life::{Conn, Input, Life, Output};
+use tokio::sync::Notify;
+
+use crate::hosts::Hosts;
+use crate::viewers::{Guests, Standing};
+
+/// Releases that wait for a viewers' connection, and how long they are worth saying.
+pub(crate) const RELEASES: usize = 4_096;
+pub(crate) const RELEASES_LAST: Micros = 10_000_000;
+
+pub(crate) struct Node {
+    pub life: RefCell<Life>,
+    pub clock: WallClock,
+    pub name: String,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    pub hosts: Hosts,
+    pub guests: RefCell<Guests>,
+    pub door: RefCell<Door>,
+    pub next_conn: Cell<Conn>,
+    /// What is read goes here first; each task is done with it before the next one reads.
+    pub buffer: RefCell<Vec<u8>>,
+    pub over: RefCell<Kept<(u64, u8)>>,
+    pub follow: RefCell<Follow>,
+    pub journal: Cell<SocketAddr>,
+    pub moved: Notify,
+    pub caught_up: Cell<bool>,
+    pub ending: Cell<bool>,
+    pub timer: Notify,
+    pub later: RefCell<VecDeque<Input>>,
+    pub feeding: Cell<bool>,
+    pub unreadable: Cell<u64>,
+    pub turned_away: Cell<u64>,
+    pub warned: Cell<Micros>,
+}
+
+impl Node {
+    pub fn now(&self) -> Micros {
+        self.clock.now()
+    }
+
+    /// Logs a warning unless one was logged within the last second.
+    pub fn warn_seldom(&self, what: &str) {
+        let now = self.now();
+        if now - self.warned.get() >= 1_000_000 {
+            self.warned.set(now);
+            tracing::warn!("{what}");
+        }
+    }
+
+    /// Takes what happens while something else is being carried out, right behind it.
+    pub fn feed_later(self: &Rc<Self>, input: Input) {
+        self.later.borrow_mut().push_back(input);
+        if !self.feeding.get() {
+            self.drain();
+        }
+    }
+
+    /// Tells the sessions' life what happens and carries out what it says.
+    pub fn feed(self: &Rc<Self>, input: Input) {
+        self.feed_later(input);
+    }
+
+    fn drain(self: &Rc<Self>) {
+        self.feeding.set(true);
+        let before = self.life.borrow().next_timer();
+        let mut out = Vec::new();
+        loop {
+            let Some(input) = self.later.borrow_mut().pop_front() else { break };
+            let asked = match &input {
+                Input::SetUp { conn, .. } => Some(*conn),
+                _ => None,
+            };
+            self.life.borrow_mut().handle(self.now(), input, &mut out);
+            if let Some(conn) = asked {
+                self.opened(conn);
+            }
+            for output in out.drain(..) {
+                self.carry_out(output);
+            }
+        }
+        self.feeding.set(false);
+        if self.life.borrow().next_timer() != before {
+            self.timer.notify_one();
+        }
+    }
+
+    /// The number of set-ups that are open on a connection has changed.
+    fn opened(&self, conn: Conn) {
+        let open = self.life.borrow().open_on(conn);
+        self.door.borrow_mut().open(self.now(), conn, open);
+    }
+
+    fn answer(&self, conn: Conn, bytes: &[u8]) {
+        if let Some(guest) = self.guests.borrow().get(&conn) {
+            guest.link.send(bytes);
+        }
+        self.opened(conn);
+    }
+
+    fn carry_out(self: &Rc<Self>, output: Output) {
+        let mut text = Vec::new();
+        tracing::trace!(?output, "to do");
+        match output {
+            Output::Answer { conn, session, description } => {
+                if let Err(why) = viewer::answer(&mut text, session, &description) {
+                    // A host's description that a viewers' message cannot hold: the session is of no use.
+                    self.warn_seldom(&format!("an answer cannot be passed on: {why}"));
+                    viewer::release(&mut text, session, viewer::cause::FAILED, None);
+                    let cause = viewer::cause::ENDED_BY_VIEWER;
+                    self.feed_later(Input::Release { session, cause });
+                }
+                if let Some(guest) = self.guests.borrow().get(&conn) {
+                    guest.standing.set(Standing::Served);
+                }
+                self.answer(conn, &text);
+                self.say_kept();
+            }
+            Output::Turned { conn, session, cause, stay_away } => {
+                let away = stay_away.filter(|at| *at > 0).map(|at| (at / 1_000) as u64);
+                viewer::release(&mut text, session, cause, away);
+                self.answer(conn, &text);
+            }
+            Output::Over { conn, session, cause } => match self.guest_for(conn) {
+                Some(guest) => {
+                    viewer::release(&mut text, session, cause, None);
+                    guest.link.send(&text);
+                }
+                None => self.over.borrow_mut().push(self.now(), (session, cause)),
+            },
+            Output::SetUp { server, session, class, title, patience, rung, description } => {
+                let patience_ms = (patience.max(0) / 1_000) as u64;
+                let (class, title, description) = (class.as_str(), title.as_str(), &description[..]);
+                let set_up = rtsp::SetUp { session, class, title, patience_ms, rung, description };
+                self.host_set_up(server, session, rtsp::set_up(&set_up));
+            }
+            Output::Withdraw { server, session } => self.host_withdraw(&server, session),
+            Output::Release { server, session, cause } => {
+                self.host_tell(server, rtsp::teardown(session, Some(cause)));
+            }
+            Output::Rung { server, session, rung } => self.host_tell(server, rtsp::rung(session, rung)),
+            Output::Probe { server } => self.host_probe(server),
+            Output::Test { server } => self.host_test(&server),
+            Output::Open { server } => self.host_open(server),
+            Output::Forget { server } => self.host_forget(&server),
+            Output::Fetch => {
+                if self.caught_up.get() {
+                    self.feed_later(Input::CaughtUp);
+                }
+            }
+        }
+    }
+
+    /// Says what waited for a viewers' connection.
+    pub fn say_kept(&self) {
+        if self.over.borrow().is_empty() {
+            return;
+        }
+        let Some(guest) = self.guest_for(None) else { return };
+        let mut text = Vec::new();
+        for (session, cause) in self.over.borrow_mut().take(self.now()) {
+            viewer::release(&mut text, session, cause, None);
+        }
+        guest.link.send(&text);
+    }
+
+    /// What is due next happens at its time.
+    pub async fn run_timers(self: Rc<Self>) {
+        loop {
+            let due = self.life.borrow().next_timer();
+            let Some(due) = due else {
+                self.timer.notified().await;
+                continue;
+            };
+            let now = self.now();
+            if due > now {
+                tokio::select! {
+                    () = tokio::time::sleep(Duration::from_micros((due - now) as u64)) => {}
+                    () = self.timer.notified() => {}
+                }
+                continue;
+            }
+            if now - due > STALL {
+                // What arrived while the gateway stood still is handled before its time-outs.
+                for _ in 0..64 {
+                    tokio::task::yield_now().await;
+                }
+            }
+            self.feed(Input::Tick);
+        }
+    }
+
+    /// Looks after connections: the overdue are closed, the spare ones to hosts too.
+    pub async fn run_chores(self: Rc<Self>) {
+        let mut rounds = 0_u64;
+        loop {
+            tokio::time::sleep(CHORES).await;
+            let overdue = self.door.borrow_mut().overdue(self.now(), false);
+            overdue.into_iter().for_each(|conn| self.close_guest(conn));
+            self.say_kept();
+            rounds += 1;
+            if rounds.is_multiple_of(5) {
+                self.host_tidy();
+            }
+            if rounds.is_multiple_of(50) {
+                self.log_state();
+            }
+        }
+    }
+
+    pub fn log_state(&self) {
+        let life = self.life.borrow();
+        let (guests, lines, unreadable) =
+            (self.door.borrow().held(), self.hosts.lines(), self.unreadable.get());
+        let spoilt = self.hosts.unreadable.get();
+        let turned_away = self.turned_away.get();
+        let (held, counts) = (life.held(), life.counts);
+        tracing::info!(held, guests, lines, unreadable, spoilt, turned_away, ?counts, "state");
+    }
+}
+
+const STALL: Micros = 20_000;
+const CHORES: Duration = Duration::from_millis(200);
--- /dev/null
+++ b/crates/elderpick-node/src/viewers.rs
@@ -0,0 +1,165 @@
+//! Connections of viewers.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use elderpick_platform::viewer::{self, Decoder, Message, SetUp, cause, kind};
+use elderpick_sessions::life::{Conn, Input};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+
+use crate::link::Link;
+use crate::node::Node;
+
+/// Set-ups that cannot be read, until the connection is closed.
+const MOST_UNREADABLE: u32 = 8;
+
+/// How far a connection has shown that a viewer of ours is behind it.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Standing {
+    Bad,
+    New,
+    Asked,
+    Served,
+}
+
+/// One viewers' connection.
+pub(crate) struct Guest {
+    pub link: Link,
+    pub standing: Cell<Standing>,
+    unreadable: Cell<u32>,
+}
+
+/// All viewers' connections.
+pub(crate) type Guests = BTreeMap<Conn, Rc<Guest>>;
+
+/// Takes connections until it is dropped.
+pub(crate) async fn accept(listener: TcpListener, node: Rc<Node>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => node.come(stream),
+            Err(why) => {
+                // Out of descriptors or memory: what is idle goes, and nothing spins.
+                node.warn_seldom(&format!("cannot accept: {why}"));
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+impl Node {
+    fn come(self: &Rc<Self>, stream: TcpStream) {
+        let conn = self.next_conn.replace(self.next_conn.get() + 1);
+        match self.door.borrow_mut().come(self.now(), conn) {
+            Ok(None) => {}
+            Ok(Some(room)) => self.close_guest(room),
+            Err(()) => return self.turned_away.set(self.turned_away.get() + 1),
+        }
+        let guest = Rc::new(Guest {
+            link: Link::new(stream),
+            standing: Cell::new(Standing::New),
+            unreadable: Cell::new(0),
+        });
+        self.guests.borrow_mut().insert(conn, guest.clone());
+        let node = self.clone();
+        spawn_local(async move {
+            let mut decoder = Decoder::default();
+            let heard = |chunk: &[u8]| {
+                decoder.push(chunk);
+                loop {
+                    match decoder.message() {
+                        Ok(Some(message)) => {
+                            node.door.borrow_mut().said(node.now(), conn);
+                            if !node.viewer_said(conn, &guest, &message) {
+                                return false;
+                            }
+                        }
+                        Ok(None) => break,
+                        Err(why) => {
+                            node.bad(&guest, 0, why);
+                            return false;
+                        }
+                    }
+                }
+                node.door.borrow_mut().read(node.now(), conn, decoder.partial());
+                true
+            };
+            guest.link.run(&node.buffer, heard).await;
+            node.guests.borrow_mut().remove(&conn);
+            node.door.borrow_mut().left(conn);
+            node.feed(Input::Closed { conn });
+        });
+    }
+
+    pub(crate) fn close_guest(&self, conn: Conn) {
+        if let Some(guest) = self.guests.borrow().get(&conn) {
+            guest.link.end(false);
+        }
+    }
+
+    /// What cannot be read gets an error.
+    fn bad(&self, guest: &Guest, session: u64, why: elderpick_platform::Bad) {
+        self.unreadable.set(self.unreadable.get() + 1);
+        tracing::debug!(%why, "a viewer sent what cannot be read");
+        let mut text = Vec::new();
+        viewer::release(&mut text, session, cause::UNREADABLE, None);
+        guest.link.send(&text);
+        guest.standing.set(Standing::Bad);
+    }
+
+    /// Takes one message; `false` ends the connection.
+    fn viewer_said(self: &Rc<Self>, conn: Conn, guest: &Rc<Guest>, message: &Message) -> bool {
+        let session = message.session;
+        tracing::trace!(conn, ?message, "a viewer says");
+        match message.kind {
+            kind::SET_UP => match SetUp::parse(message) {
+                Ok(set_up) => {
+                    guest.standing.set(guest.standing.get().max(Standing::Asked));
+                    self.feed(Input::SetUp { conn, came: self.now(), set_up });
+                }
+                Err(why) => {
+                    tracing::trace!(?message, "cannot be read");
+                    self.bad(guest, session, why);
+                    guest.unreadable.set(guest.unreadable.get() + 1);
+                    return guest.unreadable.get() < MOST_UNREADABLE;
+                }
+            },
+            kind::RELEASE => match message.cause() {
+                Ok(cause) => {
+                    self.feed(Input::Release { session, cause });
+                    let mut text = Vec::new();
+                    let _ = viewer::encode(&mut text, kind::RELEASE_HEARD, session, &[]);
+                    guest.link.send(&text);
+                }
+                Err(why) => {
+                    self.bad(guest, session, why);
+                    return false;
+                }
+            },
+            kind::TEST => {
+                let mut text = Vec::new();
+                viewer::tested(&mut text, session, !self.ending.get());
+                guest.link.send(&text);
+            }
+            kind::PROGRESS | kind::RELEASE_HEARD => {}
+            _ => {
+                self.bad(guest, session, elderpick_platform::Bad("a message of an unknown type"));
+                return false;
+            }
+        }
+        true
+    }
+
+    /// The connection to say that a session is over on: its own, else the one that is most surely a viewer's.
+    pub(crate) fn guest_for(&self, conn: Option<Conn>) -> Option<Rc<Guest>> {
+        let guests = self.guests.borrow();
+        let own = conn.and_then(|conn| guests.get(&conn)).filter(|g| g.link.free());
+        let best = || {
+            let fit = guests.values().filter(|g| g.standing.get() >= Standing::Asked && g.link.free());
+            fit.max_by_key(|g| g.standing.get())
+        };
+        own.or_else(best).cloned()
+    }
+}
--- /dev/null
+++ b/crates/elderpick-platform/src/boot.rs
@@ -0,0 +1,225 @@
+//! What a gateway is told at its start: the platform's configuration, and the simulator's settings in it.
+//!
+//! The settings are the same object in the simulator's first message, under the same names and in the same units, so
+//! that both ways in share this text.
+
+use std::net::SocketAddr;
+
+use elderpick_core::api::{BudgetRule, Class, ColdRule, Effect, Group, Micros, Reporting as How, Settings};
+use serde::Deserialize;
+
+use crate::journal;
+
+/// The platform's configuration, as `NODE_CONFIG` names it.
+#[derive(Deserialize, Clone, Debug)]
+pub struct Boot {
+    pub name: String,
+    pub listen: SocketAddr,
+    /// For random numbers: hexadecimal.
+    pub seed: String,
+    pub limits: Machine,
+    pub journal: SocketAddr,
+    #[serde(default)]
+    pub known: Known,
+    pub settings: BootInfo,
+}
+
+/// The machine that a gateway has.
+#[derive(Deserialize, Clone, Copy, Debug)]
+pub struct Machine {
+    pub cores: f64,
+    pub memory_mb: u64,
+    /// Descriptors.
+    pub sockets: usize,
+}
+
+/// Events of the journal service up to the start.
+#[derive(Deserialize, Clone, Default, Debug)]
+pub struct Known {
+    #[serde(default)]
+    pub pos: u64,
+    #[serde(default)]
+    pub entries: Vec<journal::Event>,
+}
+
+/// Fewest descriptors that a gateway can work with.
+const LEAST_SOCKETS: usize = 64;
+
+impl Boot {
+    /// Reads a configuration; the error names the field that is wrong.
+    pub fn parse(text: &[u8]) -> Result<Boot, String> {
+        let boot: Boot = serde_json::from_slice(text).map_err(|why| why.to_string())?;
+        if boot.limits.sockets < LEAST_SOCKETS {
+            return Err(format!("limits.sockets: {} is under {LEAST_SOCKETS}", boot.limits.sockets));
+        }
+        if boot.settings.profiles.is_empty() {
+            return Err("settings.profiles: no class".into());
+        }
+        boot.seed()?;
+        settings(&boot.settings).map_err(|why| format!("settings.profiles: {why}"))?;
+        Ok(boot)
+    }
+
+    /// The seed as a number.
+    pub fn seed(&self) -> Result<u64, String> {
+        u64::from_str_radix(&self.seed, 16).map_err(|_| format!("seed: {:?} is not hexadecimal", self.seed))
+    }
+}
+
+#[derive(Deserialize, Clone, Debug)]
+pub struct BootInfo {
+    #[serde(default)]
+    pub me: usize,
+    #[serde(default)]
+    pub balancers: usize,
+    #[serde(default)]
+    pub az: usize,
+    #[serde(default)]
+    pub profiles: Vec<Profile>,
+    #[serde(default)]
+    pub extra: Extra,
+    #[serde(default)]
+    pub guarantees: Guarantees,
+    #[serde(default)]
+    pub limits: Limits,
+    #[serde(default)]
+    pub reporting: Reporting,
+    pub registry_mode: Option<String>,
+    pub weight_kind: Option<String>,
+    /// Names of zones and of kinds of hosts.
+    #[serde(default)]
+    pub zones: Vec<String>,
+    #[serde(default)]
+    pub flavors: Vec<String>,
+}
+
+#[derive(Deserialize, Clone, Debug)]
+pub struct Profile {
+    /// The class's name on the viewers' wire.
+    #[serde(default)]
+    pub name: String,
+    #[serde(default)]
+    pub effect: Option<String>,
+    #[serde(default)]
+    pub group: Option<String>,
+    #[serde(default)]
+    pub window_us: i64,
+    #[serde(default)]
+    pub on_time_us: i64,
+    #[serde(default)]
+    pub worth: f64,
+}
+
+#[derive(Deserialize, Clone, Default, Debug)]
+#[serde(default)]
+pub struct Extra {
+    pub all_links_kb: Option<f64>,
+    pub cabinets: Option<usize>,
+    pub cells: Option<usize>,
+    pub class_floor: Vec<usize>,
+    pub class_scale: Vec<f64>,
+    pub class_seats: Vec<f64>,
+    pub class_top: Vec<usize>,
+    pub kb_per_weight: Option<f64>,
+    pub places_by_kind: Vec<f64>,
+    pub rack_kb: Option<f64>,
+    pub rung_kb: Vec<f64>,
+    pub see_us: i64,
+    pub worth_by_rung: Vec<f64>,
+}
+
+#[derive(Deserialize, Clone, Default, Debug)]
+#[serde(default)]
+pub struct Guarantees {
+    pub extra_floor: Option<f64>,
+    pub further_ratio: Option<f64>,
+    pub look_back_us: Option<i64>,
+    pub start_capacity: Option<f64>,
+    pub ramp_time_us: Option<i64>,
+    pub tip_multiple: Option<f64>,
+    pub overload_for_us: Option<i64>,
+}
+
+#[derive(Deserialize, Clone, Default, Debug)]
+#[serde(default)]
+pub struct Limits {
+    /// A connection that is not up by then counts as refused; 0 where it is not told.
+    pub connect_timeout_us: i64,
+    /// Media hosts close connections that were idle so long; 0 where it is not told.
+    pub conn_idle_us: i64,
+    pub max_attempts: Option<usize>,
+    pub max_retry_after_us: i64,
+    pub may_probe: bool,
+    pub retry_after: bool,
+}
+
+#[derive(Deserialize, Clone, Default, Debug)]
+#[serde(default)]
+pub struct Reporting {
+    pub how: Option<String>,
+    pub names: Vec<String>,
+}
+
+/// The settings of the decision module.
+pub fn settings(info: &BootInfo) -> Result<Settings, String> {
+    let BootInfo { extra, guarantees: rules, limits, .. } = info;
+    let classes = info.profiles.iter().enumerate().map(|(c, profile)| {
+        Ok(Class {
+            effect: match profile.effect.as_deref() {
+                Some("free") => Effect::Free,
+                Some("guarded") => Effect::Guarded,
+                Some("single_shot") => Effect::SingleShot,
+                other => return Err(format!("{other:?} is no effect of a class")),
+            },
+            group: match profile.group.as_deref() {
+                Some("zone") => Group::Zone,
+                Some("cell") => Group::Cell,
+                _ => Group::All,
+            },
+            window: profile.window_us,
+            aim: profile.on_time_us,
+            worth: profile.worth,
+            scale: extra.class_scale.get(c).copied().unwrap_or(1.0),
+            floor: extra.class_floor.get(c).copied().unwrap_or(0),
+            top: extra.class_top.get(c).copied().unwrap_or(usize::MAX),
+            seats: extra.class_seats.get(c).filter(|&&seats| seats > 0.0).map(|&seats| seats as usize),
+        })
+    });
+    let classes = classes.collect::<Result<Vec<_>, String>>()?;
+    let cold =
+        rules.ramp_time_us.zip(rules.start_capacity).zip(rules.tip_multiple.zip(rules.overload_for_us));
+    let budget = rules.further_ratio.zip(rules.extra_floor).zip(rules.look_back_us);
+    let by_weight = info.weight_kind.as_deref() != Some("none");
+    Ok(Settings {
+        me: info.me,
+        gateways: info.balancers,
+        zone: info.az,
+        classes,
+        rung_kb: extra.rung_kb.clone(),
+        rung_worth: extra.worth_by_rung.clone(),
+        cells: extra.cells,
+        racks: extra.cabinets,
+        rack_kb: extra.rack_kb,
+        links_kb: extra.all_links_kb,
+        kb_per_weight: extra.kb_per_weight,
+        weights: by_weight,
+        places: extra.places_by_kind.clone(),
+        see: extra.see_us,
+        cold: cold.map(|((warm_up, least_warmth), (multiple, window))| ColdRule {
+            warm_up,
+            least_warmth,
+            multiple,
+            window,
+        }),
+        budget: budget.map(|((share, free), window)| BudgetRule { free, share, window }),
+        max_attempts: limits.max_attempts,
+        max_retry_after: limits.retry_after.then_some(limits.max_retry_after_us as Micros),
+        reporting: match info.reporting.how.as_deref() {
+            Some("probe") => How::WhenProbed,
+            Some("answers") => How::InAnswers,
+            _ => How::Never,
+        },
+        may_probe: limits.may_probe,
+        subscribe: info.registry_mode.as_deref() == Some("subscribe"),
+    })
+}
--- /dev/null
+++ b/crates/elderpick-platform/src/journal.rs
@@ -0,0 +1,93 @@
+//! Events of the journal service: changes to the list of media hosts, numbered from 1.
+
+use std::net::SocketAddr;
+
+use elderpick_core::api::{Entry, Micros, ServerId, ServerState};
+use serde::Deserialize;
+
+/// Most hosts that one event may name.
+const MOST_HOSTS: usize = 10_000;
+
+/// One numbered event.
+#[derive(Deserialize, Clone, Debug)]
+pub struct Event {
+    pub pos: u64,
+    pub hosts: Hosts,
+}
+
+#[derive(Deserialize, Clone, Debug)]
+pub struct Hosts {
+    /// The whole list, or what has changed.
+    #[serde(default)]
+    pub whole: bool,
+    #[serde(default)]
+    pub hosts: Vec<Host>,
+}
+
+#[derive(Deserialize, Clone, Debug)]
+pub struct Host {
+    pub host: String,
+    pub dial: String,
+    #[serde(default)]
+    pub site: String,
+    #[serde(default)]
+    pub class: String,
+    #[serde(default)]
+    pub block: usize,
+    pub health: Health,
+    #[serde(default = "one")]
+    pub share: f64,
+    #[serde(default)]
+    pub born_ms: i64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+#[derive(Deserialize, Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Health {
+    Ready,
+    Terminating,
+    Gone,
+}
+
+/// A media host as the list tells it.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Listed {
+    pub address: SocketAddr,
+    pub entry: Entry,
+}
+
+/// Reads the data of an event.
+pub fn parse(data: &str) -> Result<Event, String> {
+    let event: Event = serde_json::from_str(data).map_err(|why| why.to_string())?;
+    if event.hosts.hosts.len() > MOST_HOSTS {
+        return Err(format!("event {} names over {MOST_HOSTS} hosts", event.pos));
+    }
+    Ok(event)
+}
+
+impl Host {
+    /// The host with its zone and kind as their places in the settings' lists.
+    pub fn listed(&self, zones: &[String], kinds: &[String]) -> Result<Listed, String> {
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        let address =
+            self.dial.parse().map_err(|_| format!("host {}: {:?} is no address", self.host, self.dial))?;
+        let entry = Entry {
+            server: ServerId(self.host.as_str().into()),
+            // A zone or kind that the settings do not name is like no other.
+            zone: place(zones, &self.site).unwrap_or(zones.len()),
+            kind: place(kinds, &self.class).unwrap_or(kinds.len()),
+            cell: self.block,
+            state: match self.health {
+                Health::Ready => ServerState::Up,
+                Health::Terminating => ServerState::Draining,
+                Health::Gone => ServerState::Gone,
+            },
+            weight: if self.share.is_finite() { self.share } else { 0.0 },
+            started: (self.born_ms > 0).then(|| self.born_ms as Micros * 1_000),
+        };
+        Ok(Listed { address, entry })
+    }
+}
--- /dev/null
+++ b/crates/elderpick-platform/src/lib.rs
@@ -0,0 +1,31 @@
+//! The platform's words, read and written without any I/O.
+//!
+//! [`viewer`] has the binary messages of viewers, [`rtsp`] the messages of media hosts, [`journal`] the events of the
+//! journal service, [`boot`] what a gateway is told at its start. The decoders take bytes as they come, check each
+//! length before they keep a byte for it, and hold no more than one message.
+
+pub mod boot;
+pub mod journal;
+pub mod rtsp;
+pub mod viewer;
+
+/// Most bytes of a message, of either kind, all that precedes its body included.
+pub const MOST_MESSAGE: usize = 16 << 10;
+
+/// What stands in a message cannot be read; the text says why, for the log.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Bad(pub &'static str);
+
+impl std::fmt::Display for Bad {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+impl std::error::Error for Bad {}
+
+/// A session's name on the platform's wires: 16 hexadecimal digits.
+pub fn session_id(text: &str) -> Option<u64> {
+    let digits = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    digits.then(|| u64::from_str_radix(text, 16).ok()).flatten()
+}
--- /dev/null
+++ b/crates/elderpick-platform/src/rtsp.rs
@@ -0,0 +1,260 @@
+//! Messages between gateways and media hosts: RTSP/1.0 (RFC 2326) as far as the platform uses it.
+//!
+//! The registry's `rtsp-types` was weighed: it parses the whole of RTSP into allocated tables and leaves bounds to the
+//! caller, who would have to find a message's end before it. What is used here is a first line, five headers and a body.
+
+use std::fmt::Write;
+use std::ops::Range;
+
+use bytes::{Bytes, BytesMut};
+
+use crate::{Bad, MOST_MESSAGE, session_id};
+
+/// `CSeq` of each exchange.
+pub mod cseq {
+    pub const SET_UP: u32 = 1;
+    pub const TEARDOWN: u32 = 2;
+    pub const OPTIONS: u32 = 3;
+    /// Any other may have any value.
+    pub const OTHER: u32 = 4;
+}
+
+/// The first line.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Start {
+    Request { method: String },
+    Response { status: u16 },
+}
+
+/// One message as it came.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Message {
+    pub start: Start,
+    pub cseq: u32,
+    pub session: u64,
+    pub body: Bytes,
+    head: Bytes,
+    headers: Vec<(Range<usize>, Range<usize>)>,
+}
+
+impl Message {
+    /// The value of a header, the first of that name.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let (_, value) = self
+            .headers
+            .iter()
+            .find(|(key, _)| self.head[key.clone()].eq_ignore_ascii_case(name.as_bytes()))?;
+        std::str::from_utf8(&self.head[value.clone()]).ok()
+    }
+
+    /// The cause that a `Reason` header names, as in `cause=16`.
+    pub fn cause(&self) -> Option<u8> {
+        self.header("Reason")?
+            .split([';', ',', ' '])
+            .find_map(|part| part.strip_prefix("cause=")?.parse().ok())
+    }
+
+    /// The figures of an `X-State` header, as in `x0:12;x1:40`.
+    pub fn state(&self) -> Vec<(&str, f64)> {
+        let figures = self.header("X-State").unwrap_or_default().split(';');
+        let read = figures.filter_map(|figure| {
+            let (key, value) = figure.split_once(':')?;
+            Some((key.trim(), value.trim().parse::<f64>().ok().filter(|n| n.is_finite())?))
+        });
+        read.take(16).collect()
+    }
+}
+
+/// Reads messages from bytes as they come. Holds at most one message and what was read behind it.
+#[derive(Default, Debug)]
+pub struct Decoder {
+    held: BytesMut,
+    /// So much of what is held has no end of a head.
+    looked: usize,
+}
+
+impl Decoder {
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.held.extend_from_slice(bytes);
+    }
+
+    /// Whether part of a message is held.
+    pub fn partial(&self) -> bool {
+        !self.held.is_empty()
+    }
+
+    /// The next whole message; `None` until there is one. After an error nothing more can be read.
+    pub fn message(&mut self) -> Result<Option<Message>, Bad> {
+        let from = self.looked.saturating_sub(3);
+        let most = self.held.len().min(MOST_MESSAGE);
+        let Some(end) = self.held[from..most].windows(4).position(|w| w == b"\r\n\r\n").map(|k| from + k + 4)
+        else {
+            if self.held.len() >= MOST_MESSAGE {
+                return Err(Bad("a head does not end"));
+            }
+            self.looked = self.held.len();
+            // Noise is told by its first line, which comes long before a head's bound.
+            return plausible(&self.held).map(|()| None);
+        };
+        self.looked = end - 4;
+        let head = Head::parse(&self.held[..end])?;
+        if head.length > MOST_MESSAGE - end {
+            return Err(Bad("a message is longer than any may be"));
+        }
+        if self.held.len() < end + head.length {
+            return Ok(None);
+        }
+        self.looked = 0;
+        let text = self.held.split_to(end).freeze();
+        let body = self.held.split_to(head.length).freeze();
+        let Head { start, cseq, session, headers, .. } = head;
+        Ok(Some(Message { start, cseq, session, body, head: text, headers }))
+    }
+}
+
+/// What has come of a head so far holds nothing but lines of text.
+fn plausible(held: &[u8]) -> Result<(), Bad> {
+    let text = |b: &u8| (b' '..=b'~').contains(b) || matches!(b, b'\r' | b'\n' | b'\t');
+    if held.iter().all(text) { Ok(()) } else { Err(Bad("a head holds what is no text")) }
+}
+
+struct Head {
+    start: Start,
+    cseq: u32,
+    session: u64,
+    length: usize,
+    headers: Vec<(Range<usize>, Range<usize>)>,
+}
+
+impl Head {
+    /// Reads a head up to and with its empty line.
+    fn parse(head: &[u8]) -> Result<Head, Bad> {
+        plausible(head)?;
+        let text = std::str::from_utf8(head).map_err(|_| Bad("a head is not text"))?;
+        let mut lines = text[..text.len() - 4].split("\r\n");
+        let start = first_line(lines.next().unwrap_or_default())?;
+        let mut headers = Vec::new();
+        let offset = |part: &str| {
+            let from = part.as_ptr() as usize - text.as_ptr() as usize;
+            from..from + part.len()
+        };
+        let (mut cseq, mut session, mut length) = (None, None, None);
+        for line in lines {
+            let (name, value) = line.split_once(':').ok_or(Bad("a header has no colon"))?;
+            let token = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
+            if name.is_empty() || !name.bytes().all(token) {
+                return Err(Bad("a header has no name"));
+            }
+            let value = value.trim();
+            let twice = match name.to_ascii_lowercase().as_str() {
+                "cseq" => cseq.replace(value.parse::<u32>().map_err(|_| Bad("CSeq is no number"))?).is_some(),
+                "session" => {
+                    session.replace(session_id(value).ok_or(Bad("Session is no session's name"))?).is_some()
+                }
+                "content-length" => {
+                    let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+                    let told = digits.then(|| value.parse::<usize>().unwrap_or(usize::MAX));
+                    length.replace(told.ok_or(Bad("Content-Length is no number"))?).is_some()
+                }
+                _ => false,
+            };
+            if twice {
+                return Err(Bad("a header stands twice"));
+            }
+            headers.push((offset(name), offset(value)));
+        }
+        Ok(Head {
+            start,
+            cseq: cseq.ok_or(Bad("no CSeq"))?,
+            session: session.ok_or(Bad("no Session"))?,
+            length: length.ok_or(Bad("no Content-Length"))?,
+            headers,
+        })
+    }
+}
+
+fn first_line(line: &str) -> Result<Start, Bad> {
+    let mut words = line.split(' ');
+    let (first, second, third) = (words.next(), words.next(), words.next());
+    match (first, second, third) {
+        (Some("RTSP/1.0"), Some(status), _) if status.len() == 3 => {
+            let status = status.parse().ok().filter(|s| (100..600).contains(s));
+            Ok(Start::Response { status: status.ok_or(Bad("no status"))? })
+        }
+        (Some(method), Some(uri), Some("RTSP/1.0"))
+            if uri.starts_with("rtsp://") && method.bytes().all(|b| b.is_ascii_uppercase() || b == b'_') =>
+        {
+            Ok(Start::Request { method: method.to_owned() })
+        }
+        _ => Err(Bad("the first line is no request and no answer")),
+    }
+}
+
+/// A set-up as it goes to a media host.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct SetUp<'a> {
+    pub session: u64,
+    pub class: &'a str,
+    pub title: &'a str,
+    pub patience_ms: u64,
+    pub rung: usize,
+    pub description: &'a [u8],
+}
+
+fn head(to: &mut String, method: &str, address: &str, cseq: u32, session: u64) {
+    let _ =
+        write!(to, "{method} rtsp://media/{address} RTSP/1.0\r\nCSeq: {cseq}\r\nSession: {session:016x}\r\n");
+}
+
+/// Writes a set-up.
+pub fn set_up(s: &SetUp<'_>) -> Vec<u8> {
+    let mut text = String::with_capacity(256 + s.description.len());
+    head(&mut text, "SETUP", s.title, cseq::SET_UP, s.session);
+    let _ = write!(
+        text,
+        "Subject: {}\r\nX-Patience: {}\r\nP-Level: {}\r\nContent-Length: {}\r\n\r\n",
+        s.class,
+        s.patience_ms,
+        s.rung,
+        s.description.len()
+    );
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(s.description);
+    bytes
+}
+
+/// Writes that a set-up is given up, or with a cause that a session is released.
+pub fn teardown(session: u64, cause: Option<u8>) -> Vec<u8> {
+    let mut text = String::new();
+    head(&mut text, "TEARDOWN", "session", cseq::TEARDOWN, session);
+    if let Some(cause) = cause {
+        let _ = write!(text, "Reason: cause={cause}\r\n");
+    }
+    text.push_str("Content-Length: 0\r\n\r\n");
+    text.into_bytes()
+}
+
+/// Writes a new rung.
+pub fn rung(session: u64, rung: usize) -> Vec<u8> {
+    let mut text = String::new();
+    head(&mut text, "SET_PARAMETER", "session", cseq::OTHER, session);
+    let _ = write!(text, "P-Level: {rung}\r\nContent-Length: 0\r\n\r\n");
+    text.into_bytes()
+}
+
+/// Writes a test, or a call for a load report.
+pub fn options(session: u64, load: bool) -> Vec<u8> {
+    let mut text = String::new();
+    head(&mut text, "OPTIONS", if load { "load" } else { "ping" }, cseq::OPTIONS, session);
+    text.push_str("Content-Length: 0\r\n\r\n");
+    text.into_bytes()
+}
+
+/// Writes an answer with nothing in it.
+pub fn response(status: u16, cseq: u32, session: u64) -> Vec<u8> {
+    let word = if status == 200 { "OK" } else { "Not Understood" };
+    format!(
+        "RTSP/1.0 {status} {word}\r\nCSeq: {cseq}\r\nSession: {session:016x}\r\nContent-Length: 0\r\n\r\n"
+    )
+    .into_bytes()
+}
--- /dev/null
+++ b/crates/elderpick-sessions/src/door.rs
@@ -0,0 +1,137 @@
+//! Who may stay connected: connections of viewers within the descriptors that are planned for them.
+//!
+//! A connection may be closed while no set-up is open on it. One that never said anything whole goes first, then the
+//! one that has been idle longest; only when all have set-ups open is a new one turned away.
+
+use std::collections::HashMap;
+
+use elderpick_core::api::Micros;
+
+use crate::life::Conn;
+
+/// A connection that has said nothing whole for so long is closed: set-ups come right after the connection.
+const SILENT: Micros = 2_000_000;
+/// Part of a message is waited for so long.
+const PARTIAL: Micros = 1_500_000;
+/// Idle connections are kept so long; viewers close theirs sooner.
+const IDLE: Micros = 20_000_000;
+
+#[derive(Clone, Copy, Debug)]
+struct Guest {
+    came: Micros,
+    /// When it last said something whole.
+    said: Option<Micros>,
+    /// Since when part of a message is held.
+    partial: Option<Micros>,
+    /// Set-ups open on it.
+    open: usize,
+}
+
+/// The connections of viewers.
+#[derive(Debug)]
+pub struct Guests {
+    most: usize,
+    guests: HashMap<Conn, Guest>,
+}
+
+impl Guests {
+    pub fn new(most: usize) -> Guests {
+        Guests { most, guests: HashMap::new() }
+    }
+
+    pub fn held(&self) -> usize {
+        self.guests.len()
+    }
+
+    /// A connection came. `Ok` admits it, naming one to close for it if there is no room; `Err` turns it away.
+    pub fn come(&mut self, now: Micros, conn: Conn) -> Result<Option<Conn>, ()> {
+        let mut makes_room = None;
+        if self.guests.len() >= self.most {
+            let idle = self.guests.iter().filter(|(_, guest)| guest.open == 0);
+            let first = idle
+                .min_by_key(|(conn, guest)| (guest.said.is_some(), guest.said.unwrap_or(guest.came), **conn));
+            let first = *first.ok_or(())?.0;
+            self.guests.remove(&first);
+            makes_room = Some(first);
+        }
+        self.guests.insert(conn, Guest { came: now, said: None, partial: None, open: 0 });
+        Ok(makes_room)
+    }
+
+    /// A whole message came.
+    pub fn said(&mut self, now: Micros, conn: Conn) {
+        if let Some(guest) = self.guests.get_mut(&conn) {
+            guest.said = Some(now);
+            guest.partial = None;
+        }
+    }
+
+    /// All that came was read; `partial` tells whether part of a message is left.
+    pub fn read(&mut self, now: Micros, conn: Conn, partial: bool) {
+        if let Some(guest) = self.guests.get_mut(&conn) {
+            guest.partial = partial.then(|| guest.partial.unwrap_or(now));
+        }
+    }
+
+    /// So many set-ups are open on it now.
+    pub fn open(&mut self, now: Micros, conn: Conn, open: usize) {
+        if let Some(guest) = self.guests.get_mut(&conn) {
+            guest.open = open;
+            guest.said = guest.said.map(|_| now);
+        }
+    }
+
+    pub fn left(&mut self, conn: Conn) {
+        self.guests.remove(&conn);
+    }
+
+    /// Connections to close now. `all_idle` closes all on which nothing is open, at the end.
+    pub fn overdue(&mut self, now: Micros, all_idle: bool) -> Vec<Conn> {
+        let over = |guest: &Guest| {
+            let silent = guest.said.is_none() && now - guest.came >= SILENT;
+            let partial = guest.partial.is_some_and(|since| now - since >= PARTIAL);
+            let idle = guest.said.is_some_and(|at| now - at >= IDLE);
+            partial || (guest.open == 0 && (silent || idle || all_idle))
+        };
+        let mut over: Vec<_> =
+            self.guests.iter().filter(|(_, guest)| over(guest)).map(|(conn, _)| *conn).collect();
+        over.sort_unstable();
+        over.iter().for_each(|conn| self.left(*conn));
+        over
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn silent_guests_make_room_before_idle_ones_and_busy_ones_stay() {
+        let mut door = Guests::new(3);
+        (1..=3).for_each(|conn| assert_eq!(door.come(conn as Micros, conn), Ok(None)));
+        door.said(10, 1);
+        door.said(11, 2);
+        door.open(11, 2, 1);
+        assert_eq!(door.come(12, 4), Ok(Some(3)), "never said anything");
+        door.said(13, 4);
+        door.open(13, 4, 2);
+        assert_eq!(door.come(14, 5), Ok(Some(1)), "idle longest");
+        door.said(15, 5);
+        door.open(15, 5, 1);
+        assert_eq!((door.come(16, 6), door.held()), (Err(()), 3), "all have set-ups open");
+    }
+
+    #[test]
+    fn the_silent_and_the_half_said_are_closed_in_time() {
+        let mut door = Guests::new(9);
+        (1..=3).for_each(|conn| assert_eq!(door.come(0, conn), Ok(None)));
+        door.said(0, 2);
+        door.said(0, 3);
+        door.open(0, 3, 1);
+        door.read(100, 3, true);
+        assert_eq!(door.overdue(PARTIAL, false), []);
+        assert_eq!(door.overdue(SILENT, false), [1, 3]);
+        assert_eq!(door.overdue(IDLE, false), [2]);
+        assert_eq!(door.held(), 0);
+    }
+}
--- /dev/null
+++ b/crates/elderpick-sessions/src/follow.rs
@@ -0,0 +1,84 @@
+//! The place in the journal: which events are news, and when to ask again.
+
+use elderpick_core::api::Micros;
+
+/// What to do with an event that came.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Take {
+    /// It is the next one, or holds the whole list.
+    Apply,
+    /// It is known: the journal says some things twice.
+    Known,
+    /// Events before it are missing: ask again from the place that is held.
+    Gap,
+}
+
+/// Pause before the first further call, and the longest one.
+const FIRST: Micros = 20_000;
+const LONGEST: Micros = 1_000_000;
+
+/// Follows the numbers, which decide what is news. What arrives when does not.
+#[derive(Clone, Debug, Default)]
+pub struct Follow {
+    place: u64,
+    failed: u32,
+}
+
+impl Follow {
+    pub fn new(place: u64) -> Follow {
+        Follow { place, failed: 0 }
+    }
+
+    /// The number of the last event that was taken.
+    pub fn place(&self) -> u64 {
+        self.place
+    }
+
+    pub fn take(&mut self, number: u64, whole: bool) -> Take {
+        if number <= self.place {
+            return Take::Known;
+        }
+        if number > self.place + 1 && !whole {
+            return Take::Gap;
+        }
+        self.place = number;
+        Take::Apply
+    }
+
+    /// Something was read: the journal is there.
+    pub fn heard(&mut self) {
+        self.failed = 0;
+    }
+
+    /// The stream ended or could not be opened: the time to wait before the next call.
+    pub fn broke(&mut self) -> Micros {
+        let pause = (FIRST << self.failed.min(10)).min(LONGEST);
+        self.failed += 1;
+        pause
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn numbers_decide_what_is_news() {
+        let mut follow = Follow::new(3);
+        assert_eq!(follow.take(3, false), Take::Known);
+        assert_eq!(follow.take(4, false), Take::Apply);
+        assert_eq!(follow.take(4, false), Take::Known);
+        assert_eq!((follow.take(6, false), follow.place()), (Take::Gap, 4));
+        assert_eq!((follow.take(9, true), follow.place()), (Take::Apply, 9));
+        assert_eq!(follow.take(1, true), Take::Known, "an old whole list is old");
+    }
+
+    #[test]
+    fn calls_are_soon_at_first_and_never_rarer_than_the_longest_pause() {
+        let mut follow = Follow::new(0);
+        let pauses: Vec<_> = (0..40).map(|_| follow.broke()).collect();
+        assert_eq!((pauses[0], pauses[1], pauses[39]), (FIRST, 2 * FIRST, LONGEST));
+        follow.heard();
+        assert_eq!(follow.broke(), FIRST);
+    }
+}
--- /dev/null
+++ b/crates/elderpick-sessions/src/keep.rs
@@ -0,0 +1,62 @@
+//! Words that wait for a connection, bounded in number and in time.
+
+use std::collections::VecDeque;
+
+use elderpick_core::api::Micros;
+
+/// Keeps words in order until they can be said. The oldest make room for new ones.
+#[derive(Debug)]
+pub struct Kept<T> {
+    words: VecDeque<(Micros, T)>,
+    most: usize,
+    lasts: Micros,
+    /// Words that were dropped at the bound or had become too old.
+    pub dropped: u64,
+}
+
+impl<T> Kept<T> {
+    /// Keeps `most` words at most, each for `lasts`.
+    pub fn new(most: usize, lasts: Micros) -> Kept<T> {
+        Kept { words: VecDeque::new(), most, lasts, dropped: 0 }
+    }
+
+    pub fn push(&mut self, now: Micros, word: T) {
+        self.expire(now);
+        if self.words.len() >= self.most {
+            self.words.pop_front();
+            self.dropped += 1;
+        }
+        self.words.push_back((now, word));
+    }
+
+    /// All that is still worth saying.
+    pub fn take(&mut self, now: Micros) -> impl Iterator<Item = T> {
+        self.expire(now);
+        std::mem::take(&mut self.words).into_iter().map(|(_, word)| word)
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.words.is_empty()
+    }
+
+    fn expire(&mut self, now: Micros) {
+        while self.words.front().is_some_and(|(at, _)| now - at > self.lasts) {
+            self.words.pop_front();
+            self.dropped += 1;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_oldest_words_make_room_and_old_ones_are_not_said() {
+        let mut kept = Kept::new(2, 100);
+        (0..3).for_each(|k| kept.push(k, k));
+        assert_eq!((kept.take(50).collect::<Vec<_>>(), kept.dropped), (vec![1, 2], 1));
+        kept.push(60, 7);
+        assert_eq!((kept.take(161).count(), kept.dropped, kept.is_empty()), (0, 2, true));
+    }
+}
--- /dev/null
+++ b/crates/elderpick-sessions/src/lib.rs
@@ -0,0 +1,11 @@
+//! The life of sessions on the platform's wire, without sockets and without a clock.
+//!
+//! [`life`] stands between the decision module and the sockets: it tells the module what happens, carries out what the
+//! module decides and adds no choice of its own. [`watch`] judges whether a media host still runs, [`follow`] keeps the
+//! place in the journal, [`keep`] what could not be said yet, [`door`] who may stay connected.
+
+pub mod door;
+pub mod follow;
+pub mod keep;
+pub mod life;
+pub mod watch;
--- /dev/null
+++ b/crates/elderpick-sessions/src/life.rs
@@ -0,0 +1,817 @@
+//! One gateway's sessions: time and events in, words to viewers and hosts out.
+//!
+//! Each thing that the simulator would tell the decision module becomes one event for it, and each of its actions is
+//! carried out as it stands. What is settled here is what the wire leaves open: what an outcome proves, which of two
+//! words that cross counts, when a seat is free again, what a bound turns away.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use elderpick_core::Controller;
+use elderpick_core::api::{
+    Action, Event, ListKind, Micros, Note, Report, RequestId, ServerId, ServerState, Status, Viewing,
+};
+use elderpick_platform::journal::Listed;
+use elderpick_platform::viewer::{SetUp, cause};
+
+use crate::keep::Kept;
+use crate::watch::{Next, Opened, Watch};
+
+/// The number that the runtime gives a viewer's connection.
+pub type Conn = u64;
+
+/// Set-ups open on one connection, and in all; one more is refused.
+const OPEN_ON_ONE: usize = 64;
+const OPEN: usize = 1_024;
+/// Sessions that stand; one more is refused.
+const STANDING: usize = 50_000;
+/// A host's word that a session is over is waited for so long, then its seat is taken to be free.
+const ENDING: Micros = 1_000_000;
+/// Set-ups given up of which an answer may still come: how many are remembered, and how long.
+const GIVEN_UP: usize = 1_024;
+const GIVEN_UP_LASTS: Micros = 10_000_000;
+/// How often hosts are looked at.
+const LOOK: Micros = 50_000;
+
+/// What happens.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A viewer asks, over a connection; `came` is when the last byte did.
+    SetUp {
+        conn: Conn,
+        came: Micros,
+        set_up: SetUp,
+    },
+    /// A viewer gives a set-up up or ends a session.
+    Release {
+        session: u64,
+        cause: u8,
+    },
+    /// A viewer's connection is gone.
+    Closed {
+        conn: Conn,
+    },
+    /// A host has set a session up.
+    Answer {
+        server: ServerId,
+        session: u64,
+        description: Bytes,
+    },
+    /// A host has not.
+    Refused {
+        server: ServerId,
+        session: u64,
+        status: Status,
+        report: Report,
+    },
+    /// A host ends a session.
+    Released {
+        server: ServerId,
+        session: u64,
+        cause: u8,
+        report: Report,
+    },
+    /// A host has heard a release.
+    ReleaseHeard {
+        server: ServerId,
+        session: u64,
+    },
+    Noted {
+        server: ServerId,
+        session: u64,
+        note: Note,
+    },
+    /// The connection of a set-up is gone, or never came up. What was not begun to be written never ran.
+    Cut {
+        server: ServerId,
+        session: u64,
+        begun: bool,
+    },
+    /// The set-up was not written, since [`Life::may_write`] forbade it.
+    Kept {
+        server: ServerId,
+        session: u64,
+    },
+    Probed {
+        server: ServerId,
+        status: Status,
+        report: Report,
+    },
+    /// A connection to a host came up or did not.
+    Opened {
+        server: ServerId,
+        how: Opened,
+    },
+    /// A host's connection ended.
+    HostClosed {
+        server: ServerId,
+    },
+    /// Anything was read from a host.
+    Heard {
+        server: ServerId,
+    },
+    List {
+        kind: ListKind,
+        hosts: Vec<Listed>,
+    },
+    /// All that the journal has is known now.
+    CaughtUp,
+    /// The journal cannot be reached.
+    ListFailed,
+    /// Time has passed.
+    Tick,
+}
+
+/// What is to be said and done.
+#[derive(Clone, PartialEq, Debug)]
+pub enum Output {
+    /// The final answer: it stands.
+    Answer {
+        conn: Conn,
+        session: u64,
+        description: Bytes,
+    },
+    /// The final answer: it does not. The cause tells whether asking again is harmless.
+    Turned {
+        conn: Conn,
+        session: u64,
+        cause: u8,
+        stay_away: Option<Micros>,
+    },
+    /// A session that stood is over; `conn` is where it was asked for.
+    Over {
+        conn: Option<Conn>,
+        session: u64,
+        cause: u8,
+    },
+    /// To a host, once [`Life::may_write`] says so right before the first byte.
+    SetUp {
+        server: ServerId,
+        session: u64,
+        class: String,
+        title: String,
+        patience: Micros,
+        rung: usize,
+        description: Bytes,
+    },
+    /// A set-up is given up.
+    Withdraw {
+        server: ServerId,
+        session: u64,
+    },
+    /// A session is released at its host.
+    Release {
+        server: ServerId,
+        session: u64,
+        cause: u8,
+    },
+    Rung {
+        server: ServerId,
+        session: u64,
+        rung: usize,
+    },
+    /// Ask a host for its load.
+    Probe {
+        server: ServerId,
+    },
+    /// Test a host on a connection that is up; any word from it is an answer.
+    Test {
+        server: ServerId,
+    },
+    /// Open a connection to a host.
+    Open {
+        server: ServerId,
+    },
+    /// A host is lost or another process: close what leads to it.
+    Forget {
+        server: ServerId,
+    },
+    /// Ask the journal whether all is known, and say [`Input::CaughtUp`].
+    Fetch,
+}
+
+/// Counts since the start.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+pub struct Counts {
+    pub taken: u64,
+    pub served: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub given_up: u64,
+    pub handed: u64,
+    /// Turned away at a bound of this file, or since they named what does not exist.
+    pub turned: u64,
+    pub hosts_lost: u64,
+}
+
+#[derive(Clone, Debug)]
+enum Stage {
+    /// No attempt is out.
+    Waiting,
+    Out {
+        server: ServerId,
+        until: Micros,
+        /// The host's last start, as it was known when this was decided.
+        started: Option<Micros>,
+    },
+    Stands {
+        server: ServerId,
+    },
+    /// Released by its viewer; its host has not said so.
+    Ending {
+        server: ServerId,
+    },
+}
+
+struct Held {
+    conn: Option<Conn>,
+    deadline: Micros,
+    /// What hosts are told. Kept while it is not answered.
+    set_up: Option<Box<SetUp>>,
+    rung: usize,
+    sends: usize,
+    stage: Stage,
+}
+
+impl Held {
+    fn server(&self) -> Option<&ServerId> {
+        match &self.stage {
+            Stage::Waiting => None,
+            Stage::Out { server, .. } | Stage::Stands { server } | Stage::Ending { server } => Some(server),
+        }
+    }
+
+    fn is_out_at(&self, at: &ServerId) -> bool {
+        matches!(&self.stage, Stage::Out { server, .. } if server == at)
+    }
+}
+
+struct Server {
+    listed: Listed,
+    /// Sessions that stand there or are ending.
+    standing: BTreeSet<u64>,
+    watch: Watch,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+enum Timer {
+    /// The time of a session's attempt is up; goes before the module's own alarms of the same instant.
+    Attempt(u64, usize),
+    Ending(u64),
+    Alarm(u64),
+}
+
+/// All sessions of one gateway.
+pub struct Life {
+    core: Controller,
+    classes: Vec<String>,
+    cells: usize,
+    servers: BTreeMap<ServerId, Server>,
+    held: BTreeMap<u64, Held>,
+    /// Set-ups that are open, by connection.
+    open: BTreeMap<Conn, BTreeSet<u64>>,
+    opened: usize,
+    given_up: Kept<(ServerId, u64)>,
+    timers: BinaryHeap<Reverse<(Micros, Timer)>>,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    looked: Micros,
+    fetching: bool,
+    pub counts: Counts,
+}
+
+impl Life {
+    /// `classes` are the names of the module's classes in their order; `cells` how many there are.
+    pub fn new(core: Controller, classes: Vec<String>, cells: usize) -> Life {
+        Life {
+            core,
+            classes,
+            cells: cells.max(1),
+            servers: BTreeMap::new(),
+            held: BTreeMap::new(),
+            open: BTreeMap::new(),
+            opened: 0,
+            given_up: Kept::new(GIVEN_UP, GIVEN_UP_LASTS),
+            timers: BinaryHeap::new(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            looked: 0,
+            fetching: false,
+            counts: Counts::default(),
+        }
+    }
+
+    /// Where a host listens, if the list has it.
+    pub fn address(&self, server: &ServerId) -> Option<SocketAddr> {
+        self.servers.get(server).map(|s| s.listed.address)
+    }
+
+    /// Hosts that new connections may be opened to.
+    pub fn hosts(&self) -> usize {
+        self.servers.values().filter(|s| s.listed.entry.state != ServerState::Gone).count()
+    }
+
+    /// Set-ups that have no final answer yet.
+    pub fn open(&self) -> usize {
+        self.opened
+    }
+
+    /// Set-ups open on a connection.
+    pub fn open_on(&self, conn: Conn) -> usize {
+        self.open.get(&conn).map_or(0, BTreeSet::len)
+    }
+
+    /// Sessions that are held, in whatever stage.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Whether a set-up may be written to a host now: it is still wanted, its host still takes new ones, and is the
+    /// process that it was decided for.
+    pub fn may_write(&self, server: &ServerId, session: u64, now: Micros) -> bool {
+        let Some(Held { stage: Stage::Out { server: at, until, started }, .. }) = self.held.get(&session)
+        else {
+            return false;
+        };
+        let entry = self.servers.get(server).map(|s| &s.listed.entry);
+        at == server
+            && now < *until
+            && entry.is_some_and(|e| e.state == ServerState::Up && e.started == *started)
+    }
+
+    /// When [`Input::Tick`] is due.
+    pub fn next_timer(&self) -> Option<Micros> {
+        let timer = self.timers.peek().map(|Reverse((at, _))| *at);
+        let look = self.servers.values().any(|s| !s.standing.is_empty()).then_some(self.looked + LOOK);
+        timer.into_iter().chain(look).min()
+    }
+
+    /// Takes one thing that happens at the time `now` and appends what is to be done.
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::SetUp { conn, came, set_up } => self.set_up(now, conn, came, set_up, out),
+            Input::Release { session, cause } => self.release(now, session, cause, out),
+            Input::Closed { conn } => {
+                for session in self.open.get(&conn).cloned().unwrap_or_default() {
+                    self.release(now, session, cause::GIVEN_UP, out);
+                }
+            }
+            Input::Answer { server, session, description } => {
+                self.answered(now, server, session, description, out);
+            }
+            Input::Refused { server, session, status, report } => {
+                self.attempt_over(&server, session, status, report);
+            }
+            Input::Released { server, session, cause, report } => {
+                self.released(server, session, cause, report, out);
+            }
+            Input::ReleaseHeard { server, session } => {
+                let ending = |h: &Held| matches!(&h.stage, Stage::Ending { server: at } if *at == server);
+                if self.held.get(&session).is_some_and(ending) {
+                    self.end(session, Status::Cancelled, Report::default());
+                }
+            }
+            Input::Noted { server, session, note } => {
+                let there = |h: &Held| matches!(&h.stage, Stage::Stands { server: at } if *at == server);
+                if let Some(held) = self.held.get_mut(&session).filter(|h| there(h)) {
+                    if let Note::Rung(rung) = note {
+                        held.rung = rung;
+                    }
+                    self.events.push_back(Event::Noted { id: RequestId(session), server, note });
+                }
+            }
+            Input::Cut { server, session, begun } => {
+                let status = if begun { Status::Reset } else { Status::ConnectError };
+                self.attempt_over(&server, session, status, Report::default());
+            }
+            Input::Kept { server, session } => {
+                self.attempt_over(&server, session, Status::Ignored, Report::default());
+            }
+            Input::Probed { server, status, report } => {
+                if self.servers.contains_key(&server) {
+                    self.events.push_back(Event::Probed { server, status, report });
+                }
+            }
+            Input::Opened { server, how } => {
+                if let Some(server) = self.servers.get_mut(&server) {
+                    server.watch.opened(now, how);
+                }
+            }
+            Input::HostClosed { server } => {
+                if let Some(server) = self.servers.get_mut(&server) {
+                    server.watch.closed();
+                }
+                self.looked = Micros::MIN / 2;
+            }
+            Input::Heard { server } => {
+                if let Some(server) = self.servers.get_mut(&server) {
+                    server.watch.heard(now);
+                }
+            }
+            Input::List { kind, hosts } => self.list(now, kind, hosts, out),
+            Input::CaughtUp => {
+                if std::mem::take(&mut self.fetching) {
+                    let entries = self.servers.values().map(|s| s.listed.entry.clone());
+                    let entries = entries.filter(|e| e.state != ServerState::Gone).collect();
+                    self.events.push_back(Event::List { kind: ListKind::Full, entries });
+                }
+            }
+            Input::ListFailed => {
+                if std::mem::take(&mut self.fetching) {
+                    self.events.push_back(Event::List { kind: ListKind::Failed, entries: Vec::new() });
+                }
+            }
+            Input::Tick => self.tick(now, out),
+        }
+        self.look(now, out);
+        self.decide(now, out);
+    }
+
+    /// Feeds the module all that has happened and carries out what it says.
+    fn decide(&mut self, now: Micros, out: &mut Vec<Output>) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.core.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(now, action, out);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn carry_out(&mut self, now: Micros, action: Action, out: &mut Vec<Output>) {
+        match action {
+            Action::Rate { id, rung } => {
+                let Some(held) = self.held.get_mut(&id.0) else { return };
+                held.rung = rung;
+                if let Stage::Stands { server } = &held.stage {
+                    out.push(Output::Rung { server: server.clone(), session: id.0, rung });
+                }
+            }
+            Action::Send { id, server, timeout } => self.send(now, id.0, server, timeout, out),
+            Action::Refuse { id, retry_after } => {
+                self.counts.refused += 1;
+                self.turn(now, id.0, cause::REFUSED, retry_after, out);
+            }
+            Action::Fail { id } => {
+                self.counts.failed += 1;
+                self.turn(now, id.0, cause::FAILED, None, out);
+            }
+            Action::Probe { server } => out.push(Output::Probe { server }),
+            Action::Subscribe | Action::Fetch => {
+                self.fetching = true;
+                out.push(Output::Fetch);
+            }
+            Action::Alarm { token, at } => self.timers.push(Reverse((at, Timer::Alarm(token)))),
+        }
+    }
+
+    // ---- Viewers ----
+
+    fn set_up(&mut self, now: Micros, conn: Conn, came: Micros, set_up: SetUp, out: &mut Vec<Output>) {
+        let session = set_up.session;
+        let figures = &set_up.figures;
+        let class = self.classes.iter().position(|name| *name == set_up.class);
+        let at = figures.at.as_ref().map(|at| ServerId(at.as_str().into()));
+        let copies = (1..=self.cells).contains(&figures.copies);
+        let fits = copies && figures.home < self.cells && figures.top.is_none_or(|top| top <= 255);
+        let held = self.held.contains_key(&session);
+        if held && at.is_some() {
+            return;
+        }
+        let turned = |cause| Output::Turned { conn, session, cause, stay_away: None };
+        let Some(class) = class.filter(|_| fits && !held) else {
+            self.counts.turned += 1;
+            return out.push(turned(cause::UNREADABLE));
+        };
+        let left = (came + set_up.patience_ms as Micros * 1_000 - now).max(0);
+        let viewing = Viewing {
+            class,
+            title: set_up.title.clone(),
+            left,
+            hint: None,
+            home: figures.home,
+            copies: figures.copies,
+            top: figures.top.unwrap_or(usize::MAX),
+        };
+        let new = |stage, set_up| {
+            let (conn, deadline) = (Some(conn), now + left);
+            Held { conn, deadline, set_up, rung: 0, sends: 0, stage }
+        };
+        if let Some(server) = at {
+            let Some(to) = self.servers.get_mut(&server).filter(|_| self.held.len() < STANDING) else {
+                // It plays nowhere that is known: its viewer is to come again.
+                self.counts.turned += 1;
+                return out.push(Output::Over { conn: Some(conn), session, cause: cause::FAILED });
+            };
+            to.standing.insert(session);
+            self.counts.handed += 1;
+            self.held.insert(session, new(Stage::Stands { server: server.clone() }, None));
+            self.events.push_back(Event::Open { id: RequestId(session), viewing, server });
+            return;
+        }
+        if self.open_on(conn) >= OPEN_ON_ONE || self.opened >= OPEN || self.held.len() >= STANDING {
+            self.counts.turned += 1;
+            return out.push(turned(cause::REFUSED));
+        }
+        self.counts.taken += 1;
+        self.opened += 1;
+        self.open.entry(conn).or_default().insert(session);
+        self.held.insert(session, new(Stage::Waiting, Some(Box::new(set_up))));
+        self.events.push_back(Event::Request { id: RequestId(session), viewing });
+    }
+
+    /// The set-up of a session is open no longer.
+    fn close(&mut self, session: u64) {
+        let Some(conn) = self.held.get(&session).filter(|h| h.set_up.is_some()).and_then(|h| h.conn) else {
+            return;
+        };
+        self.opened -= 1;
+        if let Some(open) = self.open.get_mut(&conn) {
+            open.remove(&session);
+            if open.is_empty() {
+                self.open.remove(&conn);
+            }
+        }
+    }
+
+    /// A viewer gives a set-up up or ends a session.
+    fn release(&mut self, now: Micros, session: u64, cause: u8, out: &mut Vec<Output>) {
+        let Some(held) = self.held.get_mut(&session) else { return };
+        match &held.stage {
+            Stage::Waiting | Stage::Out { .. } => {
+                self.counts.given_up += 1;
+                self.events.push_back(Event::Gone { id: RequestId(session) });
+                self.withdraw(now, session, out);
+            }
+            Stage::Stands { server } => {
+                let server = server.clone();
+                out.push(Output::Release { server: server.clone(), session, cause });
+                held.stage = Stage::Ending { server };
+                self.timers.push(Reverse((now + ENDING, Timer::Ending(session))));
+            }
+            Stage::Ending { .. } => {}
+        }
+    }
+
+    /// The final answer when it does not stand.
+    fn turn(
+        &mut self,
+        now: Micros,
+        session: u64,
+        cause: u8,
+        stay_away: Option<Micros>,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(held) = self.held.get(&session).filter(|h| h.set_up.is_some()) else { return };
+        if let Some(conn) = held.conn {
+            out.push(Output::Turned { conn, session, cause, stay_away });
+        }
+        self.withdraw(now, session, out);
+    }
+
+    /// Forgets a set-up that is answered or given up, and withdraws its attempt.
+    fn withdraw(&mut self, now: Micros, session: u64, out: &mut Vec<Output>) {
+        self.close(session);
+        let Some(held) = self.held.remove(&session) else { return };
+        if let Stage::Out { server, .. } = held.stage {
+            self.given_up.push(now, (server.clone(), session));
+            out.push(Output::Withdraw { server, session });
+            let (id, attempt, status, closed) = (RequestId(session), held.sends - 1, Status::Cancelled, true);
+            self.events.push_back(Event::Outcome { id, attempt, status, closed, report: Report::default() });
+        }
+    }
+
+    // ---- Attempts ----
+
+    fn send(&mut self, now: Micros, session: u64, server: ServerId, timeout: Micros, out: &mut Vec<Output>) {
+        let Some(held) = self.held.get_mut(&session) else { return };
+        let (Some(set_up), Stage::Waiting) = (&held.set_up, &held.stage) else { return };
+        held.sends += 1;
+        let entry = self.servers.get(&server).map(|s| &s.listed.entry);
+        let Some(entry) = entry.filter(|e| e.state == ServerState::Up && timeout > 0) else {
+            let (id, attempt, status) = (RequestId(session), held.sends - 1, Status::Ignored);
+            let report = Report::default();
+            return self.events.push_back(Event::Outcome { id, attempt, status, closed: false, report });
+        };
+        let until = held.deadline.min(now + timeout);
+        held.stage = Stage::Out { server: server.clone(), until, started: entry.started };
+        self.timers.push(Reverse((until, Timer::Attempt(session, held.sends))));
+        out.push(Output::SetUp {
+            server,
+            session,
+            class: set_up.class.clone(),
+            title: set_up.title.clone(),
+            patience: until - now,
+            rung: held.rung,
+            description: set_up.description.clone(),
+        });
+    }
+
+    /// The attempt at a host has ended without a session.
+    fn attempt_over(&mut self, server: &ServerId, session: u64, status: Status, report: Report) {
+        let Some(held) = self.held.get_mut(&session).filter(|h| h.is_out_at(server)) else { return };
+        held.stage = Stage::Waiting;
+        let (id, attempt) = (RequestId(session), held.sends - 1);
+        self.events.push_back(Event::Outcome { id, attempt, status, closed: false, report });
+    }
+
+    fn answered(
+        &mut self,
+        now: Micros,
+        server: ServerId,
+        session: u64,
+        description: Bytes,
+        out: &mut Vec<Output>,
+    ) {
+        if !self.held.get(&session).is_some_and(|h| h.is_out_at(&server)) {
+            // A second copy, an answer that nobody asked for, or one that crossed a withdrawal: only the last stands.
+            let mut crossed = false;
+            let kept: Vec<_> = self.given_up.take(now).collect();
+            for given_up in kept {
+                if given_up == (server.clone(), session) {
+                    crossed = true;
+                } else {
+                    self.given_up.push(now, given_up);
+                }
+            }
+            if crossed {
+                out.push(Output::Release { server, session, cause: cause::ENDED_BY_VIEWER });
+            }
+            return;
+        }
+        self.close(session);
+        let Some(held) = self.held.get_mut(&session) else { return };
+        held.stage = Stage::Stands { server: server.clone() };
+        held.set_up = None;
+        let attempt = held.sends - 1;
+        if let Some(conn) = held.conn {
+            out.push(Output::Answer { conn, session, description });
+        }
+        self.counts.served += 1;
+        if let Some(server) = self.servers.get_mut(&server) {
+            server.standing.insert(session);
+        }
+        self.events.push_back(Event::Playing { id: RequestId(session), attempt });
+    }
+
+    // ---- What stands ----
+
+    /// A host's word that a session is over.
+    fn released(&mut self, server: ServerId, session: u64, cause: u8, report: Report, out: &mut Vec<Output>) {
+        let Some(held) = self.held.get(&session).filter(|h| h.server() == Some(&server)) else { return };
+        let status = match cause {
+            cause::GIVEN_UP => Status::Ok,
+            cause::ENDED_BY_VIEWER => Status::Cancelled,
+            _ => Status::Reset,
+        };
+        match held.stage {
+            Stage::Out { .. } => self.attempt_over(&server, session, Status::Reset, report),
+            Stage::Stands { .. } => {
+                if cause != cause::ENDED_BY_VIEWER {
+                    out.push(Output::Over { conn: held.conn, session, cause });
+                }
+                self.end(session, status, report);
+            }
+            _ => self.end(session, Status::Cancelled, report),
+        }
+    }
+
+    /// A session that stood is over, and the module is told.
+    fn end(&mut self, session: u64, status: Status, report: Report) {
+        let Some(held) = self.held.remove(&session) else { return };
+        if let Some(server) = held.server() {
+            let server = server.clone();
+            if let Some(at) = self.servers.get_mut(&server) {
+                at.standing.remove(&session);
+            }
+            self.drop_if_gone(&server);
+        }
+        let (id, attempt) = (RequestId(session), held.sends.saturating_sub(1));
+        self.events.push_back(Event::Outcome { id, attempt, status, closed: true, report });
+    }
+
+    /// All that stands at a host is over: it died, or is out of reach for good.
+    fn lose(&mut self, server: &ServerId, out: &mut Vec<Output>) {
+        let Some(at) = self.servers.get_mut(server) else { return };
+        self.counts.hosts_lost += 1;
+        let out_there: Vec<_> =
+            self.held.iter().filter(|(_, h)| h.is_out_at(server)).map(|(s, _)| *s).collect();
+        let standing = std::mem::take(&mut at.standing);
+        out.push(Output::Forget { server: server.clone() });
+        for session in out_there {
+            self.attempt_over(server, session, Status::Reset, Report::default());
+        }
+        for session in standing {
+            let Some(held) = self.held.get(&session) else { continue };
+            if let Stage::Stands { .. } = held.stage {
+                out.push(Output::Over { conn: held.conn, session, cause: cause::FAILED });
+                // If it was only out of reach, it has to hear that this is over.
+                out.push(Output::Release { server: server.clone(), session, cause: cause::ENDED_BY_VIEWER });
+            }
+            self.end(session, Status::Reset, Report::default());
+        }
+        self.drop_if_gone(server);
+    }
+
+    /// Looks at hosts where sessions stand.
+    fn look(&mut self, now: Micros, out: &mut Vec<Output>) {
+        if now - self.looked < LOOK {
+            return;
+        }
+        self.looked = now;
+        let mut lost = Vec::new();
+        for (id, server) in self.servers.iter_mut().filter(|(_, s)| !s.standing.is_empty()) {
+            match server.watch.next(now, server.listed.entry.state != ServerState::Gone) {
+                Next::Nothing => {}
+                Next::Test => out.push(Output::Test { server: id.clone() }),
+                Next::Open => out.push(Output::Open { server: id.clone() }),
+                Next::Lost => lost.push(id.clone()),
+            }
+        }
+        for server in lost {
+            self.lose(&server, out);
+            if let Some(server) = self.servers.get_mut(&server) {
+                server.watch = Watch::new(now);
+            }
+        }
+    }
+
+    // ---- The list ----
+
+    fn list(&mut self, now: Micros, kind: ListKind, hosts: Vec<Listed>, out: &mut Vec<Output>) {
+        if matches!(kind, ListKind::Full | ListKind::Restored) {
+            let named: BTreeSet<_> = hosts.iter().map(|h| &h.entry.server).collect();
+            let missing = self.servers.iter_mut().filter(|(id, _)| !named.contains(id));
+            missing.for_each(|(_, server)| server.listed.entry.state = ServerState::Gone);
+        }
+        for host in &hosts {
+            let id = host.entry.server.clone();
+            let another = match self.servers.get_mut(&id) {
+                Some(server) => {
+                    // Another process: what stood at the one before is over.
+                    let another = host.entry.started > server.listed.entry.started
+                        || host.address != server.listed.address;
+                    server.listed = host.clone();
+                    another
+                }
+                None => {
+                    let server =
+                        Server { listed: host.clone(), standing: BTreeSet::new(), watch: Watch::new(now) };
+                    self.servers.insert(id.clone(), server);
+                    false
+                }
+            };
+            if another {
+                self.lose(&id, out);
+                if let Some(server) = self.servers.get_mut(&id) {
+                    server.watch = Watch::new(now);
+                }
+            }
+        }
+        let entries = hosts.into_iter().map(|h| h.entry).collect();
+        self.events.push_back(Event::List { kind, entries });
+        let gone: Vec<_> = self.servers.keys().cloned().collect();
+        gone.iter().for_each(|id| self.drop_if_gone(id));
+    }
+
+    /// A host that the list has no more and where nothing stands is forgotten.
+    fn drop_if_gone(&mut self, id: &ServerId) {
+        let gone = |s: &Server| s.listed.entry.state == ServerState::Gone && s.standing.is_empty();
+        if self.servers.get(id).is_some_and(gone) && !self.held.values().any(|h| h.is_out_at(id)) {
+            self.servers.remove(id);
+        }
+    }
+
+    // ---- Time ----
+
+    fn tick(&mut self, now: Micros, out: &mut Vec<Output>) {
+        while let Some(Reverse((at, timer))) = self.timers.peek().copied() {
+            if at > now {
+                break;
+            }
+            self.timers.pop();
+            match timer {
+                Timer::Alarm(token) => self.events.push_back(Event::Alarm { token }),
+                Timer::Ending(session) => {
+                    if self.held.get(&session).is_some_and(|h| matches!(h.stage, Stage::Ending { .. })) {
+                        self.end(session, Status::Cancelled, Report::default());
+                    }
+                }
+                Timer::Attempt(session, sends) => {
+                    let Some(held) = self.held.get(&session).filter(|h| h.sends == sends) else { continue };
+                    if let Stage::Out { server, .. } = &held.stage {
+                        let server = server.clone();
+                        self.given_up.push(now, (server.clone(), session));
+                        out.push(Output::Withdraw { server: server.clone(), session });
+                        self.attempt_over(&server, session, Status::TimedOut, Report::default());
+                    }
+                }
+            }
+            // Each in its turn: what a time-out leads to is decided before the next alarm.
+            self.decide(now, out);
+        }
+    }
+}
--- a/crates/elderpick-simhost/src/lib.rs
+++ b/crates/elderpick-simhost/src/lib.rs
@@ -6,10 +6,10 @@
 
 use elderpick_core::Controller;
 use elderpick_core::api::{
-    Action, BudgetRule, Class, ColdRule, Effect, Entry, Event, Group, ListKind, Micros, Note, Report,
-    Reporting, RequestId, ServerId, ServerState, Settings, Status, Viewing,
+    Action, Entry, Event, ListKind, Note, Report, RequestId, ServerId, ServerState, Status, Viewing,
 };
-use wire::{Batch, BootInfo, Code, Feedback, FleetKind, Member, MemberStatus, News, Order, Reply, Wish};
+use elderpick_platform::boot;
+use wire::{Batch, Code, Feedback, FleetKind, Member, MemberStatus, News, Order, Reply, Wish};
 
 /// Hosts the instances of one process. They share nothing but the numbered lists of the wire.
 #[derive(Default)]
@@ -38,7 +38,7 @@
     fn translate(&mut self, news: News) -> Result<Option<(u64, Event)>, String> {
         Ok(Some(match news {
             News::Attach { i, entropy, boot_info } => {
-                self.cores.insert(i, Controller::new(entropy, settings(boot_info)?));
+                self.cores.insert(i, Controller::new(entropy, boot::settings(&boot_info)?));
                 return Ok(None);
             }
             News::Retire { i } => {
@@ -173,66 +173,3 @@
         Code::Ignored => Status::Ignored,
     }
 }
-
-fn settings(info: BootInfo) -> Result<Settings, String> {
-    let BootInfo { extra, guarantees: rules, limits, .. } = info;
-    let classes = info.profiles.iter().enumerate().map(|(c, profile)| {
-        Ok(Class {
-            effect: match profile.effect.as_deref() {
-                Some("free") => Effect::Free,
-                Some("guarded") => Effect::Guarded,
-                Some("single_shot") => Effect::SingleShot,
-                other => return Err(format!("{other:?} is no effect of a class")),
-            },
-            group: match profile.group.as_deref() {
-                Some("zone") => Group::Zone,
-                Some("cell") => Group::Cell,
-                _ => Group::All,
-            },
-            window: profile.window_us,
-            aim: profile.on_time_us,
-            worth: profile.worth,
-            scale: extra.class_scale.get(c).copied().unwrap_or(1.0),
-            floor: extra.class_floor.get(c).copied().unwrap_or(0),
-            top: extra.class_top.get(c).copied().unwrap_or(usize::MAX),
-            seats: extra.class_seats.get(c).filter(|&&seats| seats > 0.0).map(|&seats| seats as usize),
-        })
-    });
-    let classes = classes.collect::<Result<Vec<_>, String>>()?;
-    let cold =
-        rules.ramp_time_us.zip(rules.start_capacity).zip(rules.tip_multiple.zip(rules.overload_for_us));
-    let budget = rules.further_ratio.zip(rules.extra_floor).zip(rules.look_back_us);
-    let by_weight = info.weight_kind.as_deref() != Some("none");
-    Ok(Settings {
-        me: info.me,
-        gateways: info.balancers,
-        zone: info.az,
-        classes,
-        rung_kb: extra.rung_kb,
-        rung_worth: extra.worth_by_rung,
-        cells: extra.cells,
-        racks: extra.cabinets,
-        rack_kb: extra.rack_kb,
-        links_kb: extra.all_links_kb,
-        kb_per_weight: extra.kb_per_weight,
-        weights: by_weight,
-        places: extra.places_by_kind,
-        see: extra.see_us,
-        cold: cold.map(|((warm_up, least_warmth), (multiple, window))| ColdRule {
-            warm_up,
-            least_warmth,
-            multiple,
-            window,
-        }),
-        budget: budget.map(|((share, free), window)| BudgetRule { free, share, window }),
-        max_attempts: limits.max_attempts,
-        max_retry_after: limits.retry_after.then_some(limits.max_retry_after_us as Micros),
-        reporting: match info.reporting.how.as_deref() {
-            Some("probe") => Reporting::WhenProbed,
-            Some("answers") => Reporting::InAnswers,
-            _ => Reporting::Never,
-        },
-        may_probe: limits.may_probe,
-        subscribe: info.registry_mode.as_deref() == Some("subscribe"),
-    })
-}
--- a/crates/elderpick-simhost/src/wire.rs
+++ b/crates/elderpick-simhost/src/wire.rs
@@ -1,5 +1,6 @@
 //! The simulator's wire as plain types. Unknown fields are skipped.
 
+use elderpick_platform::boot::BootInfo;
 use serde::{Deserialize, Serialize};
 
 #[derive(Deserialize)]
@@ -156,87 +157,6 @@
     pub outstanding: Option<f64>,
 }
 
-#[derive(Deserialize)]
-pub struct BootInfo {
-    #[serde(default)]
-    pub me: usize,
-    #[serde(default)]
-    pub balancers: usize,
-    #[serde(default)]
-    pub az: usize,
-    #[serde(default)]
-    pub profiles: Vec<Profile>,
-    #[serde(default)]
-    pub extra: Extra,
-    #[serde(default)]
-    pub guarantees: Guarantees,
-    #[serde(default)]
-    pub limits: Limits,
-    #[serde(default)]
-    pub reporting: Reporting,
-    pub registry_mode: Option<String>,
-    pub weight_kind: Option<String>,
-}
-
-#[derive(Deserialize)]
-pub struct Profile {
-    #[serde(default)]
-    pub effect: Option<String>,
-    #[serde(default)]
-    pub group: Option<String>,
-    #[serde(default)]
-    pub window_us: i64,
-    #[serde(default)]
-    pub on_time_us: i64,
-    #[serde(default)]
-    pub worth: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-pub struct Extra {
-    pub all_links_kb: Option<f64>,
-    pub cabinets: Option<usize>,
-    pub cells: Option<usize>,
-    pub class_floor: Vec<usize>,
-    pub class_scale: Vec<f64>,
-    pub class_seats: Vec<f64>,
-    pub class_top: Vec<usize>,
-    pub kb_per_weight: Option<f64>,
-    pub places_by_kind: Vec<f64>,
-    pub rack_kb: Option<f64>,
-    pub rung_kb: Vec<f64>,
-    pub see_us: i64,
-    pub worth_by_rung: Vec<f64>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-pub struct Guarantees {
-    pub extra_floor: Option<f64>,
-    pub further_ratio: Option<f64>,
-    pub look_back_us: Option<i64>,
-    pub start_capacity: Option<f64>,
-    pub ramp_time_us: Option<i64>,
-    pub tip_multiple: Option<f64>,
-    pub overload_for_us: Option<i64>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-pub struct Limits {
-    pub max_attempts: Option<usize>,
-    pub max_retry_after_us: i64,
-    pub may_probe: bool,
-    pub retry_after: bool,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-pub struct Reporting {
-    pub how: Option<String>,
-}
-
 #[derive(Serialize)]
 pub struct Reply {
     pub orders: Vec<Order>,
--- a/crates/elderpick/src/main.rs
+++ b/crates/elderpick/src/main.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
 
 /// A session front: places video sessions on media servers and shapes them.
 #[derive(Parser)]
@@ -19,11 +19,7 @@
 #[derive(Subcommand)]
 enum Command {
     /// Run one gateway until SIGTERM.
-    Gateway {
-        /// Its settings.
-        #[arg(long, value_name = "FILE")]
-        settings: PathBuf,
-    },
+    Gateway(Gateway),
     /// Look at settings.
     #[command(subcommand)]
     Settings(Settings),
@@ -44,6 +40,18 @@
     Ledger(ledger::Ledger),
 }
 
+/// By which wire it serves.
+#[derive(Args)]
+#[group(required = true, multiple = false)]
+struct Gateway {
+    /// Serve HLS and SRT by these settings.
+    #[arg(long, value_name = "FILE")]
+    settings: Option<PathBuf>,
+    /// Serve on the platform's wire by its configuration.
+    #[arg(long, value_name = "FILE")]
+    platform: Option<PathBuf>,
+}
+
 #[derive(Subcommand)]
 enum Settings {
     /// Tell all that is wrong with a settings file.
@@ -70,7 +78,8 @@
 
 fn run(command: Command) -> Result<(), String> {
     match command {
-        Command::Gateway { settings } => elderpick_gateway::run(&settings),
+        Command::Gateway(Gateway { settings: Some(file), .. }) => elderpick_gateway::run(&file),
+        Command::Gateway(Gateway { platform, .. }) => elderpick_node::run(&platform.unwrap_or_default()),
         Command::Settings(Settings::Check { file }) => {
             let config = elderpick_gateway::config::Config::open(&file)?;
             println!(
