--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use elderpick_platform::viewer::{self, Decoder, Message, SetUp, cause, kind};
+use elderpick_sessions::door::Welcome;
 use elderpick_sessions::life::{Conn, Input};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
@@ -53,9 +54,9 @@
     fn come(self: &Rc<Self>, stream: TcpStream) {
         let conn = self.next_conn.replace(self.next_conn.get() + 1);
         match self.door.borrow_mut().come(self.now(), conn) {
-            Ok(None) => {}
-            Ok(Some(room)) => self.close_guest(room),
-            Err(()) => return self.turned_away.set(self.turned_away.get() + 1),
+            Welcome::Admitted => {}
+            Welcome::InsteadOf(other) => self.close_guest(other),
+            Welcome::Full => return self.turned_away.set(self.turned_away.get() + 1),
         }
         let guest = Rc::new(Guest {
             link: Link::new(stream),
--- a/crates/elderpick-sessions/src/door.rs
+++ b/crates/elderpick-sessions/src/door.rs
@@ -27,6 +27,16 @@
     open: usize,
 }
 
+/// What is to be done with a connection that came.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Welcome {
+    Admitted,
+    /// Admitted, and this one is to be closed for it.
+    InsteadOf(Conn),
+    /// All have set-ups open: turned away.
+    Full,
+}
+
 /// The connections of viewers.
 #[derive(Debug)]
 pub struct Guests {
@@ -43,19 +53,19 @@
         self.guests.len()
     }
 
-    /// A connection came. `Ok` admits it, naming one to close for it if there is no room; `Err` turns it away.
-    pub fn come(&mut self, now: Micros, conn: Conn) -> Result<Option<Conn>, ()> {
-        let mut makes_room = None;
+    /// A connection came.
+    pub fn come(&mut self, now: Micros, conn: Conn) -> Welcome {
+        let mut welcome = Welcome::Admitted;
         if self.guests.len() >= self.most {
             let idle = self.guests.iter().filter(|(_, guest)| guest.open == 0);
             let first = idle
                 .min_by_key(|(conn, guest)| (guest.said.is_some(), guest.said.unwrap_or(guest.came), **conn));
-            let first = *first.ok_or(())?.0;
+            let Some((&first, _)) = first else { return Welcome::Full };
             self.guests.remove(&first);
-            makes_room = Some(first);
+            welcome = Welcome::InsteadOf(first);
         }
         self.guests.insert(conn, Guest { came: now, said: None, partial: None, open: 0 });
-        Ok(makes_room)
+        welcome
     }
 
     /// A whole message came.
@@ -108,28 +118,28 @@
     #[test]
     fn silent_guests_make_room_before_idle_ones_and_busy_ones_stay() {
         let mut door = Guests::new(3);
-        (1..=3).for_each(|conn| assert_eq!(door.come(conn as Micros, conn), Ok(None)));
+        (1..=3).for_each(|conn| assert_eq!(door.come(conn as Micros, conn), Welcome::Admitted));
         door.said(10, 1);
         door.said(11, 2);
         door.open(11, 2, 1);
-        assert_eq!(door.come(12, 4), Ok(Some(3)), "never said anything");
+        assert_eq!(door.come(12, 4), Welcome::InsteadOf(3), "never said anything");
         door.said(13, 4);
         door.open(13, 4, 2);
-        assert_eq!(door.come(14, 5), Ok(Some(1)), "idle longest");
+        assert_eq!(door.come(14, 5), Welcome::InsteadOf(1), "idle longest");
         door.said(15, 5);
         door.open(15, 5, 1);
-        assert_eq!((door.come(16, 6), door.held()), (Err(()), 3), "all have set-ups open");
+        assert_eq!((door.come(16, 6), door.held()), (Welcome::Full, 3), "all have set-ups open");
     }
 
     #[test]
     fn the_silent_and_the_half_said_are_closed_in_time() {
         let mut door = Guests::new(9);
-        (1..=3).for_each(|conn| assert_eq!(door.come(0, conn), Ok(None)));
+        (1..=3).for_each(|conn| assert_eq!(door.come(0, conn), Welcome::Admitted));
         door.said(0, 2);
         door.said(0, 3);
         door.open(0, 3, 1);
         door.read(100, 3, true);
-        assert_eq!(door.overdue(PARTIAL, false), []);
+        assert!(door.overdue(PARTIAL, false).is_empty());
         assert_eq!(door.overdue(SILENT, false), [1, 3]);
         assert_eq!(door.overdue(IDLE, false), [2]);
         assert_eq!(door.held(), 0);
