--- a/crates/elderpick-lab/src/lib.rs
+++ b/crates/elderpick-lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod link;
 pub mod measure;
 pub mod mutants;
+pub mod platform;
 pub mod receiver;
 pub mod record;
 pub mod script;
--- a/crates/elderpick-lab/src/main.rs
+++ b/crates/elderpick-lab/src/main.rs
@@ -62,8 +62,10 @@
     /// Run one gateway, perhaps with a fault in its decisions. Drills use it.
     #[command(hide = true)]
     Gateway {
-        #[arg(long)]
-        settings: PathBuf,
+        #[arg(long, required_unless_present = "platform")]
+        settings: Option<PathBuf>,
+        #[arg(long, conflicts_with_all = ["settings", "mutant"])]
+        platform: Option<PathBuf>,
         #[arg(long)]
         mutant: Option<Mutant>,
     },
@@ -122,8 +124,11 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let done = match (Arguments::parse().command, runtime) {
         (_, Err(why)) => Err(format!("no runtime: {why}")),
-        (Command::Gateway { settings, mutant }, Ok(runtime)) => {
-            tokio::task::LocalSet::new().block_on(&runtime, gateway(&settings, mutant))
+        (Command::Gateway { platform: Some(file), .. }, Ok(_)) => {
+            elderpick_node::run(&file, |address| println!("listening {address}"))
+        }
+        (Command::Gateway { settings, mutant, .. }, Ok(runtime)) => {
+            tokio::task::LocalSet::new().block_on(&runtime, gateway(&settings.unwrap_or_default(), mutant))
         }
         (Command::Demo { lasts, log }, Ok(runtime)) => {
             tokio::task::LocalSet::new().block_on(&runtime, demo(lasts, log))
--- /dev/null
+++ b/crates/elderpick-lab/src/platform.rs
@@ -0,0 +1,406 @@
+//! Stand-ins of the platform: scripted media hosts, its journal service, viewers, and a gateway's process among them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::Duration;
+
+use elderpick_platform::rtsp::{self, Start};
+use elderpick_platform::viewer::{self, Message};
+use serde_json::{Value, json};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::process::{Child, Command};
+use tokio::sync::{Notify, mpsc};
+use tokio::task::{AbortHandle, spawn_local};
+
+/// What is waited for at most, before a test counts as failed.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+fn fault(why: impl std::fmt::Display) -> String {
+    why.to_string()
+}
+
+/// What a host does with a set-up.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Does {
+    Answers,
+    /// Refuses with this status.
+    Refuses(u16),
+    /// Answers with what cannot be read and leaves the connection open.
+    Spoils,
+    /// Closes the connection in the middle of its answer.
+    BreaksOff,
+    /// Answers twice.
+    Doubles,
+    /// Says nothing until it is told to go on.
+    Holds,
+}
+
+/// A message that a host got: method, session, and the cause or rung that it names.
+pub type Seen = (String, u64, Option<String>);
+
+#[derive(Default)]
+struct Inside {
+    script: RefCell<VecDeque<Does>>,
+    seen: RefCell<Vec<Seen>>,
+    standing: RefCell<BTreeMap<u64, mpsc::UnboundedSender<Vec<u8>>>>,
+    go_on: Notify,
+    lines: Cell<usize>,
+}
+
+/// A scripted media host.
+pub struct Host {
+    pub name: String,
+    pub address: SocketAddr,
+    inside: Rc<Inside>,
+    accepting: AbortHandle,
+    talking: Rc<RefCell<Vec<AbortHandle>>>,
+}
+
+/// The description that a host answers a session's set-up with.
+pub fn description(session: u64) -> Vec<u8> {
+    format!("{session:016x}\r\nm=video 1 RTP/AVP 96\r\n\r\n\u{e9}").into_bytes()
+}
+
+fn answer(session: u64) -> Vec<u8> {
+    let body = description(session);
+    let head = format!(
+        "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: {session:016x}\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    [head.into_bytes(), body].concat()
+}
+
+impl Host {
+    /// Starts one on a port of the system's.
+    pub async fn start(name: &str) -> Result<Host, String> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.map_err(fault)?;
+        let address = listener.local_addr().map_err(fault)?;
+        let (inside, talking) = (Rc::new(Inside::default()), Rc::new(RefCell::new(Vec::new())));
+        let (within, talks) = (inside.clone(), talking.clone());
+        let accepting = spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                within.lines.set(within.lines.get() + 1);
+                let inside = within.clone();
+                talks.borrow_mut().push(spawn_local(async move { inside.talk(stream).await }).abort_handle());
+            }
+        });
+        Ok(Host { name: name.into(), address, inside, accepting: accepting.abort_handle(), talking })
+    }
+
+    /// What it does with the next set-ups; after that it answers.
+    pub fn script(&self, does: &[Does]) {
+        self.inside.script.borrow_mut().extend(does);
+    }
+
+    pub fn go_on(&self) {
+        self.inside.go_on.notify_waiters();
+    }
+
+    pub fn seen(&self) -> Vec<Seen> {
+        self.inside.seen.borrow().clone()
+    }
+
+    /// Connections that were opened to it so far.
+    pub fn lines(&self) -> usize {
+        self.inside.lines.get()
+    }
+
+    /// Ends a session that stands there.
+    pub fn end(&self, session: u64, cause: u8) {
+        if let Some(line) = self.inside.standing.borrow_mut().remove(&session) {
+            let _ = line.send(rtsp::teardown(session, Some(cause)));
+        }
+    }
+
+    /// Dies: nothing listens any more and all connections end.
+    pub fn die(&self) {
+        self.accepting.abort();
+        self.talking.borrow_mut().drain(..).for_each(|talk| talk.abort());
+    }
+}
+
+impl Inside {
+    async fn talk(self: Rc<Self>, stream: TcpStream) {
+        let (mut reads, mut writes) = stream.into_split();
+        let (line, mut words) = mpsc::unbounded_channel::<Vec<u8>>();
+        let (mut decoder, mut chunk) = (rtsp::Decoder::default(), vec![0; 4096]);
+        loop {
+            tokio::select! {
+                word = words.recv() => {
+                    // An empty word closes the connection.
+                    let word = word.unwrap_or_default();
+                    if word.is_empty() || writes.write_all(&word).await.is_err() {
+                        return;
+                    }
+                }
+                read = reads.read(&mut chunk) => {
+                    let Ok(read @ 1..) = read else { return };
+                    decoder.push(&chunk[..read]);
+                    while let Ok(Some(message)) = decoder.message() {
+                        self.heard(&message, &line);
+                    }
+                }
+            }
+        }
+    }
+
+    fn heard(self: &Rc<Self>, message: &rtsp::Message, line: &mpsc::UnboundedSender<Vec<u8>>) {
+        let session = message.session;
+        let Start::Request { method } = &message.start else { return };
+        let detail = message.header("Reason").or_else(|| message.header("P-Level"));
+        self.seen.borrow_mut().push((method.clone(), session, detail.map(str::to_owned)));
+        let say = |bytes: Vec<u8>| drop(line.send(bytes));
+        match method.as_str() {
+            "SETUP" => {
+                let does = self.script.borrow_mut().pop_front().unwrap_or(Does::Answers);
+                let stands = matches!(does, Does::Answers | Does::Doubles | Does::Holds);
+                if stands {
+                    self.standing.borrow_mut().insert(session, line.clone());
+                }
+                match does {
+                    Does::Answers => say(answer(session)),
+                    Does::Doubles => say([answer(session), answer(session), answer(!session)].concat()),
+                    Does::Refuses(status) => say(rtsp::response(status, 1, session)),
+                    Does::Spoils => say(b"RTSP/1.0 200 OK\r\nCSeq: 1\r\n\x07\x01\x02 noise\r\n\r\n".to_vec()),
+                    Does::BreaksOff => {
+                        say(answer(session)[..60].to_vec());
+                        say(Vec::new());
+                    }
+                    Does::Holds => {
+                        let (inside, line) = (self.clone(), line.clone());
+                        spawn_local(async move {
+                            inside.go_on.notified().await;
+                            let _ = line.send(answer(session));
+                        });
+                    }
+                }
+            }
+            "TEARDOWN" => {
+                if self.standing.borrow_mut().remove(&session).is_some() {
+                    say(rtsp::teardown(session, Some(31)));
+                }
+                say(rtsp::response(200, message.cseq, session));
+            }
+            "OPTIONS" => {
+                let state = "X-State: utilization:0.200\r\n";
+                let head = format!("RTSP/1.0 200 OK\r\nCSeq: 3\r\nSession: {session:016x}\r\n");
+                say(format!("{head}{state}Content-Length: 0\r\n\r\n").into_bytes());
+            }
+            _ => {}
+        }
+    }
+}
+
+/// The journal service: events from the first on, to whoever asks.
+pub struct Journal {
+    pub address: SocketAddr,
+    told: Rc<RefCell<Vec<Value>>>,
+    news: Rc<Notify>,
+    /// The `Last-Event-ID` of each call.
+    pub calls: Rc<RefCell<Vec<u64>>>,
+}
+
+impl Journal {
+    pub async fn start() -> Result<Journal, String> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.map_err(fault)?;
+        let address = listener.local_addr().map_err(fault)?;
+        let journal = Journal { address, told: Rc::default(), news: Rc::default(), calls: Rc::default() };
+        let (told, news, calls) = (journal.told.clone(), journal.news.clone(), journal.calls.clone());
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (told, news, calls) = (told.clone(), news.clone(), calls.clone());
+                spawn_local(async move {
+                    let _ = tell(stream, &told, &news, &calls).await;
+                });
+            }
+        });
+        Ok(journal)
+    }
+
+    /// Adds an event with these hosts, each with its state; gives its number.
+    pub fn tell(&self, whole: bool, hosts: &[(&Host, &str)]) -> u64 {
+        let number = self.told.borrow().len() as u64 + 1;
+        let hosts: Vec<_> = hosts
+            .iter()
+            .map(|(host, health)| {
+                json!({"host": host.name, "dial": host.address.to_string(), "site": "here", "class": "one",
+                       "block": 0, "health": health, "share": 50.0, "born_ms": 0})
+            })
+            .collect();
+        let event = json!({"pos": number, "hosts": {"seq": number, "whole": whole, "hosts": hosts}});
+        self.told.borrow_mut().push(event);
+        self.news.notify_waiters();
+        number
+    }
+
+    /// Takes over what another one has told.
+    pub fn succeed(&self, other: &Journal) {
+        self.told.borrow_mut().clone_from(&other.told.borrow());
+    }
+}
+
+async fn tell(
+    mut stream: TcpStream,
+    told: &RefCell<Vec<Value>>,
+    news: &Notify,
+    calls: &RefCell<Vec<u64>>,
+) -> std::io::Result<()> {
+    let mut head = String::new();
+    let (reads, mut writes) = stream.split();
+    let mut reads = BufReader::new(reads);
+    while !head.ends_with("\r\n\r\n") {
+        if reads.read_line(&mut head).await? == 0 {
+            return Ok(());
+        }
+    }
+    let last =
+        head.lines().find_map(|l| l.to_ascii_lowercase().strip_prefix("last-event-id:")?.trim().parse().ok());
+    let mut last: u64 = last.unwrap_or(0);
+    calls.borrow_mut().push(last);
+    writes
+        .write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+        .await?;
+    loop {
+        let more: Vec<_> = told.borrow().iter().skip(last as usize).cloned().collect();
+        for event in more {
+            last += 1;
+            // Each is told twice: numbers decide.
+            for _ in 0..2 {
+                writes.write_all(format!("id: {last}\ndata: {event}\n\n").as_bytes()).await?;
+            }
+        }
+        tokio::select! {
+            () = news.notified() => {}
+            () = tokio::time::sleep(Duration::from_secs(1)) => writes.write_all(b": awake\n\n").await?,
+        }
+    }
+}
+
+/// One connection of viewers.
+pub struct Viewers {
+    reads: OwnedReadHalf,
+    writes: OwnedWriteHalf,
+    decoder: viewer::Decoder,
+}
+
+impl Viewers {
+    pub async fn connect(to: SocketAddr) -> Result<Viewers, String> {
+        let (reads, writes) = TcpStream::connect(to).await.map_err(fault)?.into_split();
+        Ok(Viewers { reads, writes, decoder: viewer::Decoder::default() })
+    }
+
+    pub async fn write(&mut self, bytes: &[u8]) -> Result<(), String> {
+        self.writes.write_all(bytes).await.map_err(fault)
+    }
+
+    /// Asks for a session, or hands one over that plays at a host.
+    pub async fn ask(&mut self, session: u64, class: &str, at: Option<&str>) -> Result<(), String> {
+        self.write(&set_up(session, class, at)).await
+    }
+
+    pub async fn release(&mut self, session: u64, cause: u8) -> Result<(), String> {
+        let mut bytes = Vec::new();
+        viewer::release(&mut bytes, session, cause, None);
+        self.write(&bytes).await
+    }
+
+    /// The next message; `None` when the gateway has closed.
+    pub async fn next(&mut self) -> Result<Option<Message>, String> {
+        loop {
+            if let Some(message) = self.decoder.message().map_err(fault)? {
+                return Ok(Some(message));
+            }
+            let mut chunk = [0; 4096];
+            let read = tokio::time::timeout(PATIENCE, self.reads.read(&mut chunk)).await;
+            match read.map_err(|_| "nothing came".to_owned())? {
+                Ok(0) | Err(_) => return Ok(None),
+                Ok(read) => self.decoder.push(&chunk[..read]),
+            }
+        }
+    }
+}
+
+/// A set-up as viewers send it.
+pub fn set_up(session: u64, class: &str, at: Option<&str>) -> Vec<u8> {
+    let at = at.map(|at| format!(";at:{at}")).unwrap_or_default();
+    let figures = format!("home:0;copies:1;top:1;viewer:0000000000000001{at}");
+    let mut bytes = Vec::new();
+    let parameters: [(u8, &[u8]); 5] = [
+        (viewer::code::CLASS, class.as_bytes()),
+        (viewer::code::PATIENCE, b"8000"),
+        (viewer::code::TITLE, b"7f3a9c21e0b4d655"),
+        (viewer::code::FIGURES, figures.as_bytes()),
+        (viewer::code::DESCRIPTION, b"offer"),
+    ];
+    // It always fits.
+    let _ = viewer::encode(&mut bytes, viewer::kind::SET_UP, session, &parameters);
+    bytes
+}
+
+/// A gateway's process with its configuration.
+pub struct Gateway {
+    pub address: SocketAddr,
+    pub child: Child,
+    config: PathBuf,
+}
+
+/// A configuration with two classes, `free` and `paid`, and the hosts that the journal has told.
+pub fn config(journal: &Journal, sockets: usize) -> Value {
+    let told = journal.told.borrow().clone();
+    let profile = |name: &str, effect: &str| {
+        json!({"name": name, "effect": effect, "group": "all", "on_time_us": 3_000_000, "hard_limit_us": 8_000_000,
+               "window_us": 5_000_000, "worth": 1.0, "stream": true})
+    };
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "journal": journal.address.to_string(),
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets},
+        "known": {"pos": told.len(), "entries": told},
+        "settings": {
+            "me": 0, "balancers": 1, "az": 0, "zones": ["here"], "flavors": ["one"],
+            "profiles": [profile("free", "free"), profile("paid", "single_shot")],
+            "extra": {"cells": 1, "cabinets": 1, "class_floor": [0, 0], "class_scale": [1.0, 1.0],
+                      "class_seats": [0, 0], "class_top": [1, 1], "kb_per_weight": 1000.0,
+                      "places_by_kind": [500], "rung_kb": [100.0, 200.0], "worth_by_rung": [0.5, 1.0],
+                      "see_us": 400_000},
+            "guarantees": {},
+            "limits": {"max_attempts": 4, "max_retry_after_us": 300_000, "may_probe": true, "retry_after": true,
+                       "connect_timeout_us": 250_000, "conn_idle_us": 30_000_000},
+            "reporting": {"how": "probe", "names": ["utilization"]},
+            "registry_mode": "automatic", "weight_kind": "nominal"
+        }
+    })
+}
+
+impl Gateway {
+    /// Starts `program gateway --platform` with this configuration, kept in `folder`.
+    pub async fn start(program: &Path, folder: &Path, config: &Value) -> Result<Gateway, String> {
+        let path = folder.join("config.json");
+        std::fs::write(&path, config.to_string()).map_err(fault)?;
+        let mut command = Command::new(program);
+        command.arg("gateway").arg("--platform").arg(&path).kill_on_drop(true);
+        let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn().map_err(fault)?;
+        let mut lines = BufReader::new(child.stdout.take().ok_or("no standard output")?).lines();
+        let line = tokio::time::timeout(PATIENCE, lines.next_line()).await.map_err(fault)?.map_err(fault)?;
+        let address = line.as_deref().and_then(|l| l.strip_prefix("listening ")?.parse().ok());
+        let address = address.ok_or_else(|| format!("the gateway did not start: {line:?}"))?;
+        // What else it prints is read and dropped.
+        spawn_local(async move { while let Ok(Some(_)) = lines.next_line().await {} });
+        Ok(Gateway { address, child, config: path })
+    }
+
+    /// Puts another configuration in place.
+    pub fn replace(&self, config: &Value) -> Result<(), String> {
+        std::fs::write(&self.config, config.to_string()).map_err(fault)
+    }
+
+    pub fn signal(&self, signal: nix::sys::signal::Signal) -> Result<(), String> {
+        let id = self.child.id().ok_or("it has ended")?;
+        nix::sys::signal::kill(nix::unistd::Pid::from_raw(id as i32), signal).map_err(fault)
+    }
+}
--- a/crates/elderpick-node/src/lib.rs
+++ b/crates/elderpick-node/src/lib.rs
@@ -10,6 +10,7 @@
 mod viewers;
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,19 +45,21 @@
     Boot::parse(&text).map_err(told)
 }
 
-/// Runs a gateway until SIGTERM or SIGINT. `Err` tells a person what is wrong.
-pub fn run(path: &Path) -> Result<(), String> {
+/// Runs a gateway until SIGTERM or SIGINT. `ready` gets the address that it listens on; `Err` tells a person what is
+/// wrong.
+pub fn run(path: &Path, ready: impl FnOnce(SocketAddr)) -> Result<(), String> {
     let boot = read(path)?;
     let level = std::env::var("ELDERPICK_LOG").unwrap_or_else(|_| "info".into());
     elderpick_gateway::log_as(&level, "text");
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|why| format!("no runtime: {why}"))?;
-    tokio::task::LocalSet::new().block_on(&runtime, serve(boot, path.to_owned()))
+    tokio::task::LocalSet::new().block_on(&runtime, serve(boot, path.to_owned(), ready))
 }
 
-async fn serve(boot: Boot, path: PathBuf) -> Result<(), String> {
+async fn serve(boot: Boot, path: PathBuf, ready: impl FnOnce(SocketAddr)) -> Result<(), String> {
     let listener = TcpListener::bind(boot.listen).await;
     let listener = listener.map_err(|why| format!("listen: cannot listen on {}: {why}", boot.listen))?;
+    let address = listener.local_addr().map_err(|why| format!("listen: {}: {why}", boot.listen))?;
     let seed = boot.seed()?;
     let info = &boot.settings;
     let core = Controller::new(seed, boot::settings(info)?);
@@ -98,7 +101,8 @@
     spawn_local(node.clone().run_timers());
     spawn_local(node.clone().run_chores());
     spawn_local(journal::follow(node.clone()));
-    tracing::info!(name = %node.name, listen = %boot.listen, hosts = for_hosts, viewers = for_viewers, "serving");
+    ready(address);
+    tracing::info!(name = %node.name, %address, hosts = for_hosts, viewers = for_viewers, "serving");
     loop {
         tokio::select! {
             _ = term.recv() => break,
--- a/crates/elderpick-platform/src/boot.rs
+++ b/crates/elderpick-platform/src/boot.rs
@@ -48,7 +48,8 @@
 impl Boot {
     /// Reads a configuration; the error names the field that is wrong.
     pub fn parse(text: &[u8]) -> Result<Boot, String> {
-        let boot: Boot = serde_json::from_slice(text).map_err(|why| why.to_string())?;
+        let read = &mut serde_json::Deserializer::from_slice(text);
+        let boot: Boot = serde_path_to_error::deserialize(read).map_err(|why| why.to_string())?;
         if boot.limits.sockets < LEAST_SOCKETS {
             return Err(format!("limits.sockets: {} is under {LEAST_SOCKETS}", boot.limits.sockets));
         }
--- /dev/null
+++ b/crates/elderpick-sessions/tests/life.rs
@@ -0,0 +1,507 @@
+//! The life of sessions in virtual time, with the real module behind it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use elderpick_core::Controller;
+use elderpick_core::api::*;
+use elderpick_platform::journal::Listed;
+use elderpick_platform::viewer::{Figures, SetUp, cause};
+use elderpick_sessions::life::{Input, Life, Output};
+use elderpick_sessions::watch::Opened;
+use proptest::prelude::*;
+
+const MS: Micros = 1_000;
+const PATIENCE: Micros = 1_000 * MS;
+
+fn server(name: &str) -> ServerId {
+    ServerId(name.into())
+}
+
+fn class(effect: Effect, seats: Option<usize>) -> Class {
+    Class {
+        effect,
+        group: Group::All,
+        window: 5_000 * MS,
+        aim: 500 * MS,
+        worth: 1.0,
+        scale: 1.0,
+        floor: 0,
+        top: usize::MAX,
+        seats,
+    }
+}
+
+fn settings() -> Settings {
+    Settings {
+        me: 0,
+        gateways: 1,
+        zone: 0,
+        classes: vec![class(Effect::Free, None), class(Effect::SingleShot, Some(2))],
+        rung_kb: vec![100.0, 200.0],
+        rung_worth: vec![0.5, 1.0],
+        cells: Some(4),
+        racks: Some(1),
+        rack_kb: None,
+        links_kb: None,
+        kb_per_weight: Some(100_000.0),
+        weights: true,
+        places: vec![2_000.0],
+        see: 500 * MS,
+        cold: None,
+        budget: None,
+        max_attempts: Some(3),
+        max_retry_after: Some(400 * MS),
+        reporting: Reporting::WhenProbed,
+        may_probe: true,
+        subscribe: false,
+    }
+}
+
+fn listed(name: &str, state: ServerState, started: Option<Micros>) -> Listed {
+    let entry = Entry { server: server(name), zone: 0, kind: 0, cell: 0, state, weight: 1.0, started };
+    Listed { address: ([127, 0, 0, 1], 9).into(), entry }
+}
+
+fn asks(session: u64, class: &str) -> SetUp {
+    let figures = Figures { home: 0, copies: 4, top: None, at: None };
+    let (class, title) = (class.to_owned(), "t".to_owned());
+    SetUp { session, class, patience_ms: 1_000, title, figures, description: Bytes::from_static(b"offer") }
+}
+
+struct World {
+    life: Life,
+    now: Micros,
+}
+
+impl World {
+    fn new(hosts: &[&str]) -> World {
+        let classes = vec!["free".to_owned(), "paid".to_owned()];
+        let life = Life::new(Controller::new(1, settings()), classes, 4);
+        let mut world = World { life, now: 1_000_000 * MS };
+        let hosts = hosts.iter().map(|name| listed(name, ServerState::Up, None)).collect();
+        world.feed(Input::List { kind: ListKind::Full, hosts });
+        world
+    }
+
+    /// What is done about it, calls for load left out.
+    fn feed(&mut self, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        self.life.handle(self.now, input, &mut out);
+        out.retain(|o| !matches!(o, Output::Probe { .. }));
+        out
+    }
+
+    fn ask(&mut self, session: u64, class: &str) -> Vec<Output> {
+        self.feed(Input::SetUp { conn: 5, came: self.now, set_up: asks(session, class) })
+    }
+
+    /// Lets time pass, tick by tick.
+    fn pass(&mut self, span: Micros) -> Vec<Output> {
+        let (end, mut out) = (self.now + span, Vec::new());
+        while let Some(due) = self.life.next_timer().filter(|due| *due <= end) {
+            self.now = due.max(self.now);
+            out.extend(self.feed(Input::Tick));
+        }
+        self.now = end;
+        out
+    }
+
+    fn list(&mut self, host: Listed) -> Vec<Output> {
+        self.feed(Input::List { kind: ListKind::Changes, hosts: vec![host] })
+    }
+
+    fn answer(&mut self, at: &ServerId, session: u64) -> Vec<Output> {
+        self.feed(Input::Answer { server: at.clone(), session, description: Bytes::from_static(b"answer") })
+    }
+
+    /// Sets a session up, and where it plays then.
+    fn play(&mut self, session: u64, class: &str) -> ServerId {
+        let at = sent(&self.ask(session, class)).expect("there is room");
+        assert!(matches!(&self.answer(&at, session)[..], [Output::Answer { .. }]));
+        at
+    }
+}
+
+/// Where a set-up goes.
+fn sent(out: &[Output]) -> Option<ServerId> {
+    out.iter().find_map(|o| match o {
+        Output::SetUp { server, .. } => Some(server.clone()),
+        _ => None,
+    })
+}
+
+/// The cause of the final answer that it does not stand.
+fn turned(out: &[Output]) -> Option<u8> {
+    out.iter().find_map(|o| match o {
+        Output::Turned { cause, .. } => Some(*cause),
+        _ => None,
+    })
+}
+
+#[test]
+fn an_outcome_proves_only_what_it_may() {
+    use Status::*;
+    type End = fn(ServerId) -> Input;
+    let refused =
+        |status| Input::Refused { server: server("x"), session: 1, status, report: Report::default() };
+    let at = |input: Input, to: &ServerId| match input {
+        Input::Refused { status, report, .. } => {
+            Input::Refused { server: to.clone(), session: 1, status, report }
+        }
+        other => other,
+    };
+    for (status, proves) in [(Full, true), (Ignored, true), (Failed, false), (Reset, false)] {
+        let mut world = World::new(&["a", "b"]);
+        let first = sent(&world.ask(1, "paid")).unwrap();
+        let out = world.feed(at(refused(status), &first));
+        let second = sent(&out);
+        assert_eq!(
+            (second.is_some(), turned(&out)),
+            (proves, (!proves).then_some(cause::FAILED)),
+            "{status:?}"
+        );
+        assert_ne!(second, Some(first));
+    }
+    let ends: [(End, bool); 4] = [
+        (|server| Input::Cut { server, session: 1, begun: false }, true),
+        (|server| Input::Kept { server, session: 1 }, true),
+        (|server| Input::Cut { server, session: 1, begun: true }, false),
+        (|server| Input::Released { server, session: 1, cause: 16, report: Report::default() }, false),
+    ];
+    for (end, proves) in ends {
+        let mut world = World::new(&["a", "b"]);
+        let first = sent(&world.ask(1, "paid")).unwrap();
+        let out = world.feed(end(first));
+        assert_eq!((sent(&out).is_some(), turned(&out)), (proves, (!proves).then_some(cause::FAILED)));
+    }
+}
+
+#[test]
+fn what_is_given_up_is_answered_at_once_and_told_when_to_come_back() {
+    let mut world = World::new(&[]);
+    let refused = Output::Turned { conn: 5, session: 1, cause: cause::REFUSED, stay_away: Some(400 * MS) };
+    assert_eq!(world.ask(1, "paid"), [refused]);
+    assert_eq!((world.life.open(), world.life.held()), (0, 0));
+}
+
+#[test]
+fn a_time_out_withdraws_before_anything_else_is_sent_and_a_late_answer_is_released() {
+    let mut world = World::new(&["a", "b"]);
+    let first = sent(&world.ask(1, "free")).unwrap();
+    let out = world.pass(250 * MS);
+    let withdrawn = out.iter().position(|o| *o == Output::Withdraw { server: first.clone(), session: 1 });
+    let again = out.iter().position(|o| matches!(o, Output::SetUp { .. }));
+    assert!(withdrawn.unwrap() < again.unwrap());
+    let late = Output::Release { server: first.clone(), session: 1, cause: cause::ENDED_BY_VIEWER };
+    assert_eq!(world.answer(&first, 1), [late]);
+    assert_eq!(world.answer(&first, 1), [], "a second copy of it is nobody's");
+    let second = sent(&out).unwrap();
+    assert!(matches!(&world.answer(&second, 1)[..], [Output::Answer { conn: 5, session: 1, .. }]));
+}
+
+#[test]
+fn in_one_instant_what_is_heard_first_counts() {
+    for answered in [true, false] {
+        let mut world = World::new(&["a"]);
+        let at = sent(&world.ask(1, "paid")).unwrap();
+        world.now += PATIENCE;
+        let mut finals = 0;
+        for step in [answered, !answered] {
+            let out = if step { world.answer(&at, 1) } else { world.feed(Input::Tick) };
+            finals +=
+                out.iter().filter(|o| matches!(o, Output::Answer { .. } | Output::Turned { .. })).count();
+            let withdrawn = out.contains(&Output::Withdraw { server: at.clone(), session: 1 });
+            assert_eq!(withdrawn, !answered && !step);
+        }
+        assert_eq!((finals, world.life.open()), (1, 0));
+        assert_eq!(world.life.counts.served, u64::from(answered));
+    }
+}
+
+#[test]
+fn doubled_answers_and_answers_nobody_asked_for_are_dropped() {
+    let mut world = World::new(&["a"]);
+    let at = world.play(1, "free");
+    assert_eq!(world.answer(&at, 1), []);
+    assert_eq!(world.answer(&at, 99), []);
+    assert_eq!(world.life.held(), 1);
+}
+
+#[test]
+fn a_set_up_that_waits_is_not_written_to_a_host_that_drains_or_is_another_process() {
+    let changes = [
+        listed("a", ServerState::Draining, None),
+        listed("a", ServerState::Up, Some(5)),
+        listed("a", ServerState::Gone, None),
+    ];
+    for change in changes {
+        let mut world = World::new(&["a"]);
+        let at = sent(&world.ask(1, "paid")).unwrap();
+        assert!(world.life.may_write(&at, 1, world.now));
+        assert!(!world.life.may_write(&at, 1, world.now + PATIENCE), "its time is over");
+        let out = world.list(change);
+        assert!(!world.life.may_write(&at, 1, world.now));
+        assert!(sent(&out).is_none());
+    }
+    let mut world = World::new(&["a"]);
+    let at = sent(&world.ask(1, "free")).unwrap();
+    world.feed(Input::Release { session: 1, cause: cause::GIVEN_UP });
+    assert!(!world.life.may_write(&at, 1, world.now), "its viewer has left");
+}
+
+#[test]
+fn a_dead_hosts_sessions_are_given_back_once_and_their_seats_are_free() {
+    let mut world = World::new(&["a"]);
+    let at = world.play(1, "paid");
+    world.play(2, "paid");
+    assert_eq!(turned(&world.ask(3, "paid")), Some(cause::REFUSED), "both seats are taken");
+    world.feed(Input::Opened { server: at.clone(), how: Opened::Up });
+    world.feed(Input::HostClosed { server: at.clone() });
+    let mut over = Vec::new();
+    for _ in 0..40 {
+        for output in world.pass(50 * MS) {
+            match output {
+                Output::Open { server } => {
+                    world.feed(Input::Opened { server, how: Opened::Refused });
+                }
+                Output::Over { conn, session, .. } => over.push((conn, session)),
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(over, [(Some(5), 1), (Some(5), 2)]);
+    assert_eq!((world.life.held(), world.life.counts.hosts_lost), (0, 1));
+    let back = listed("a", ServerState::Up, Some(world.now - 1));
+    world.list(back);
+    world.play(4, "paid");
+}
+
+#[test]
+fn a_host_that_falls_silent_is_given_up_within_six_seconds() {
+    let mut world = World::new(&["a"]);
+    let at = world.play(1, "free");
+    world.feed(Input::Opened { server: at.clone(), how: Opened::Up });
+    let (start, mut over) = (world.now, None);
+    while over.is_none() && world.now - start < 60_000 * MS {
+        let mut out = world.pass(50 * MS);
+        if out.iter().any(|o| matches!(o, Output::Open { .. })) {
+            world.now += 250 * MS;
+            out = world.feed(Input::Opened { server: at.clone(), how: Opened::Silent });
+        }
+        let told = out.iter().any(|o| matches!(o, Output::Over { session: 1, .. }));
+        over = told.then_some(world.now - start);
+    }
+    assert!(over.unwrap() < 6_000 * MS, "{over:?}");
+}
+
+#[test]
+fn another_process_under_a_hosts_name_ends_what_stood_there() {
+    let mut world = World::new(&["a"]);
+    let at = world.play(1, "free");
+    let out = world.list(listed("a", ServerState::Up, Some(world.now)));
+    assert!(out.contains(&Output::Over { conn: Some(5), session: 1, cause: cause::FAILED }));
+    assert!(out.contains(&Output::Forget { server: at }));
+}
+
+#[test]
+fn a_seat_is_free_when_the_host_says_so_or_after_a_second() {
+    for says in [true, false] {
+        let mut world = World::new(&["a"]);
+        let at = world.play(1, "paid");
+        world.play(2, "paid");
+        let out = world.feed(Input::Release { session: 1, cause: cause::ENDED_BY_VIEWER });
+        assert_eq!(out, [Output::Release { server: at.clone(), session: 1, cause: cause::ENDED_BY_VIEWER }]);
+        assert_eq!(turned(&world.ask(3, "paid")), Some(cause::REFUSED));
+        if says {
+            let (report, cause) = (Report::default(), cause::ENDED_BY_VIEWER);
+            assert_eq!(world.feed(Input::Released { server: at, session: 1, cause, report }), []);
+        } else {
+            assert!(world.pass(1_000 * MS).iter().all(|o| !matches!(o, Output::Over { .. })));
+        }
+        assert!(sent(&world.ask(4, "paid")).is_some());
+    }
+}
+
+#[test]
+fn handed_over_sessions_owe_no_answer_and_end_once() {
+    let mut world = World::new(&["a"]);
+    let mut handed = asks(1, "free");
+    handed.figures.at = Some("a".into());
+    handed.patience_ms = 4_294_967;
+    for _ in 0..2 {
+        let hand = Input::SetUp { conn: 5, came: world.now, set_up: handed.clone() };
+        let out = world.feed(hand);
+        assert!(
+            !out.iter()
+                .any(|o| matches!(o, Output::Answer { .. } | Output::Turned { .. } | Output::SetUp { .. }))
+        );
+    }
+    assert_eq!((world.life.held(), world.life.counts.handed, world.life.open()), (1, 1, 0));
+    let over = Output::Over { conn: Some(5), session: 1, cause: 16 };
+    let released =
+        |cause| Input::Released { server: server("a"), session: 1, cause, report: Report::default() };
+    assert_eq!(world.feed(released(16)), [over]);
+    assert_eq!(world.feed(released(16)), [], "hosts say it again on the next connection");
+    handed.figures.at = Some("nowhere".into());
+    let hand = Input::SetUp { conn: 5, came: world.now, set_up: handed };
+    let lost = Output::Over { conn: Some(5), session: 1, cause: cause::FAILED };
+    assert_eq!(world.feed(hand), [lost]);
+}
+
+#[test]
+fn a_closed_connection_gives_its_set_ups_up_and_leaves_what_stands() {
+    let mut world = World::new(&["a"]);
+    world.play(1, "free");
+    let at = sent(&world.ask(2, "free")).unwrap();
+    assert_eq!(world.feed(Input::Closed { conn: 5 }), [Output::Withdraw { server: at, session: 2 }]);
+    assert_eq!((world.life.held(), world.life.open(), world.life.open_on(5)), (1, 0, 0));
+}
+
+#[test]
+fn bounds_turn_away_and_forget_nothing() {
+    let mut world = World::new(&["a"]);
+    let twice = |world: &mut World, class| turned(&world.ask(1, class));
+    assert_eq!(twice(&mut world, "no such"), Some(cause::UNREADABLE));
+    assert_eq!(twice(&mut world, "free"), None);
+    assert_eq!(twice(&mut world, "free"), Some(cause::UNREADABLE), "the id of an open set-up");
+    let mut far = asks(2, "free");
+    far.figures.home = 4;
+    assert_eq!(
+        turned(&world.feed(Input::SetUp { conn: 5, came: world.now, set_up: far })),
+        Some(cause::UNREADABLE)
+    );
+    let answers: Vec<_> = (10..100).map(|id| turned(&world.ask(id, "free"))).collect();
+    assert_eq!(answers.iter().flatten().count(), 90 - 63, "64 set-ups are open on one connection at most");
+    assert!(answers.iter().flatten().all(|c| *c == cause::REFUSED));
+    world.feed(Input::Closed { conn: 5 });
+    assert_eq!((world.life.held(), world.life.open()), (0, 0));
+}
+
+/// What must hold, judged from the outside.
+#[derive(Default)]
+struct Judge {
+    /// Deadline and class of each request that has no final answer.
+    owed: BTreeMap<u64, (Micros, bool)>,
+    /// Where an attempt is out.
+    out: BTreeMap<u64, ServerId>,
+    /// Paid requests of which an attempt may have run.
+    ran: BTreeSet<u64>,
+    barred: BTreeSet<ServerId>,
+}
+
+impl Judge {
+    fn see(&mut self, now: Micros, outputs: &[Output]) {
+        for output in outputs {
+            match output {
+                Output::Answer { session, .. } => {
+                    assert!(self.owed.remove(session).is_some(), "answered twice");
+                    self.out.remove(session);
+                }
+                Output::Turned { session, cause, .. } => {
+                    let (_, paid) = self.owed.remove(session).expect("answered twice");
+                    assert!(
+                        !paid || *cause != cause::REFUSED || !self.ran.contains(session),
+                        "refused what may have run"
+                    );
+                    if paid && self.out.contains_key(session) {
+                        assert_ne!(*cause, cause::REFUSED);
+                    }
+                }
+                Output::Withdraw { session, .. } => {
+                    if self.out.remove(session).is_some() {
+                        self.ran.insert(*session);
+                    }
+                }
+                // Closing what leads to a host gives up all that is out there.
+                Output::Forget { server } => {
+                    let there = self.out.extract_if(.., |_, at| at == server);
+                    self.ran.extend(there.map(|(session, _)| session));
+                }
+                Output::SetUp { server, session, .. } => {
+                    assert!(self.out.insert(*session, server.clone()).is_none(), "two attempts out");
+                    assert!(self.owed.contains_key(session), "nobody waits for it");
+                    let (deadline, paid) = self.owed[session];
+                    assert!(now < deadline && (!paid || !self.ran.contains(session)), "a paid set-up twice");
+                    assert!(!self.barred.contains(server), "to a draining host");
+                }
+                _ => {}
+            }
+        }
+        assert!(self.owed.values().all(|(deadline, _)| *deadline >= now), "a request without an answer");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20), ..Default::default() })]
+
+    #[test]
+    fn in_any_order_the_rules_hold(steps in proptest::collection::vec((0..12u8, any::<u16>()), 1..120)) {
+        let names = ["a", "b", "c", "d"];
+        let (mut world, mut judge, mut next) = (World::new(&names), Judge::default(), 1);
+        for (kind, pick) in steps {
+            let pick = usize::from(pick);
+            let nth = |sessions: Vec<u64>| sessions.get(pick % sessions.len().max(1)).copied().unwrap_or(0);
+            let host = server(names[pick % 4]);
+            let session = nth(judge.out.keys().copied().collect());
+            let at = judge.out.get(&session).cloned().unwrap_or(host.clone());
+            let outputs = match kind {
+                0..=2 => {
+                    let paid = pick % 2 == 1;
+                    judge.owed.insert(next, (world.now + PATIENCE, paid));
+                    next += 1;
+                    world.ask(next - 1, if paid { "paid" } else { "free" })
+                }
+                3 => world.answer(&at, session),
+                4 | 5 => {
+                    use Status::*;
+                    let status = [Full, Failed, Ignored, Reset][pick / 7 % 4];
+                    if judge.out.remove(&session).is_some() && matches!(status, Failed | Reset) {
+                        judge.ran.insert(session);
+                    }
+                    let report = Report::default();
+                    world.feed(Input::Refused { server: at, session, status, report })
+                }
+                6 => {
+                    let begun = pick / 7 % 2 == 0;
+                    if judge.out.remove(&session).is_some() && begun {
+                        judge.ran.insert(session);
+                    }
+                    world.feed(Input::Cut { server: at, session, begun })
+                }
+                7 => {
+                    let session = nth(judge.owed.keys().copied().collect());
+                    judge.owed.remove(&session);
+                    world.feed(Input::Release { session, cause: cause::GIVEN_UP })
+                }
+                8 => {
+                    let state = [ServerState::Up, ServerState::Draining, ServerState::Gone][pick / 7 % 3];
+                    if state == ServerState::Up { judge.barred.remove(&host) } else { judge.barred.insert(host) };
+                    world.list(listed(names[pick % 4], state, None))
+                }
+                9 => {
+                    let (report, cause) = (Report::default(), [16, 31, 41][pick / 7 % 3]);
+                    if judge.out.remove(&session).is_some() {
+                        judge.ran.insert(session);
+                    }
+                    world.feed(Input::Released { server: at, session, cause, report })
+                }
+                _ => {
+                    for _ in 0..pick % 400 {
+                        let step = world.pass(MS);
+                        judge.see(world.now, &step);
+                    }
+                    Vec::new()
+                }
+            };
+            judge.see(world.now, &outputs);
+        }
+        for _ in 0..=PATIENCE / MS {
+            let step = world.pass(MS);
+            judge.see(world.now, &step);
+        }
+        prop_assert!(judge.owed.is_empty(), "no request is left without an answer");
+        prop_assert_eq!(world.life.open(), 0);
+    }
+}
--- a/crates/elderpick/src/main.rs
+++ b/crates/elderpick/src/main.rs
@@ -79,7 +79,9 @@
 fn run(command: Command) -> Result<(), String> {
     match command {
         Command::Gateway(Gateway { settings: Some(file), .. }) => elderpick_gateway::run(&file),
-        Command::Gateway(Gateway { platform, .. }) => elderpick_node::run(&platform.unwrap_or_default()),
+        Command::Gateway(Gateway { platform, .. }) => {
+            elderpick_node::run(&platform.unwrap_or_default(), |_| ())
+        }
         Command::Settings(Settings::Check { file }) => {
             let config = elderpick_gateway::config::Config::open(&file)?;
             println!(
