--- a/crates/elderpick-sessions/tests/life.rs
+++ b/crates/elderpick-sessions/tests/life.rs
@@ -409,9 +409,7 @@
                     }
                 }
                 Output::Withdraw { session, .. } => {
-                    if self.out.remove(session).is_some() {
-                        self.ran.insert(*session);
-                    }
+                    self.ran.extend(self.out.remove(session).map(|_| *session));
                 }
                 // Closing what leads to a host gives up all that is out there.
                 Output::Forget { server } => {
