Reports age with the sessions' length; own sessions tell a bounded part of the fleet's load

Reports tell half for 12 s whatever the sessions' length (REPORT_HALF_LIFE in freshness), here 5 s at the median, and 500 own sessions outweigh 12 reports six to one (asked_by_others).

The restart is not mended yet.

--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -21,13 +21,17 @@
 const PLANNED: f64 = 0.8;
 /// Spread of the price between sessions, so that a class does not change its rung all at once.
 const PRICE_SPREAD: f64 = 0.25;
-/// Own sessions that the price, and last reports that the fleet's load is worked out on.
+/// Own sessions that the price is worked out on, at least and at most, and last reports that the fleet's load is.
 const SAMPLE: usize = 16;
+const MOST_PRICED: usize = 96;
 const REPORTS: usize = 32;
-/// What an own session tells of the fleet's load, where a report tells 1 and there is but this gateway.
+/// What an own session tells of the fleet's load, where a report tells 1 and there is but this gateway; and what
+/// all of them tell at most: viewers are spread unevenly, which no number of own sessions shows.
 const OWN_TELLS: f64 = 0.3;
-/// A report tells half of what it told after this time.
+const MOST_OWN_TELL: f64 = 6.0;
+/// A report tells half of what it told after this time, or after this part of a session's usual length.
 const REPORT_HALF_LIFE: f64 = 12e6;
+const REPORT_PART: f64 = 0.4;
 /// Reports are noisy: only what is asked beyond this, over what is given, counts by itself.
 const OVERASKED: f64 = 1.2;
 /// Under this share of their rates, sessions count as short.
@@ -182,8 +186,9 @@
     /// asked of all servers then.
     reports: VecDeque<(Micros, ServerId, f64, f64)>,
     sessions: BTreeMap<RequestId, Session>,
-    /// The last sessions that ended.
+    /// The last sessions that ended, and how long those lasted that began here, in the mean.
     ended: VecDeque<Wish>,
+    lasted: Option<f64>,
     alarms: BTreeMap<u64, RequestId>,
     next_token: u64,
     /// Requests taken and further attempts made within the budget's window.
@@ -209,6 +214,7 @@
             reports: VecDeque::new(),
             sessions: BTreeMap::new(),
             ended: VecDeque::new(),
+            lasted: None,
             alarms: BTreeMap::new(),
             next_token: LIST_TOKEN + 1,
             taken: Vec::new(),
@@ -434,7 +440,9 @@
     }
 
     fn freshness(&self, at: Micros) -> f64 {
-        (-((self.now - at) as f64) / REPORT_HALF_LIFE).exp2()
+        let half_life =
+            self.lasted.map_or(REPORT_HALF_LIFE, |lasted| REPORT_HALF_LIFE.min(REPORT_PART * lasted));
+        (-((self.now - at) as f64) / half_life).exp2()
     }
 
     /// Rates of own sessions on a server.
@@ -453,7 +461,7 @@
         let (own, gateways) = (self.own_in_all(), self.set.gateways.saturating_sub(1) as f64);
         let middle = self.set.rung_kb.get(self.set.rung_kb.len() / 2).copied().unwrap_or(0.0);
         let damp = middle * SAMPLE as f64 / 2.0 + 1.0;
-        let mut told = self.sessions.len() as f64 * OWN_TELLS / (gateways + 1.0);
+        let mut told = (self.sessions.len() as f64 * OWN_TELLS / (gateways + 1.0)).min(MOST_OWN_TELL);
         let mut asked = told * own * gateways / self.capacity.max(1.0);
         for (at, _, others, then) in &self.reports {
             let grown = ((own + damp) / (then + damp)).max(1.0);
@@ -591,7 +599,8 @@
     fn price(&self, others: f64) -> f64 {
         let held = self.sessions.values().filter(|s| !s.closed).map(|s| s.wish);
         let past = self.ended.iter().rev().copied();
-        let sample: Vec<Wish> = held.chain(past).take(SAMPLE.max(self.sessions.len())).collect();
+        let sample: Vec<Wish> =
+            held.chain(past).take(self.sessions.len().clamp(SAMPLE, MOST_PRICED)).collect();
         let asked: f64 = sample.iter().map(|wish| self.asks(wish)).sum();
         let all = others * self.capacity + self.own_in_all();
         let planned = self.capacity * PLANNED * asked / all.max(1.0);
@@ -707,6 +716,7 @@
         }
         let over = closed || session.closed || session.playing;
         let (sent_at, wish, played) = (session.sent_at, session.wish, session.playing);
+        let began_here = session.deadline < Micros::MAX;
         let Some(server) = self.vacate(id) else { return };
         let never_ran = matches!(status, Status::Full | Status::ConnectError | Status::Ignored);
         self.weigh_evidence(&server, status);
@@ -714,6 +724,11 @@
         if over {
             self.sessions.remove(&id);
             if played {
+                if began_here && status == Status::Ok {
+                    let (lasted, part) = ((self.now - sent_at) as f64, 1.0 / SAMPLE as f64);
+                    let before = self.lasted.unwrap_or(REPORT_HALF_LIFE / REPORT_PART);
+                    self.lasted = Some(before + part * (lasted - before));
+                }
                 self.ended.push_back(wish);
                 self.ended.drain(..self.ended.len().saturating_sub(SAMPLE));
             }
--- a/crates/elderpick-node/src/lib.rs
+++ b/crates/elderpick-node/src/lib.rs
@@ -102,7 +102,7 @@
     spawn_local(node.clone().run_chores());
     spawn_local(journal::follow(node.clone()));
     ready(address);
-    tracing::info!(name = %node.name, %address, hosts = for_hosts, viewers = for_viewers, "serving");
+    tracing::info!(name = %node.name, %address, ?boot.limits, hosts = for_hosts, viewers = for_viewers, "serving");
     loop {
         tokio::select! {
             _ = term.recv() => break,
