--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -21,12 +21,13 @@
 const PLANNED: f64 = 0.8;
 /// Spread of the price between sessions, so that a class does not change its rung all at once.
 const PRICE_SPREAD: f64 = 0.25;
-/// Own sessions that the price is worked out on, at least and at most, and last reports that the fleet's load is.
+/// Own sessions that the price is worked out on, at least and at most.
 const SAMPLE: usize = 16;
 const MOST_PRICED: usize = 96;
+/// Last reports that the fleet's load is worked out on.
 const REPORTS: usize = 32;
-/// What an own session tells of the fleet's load, where a report tells 1 and there is but this gateway; and what
-/// all of them tell at most: viewers are spread unevenly, which no number of own sessions shows.
+/// What an own session tells of the fleet's load, where a report tells 1 and there is but this gateway; and
+/// what all of them tell at most: viewers are spread unevenly, which no number of own sessions shows.
 const OWN_TELLS: f64 = 0.3;
 const MOST_OWN_TELL: f64 = 6.0;
 /// A report tells half of what it told after this time, or after this part of a session's usual length.
@@ -464,7 +465,9 @@
         let mut told = (self.sessions.len() as f64 * OWN_TELLS / (gateways + 1.0)).min(MOST_OWN_TELL);
         let mut asked = told * own * gateways / self.capacity.max(1.0);
         for (at, _, others, then) in &self.reports {
-            let grown = ((own + damp) / (then + damp)).max(1.0);
+            // Own growth up to what each of the others asks is no growth of theirs: this gateway fills up.
+            let each = others * self.capacity / gateways.max(1.0);
+            let grown = ((own.max(each) + damp) / (then.max(each) + damp)).max(1.0);
             let weight = self.freshness(*at);
             asked += weight * others * grown;
             told += weight;
--- a/crates/elderpick-core/tests/ordinary_path.rs
+++ b/crates/elderpick-core/tests/ordinary_path.rs
@@ -314,3 +314,36 @@
     assert!(given.len() > 30, "the crowd is admitted: {given:?}");
     assert!(mean(&given[25..]) < mean(&given[..10]) - 0.3, "at lower rungs: {given:?}");
 }
+
+#[test]
+fn a_gateway_that_fills_up_does_not_take_the_others_to_grow_with_it() {
+    let settings = Settings { gateways: 2, ..settings(vec![class(Effect::Free)]) };
+    let mut gateway = Gateway::new(settings, numbered(40));
+    for entry in numbered(40) {
+        gateway.told(&entry.server.0, link_report(0.4));
+    }
+    // Two fifths are asked by the other gateway; half as much comes back to this one.
+    let rungs: Vec<_> = (0..20).map(|_| rung(&gateway.request(viewing(0)).1)).collect();
+    assert!(rungs.iter().filter(|rung| **rung == Some(2)).count() >= 12, "{rungs:?}");
+}
+
+#[test]
+fn reports_age_with_the_length_of_sessions() {
+    // Whether a report of three seconds ago is still good, where sessions last so long.
+    let asks_again = |lasts: Micros| {
+        let reporting = Reporting::WhenProbed;
+        let settings = Settings { reporting, may_probe: true, ..settings(vec![class(Effect::Free)]) };
+        let mut gateway = Gateway::new(settings, vec![entry("a")]);
+        for _ in 0..60 {
+            let (id, _) = gateway.request(Viewing { top: 0, ..viewing(0) });
+            gateway.playing(id, 0);
+            gateway.now += lasts;
+            gateway.end(id, 0);
+        }
+        gateway.told("a", link_report(0.1));
+        gateway.now += 3 * SECOND;
+        !probes(&gateway.request(viewing(0)).1).is_empty()
+    };
+    assert!(asks_again(5 * SECOND));
+    assert!(!asks_again(40 * SECOND));
+}
--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -160,10 +160,12 @@
 
     fn retire(&self, line: &Rc<Line>) {
         if !line.retired.replace(true) {
-            let line = line.clone();
+            let line = Rc::downgrade(line);
             spawn_local(async move {
                 tokio::time::sleep(RETIRED).await;
-                line.link.end(true);
+                if let Some(line) = line.upgrade() {
+                    line.link.end(true);
+                }
             });
         }
     }
@@ -205,9 +207,11 @@
         line.link.send(&rtsp::options(session, true));
         line.asked.borrow_mut().insert(session, true);
         line.used.set(self.now());
-        let (node, line, server) = (self.clone(), line.clone(), server.clone());
+        // Who only waits must not keep the connection open: when it ends, what was out on it is told as over.
+        let (node, line, server) = (self.clone(), Rc::downgrade(line), server.clone());
         spawn_local(async move {
             tokio::time::sleep(node.hosts.connect).await;
+            let Some(line) = line.upgrade() else { return };
             if line.asked.borrow_mut().remove(&session).is_some() {
                 if line.partial.get() {
                     node.retire(&line);
--- a/crates/elderpick-node/src/link.rs
+++ b/crates/elderpick-node/src/link.rs
@@ -76,11 +76,16 @@
         self.ending.get() == Ending::No && self.waiting.borrow().is_empty()
     }
 
-    /// Ends it: at once, or when all that waits is written.
+    /// Ends it: at once, or when all that waits is written. At once means that the peer is told before this returns,
+    /// whoever still holds on to it: what was out on it is given up before the next thing is said elsewhere.
     pub fn end(&self, at_once: bool) {
         if self.ending.get() != Ending::Now {
             self.ending.set(if at_once { Ending::Now } else { Ending::Flushed });
         }
+        if at_once {
+            // It fails where the peer has ended it already.
+            let _ = socket2::SockRef::from(&self.stream).shutdown(std::net::Shutdown::Both);
+        }
         self.wake.notify_one();
     }
 
@@ -151,3 +156,22 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::io::Read;
+
+    use super::*;
+
+    #[tokio::test]
+    async fn what_is_ended_at_once_is_over_for_the_peer_whoever_holds_it() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let stream = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("up");
+        let (mut peer, _) = listener.accept().expect("a connection");
+        let held = std::rc::Rc::new(Link::new(stream));
+        assert!(held.clone().send_now(b"all"));
+        held.end(true);
+        let mut all = Vec::new();
+        assert_eq!((peer.read_to_end(&mut all).expect("an end"), held.send_now(b"more")), (3, false));
+    }
+}
