A viewers' connection with something unread on it is not closed as idle

Guests::come() chose the connection idle longest by what had been read; on a fifth of a core what was sent could wait unread for longer than the 50 ms in which a viewer asks again by itself. Ruled out: the end after SIGTERM, which waits for what is open; yet it closed its idle connections the same way.

Change: before a connection is closed as idle the system is asked whether something came on it (Link::quiet), at the bound, for idleness and at the end, and then it is shut at once. The door's count of open set-ups also falls when a viewer gives one up, which it did not.

--- a/crates/elderpick-node/src/lib.rs
+++ b/crates/elderpick-node/src/lib.rs
@@ -36,7 +36,9 @@
 const CONNECT: Micros = 250_000;
 /// After SIGTERM viewers go on coming for a while; then no new connection is taken.
 const COMING: Duration = Duration::from_millis(900);
+/// Then what is idle is closed, so often with such pauses, until nothing is left.
 const CROSSING: Duration = Duration::from_millis(150);
+const MOST_CROSSING: usize = 600;
 
 /// Reads a configuration file.
 fn read(path: &Path) -> Result<Boot, String> {
@@ -91,6 +93,7 @@
         feeding: Cell::new(false),
         unreadable: Cell::new(0),
         turned_away: Cell::new(0),
+        spared: Cell::new(0),
         warned: Cell::new(0),
     });
     let mut term = handler(SignalKind::terminate())?;
@@ -115,11 +118,10 @@
     tracing::info!(open = node.life.borrow().open(), held = node.life.borrow().held(), "ending");
     tokio::time::sleep(COMING).await;
     accepting.abort();
-    loop {
-        let idle = node.door.borrow_mut().overdue(node.now(), true);
-        idle.into_iter().for_each(|conn| node.close_guest(conn));
+    for _ in 0..MOST_CROSSING {
+        node.close_overdue(true);
         tokio::time::sleep(CROSSING).await;
-        if node.life.borrow().open() == 0 {
+        if node.life.borrow().open() == 0 && node.door.borrow().held() == 0 {
             break;
         }
     }
--- a/crates/elderpick-node/src/link.rs
+++ b/crates/elderpick-node/src/link.rs
@@ -71,6 +71,15 @@
         }
     }
 
+    /// Whether nothing has come that was not read yet. Asks the system, which may know more than the runtime does.
+    pub fn quiet(&self) -> bool {
+        let mut one = [std::mem::MaybeUninit::uninit()];
+        match socket2::SockRef::from(&self.stream).peek(&mut one) {
+            Ok(read) => read == 0,
+            Err(_) => true,
+        }
+    }
+
     /// Whether nothing waits and it is not ending.
     pub fn free(&self) -> bool {
         self.ending.get() == Ending::No && self.waiting.borrow().is_empty()
@@ -163,6 +172,19 @@
 
     use super::*;
 
+    #[tokio::test]
+    async fn what_has_come_is_seen_before_the_runtime_reads_it() {
+        use std::io::Write;
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let stream = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("up");
+        let (mut peer, _) = listener.accept().expect("a connection");
+        let link = Link::new(stream);
+        assert!(link.quiet());
+        peer.write_all(b"x").expect("written");
+        // Over loopback it has come when the write returns.
+        assert!(!link.quiet());
+    }
+
     #[tokio::test]
     async fn what_is_ended_at_once_is_over_for_the_peer_whoever_holds_it() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -45,6 +45,8 @@
     pub feeding: Cell<bool>,
     pub unreadable: Cell<u64>,
     pub turned_away: Cell<u64>,
+    /// Connections that would have been closed as idle, with something on them that was not read yet.
+    pub spared: Cell<u64>,
     pub warned: Cell<Micros>,
 }
 
@@ -83,6 +85,7 @@
             let Some(input) = self.later.borrow_mut().pop_front() else { break };
             let asked = match &input {
                 Input::SetUp { conn, .. } => Some(*conn),
+                Input::Release { session, .. } => self.life.borrow().asked_on(*session),
                 _ => None,
             };
             self.life.borrow_mut().handle(self.now(), input, &mut out);
@@ -209,8 +212,7 @@
         let mut rounds = 0_u64;
         loop {
             tokio::time::sleep(CHORES).await;
-            let overdue = self.door.borrow_mut().overdue(self.now(), false);
-            overdue.into_iter().for_each(|conn| self.close_guest(conn));
+            self.close_overdue(false);
             self.say_kept();
             rounds += 1;
             if rounds.is_multiple_of(5) {
@@ -227,9 +229,9 @@
         let (guests, lines, unreadable) =
             (self.door.borrow().held(), self.hosts.lines(), self.unreadable.get());
         let spoilt = self.hosts.unreadable.get();
-        let turned_away = self.turned_away.get();
+        let (turned_away, spared) = (self.turned_away.get(), self.spared.get());
         let (held, counts) = (life.held(), life.counts);
-        tracing::info!(held, guests, lines, unreadable, spoilt, turned_away, ?counts, "state");
+        tracing::info!(held, guests, lines, unreadable, spoilt, turned_away, spared, ?counts, "state");
     }
 }
 
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -53,7 +53,8 @@
 impl Node {
     fn come(self: &Rc<Self>, stream: TcpStream) {
         let conn = self.next_conn.replace(self.next_conn.get() + 1);
-        match self.door.borrow_mut().come(self.now(), conn) {
+        let welcome = self.door.borrow_mut().come(self.now(), conn, |conn| self.quiet(conn));
+        match welcome {
             Welcome::Admitted => {}
             Welcome::InsteadOf(other) => self.close_guest(other),
             Welcome::Full => return self.turned_away.set(self.turned_away.get() + 1),
@@ -96,10 +97,24 @@
 
     pub(crate) fn close_guest(&self, conn: Conn) {
         if let Some(guest) = self.guests.borrow().get(&conn) {
-            guest.link.end(false);
+            // At once if nothing waits to be written: what comes after that is seen by its sender to be too late.
+            guest.link.end(guest.link.free());
         }
     }
 
+    /// Whether nothing has come on a connection that was not read yet.
+    pub(crate) fn quiet(&self, conn: Conn) -> bool {
+        let quiet = self.guests.borrow().get(&conn).is_none_or(|guest| guest.link.quiet());
+        self.spared.set(self.spared.get() + u64::from(!quiet));
+        quiet
+    }
+
+    /// Closes what is overdue, or at the end all on which nothing is open.
+    pub(crate) fn close_overdue(&self, all_idle: bool) {
+        let overdue = self.door.borrow_mut().overdue(self.now(), all_idle, |conn| self.quiet(conn));
+        overdue.into_iter().for_each(|conn| self.close_guest(conn));
+    }
+
     /// What cannot be read gets an error.
     fn bad(&self, guest: &Guest, session: u64, why: elderpick_platform::Bad) {
         self.unreadable.set(self.unreadable.get() + 1);
--- a/crates/elderpick-sessions/src/door.rs
+++ b/crates/elderpick-sessions/src/door.rs
@@ -1,7 +1,8 @@
 //! Who may stay connected: connections of viewers within the descriptors that are planned for them.
 //!
 //! A connection may be closed while no set-up is open on it. One that never said anything whole goes first, then the
-//! one that has been idle longest; only when all have set-ups open is a new one turned away.
+//! one that has been idle longest; only when all have set-ups open is a new one turned away. One that has sent what was
+//! not read yet is not idle, whatever is known of it here: the caller looks.
 
 use std::collections::HashMap;
 
@@ -53,14 +54,19 @@
         self.guests.len()
     }
 
-    /// A connection came.
-    pub fn come(&mut self, now: Micros, conn: Conn) -> Welcome {
+    /// A connection came. `quiet` tells whether nothing has come on another one that was not read yet.
+    pub fn come(&mut self, now: Micros, conn: Conn, quiet: impl Fn(Conn) -> bool) -> Welcome {
         let mut welcome = Welcome::Admitted;
         if self.guests.len() >= self.most {
             let idle = self.guests.iter().filter(|(_, guest)| guest.open == 0);
-            let first = idle
-                .min_by_key(|(conn, guest)| (guest.said.is_some(), guest.said.unwrap_or(guest.came), **conn));
-            let Some((&first, _)) = first else { return Welcome::Full };
+            let order = |(conn, guest): (&Conn, &Guest)| {
+                (guest.said.is_some(), guest.said.unwrap_or(guest.came), *conn)
+            };
+            let mut idle: Vec<_> = idle.map(order).collect();
+            idle.sort_unstable();
+            let Some((_, _, first)) = idle.into_iter().find(|(_, _, conn)| quiet(*conn)) else {
+                return Welcome::Full;
+            };
             self.guests.remove(&first);
             welcome = Welcome::InsteadOf(first);
         }
@@ -95,16 +101,16 @@
         self.guests.remove(&conn);
     }
 
-    /// Connections to close now. `all_idle` closes all on which nothing is open, at the end.
-    pub fn overdue(&mut self, now: Micros, all_idle: bool) -> Vec<Conn> {
-        let over = |guest: &Guest| {
+    /// Connections to close now. `all_idle` closes all on which nothing is open, at the end. `quiet` as above.
+    pub fn overdue(&mut self, now: Micros, all_idle: bool, quiet: impl Fn(Conn) -> bool) -> Vec<Conn> {
+        let over = |conn: Conn, guest: &Guest| {
             let silent = guest.said.is_none() && now - guest.came >= SILENT;
             let partial = guest.partial.is_some_and(|since| now - since >= PARTIAL);
             let idle = guest.said.is_some_and(|at| now - at >= IDLE);
-            partial || (guest.open == 0 && (silent || idle || all_idle))
+            partial || (guest.open == 0 && (silent || idle || all_idle) && quiet(conn))
         };
         let mut over: Vec<_> =
-            self.guests.iter().filter(|(_, guest)| over(guest)).map(|(conn, _)| *conn).collect();
+            self.guests.iter().filter(|(conn, guest)| over(**conn, guest)).map(|(conn, _)| *conn).collect();
         over.sort_unstable();
         over.iter().for_each(|conn| self.left(*conn));
         over
@@ -118,30 +124,43 @@
     #[test]
     fn silent_guests_make_room_before_idle_ones_and_busy_ones_stay() {
         let mut door = Guests::new(3);
-        (1..=3).for_each(|conn| assert_eq!(door.come(conn as Micros, conn), Welcome::Admitted));
+        (1..=3).for_each(|conn| assert_eq!(door.come(conn as Micros, conn, |_| true), Welcome::Admitted));
         door.said(10, 1);
         door.said(11, 2);
         door.open(11, 2, 1);
-        assert_eq!(door.come(12, 4), Welcome::InsteadOf(3), "never said anything");
+        assert_eq!(door.come(12, 4, |_| true), Welcome::InsteadOf(3), "never said anything");
         door.said(13, 4);
         door.open(13, 4, 2);
-        assert_eq!(door.come(14, 5), Welcome::InsteadOf(1), "idle longest");
+        assert_eq!(door.come(14, 5, |_| true), Welcome::InsteadOf(1), "idle longest");
         door.said(15, 5);
         door.open(15, 5, 1);
-        assert_eq!((door.come(16, 6), door.held()), (Welcome::Full, 3), "all have set-ups open");
+        assert_eq!((door.come(16, 6, |_| true), door.held()), (Welcome::Full, 3), "all have set-ups open");
     }
 
     #[test]
     fn the_silent_and_the_half_said_are_closed_in_time() {
         let mut door = Guests::new(9);
-        (1..=3).for_each(|conn| assert_eq!(door.come(0, conn), Welcome::Admitted));
+        (1..=3).for_each(|conn| assert_eq!(door.come(0, conn, |_| true), Welcome::Admitted));
         door.said(0, 2);
         door.said(0, 3);
         door.open(0, 3, 1);
         door.read(100, 3, true);
-        assert!(door.overdue(PARTIAL, false).is_empty());
-        assert_eq!(door.overdue(SILENT, false), [1, 3]);
-        assert_eq!(door.overdue(IDLE, false), [2]);
+        assert!(door.overdue(PARTIAL, false, |_| true).is_empty());
+        assert_eq!(door.overdue(SILENT, false, |_| true), [1, 3]);
+        assert_eq!(door.overdue(IDLE, false, |_| true), [2]);
         assert_eq!(door.held(), 0);
     }
+
+    #[test]
+    fn what_was_sent_and_not_read_yet_is_not_idle() {
+        let mut door = Guests::new(2);
+        for conn in [1, 2] {
+            assert_eq!(door.come(0, conn, |_| true), Welcome::Admitted);
+            door.said(1, conn);
+        }
+        assert_eq!(door.come(2, 3, |conn| conn != 1), Welcome::InsteadOf(2));
+        assert_eq!(door.come(2, 4, |_| false), Welcome::Full);
+        assert!(door.overdue(IDLE * 2, true, |_| false).is_empty());
+        assert_eq!(door.overdue(IDLE * 2, true, |conn| conn == 1), [1]);
+    }
 }
--- a/crates/elderpick-sessions/src/life.rs
+++ b/crates/elderpick-sessions/src/life.rs
@@ -323,6 +323,11 @@
         self.open.get(&conn).map_or(0, BTreeSet::len)
     }
 
+    /// The connection that a session was asked for on.
+    pub fn asked_on(&self, session: u64) -> Option<Conn> {
+        self.held.get(&session)?.conn
+    }
+
     /// Sessions that are held, in whatever stage.
     pub fn held(&self) -> usize {
         self.held.len()
