--- a/crates/elderpick-lab/src/fuzz.rs
+++ b/crates/elderpick-lab/src/fuzz.rs
@@ -28,10 +28,18 @@
     Entitlement,
     /// Records and entries of the ledger, and what is made of them.
     Ledger,
+    /// The platform's wire: viewers' and hosts' messages, events of the journal, configurations.
+    Platform,
 }
 
-pub const TARGETS: [Target; 5] =
-    [Target::Playlist, Target::Settings, Target::Inventory, Target::Entitlement, Target::Ledger];
+pub const TARGETS: [Target; 6] = [
+    Target::Playlist,
+    Target::Settings,
+    Target::Inventory,
+    Target::Entitlement,
+    Target::Ledger,
+    Target::Platform,
+];
 
 fn ledger(input: &[u8]) -> bool {
     let files = export::Files { manifest: input.into(), jsonl: input.into(), csv: Vec::new() };
@@ -65,6 +73,34 @@
     taken > 0 || !entries.is_empty()
 }
 
+/// What is read of a set-up is what one written anew with it says; the rest is read or refused.
+fn platform(input: &[u8]) -> bool {
+    use elderpick_platform::{boot, journal, rtsp, viewer};
+    let (mut viewers, mut hosts, mut taken) = (viewer::Decoder::default(), rtsp::Decoder::default(), false);
+    viewers.push(input);
+    while let Ok(Some(message)) = viewers.message() {
+        let Ok(set_up) = viewer::SetUp::parse(&message) else { continue };
+        let (class, title, description) = (&*set_up.class, &*set_up.title, &set_up.description[..]);
+        let (session, patience_ms) = (set_up.session, set_up.patience_ms);
+        let to_host = rtsp::set_up(&rtsp::SetUp { session, class, title, patience_ms, rung: 0, description });
+        let mut again = rtsp::Decoder::default();
+        again.push(&to_host);
+        let read = again.message();
+        assert!(read.is_ok_and(|m| m.is_some_and(|m| m.session == session && m.body == description)));
+        taken = true;
+    }
+    hosts.push(input);
+    while let Ok(Some(message)) = hosts.message() {
+        let _ = (message.cause(), message.state());
+        taken = true;
+    }
+    let Ok(text) = std::str::from_utf8(input) else { return taken };
+    let event = journal::parse(text);
+    let hosts = event.iter().flat_map(|e| &e.hosts.hosts);
+    let listed = hosts.filter(|host| host.listed(&[], &[]).is_ok()).count();
+    taken || listed > 0 || boot::Boot::parse(input).is_ok()
+}
+
 /// Keys that sign for the fuzzer alone.
 fn keys() -> KeySet {
     let mut keys = KeySet::default();
@@ -128,6 +164,7 @@
         }
         Target::Entitlement => entitlement(input),
         Target::Ledger => ledger(input),
+        Target::Platform => platform(input),
         Target::Inventory => [Format::Csv, Format::Yaml].into_iter().any(|format| {
             let read = elderpick_inventory::read("f", input, format, &[], &[]);
             if let Err(faults) = &read {
