Read through: releases said again, given-up set-ups age, tighter buffers, dead parts gone

Cause, found on reading the whole change: a release written to a connection that broke was never said again (Input::HostClosed in life.rs); each answer that nobody asked for made all remembered set-ups young again (answered() took and pushed them); 256 KiB for each client that does not read is more than the memory that a gateway has (MOST_WAITING in link.rs); out of descriptors nothing idle was closed, though the comment said so.

Result: two new tests of the life of sessions fail without it; platform and fuzz tests hold.

--- a/crates/elderpick-gateway/src/host.rs
+++ b/crates/elderpick-gateway/src/host.rs
@@ -199,8 +199,6 @@
 pub struct Message {
     pub event: String,
     pub data: String,
-    /// What a later call names to go on behind this event; empty where none is told.
-    pub id: String,
 }
 
 /// A stream of server-sent events, by the HTML standard.
@@ -255,7 +253,6 @@
                     let value = value.strip_prefix(' ').unwrap_or(value);
                     match field {
                         "event" => message.event = value.to_owned(),
-                        "id" => message.id = value.to_owned(),
                         "data" if message.data.is_empty() => message.data = value.to_owned(),
                         "data" => message.data.extend(["\n", value]),
                         _ => {}
--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -1,7 +1,7 @@
 //! Connections to media hosts: a few for each, each with few set-ups on it, since one spoilt answer takes them all along.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -30,8 +30,8 @@
     link: Link,
     /// Set-ups that are out on it, with the time they were written.
     out: RefCell<BTreeMap<u64, Micros>>,
-    /// Calls for load and tests that are out on it; calls for load want their result told.
-    asked: RefCell<BTreeMap<u64, bool>>,
+    /// Calls for load that are out on it.
+    asked: RefCell<BTreeSet<u64>>,
     /// When it was last read from and last written to.
     read: Cell<Micros>,
     used: Cell<Micros>,
@@ -84,7 +84,7 @@
 impl Hosts {
     pub fn new(most: usize, connect: Duration, idle: Micros, first_call: u64) -> Hosts {
         let stale = if idle > 0 { idle / 3 * 2 } else { Micros::MAX };
-        let next_call = Cell::new(first_call | 1);
+        let next_call = Cell::new(first_call);
         Hosts { ways: RefCell::default(), most, connect, stale, next_call, unreadable: Cell::new(0) }
     }
 
@@ -93,9 +93,9 @@
     }
 
     fn new_call(&self) -> u64 {
-        // An odd multiplier makes names that no counter of another gateway meets.
+        // Steps by an odd number come to each name once, from a start that is this gateway's own.
         let call = self.next_call.get();
-        self.next_call.set(call.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(1) | 1);
+        self.next_call.set(call.wrapping_add(0x9e37_79b9_7f4a_7c15));
         call
     }
 }
@@ -126,7 +126,7 @@
             Some(line) if load == 0 => self.write_set_up(&server, &line, session, &bytes),
             _ if self.may_open(&server) => self.open(server, Call::SetUp { session, bytes }),
             Some(line) if load < SHARED => self.write_set_up(&server, &line, session, &bytes),
-            _ => self.feed_later(Input::Cut { server, session, begun: false }),
+            _ => self.feed(Input::Cut { server, session, begun: false }),
         }
     }
 
@@ -134,14 +134,14 @@
     fn write_set_up(self: &Rc<Self>, server: &ServerId, line: &Rc<Line>, session: u64, bytes: &[u8]) {
         let now = self.now();
         if !self.life.borrow().may_write(server, session, now) {
-            return self.feed_later(Input::Kept { server: server.clone(), session });
+            return self.feed(Input::Kept { server: server.clone(), session });
         }
         if line.link.send_now(bytes) {
             line.out.borrow_mut().insert(session, now);
             line.used.set(now);
         } else {
             line.link.end(true);
-            self.feed_later(Input::Cut { server: server.clone(), session, begun: false });
+            self.feed(Input::Cut { server: server.clone(), session, begun: false });
         }
     }
 
@@ -195,24 +195,22 @@
             Some(line) if line.idle() => self.write_probe(&server, &line, session),
             _ if self.may_open(&server) => self.open(server, Call::Load { session }),
             Some(line) => self.write_probe(&server, &line, session),
-            None => self.feed_later(Input::Probed {
-                server,
-                status: Status::ConnectError,
-                report: Report::default(),
-            }),
+            None => {
+                self.feed(Input::Probed { server, status: Status::ConnectError, report: Report::default() })
+            }
         }
     }
 
     fn write_probe(self: &Rc<Self>, server: &ServerId, line: &Rc<Line>, session: u64) {
         line.link.send(&rtsp::options(session, true));
-        line.asked.borrow_mut().insert(session, true);
+        line.asked.borrow_mut().insert(session);
         line.used.set(self.now());
         // Who only waits must not keep the connection open: when it ends, what was out on it is told as over.
         let (node, line, server) = (self.clone(), Rc::downgrade(line), server.clone());
         spawn_local(async move {
             tokio::time::sleep(node.hosts.connect).await;
             let Some(line) = line.upgrade() else { return };
-            if line.asked.borrow_mut().remove(&session).is_some() {
+            if line.asked.borrow_mut().remove(&session) {
                 if line.partial.get() {
                     node.retire(&line);
                 }
@@ -281,12 +279,12 @@
     }
 
     fn never_up(self: &Rc<Self>, server: ServerId, call: Call, how: Opened) {
-        self.feed_later(Input::Opened { server: server.clone(), how });
+        self.feed(Input::Opened { server: server.clone(), how });
         match call {
-            Call::SetUp { session, .. } => self.feed_later(Input::Cut { server, session, begun: false }),
+            Call::SetUp { session, .. } => self.feed(Input::Cut { server, session, begun: false }),
             Call::Load { .. } => {
                 let (status, report) = (Status::ConnectError, Report::default());
-                self.feed_later(Input::Probed { server, status, report });
+                self.feed(Input::Probed { server, status, report });
             }
             Call::Nothing => {}
         }
@@ -353,7 +351,7 @@
         for (session, _) in out {
             self.feed(Input::Cut { server: server.clone(), session, begun: true });
         }
-        for _ in asked.into_values().filter(|load| *load) {
+        for _ in asked {
             let (status, report) = (Status::Reset, Report::default());
             self.feed(Input::Probed { server: server.clone(), status, report });
         }
@@ -374,12 +372,9 @@
                     self.feed(input);
                 }
                 cseq::TEARDOWN if *status == 200 => self.feed(Input::ReleaseHeard { server, session }),
-                cseq::OPTIONS => {
-                    let load = line.asked.borrow_mut().remove(&session);
-                    if load == Some(true) {
-                        let status = if *status == 200 { Status::Ok } else { Status::Failed };
-                        self.feed(Input::Probed { server, status, report: self.report(message) });
-                    }
+                cseq::OPTIONS if line.asked.borrow_mut().remove(&session) => {
+                    let status = if *status == 200 { Status::Ok } else { Status::Failed };
+                    self.feed(Input::Probed { server, status, report: self.report(message) });
                 }
                 _ => {}
             },
--- a/crates/elderpick-node/src/lib.rs
+++ b/crates/elderpick-node/src/lib.rs
@@ -20,7 +20,7 @@
 use elderpick_gateway::shell::WallClock;
 use elderpick_platform::boot::{self, Boot};
 use elderpick_sessions::door::Guests as Door;
-use elderpick_sessions::follow::Follow;
+use elderpick_sessions::follow::{Follow, Take};
 use elderpick_sessions::keep::Kept;
 use elderpick_sessions::life::{Input, Life};
 use tokio::net::TcpListener;
@@ -137,7 +137,10 @@
 /// The list as it was known at the start.
 fn begin(node: &Rc<Node>, boot: &Boot) {
     for (k, event) in boot.known.entries.iter().enumerate() {
-        node.follow.borrow_mut().take(event.pos, event.hosts.whole || k == 0);
+        if node.follow.borrow_mut().take(event.pos, event.hosts.whole || k == 0) != Take::Apply {
+            // Said twice, or out of its place: the journal tells what is missing.
+            continue;
+        }
         let kind = if event.hosts.whole { ListKind::Restored } else { ListKind::Changes };
         let hosts = node.listed(event);
         node.feed(Input::List { kind, hosts });
--- a/crates/elderpick-node/src/link.rs
+++ b/crates/elderpick-node/src/link.rs
@@ -9,7 +9,7 @@
 use tokio::sync::Notify;
 
 /// Most bytes that wait to be written; a peer that reads so little is cut off.
-const MOST_WAITING: usize = 256 << 10;
+const MOST_WAITING: usize = 64 << 10;
 /// What is read at a time.
 pub(crate) const CHUNK: usize = 16 << 10;
 /// The last words are given so long to be written.
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -64,19 +64,14 @@
         }
     }
 
-    /// Takes what happens while something else is being carried out, right behind it.
-    pub fn feed_later(self: &Rc<Self>, input: Input) {
+    /// Tells the sessions' life what happens and carries out what it says. What happens meanwhile comes right behind.
+    pub fn feed(self: &Rc<Self>, input: Input) {
         self.later.borrow_mut().push_back(input);
         if !self.feeding.get() {
             self.drain();
         }
     }
 
-    /// Tells the sessions' life what happens and carries out what it says.
-    pub fn feed(self: &Rc<Self>, input: Input) {
-        self.feed_later(input);
-    }
-
     fn drain(self: &Rc<Self>) {
         self.feeding.set(true);
         let before = self.life.borrow().next_timer();
@@ -125,7 +120,7 @@
                     self.warn_seldom(&format!("an answer cannot be passed on: {why}"));
                     viewer::release(&mut text, session, viewer::cause::FAILED, None);
                     let cause = viewer::cause::ENDED_BY_VIEWER;
-                    self.feed_later(Input::Release { session, cause });
+                    self.feed(Input::Release { session, cause });
                 }
                 if let Some(guest) = self.guests.borrow().get(&conn) {
                     guest.standing.set(Standing::Served);
@@ -162,7 +157,7 @@
             Output::Forget { server } => self.host_forget(&server),
             Output::Fetch => {
                 if self.caught_up.get() {
-                    self.feed_later(Input::CaughtUp);
+                    self.feed(Input::CaughtUp);
                 }
             }
         }
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -44,6 +44,7 @@
             Err(why) => {
                 // Out of descriptors or memory: what is idle goes, and nothing spins.
                 node.warn_seldom(&format!("cannot accept: {why}"));
+                node.close_overdue(true);
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
@@ -136,7 +137,6 @@
                     self.feed(Input::SetUp { conn, came: self.now(), set_up });
                 }
                 Err(why) => {
-                    tracing::trace!(?message, "cannot be read");
                     self.bad(guest, session, why);
                     guest.unreadable.set(guest.unreadable.get() + 1);
                     return guest.unreadable.get() < MOST_UNREADABLE;
--- a/crates/elderpick-platform/src/boot.rs
+++ b/crates/elderpick-platform/src/boot.rs
@@ -36,8 +36,6 @@
 /// Events of the journal service up to the start.
 #[derive(Deserialize, Clone, Default, Debug)]
 pub struct Known {
-    #[serde(default)]
-    pub pos: u64,
     #[serde(default)]
     pub entries: Vec<journal::Event>,
 }
--- a/crates/elderpick-platform/src/rtsp.rs
+++ b/crates/elderpick-platform/src/rtsp.rs
@@ -94,7 +94,7 @@
             }
             self.looked = self.held.len();
             // Noise is told by its first line, which comes long before a head's bound.
-            return plausible(&self.held).map(|()| None);
+            return plausible(&self.held[from..]).map(|()| None);
         };
         self.looked = end - 4;
         let head = Head::parse(&self.held[..end])?;
--- a/crates/elderpick-sessions/src/keep.rs
+++ b/crates/elderpick-sessions/src/keep.rs
@@ -35,6 +35,16 @@
         std::mem::take(&mut self.words).into_iter().map(|(_, word)| word)
     }
 
+    /// Takes a word out if it is still kept; the others stay as old as they are.
+    pub fn remove(&mut self, now: Micros, word: &T) -> bool
+    where
+        T: PartialEq,
+    {
+        self.expire(now);
+        let at = self.words.iter().position(|(_, kept)| kept == word);
+        at.and_then(|at| self.words.remove(at)).is_some()
+    }
+
     pub fn is_empty(&self) -> bool {
         self.words.is_empty()
     }
@@ -57,6 +67,8 @@
         (0..3).for_each(|k| kept.push(k, k));
         assert_eq!((kept.take(50).collect::<Vec<_>>(), kept.dropped), (vec![1, 2], 1));
         kept.push(60, 7);
+        kept.push(60, 8);
+        assert!(kept.remove(100, &8) && !kept.remove(100, &8), "once");
         assert_eq!((kept.take(161).count(), kept.dropped, kept.is_empty()), (0, 2, true));
     }
 }
--- a/crates/elderpick-sessions/src/life.rs
+++ b/crates/elderpick-sessions/src/life.rs
@@ -405,10 +405,19 @@
                 }
             }
             Input::HostClosed { server } => {
-                if let Some(server) = self.servers.get_mut(&server) {
-                    server.watch.closed();
-                }
                 self.looked = Micros::MIN / 2;
+                if let Some(at) = self.servers.get_mut(&server) {
+                    at.watch.closed();
+                    // A release may have gone down with the connection: it is said again.
+                    let held = &self.held;
+                    let ends =
+                        |s: &&u64| held.get(s).is_some_and(|h| matches!(h.stage, Stage::Ending { .. }));
+                    out.extend(at.standing.iter().filter(ends).map(|session| Output::Release {
+                        server: server.clone(),
+                        session: *session,
+                        cause: cause::ENDED_BY_VIEWER,
+                    }));
+                }
             }
             Input::Heard { server } => {
                 if let Some(server) = self.servers.get_mut(&server) {
@@ -633,16 +642,7 @@
     ) {
         if !self.held.get(&session).is_some_and(|h| h.is_out_at(&server)) {
             // A second copy, an answer that nobody asked for, or one that crossed a withdrawal: only the last stands.
-            let mut crossed = false;
-            let kept: Vec<_> = self.given_up.take(now).collect();
-            for given_up in kept {
-                if given_up == (server.clone(), session) {
-                    crossed = true;
-                } else {
-                    self.given_up.push(now, given_up);
-                }
-            }
-            if crossed {
+            if self.given_up.remove(now, &(server.clone(), session)) {
                 out.push(Output::Release { server, session, cause: cause::ENDED_BY_VIEWER });
             }
             return;
--- a/crates/elderpick-sessions/tests/life.rs
+++ b/crates/elderpick-sessions/tests/life.rs
@@ -323,6 +323,34 @@
     }
 }
 
+#[test]
+fn a_release_that_may_have_gone_down_with_its_connection_is_said_again_until_it_is_heard() {
+    let mut world = World::new(&["a"]);
+    let at = world.play(1, "free");
+    world.play(2, "free");
+    world.feed(Input::Opened { server: at.clone(), how: Opened::Up });
+    let release = Output::Release { server: at.clone(), session: 1, cause: cause::ENDED_BY_VIEWER };
+    let said = |out: Vec<Output>| out.into_iter().filter(|o| *o == release).count();
+    assert_eq!(said(world.feed(Input::Release { session: 1, cause: cause::ENDED_BY_VIEWER })), 1);
+    assert_eq!(said(world.feed(Input::HostClosed { server: at.clone() })), 1, "and nothing of session 2");
+    world.feed(Input::ReleaseHeard { server: at.clone(), session: 1 });
+    assert_eq!(said(world.feed(Input::HostClosed { server: at })), 0);
+    assert_eq!(world.life.held(), 1);
+}
+
+#[test]
+fn what_was_given_up_is_remembered_no_longer_for_other_answers() {
+    let mut world = World::new(&["a"]);
+    let at = sent(&world.ask(1, "free")).unwrap();
+    world.feed(Input::Release { session: 1, cause: cause::GIVEN_UP });
+    // Answers that nobody asked for come all the time; they do not keep it young.
+    for _ in 0..11 {
+        world.pass(1_000 * MS);
+        assert_eq!(world.answer(&at, 99), []);
+    }
+    assert_eq!(world.answer(&at, 1), []);
+}
+
 #[test]
 fn handed_over_sessions_owe_no_answer_and_end_once() {
     let mut world = World::new(&["a"]);
