A bound of ours is not held against a host; a release is not written to an ended connection

Cause 1, found by a new loopback test (hundreds withdrawn at once): the ninth set-up of one burst was refused. With 16 openings under way, host_set_up() told that no connection was free as a connection that never came up (Cut, so ConnectError), and host_probe() did the same for a call for load: the module took a healthy host for dead.

Change: set-ups wait for an opening, 64 a host at most, leave when withdrawn, and over the bound count as never sent; a call for load that finds no connection is left out. The system is asked whether a connection has ended before a release is written to it (Link::ended).

--- a/crates/elderpick-lab/src/platform.rs
+++ b/crates/elderpick-lab/src/platform.rs
@@ -1,6 +1,6 @@
 //! Stand-ins of the platform: scripted media hosts, its journal service, viewers, and a gateway's process among them.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -49,8 +49,8 @@
     script: RefCell<VecDeque<Does>>,
     seen: RefCell<Vec<Seen>>,
     standing: RefCell<BTreeMap<u64, mpsc::UnboundedSender<Vec<u8>>>>,
+    heard: RefCell<Vec<u64>>,
     go_on: Notify,
-    lines: Cell<usize>,
 }
 
 /// A scripted media host.
@@ -85,7 +85,6 @@
         let (within, talks) = (inside.clone(), talking.clone());
         let accepting = spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                within.lines.set(within.lines.get() + 1);
                 let inside = within.clone();
                 talks.borrow_mut().push(spawn_local(async move { inside.talk(stream).await }).abort_handle());
             }
@@ -106,9 +105,9 @@
         self.inside.seen.borrow().clone()
     }
 
-    /// Connections that were opened to it so far.
-    pub fn lines(&self) -> usize {
-        self.inside.lines.get()
+    /// Sessions whose release the gateway has said to have heard.
+    pub fn heard(&self) -> Vec<u64> {
+        self.inside.heard.borrow().clone()
     }
 
     /// Ends a session that stands there.
@@ -143,16 +142,18 @@
                     let Ok(read @ 1..) = read else { return };
                     decoder.push(&chunk[..read]);
                     while let Ok(Some(message)) = decoder.message() {
-                        self.heard(&message, &line);
+                        self.take(&message, &line);
                     }
                 }
             }
         }
     }
 
-    fn heard(self: &Rc<Self>, message: &rtsp::Message, line: &mpsc::UnboundedSender<Vec<u8>>) {
+    fn take(self: &Rc<Self>, message: &rtsp::Message, line: &mpsc::UnboundedSender<Vec<u8>>) {
         let session = message.session;
-        let Start::Request { method } = &message.start else { return };
+        let Start::Request { method } = &message.start else {
+            return self.heard.borrow_mut().push(session);
+        };
         let detail = message.header("Reason").or_else(|| message.header("P-Level"));
         self.seen.borrow_mut().push((method.clone(), session, detail.map(str::to_owned)));
         let say = |bytes: Vec<u8>| drop(line.send(bytes));
@@ -202,6 +203,7 @@
     pub address: SocketAddr,
     told: Rc<RefCell<Vec<Value>>>,
     news: Rc<Notify>,
+    breaks: Rc<Notify>,
     /// The `Last-Event-ID` of each call.
     pub calls: Rc<RefCell<Vec<u64>>>,
 }
@@ -210,13 +212,20 @@
     pub async fn start() -> Result<Journal, String> {
         let listener = TcpListener::bind("127.0.0.1:0").await.map_err(fault)?;
         let address = listener.local_addr().map_err(fault)?;
-        let journal = Journal { address, told: Rc::default(), news: Rc::default(), calls: Rc::default() };
-        let (told, news, calls) = (journal.told.clone(), journal.news.clone(), journal.calls.clone());
+        let journal = Journal {
+            address,
+            told: Rc::default(),
+            news: Rc::default(),
+            breaks: Rc::default(),
+            calls: Rc::default(),
+        };
+        let (told, news, breaks, calls) =
+            (journal.told.clone(), journal.news.clone(), journal.breaks.clone(), journal.calls.clone());
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let (told, news, calls) = (told.clone(), news.clone(), calls.clone());
+                let (told, news, breaks, calls) = (told.clone(), news.clone(), breaks.clone(), calls.clone());
                 spawn_local(async move {
-                    let _ = tell(stream, &told, &news, &calls).await;
+                    let _ = tell(stream, &told, &news, &breaks, &calls).await;
                 });
             }
         });
@@ -239,6 +248,11 @@
         number
     }
 
+    /// Breaks all streams off in the middle of an event that it has not told otherwise.
+    pub fn break_off(&self) {
+        self.breaks.notify_waiters();
+    }
+
     /// Takes over what another one has told.
     pub fn succeed(&self, other: &Journal) {
         self.told.borrow_mut().clone_from(&other.told.borrow());
@@ -249,6 +263,7 @@
     mut stream: TcpStream,
     told: &RefCell<Vec<Value>>,
     news: &Notify,
+    breaks: &Notify,
     calls: &RefCell<Vec<u64>>,
 ) -> std::io::Result<()> {
     let mut head = String::new();
@@ -277,6 +292,9 @@
         }
         tokio::select! {
             () = news.notified() => {}
+            () = breaks.notified() => {
+                return writes.write_all(format!("id: {}\ndata: {{\"pos\":", last + 1).as_bytes()).await;
+            }
             () = tokio::time::sleep(Duration::from_secs(1)) => writes.write_all(b": awake\n\n").await?,
         }
     }
--- a/crates/elderpick-lab/tests/platform.rs
+++ b/crates/elderpick-lab/tests/platform.rs
@@ -4,7 +4,7 @@
 use std::process::Command;
 
 use elderpick_lab::platform::{Does, Gateway, Host, Journal, PATIENCE, Viewers, config, description, set_up};
-use elderpick_platform::viewer::{Message, cause, code, kind};
+use elderpick_platform::viewer::{self, Message, cause, code, kind};
 use nix::sys::signal::Signal;
 
 fn program() -> PathBuf {
@@ -205,6 +205,74 @@
     });
 }
 
+#[test]
+fn releases_wait_for_the_next_viewers_connection() {
+    run(async {
+        let world = world("waits", 1, 256).await;
+        let mut viewers = Viewers::connect(world.gateway.address).await.unwrap();
+        viewers.ask(1, "free", None).await.unwrap();
+        assert_eq!(viewers.next().await.unwrap().unwrap().kind, kind::ANSWER);
+        drop(viewers);
+        world.hosts[0].end(1, 16);
+        until("the gateway has heard it", || !world.hosts[0].heard().is_empty()).await;
+        let mut others = Viewers::connect(world.gateway.address).await.unwrap();
+        others.ask(2, "free", None).await.unwrap();
+        let mut came = Vec::new();
+        for _ in 0..2 {
+            let message = others.next().await.unwrap().unwrap();
+            came.push((message.kind, message.session));
+        }
+        came.sort_unstable();
+        assert_eq!(came, [(kind::ANSWER, 2), (kind::RELEASE, 1)]);
+    });
+}
+
+#[test]
+fn a_journal_that_breaks_off_in_an_event_is_asked_again_from_the_place_held() {
+    run(async {
+        let world = world("broken", 2, 256).await;
+        until("it is asked", || world.journal.calls.borrow().len() == 1).await;
+        world.journal.break_off();
+        until("it is asked again", || world.journal.calls.borrow().len() == 2).await;
+        assert_eq!(*world.journal.calls.borrow(), [1, 1]);
+        // What comes on the new stream is taken: another host, the only one left for new sessions.
+        let third = Host::start("s-9").await.unwrap();
+        let all = [(&world.hosts[0], "Gone"), (&world.hosts[1], "Gone"), (&third, "Ready")];
+        world.journal.tell(false, &all);
+        let mut viewers = Viewers::connect(world.gateway.address).await.unwrap();
+        // The number of tries is a bound for the wait.
+        for session in 1..2_000 {
+            viewers.ask(session, "free", None).await.unwrap();
+            assert!(viewers.next().await.unwrap().is_some());
+            if third.seen().iter().any(|(method, ..)| method == "SETUP") {
+                return;
+            }
+        }
+        panic!("the new host never gets a set-up");
+    });
+}
+
+#[test]
+fn hundreds_withdrawn_at_once_leave_nothing_out() {
+    run(async {
+        let world = world("withdrawn", 1, 256).await;
+        let mut viewers = Viewers::connect(world.gateway.address).await.unwrap();
+        world.hosts[0].script(&[Does::Holds; 300]);
+        let mut bytes = Vec::new();
+        for session in 1..=300 {
+            bytes.extend(set_up(session, "free", None));
+            viewer::release(&mut bytes, session, cause::GIVEN_UP, None);
+        }
+        viewers.write(&bytes).await.unwrap();
+        for _ in 0..300 {
+            let message = viewers.next().await.unwrap().unwrap();
+            assert_eq!(message.kind, kind::RELEASE_HEARD, "no answer is owed: {message:?}");
+        }
+        let of = |method: &str| world.hosts[0].seen().iter().filter(|(m, ..)| m == method).count();
+        until("each that went out is withdrawn", || of("SETUP") <= of("TEARDOWN")).await;
+    });
+}
+
 #[test]
 fn a_reload_moves_to_the_new_journal_and_loses_no_event() {
     run(async {
--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -1,7 +1,7 @@
 //! Connections to media hosts: a few for each, each with few set-ups on it, since one spoilt answer takes them all along.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,6 +19,8 @@
 
 /// Set-ups that one connection carries where no further one may be opened.
 const SHARED: usize = 8;
+/// Set-ups that wait for a connection that is being opened, where no further one may be; one more is not sent.
+const WAITING: usize = 64;
 /// Words that wait for a connection to a host, and how long they are worth saying.
 const KEPT: usize = 256;
 const KEPT_LASTS: Micros = 30_000_000;
@@ -55,11 +57,13 @@
     lines: Vec<Rc<Line>>,
     opening: usize,
     kept: Kept<Vec<u8>>,
+    /// Set-ups that wait for an opening to end.
+    waiting: VecDeque<(u64, Vec<u8>)>,
 }
 
 impl Default for Ways {
     fn default() -> Self {
-        Ways { lines: Vec::new(), opening: 0, kept: Kept::new(KEPT, KEPT_LASTS) }
+        Ways { lines: Vec::new(), opening: 0, kept: Kept::new(KEPT, KEPT_LASTS), waiting: VecDeque::new() }
     }
 }
 
@@ -118,18 +122,39 @@
         lines.min_by_key(|line| (line.out.borrow().len(), line.asked.borrow().len())).cloned()
     }
 
-    /// Writes a set-up on an idle line, on a new one, or with others if there may be no further.
+    /// Writes a set-up on an idle line, on a new one, or with others if there may be no further. A bound of ours says
+    /// nothing of the host: what it leaves no room for was never sent.
     pub(crate) fn host_set_up(self: &Rc<Self>, server: ServerId, session: u64, bytes: Vec<u8>) {
+        if !self.life.borrow().may_write(&server, session, self.now()) {
+            return self.feed(Input::Kept { server, session });
+        }
         let line = self.line(&server);
         let load = line.as_ref().map_or(usize::MAX, |line| line.out.borrow().len());
         match line {
             Some(line) if load == 0 => self.write_set_up(&server, &line, session, &bytes),
             _ if self.may_open(&server) => self.open(server, Call::SetUp { session, bytes }),
             Some(line) if load < SHARED => self.write_set_up(&server, &line, session, &bytes),
-            _ => self.feed(Input::Cut { server, session, begun: false }),
+            _ => {
+                if !self.wait(&server, session, bytes) {
+                    self.feed(Input::Kept { server, session });
+                }
+            }
         }
     }
 
+    /// Lets a set-up wait for an opening to end, if there is one and room.
+    fn wait(&self, server: &ServerId, session: u64, bytes: Vec<u8>) -> bool {
+        let mut ways = self.hosts.ways.borrow_mut();
+        let ways = ways.get_mut(server).filter(|ways| ways.opening > 0 && ways.waiting.len() < WAITING);
+        ways.map(|ways| ways.waiting.push_back((session, bytes))).is_some()
+    }
+
+    /// Takes all that wait.
+    fn waiting(&self, server: &ServerId) -> VecDeque<(u64, Vec<u8>)> {
+        let mut ways = self.hosts.ways.borrow_mut();
+        ways.get_mut(server).map(|ways| std::mem::take(&mut ways.waiting)).unwrap_or_default()
+    }
+
     /// The last look before the first byte.
     fn write_set_up(self: &Rc<Self>, server: &ServerId, line: &Rc<Line>, session: u64, bytes: &[u8]) {
         let now = self.now();
@@ -146,9 +171,10 @@
     }
 
     pub(crate) fn host_withdraw(self: &Rc<Self>, server: &ServerId, session: u64) {
-        let ways = self.hosts.ways.borrow();
-        let lines = ways.get(server).into_iter().flat_map(|w| &w.lines);
-        for line in lines {
+        let mut ways = self.hosts.ways.borrow_mut();
+        let Some(ways) = ways.get_mut(server) else { return };
+        ways.waiting.retain(|(waits, _)| *waits != session);
+        for line in &ways.lines {
             let Some(written) = line.out.borrow_mut().remove(&session) else { continue };
             line.link.send(&rtsp::teardown(session, None));
             // What hangs in the middle of a message, or has said nothing since, is trusted with no other.
@@ -195,9 +221,8 @@
             Some(line) if line.idle() => self.write_probe(&server, &line, session),
             _ if self.may_open(&server) => self.open(server, Call::Load { session }),
             Some(line) => self.write_probe(&server, &line, session),
-            None => {
-                self.feed(Input::Probed { server, status: Status::ConnectError, report: Report::default() })
-            }
+            // No connection is free: a call for load is left out, and nothing is held against the host.
+            None => {}
         }
     }
 
@@ -280,6 +305,9 @@
 
     fn never_up(self: &Rc<Self>, server: ServerId, call: Call, how: Opened) {
         self.feed(Input::Opened { server: server.clone(), how });
+        for (session, _) in self.waiting(&server) {
+            self.feed(Input::Cut { server: server.clone(), session, begun: false });
+        }
         match call {
             Call::SetUp { session, .. } => self.feed(Input::Cut { server, session, begun: false }),
             Call::Load { .. } => {
@@ -315,6 +343,9 @@
             Call::Nothing => {}
         }
         kept.iter().for_each(|bytes| line.link.send(bytes));
+        for (session, bytes) in self.waiting(&server) {
+            self.host_set_up(server.clone(), session, bytes);
+        }
         let mut decoder = rtsp::Decoder::default();
         let mut told = now;
         let heard = |chunk: &[u8]| {
--- a/crates/elderpick-node/src/link.rs
+++ b/crates/elderpick-node/src/link.rs
@@ -71,12 +71,21 @@
         }
     }
 
-    /// Whether nothing has come that was not read yet. Asks the system, which may know more than the runtime does.
+    /// What would be read first. Asks the system, which may know more than the runtime does.
+    fn peek(&self) -> io::Result<usize> {
+        socket2::SockRef::from(&self.stream).peek(&mut [std::mem::MaybeUninit::uninit()])
+    }
+
+    /// Whether nothing has come that was not read yet.
     pub fn quiet(&self) -> bool {
-        let mut one = [std::mem::MaybeUninit::uninit()];
-        match socket2::SockRef::from(&self.stream).peek(&mut one) {
+        self.peek().map_or(true, |read| read == 0)
+    }
+
+    /// Whether the peer has ended it: what is written now is lost.
+    pub fn ended(&self) -> bool {
+        match self.peek() {
             Ok(read) => read == 0,
-            Err(_) => true,
+            Err(why) => why.kind() != io::ErrorKind::WouldBlock,
         }
     }
 
@@ -182,7 +191,12 @@
         assert!(link.quiet());
         peer.write_all(b"x").expect("written");
         // Over loopback it has come when the write returns.
-        assert!(!link.quiet());
+        assert!(!link.quiet() && !link.ended());
+        drop(peer);
+        let mut one = [0];
+        link.stream.readable().await.expect("a byte");
+        assert_eq!(link.stream.try_read(&mut one).expect("a byte"), 1);
+        assert!(link.ended() && link.quiet());
     }
 
     #[tokio::test]
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -171,11 +171,9 @@
     /// The connection to say that a session is over on: its own, else the one that is most surely a viewer's.
     pub(crate) fn guest_for(&self, conn: Option<Conn>) -> Option<Rc<Guest>> {
         let guests = self.guests.borrow();
-        let own = conn.and_then(|conn| guests.get(&conn)).filter(|g| g.link.free());
-        let best = || {
-            let fit = guests.values().filter(|g| g.standing.get() >= Standing::Asked && g.link.free());
-            fit.max_by_key(|g| g.standing.get())
-        };
-        own.or_else(best).cloned()
+        let hears = |guest: &&Rc<Guest>| guest.link.free() && !guest.link.ended();
+        let own = conn.and_then(|conn| guests.get(&conn)).filter(hears);
+        let best = |standing| guests.values().filter(|g| g.standing.get() == standing).find(hears);
+        own.or_else(|| best(Standing::Served)).or_else(|| best(Standing::Asked)).cloned()
     }
 }
