Fleet start: loads are asked a little later and only believable reports count; cold turns dealt

Lines at fault: `open` probed at once, `hear` believed a load of 0 of a server where own sessions play, `settle` acted on it.

Now: the servers of sessions handed over are asked 1 to 2 s after the start, at a time of each gateway's own; a report of less than half of what own sessions ask there was measured before they came and is asked for again, four times at most.

Turns now last a window and what a host bears in one is dealt to as many gateways; one whose turn it is joins the draw. Ruled out by count: refusals and failures (under 5% of requests), time-outs (none late), connection errors (under 100).

--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -30,6 +30,8 @@
 /// what all of them tell at most: viewers are spread unevenly, which no number of own sessions shows.
 const OWN_TELLS: f64 = 0.3;
 const MOST_OWN_TELL: f64 = 6.0;
+/// A report of less than this part of what own sessions ask is older than they are.
+const BELIEVED: f64 = 0.5;
 /// A report tells half of what it told after this time, or after this part of a session's usual length.
 const REPORT_HALF_LIFE: f64 = 12e6;
 const REPORT_PART: f64 = 0.4;
@@ -57,6 +59,11 @@
 /// Token of the alarm after which the list is asked for; requests have the others.
 const LIST_TOKEN: u64 = 0;
 const LIST_AGAIN: Micros = 1_000_000;
+/// Token of the alarm at which servers of sessions handed over are asked for their load, and the time within
+/// which servers measure it; and how often they are asked at most.
+const ASK_TOKEN: u64 = 1;
+const MOST_ASKED: usize = 4;
+const MEASURED: Micros = 1_000_000;
 
 /// What was last heard of the load of a link or uplink.
 #[derive(Clone, Copy)]
@@ -89,7 +96,8 @@
     lost: bool,
     /// First answer after it was seen to die.
     back: Option<Micros>,
-    last_send: Micros,
+    /// Set-ups given while it was cold: the turn, and how many in it.
+    given: (Micros, usize),
 }
 
 impl Server {
@@ -107,7 +115,7 @@
             mute: false,
             lost: false,
             back: None,
-            last_send: Micros::MIN / 2,
+            given: (0, 0),
         }
     }
 }
@@ -191,6 +199,8 @@
     ended: VecDeque<Wish>,
     lasted: Option<f64>,
     alarms: BTreeMap<u64, RequestId>,
+    /// How often servers of sessions handed over were to be asked for their load.
+    asked_loads: usize,
     next_token: u64,
     /// Requests taken and further attempts made within the budget's window.
     taken: Vec<Micros>,
@@ -217,7 +227,8 @@
             ended: VecDeque::new(),
             lasted: None,
             alarms: BTreeMap::new(),
-            next_token: LIST_TOKEN + 1,
+            asked_loads: 0,
+            next_token: ASK_TOKEN + 1,
             taken: Vec::new(),
             extras: Vec::new(),
             out: Vec::new(),
@@ -246,7 +257,9 @@
                 if status == Status::Ok {
                     self.reached(&server);
                     self.hear(&server, report.link, report.uplink);
-                    self.settle(&server);
+                    if self.servers.contains_key(&server) && self.is_known(&server) {
+                        self.settle(&server);
+                    }
                 } else {
                     self.weigh_evidence(&server, status);
                 }
@@ -281,10 +294,9 @@
             match self.servers.get_mut(&entry.server) {
                 Some(old) if entry.started > old.entry.started => {
                     // A new process: what was known of the old one tells nothing of it.
-                    let (sessions, last_send, back) =
-                        (std::mem::take(&mut old.sessions), old.last_send, old.back);
+                    let (sessions, given, back) = (std::mem::take(&mut old.sessions), old.given, old.back);
                     self.struck.remove(&entry.server);
-                    *old = Server { sessions, last_send, back, ..Server::new(entry) };
+                    *old = Server { sessions, given, back, ..Server::new(entry) };
                 }
                 Some(server) => server.entry = entry,
                 None => {
@@ -366,9 +378,8 @@
         if self.set.classes.get(viewing.class).is_none() {
             return;
         }
-        let first = self.servers.get(&server).is_some_and(|s| s.sessions.is_empty());
-        if first && self.may_probe_loads() {
-            self.out.push(Action::Probe { server: server.clone() });
+        if self.asked_loads == 0 {
+            self.ask_later();
         }
         let session = Session {
             tried: vec![server.clone()],
@@ -380,6 +391,27 @@
         self.occupy(id, server);
     }
 
+    /// Servers measure their load now and then, and right after a start some have not yet: they are asked a
+    /// little later, and each gateway at a time of its own, so that not all answer one load at once.
+    fn ask_later(&mut self) {
+        if self.may_probe_loads() && self.asked_loads < MOST_ASKED {
+            self.asked_loads += 1;
+            let at = self.now + MEASURED + (self.unit() * MEASURED as f64) as Micros;
+            self.out.push(Action::Alarm { token: ASK_TOKEN, at });
+        }
+    }
+
+    /// Asks the servers of sessions that were handed over for the load that they have not told.
+    fn ask_loads(&mut self) {
+        let held = self.sessions.values().filter(|s| s.unsettled).filter_map(|s| s.server.as_ref());
+        let untold = |id: &&ServerId| self.servers.get(*id).is_some_and(|server| server.heard.is_none());
+        let servers: BTreeSet<_> = held.filter(untold).cloned().collect();
+        if !servers.is_empty() {
+            self.ask_later();
+        }
+        self.out.extend(servers.into_iter().map(|server| Action::Probe { server }));
+    }
+
     fn new_session(&mut self, viewing: Viewing) -> Session {
         let spread = 1.0 + PRICE_SPREAD * (2.0 * self.unit() - 1.0);
         let class = &self.set.classes[viewing.class];
@@ -505,6 +537,8 @@
     fn hear(&mut self, id: &ServerId, link: Option<f64>, uplink: Option<f64>) {
         let Some(server) = self.servers.get(id) else { return };
         let rack = self.rack_of(server);
+        // Less than own sessions ask was measured before they came.
+        let link = link.filter(|asked| asked * server.link >= BELIEVED * self.own_on(server));
         let told = |asked: f64, own| Heard { at: self.now, asked: asked.clamp(0.0, 10.0), own };
         let link = link.filter(|x| x.is_finite()).map(|x| told(x, self.own_on(server)));
         let uplink = uplink.filter(|x| x.is_finite()).map(|x| told(x, self.own_behind(rack)));
@@ -560,6 +594,13 @@
                 }
             }
         }
+        // Few of many cold servers have a turn that is this gateway's: one that has joins the draw.
+        if self.set.cold.is_some() && !drawn.iter().any(|id| self.is_cold(&self.servers[id])) {
+            let (up, from) = (self.up.len(), self.below(self.up.len()));
+            let mut others = (0..up).map(|k| &self.up[(from + k) % up]);
+            let open = others.find(|s| self.is_cold(&self.servers[*s]) && self.usable(id, s, shared));
+            drawn.extend(open.cloned());
+        }
         let mut known = drawn.iter().filter(|id| self.is_known(id)).count();
         let mut told: Vec<_> = (0..self.reports.len()).collect();
         while known < DRAW && !told.is_empty() {
@@ -682,8 +723,9 @@
         session.tried.push(server.clone());
         self.out.push(Action::Rate { id, rung });
         self.out.push(Action::Send { id, server: server.clone(), timeout });
-        if let Some(to) = self.servers.get_mut(&server) {
-            to.last_send = self.now;
+        if let Some(turn) = self.set.cold.map(|cold| self.turn(&self.servers[&server], cold).0) {
+            let given = &mut self.servers.get_mut(&server).expect("drawn from the list").given;
+            *given = (turn, if given.0 == turn { given.1 + 1 } else { 1 });
         }
         self.occupy(id, server);
     }
@@ -753,6 +795,9 @@
     }
 
     fn alarm(&mut self, token: u64) {
+        if token == ASK_TOKEN {
+            return self.ask_loads();
+        }
         if token == LIST_TOKEN {
             if self.set.subscribe {
                 self.out.push(Action::Subscribe);
@@ -870,25 +915,47 @@
         told.max(seen).max(unknown)
     }
 
-    /// Whether a cold server may be given a set-up now. Time is cut into slots, each one gateway's turn,
-    /// so that all gateways together stay under the pace though none knows what the others send. Only the
-    /// first half of a slot is used, which keeps set-ups of neighbouring slots apart.
+    fn is_cold(&self, server: &Server) -> bool {
+        let start = self.set.cold.zip(self.last_start(server));
+        start.is_some_and(|(cold, start)| self.now - start < cold.warm_up)
+    }
+
+    /// Whether a server may be given a set-up now: it is warm, or its turn leaves this gateway one.
     fn cold_pace_allows(&self, server: &Server) -> bool {
-        let Some((cold, start)) = self.set.cold.zip(self.last_start(server)) else { return true };
-        if self.now - start >= cold.warm_up {
-            return true;
-        }
+        let Some(cold) = self.set.cold.filter(|_| self.is_cold(server)) else { return true };
+        let (turn, within) = self.turn(server, cold);
+        // A new process does not know what it gave in the turn in which it began.
+        let began_before = self.begun.is_some_and(|begun| begun < self.now - within);
+        let given = if server.given.0 == turn { server.given.1 } else { 0 };
+        began_before && within < cold.window && given < self.dealt(server, cold, turn)
+    }
+
+    /// A cold server's time is cut into turns, of which only the first window is used: whatever window is
+    /// looked at, the set-ups in it are of one turn, though some take longer on their way than others.
+    fn turn(&self, server: &Server, cold: ColdRule) -> (Micros, Micros) {
+        let length = (cold.window * 9 / 4).max(1);
+        let phased = self.now + self.mark(server) % 64 * (length / 64);
+        (phased / length, phased % length)
+    }
+
+    /// How many set-ups this gateway may give a cold server in a turn. What the server bears in a window at
+    /// its least warmth, less a quarter since set-ups weigh differently, is dealt to the gateways one by
+    /// one; where there is less than one for each, other gateways have their part in the next turn. So
+    /// all together stay under the pace though none knows what the others send, and each of many
+    /// gateways has a part at some of many cold servers at any time, long enough for a session to come.
+    fn dealt(&self, server: &Server, cold: ColdRule, turn: Micros) -> usize {
         let places = self.set.places.get(server.entry.kind).copied().unwrap_or(0.0);
         let per_us = places / cold.warm_up.max(1) as f64 * cold.least_warmth * cold.multiple;
-        let per_window = (per_us * cold.window as f64 * 0.75).floor().max(1.0);
-        let slot = (2.0 * cold.window as f64 / per_window) as Micros;
-        let gateways = self.set.gateways.max(1) as Micros;
-        let digits = server.entry.server.0.bytes().map(Micros::from).sum::<Micros>();
-        let phased = self.now + digits * (slot / 7);
-        let (turn, within) = (phased / slot.max(1), phased % slot.max(1));
-        turn % gateways == self.set.me as Micros
-            && within < slot / 2
-            && self.now - server.last_send >= slot / 2
+        let all = (per_us * cold.window as f64 * 0.75).floor().max(1.0) as usize;
+        let gateways = self.set.gateways.max(1);
+        let first = (turn as usize).wrapping_mul(all).wrapping_add(self.mark(server) as usize) % gateways;
+        let place = (self.set.me + gateways - first) % gateways;
+        all / gateways + usize::from(place < all % gateways)
+    }
+
+    /// A number that differs between servers and is the same for all gateways.
+    fn mark(&self, server: &Server) -> Micros {
+        server.entry.server.0.bytes().fold(0, |mark, byte| (mark * 31 + Micros::from(byte)) % 1_000_003)
     }
 
     // ---- While it plays: news on delivery ----
