A number that was answered is not sent on again; only who asked gives a set-up up

Line at fault: `Life::set_up` knew a number only while its session was held. Each set-up has a new number, so answered ones are remembered for 30 s, 16,384 at most, and refused as unreadable.

The other hole by the same clients: `Life::release` let any connection give up an open set-up, whose viewer then had no answer. What stands may still be ended on any connection, as the protocol says.

--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -120,7 +120,7 @@
                     self.warn_seldom(&format!("an answer cannot be passed on: {why}"));
                     viewer::release(&mut text, session, viewer::cause::FAILED, None);
                     let cause = viewer::cause::ENDED_BY_VIEWER;
-                    self.feed(Input::Release { session, cause });
+                    self.feed(Input::Release { conn, session, cause });
                 }
                 if let Some(guest) = self.guests.borrow().get(&conn) {
                     guest.standing.set(Standing::Served);
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -144,7 +144,7 @@
             },
             kind::RELEASE => match message.cause() {
                 Ok(cause) => {
-                    self.feed(Input::Release { session, cause });
+                    self.feed(Input::Release { conn, session, cause });
                     let mut text = Vec::new();
                     let _ = viewer::encode(&mut text, kind::RELEASE_HEARD, session, &[]);
                     guest.link.send(&text);
--- a/crates/elderpick-sessions/src/keep.rs
+++ b/crates/elderpick-sessions/src/keep.rs
@@ -1,6 +1,6 @@
 //! Words that wait for a connection, bounded in number and in time.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 use elderpick_core::api::Micros;
 
@@ -57,6 +57,38 @@
     }
 }
 
+/// Numbers that were used of late, bounded in number and in time. The oldest make room for new ones.
+#[derive(Debug)]
+pub struct Used {
+    numbers: BTreeSet<u64>,
+    order: VecDeque<(Micros, u64)>,
+    most: usize,
+    lasts: Micros,
+}
+
+impl Used {
+    /// Knows `most` numbers at most, each for `lasts`.
+    pub fn new(most: usize, lasts: Micros) -> Used {
+        Used { numbers: BTreeSet::new(), order: VecDeque::new(), most, lasts }
+    }
+
+    pub fn push(&mut self, now: Micros, number: u64) {
+        if !self.numbers.insert(number) {
+            return;
+        }
+        self.order.push_back((now, number));
+        let old = |at: &Micros| now - at > self.lasts;
+        while self.order.len() > self.most || self.order.front().is_some_and(|(at, _)| old(at)) {
+            let Some((_, number)) = self.order.pop_front() else { break };
+            self.numbers.remove(&number);
+        }
+    }
+
+    pub fn contains(&self, number: u64) -> bool {
+        self.numbers.contains(&number)
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -71,4 +103,15 @@
         assert!(kept.remove(100, &8) && !kept.remove(100, &8), "once");
         assert_eq!((kept.take(161).count(), kept.dropped, kept.is_empty()), (0, 2, true));
     }
+
+    #[test]
+    fn numbers_are_known_until_they_are_old_or_make_room() {
+        let mut used = Used::new(2, 100);
+        (0..3).for_each(|k| used.push(k, k as u64));
+        assert_eq!([0, 1, 2].map(|k| used.contains(k)), [false, true, true]);
+        used.push(3, 2);
+        assert!(used.contains(1), "a number that is known takes no room");
+        used.push(150, 7);
+        assert_eq!([1, 2, 7].map(|k| used.contains(k)), [false, false, true]);
+    }
 }
--- a/crates/elderpick-sessions/src/life.rs
+++ b/crates/elderpick-sessions/src/life.rs
@@ -16,7 +16,7 @@
 use elderpick_platform::journal::Listed;
 use elderpick_platform::viewer::{SetUp, cause};
 
-use crate::keep::Kept;
+use crate::keep::{Kept, Used};
 use crate::watch::{Next, Opened, Watch};
 
 /// The number that the runtime gives a viewer's connection.
@@ -32,6 +32,9 @@
 /// Set-ups given up of which an answer may still come: how many are remembered, and how long.
 const GIVEN_UP: usize = 1_024;
 const GIVEN_UP_LASTS: Micros = 10_000_000;
+/// Set-ups that were answered: a further one under the number of one is not its viewer's, as each gets a new number.
+const ANSWERED: usize = 16_384;
+const ANSWERED_LASTS: Micros = 30_000_000;
 /// How often hosts are looked at.
 const LOOK: Micros = 50_000;
 
@@ -44,8 +47,9 @@
         came: Micros,
         set_up: SetUp,
     },
-    /// A viewer gives a set-up up or ends a session.
+    /// A viewer gives a set-up up, on the connection that it was asked on, or ends a session, on any.
     Release {
+        conn: Conn,
         session: u64,
         cause: u8,
     },
@@ -274,6 +278,7 @@
     open: BTreeMap<Conn, BTreeSet<u64>>,
     opened: usize,
     given_up: Kept<(ServerId, u64)>,
+    answered: Used,
     timers: BinaryHeap<Reverse<(Micros, Timer)>>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
@@ -294,6 +299,7 @@
             open: BTreeMap::new(),
             opened: 0,
             given_up: Kept::new(GIVEN_UP, GIVEN_UP_LASTS),
+            answered: Used::new(ANSWERED, ANSWERED_LASTS),
             timers: BinaryHeap::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -357,10 +363,10 @@
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
         match input {
             Input::SetUp { conn, came, set_up } => self.set_up(now, conn, came, set_up, out),
-            Input::Release { session, cause } => self.release(now, session, cause, out),
+            Input::Release { conn, session, cause } => self.release(now, conn, session, cause, out),
             Input::Closed { conn } => {
                 for session in self.open.get(&conn).cloned().unwrap_or_default() {
-                    self.release(now, session, cause::GIVEN_UP, out);
+                    self.release(now, conn, session, cause::GIVEN_UP, out);
                 }
             }
             Input::Answer { server, session, description } => {
@@ -496,7 +502,8 @@
             return;
         }
         let turned = |cause| Output::Turned { conn, session, cause, stay_away: None };
-        let Some(class) = class.filter(|_| fits && !held) else {
+        let used = held || self.answered.contains(session);
+        let Some(class) = class.filter(|_| fits && (!used || at.is_some())) else {
             self.counts.turned += 1;
             return out.push(turned(cause::UNREADABLE));
         };
@@ -552,9 +559,11 @@
     }
 
     /// A viewer gives a set-up up or ends a session.
-    fn release(&mut self, now: Micros, session: u64, cause: u8, out: &mut Vec<Output>) {
+    fn release(&mut self, now: Micros, conn: Conn, session: u64, cause: u8, out: &mut Vec<Output>) {
         let Some(held) = self.held.get_mut(&session) else { return };
         match &held.stage {
+            // Who did not ask has nothing to give up: the answer is still owed.
+            Stage::Waiting | Stage::Out { .. } if held.conn != Some(conn) => self.counts.turned += 1,
             Stage::Waiting | Stage::Out { .. } => {
                 self.counts.given_up += 1;
                 self.events.push_back(Event::Gone { id: RequestId(session) });
@@ -583,6 +592,7 @@
         if let Some(conn) = held.conn {
             out.push(Output::Turned { conn, session, cause, stay_away });
         }
+        self.answered.push(now, session);
         self.withdraw(now, session, out);
     }
 
@@ -656,6 +666,7 @@
             out.push(Output::Answer { conn, session, description });
         }
         self.counts.served += 1;
+        self.answered.push(now, session);
         if let Some(server) = self.servers.get_mut(&server) {
             server.standing.insert(session);
         }
--- a/crates/elderpick-sessions/tests/life.rs
+++ b/crates/elderpick-sessions/tests/life.rs
@@ -219,6 +219,41 @@
     }
 }
 
+/// Found on a fleet's day with bad clients: a request that was refused at once was sent to hosts under its number, with
+/// another's title, for who had copied it.
+#[test]
+fn a_number_that_was_answered_is_not_sent_on_again() {
+    for served in [false, true] {
+        let mut world = World::new(&["a"]);
+        let at = sent(&world.ask(1, "paid")).unwrap();
+        if served {
+            world.answer(&at, 1);
+            let (report, cause) = (Report::default(), cause::GIVEN_UP);
+            world.feed(Input::Released { server: at, session: 1, cause, report });
+        } else {
+            let (status, report) = (Status::Failed, Report::default());
+            assert!(turned(&world.feed(Input::Refused { server: at, session: 1, status, report })).is_some());
+        }
+        assert_eq!(world.life.held(), 0);
+        let copied = SetUp { title: "another".into(), ..asks(1, "paid") };
+        let out = world.feed(Input::SetUp { conn: 6, came: world.now, set_up: copied });
+        let cause = cause::UNREADABLE;
+        assert_eq!(out, [Output::Turned { conn: 6, session: 1, cause, stay_away: None }]);
+        assert!(sent(&world.ask(2, "paid")).is_some());
+    }
+}
+
+/// Whoever knows the number of an open request could end it, and its viewer had no answer.
+#[test]
+fn a_set_up_is_given_up_only_by_who_asked() {
+    let mut world = World::new(&["a"]);
+    let at = sent(&world.ask(1, "free")).unwrap();
+    assert_eq!(world.feed(Input::Release { conn: 6, session: 1, cause: cause::GIVEN_UP }), []);
+    assert!(matches!(&world.answer(&at, 1)[..], [Output::Answer { conn: 5, session: 1, .. }]));
+    let out = world.feed(Input::Release { conn: 6, session: 1, cause: cause::ENDED_BY_VIEWER });
+    assert!(matches!(&out[..], [Output::Release { .. }]), "what stands may be ended on any connection");
+}
+
 #[test]
 fn doubled_answers_and_answers_nobody_asked_for_are_dropped() {
     let mut world = World::new(&["a"]);
@@ -246,7 +281,7 @@
     }
     let mut world = World::new(&["a"]);
     let at = sent(&world.ask(1, "free")).unwrap();
-    world.feed(Input::Release { session: 1, cause: cause::GIVEN_UP });
+    world.feed(Input::Release { conn: 5, session: 1, cause: cause::GIVEN_UP });
     assert!(!world.life.may_write(&at, 1, world.now), "its viewer has left");
 }
 
@@ -310,7 +345,7 @@
         let mut world = World::new(&["a"]);
         let at = world.play(1, "paid");
         world.play(2, "paid");
-        let out = world.feed(Input::Release { session: 1, cause: cause::ENDED_BY_VIEWER });
+        let out = world.feed(Input::Release { conn: 5, session: 1, cause: cause::ENDED_BY_VIEWER });
         assert_eq!(out, [Output::Release { server: at.clone(), session: 1, cause: cause::ENDED_BY_VIEWER }]);
         assert_eq!(turned(&world.ask(3, "paid")), Some(cause::REFUSED));
         if says {
@@ -331,7 +366,7 @@
     world.feed(Input::Opened { server: at.clone(), how: Opened::Up });
     let release = Output::Release { server: at.clone(), session: 1, cause: cause::ENDED_BY_VIEWER };
     let said = |out: Vec<Output>| out.into_iter().filter(|o| *o == release).count();
-    assert_eq!(said(world.feed(Input::Release { session: 1, cause: cause::ENDED_BY_VIEWER })), 1);
+    assert_eq!(said(world.feed(Input::Release { conn: 5, session: 1, cause: cause::ENDED_BY_VIEWER })), 1);
     assert_eq!(said(world.feed(Input::HostClosed { server: at.clone() })), 1, "and nothing of session 2");
     world.feed(Input::ReleaseHeard { server: at.clone(), session: 1 });
     assert_eq!(said(world.feed(Input::HostClosed { server: at })), 0);
@@ -342,7 +377,7 @@
 fn what_was_given_up_is_remembered_no_longer_for_other_answers() {
     let mut world = World::new(&["a"]);
     let at = sent(&world.ask(1, "free")).unwrap();
-    world.feed(Input::Release { session: 1, cause: cause::GIVEN_UP });
+    world.feed(Input::Release { conn: 5, session: 1, cause: cause::GIVEN_UP });
     // Answers that nobody asked for come all the time; they do not keep it young.
     for _ in 0..11 {
         world.pass(1_000 * MS);
@@ -499,7 +534,7 @@
                 7 => {
                     let session = nth(judge.owed.keys().copied().collect());
                     judge.owed.remove(&session);
-                    world.feed(Input::Release { session, cause: cause::GIVEN_UP })
+                    world.feed(Input::Release { conn: 5, session, cause: cause::GIVEN_UP })
                 }
                 8 => {
                     let state = [ServerState::Up, ServerState::Draining, ServerState::Gone][pick / 7 % 3];
