Lines to hosts make room for each other; no descriptor left is no word on a host

With 60 hosts and 64 descriptors the 13th request was refused as the hosts' share was full of idle lines; now the idle line that is missed least is ended for a new one, and 400 of 400 are answered (loopback test). EMFILE and the like were read as a refused connection, two of which count as a host's death.

--- a/crates/elderpick-lab/tests/platform.rs
+++ b/crates/elderpick-lab/tests/platform.rs
@@ -101,6 +101,25 @@
     });
 }
 
+/// Fewer descriptors than hosts: the line that is missed least makes room, and no host is left out.
+#[test]
+fn more_hosts_than_lines_are_all_used() {
+    run(async {
+        let world = world("many", 60, 64).await;
+        let mut viewers = Viewers::connect(world.gateway.address).await.unwrap();
+        for session in 1..=400 {
+            viewers.ask(session, "free", None).await.unwrap();
+            let answer = viewers.next().await.unwrap().unwrap();
+            assert_eq!((answer.kind, answer.session), (kind::ANSWER, session));
+            viewers.release(session, 31).await.unwrap();
+            assert_eq!(viewers.next().await.unwrap().unwrap().kind, kind::RELEASE_HEARD);
+        }
+        let used = world.hosts.iter().filter(|host| host.seen().iter().any(|seen| seen.0 == "SETUP")).count();
+        // Three eighths of 64 descriptors are hosts'.
+        assert!(used > 40, "{used} of 60 hosts were used");
+    });
+}
+
 #[test]
 fn spoilt_cut_and_doubled_answers_cost_only_their_own_set_up() {
     run(async {
--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -105,13 +106,32 @@
 }
 
 impl Node {
-    /// Whether another line to a host may be opened.
+    /// Whether another line to a host may be opened, though no other is closed for it.
     fn may_open(&self, server: &ServerId) -> bool {
+        self.may_have_more(server) && self.hosts.lines() < self.hosts.most
+    }
+
+    fn may_have_more(&self, server: &ServerId) -> bool {
         let each = (self.hosts.most / (self.life.borrow().hosts() + 2).max(1)).clamp(2, 16);
         let ways = self.hosts.ways.borrow();
         let of_host = ways.get(server).map_or(0, |w| w.lines.len() + w.opening);
-        drop(ways);
-        of_host < each && self.hosts.lines() < self.hosts.most
+        of_host < each
+    }
+
+    /// Ends the idle line that is missed least: one of several to its host, else one to a host where nothing stands; of
+    /// those the one that was used longest ago.
+    fn make_room(&self) -> bool {
+        let (life, ways) = (self.life.borrow(), self.hosts.ways.borrow());
+        let idle = ways.iter().flat_map(|(server, ways)| {
+            let only = ways.lines.iter().filter(|line| line.free()).count() < 2;
+            let needed = only && life.stands_at(server);
+            let idle = ways.lines.iter().filter(move |line| !needed && line.free() && line.idle());
+            idle.map(move |line| ((only, line.used.get()), line))
+        });
+        let Some((_, line)) = idle.min_by_key(|(missed, _)| *missed) else { return false };
+        line.retired.set(true);
+        line.link.end(true);
+        true
     }
 
     /// The line with the fewest set-ups and calls on it.
@@ -134,6 +154,9 @@
             Some(line) if load == 0 => self.write_set_up(&server, &line, session, &bytes),
             _ if self.may_open(&server) => self.open(server, Call::SetUp { session, bytes }),
             Some(line) if load < SHARED => self.write_set_up(&server, &line, session, &bytes),
+            _ if self.may_have_more(&server) && self.make_room() => {
+                self.open(server, Call::SetUp { session, bytes });
+            }
             _ => {
                 if !self.wait(&server, session, bytes) {
                     self.feed(Input::Kept { server, session });
@@ -305,11 +328,17 @@
 
     fn never_up(self: &Rc<Self>, server: ServerId, call: Call, how: Opened) {
         self.feed(Input::Opened { server: server.clone(), how });
+        let ended = |server, session| match how {
+            // It was never sent, and nothing is held against the host.
+            Opened::NoRoom => Input::Kept { server, session },
+            _ => Input::Cut { server, session, begun: false },
+        };
         for (session, _) in self.waiting(&server) {
-            self.feed(Input::Cut { server: server.clone(), session, begun: false });
+            self.feed(ended(server.clone(), session));
         }
         match call {
-            Call::SetUp { session, .. } => self.feed(Input::Cut { server, session, begun: false }),
+            Call::SetUp { session, .. } => self.feed(ended(server, session)),
+            Call::Load { .. } if how == Opened::NoRoom => {}
             Call::Load { .. } => {
                 let (status, report) = (Status::ConnectError, Report::default());
                 self.feed(Input::Probed { server, status, report });
@@ -445,11 +474,18 @@
 async fn connect(to: SocketAddr, within: Duration) -> Result<TcpStream, Opened> {
     match tokio::time::timeout(within, TcpStream::connect(to)).await {
         Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(why)) if out_of_room(&why) => Err(Opened::NoRoom),
         Ok(Err(_)) => Err(Opened::Refused),
         Err(_) => Err(Opened::Silent),
     }
 }
 
+/// Whether it is this machine that has no descriptor (ENFILE, EMFILE), address or memory left for a connection.
+fn out_of_room(why: &io::Error) -> bool {
+    let kind = matches!(why.kind(), io::ErrorKind::AddrNotAvailable | io::ErrorKind::OutOfMemory);
+    kind || matches!(why.raw_os_error(), Some(23 | 24))
+}
+
 /// What an answer to a set-up means.
 fn set_up_status(status: u16) -> Status {
     match status {
--- a/crates/elderpick-sessions/src/life.rs
+++ b/crates/elderpick-sessions/src/life.rs
@@ -319,6 +319,11 @@
         self.servers.values().filter(|s| s.listed.entry.state != ServerState::Gone).count()
     }
 
+    /// Whether sessions stand at a host, so that a connection to it is wanted.
+    pub fn stands_at(&self, server: &ServerId) -> bool {
+        self.servers.get(server).is_some_and(|s| !s.standing.is_empty())
+    }
+
     /// Set-ups that have no final answer yet.
     pub fn open(&self) -> usize {
         self.opened
--- a/crates/elderpick-sessions/src/watch.rs
+++ b/crates/elderpick-sessions/src/watch.rs
@@ -35,6 +35,8 @@
     Refused,
     /// It did not come up in time.
     Silent,
+    /// This gateway had no descriptor or address left for it, which says nothing of the host.
+    NoRoom,
 }
 
 /// What is known of a host's life.
@@ -75,6 +77,7 @@
             }
             Opened::Refused => self.refused += 1,
             Opened::Silent => self.silent += 1,
+            Opened::NoRoom => {}
         }
         self.not_before = now + PAUSE;
     }
@@ -166,4 +169,17 @@
         watch.closed();
         assert_eq!(watch.next(20, false), Next::Lost);
     }
+
+    #[test]
+    fn a_bound_of_ours_is_no_word_on_the_host() {
+        let mut watch = up(0);
+        watch.closed();
+        for now in (PAUSE..60_000_000).step_by(50_000) {
+            match watch.next(now, true) {
+                Next::Lost => panic!("lost at {now}"),
+                Next::Open => watch.opened(now, Opened::NoRoom),
+                _ => {}
+            }
+        }
+    }
 }
