--- a/crates/elderpick-node/src/lib.rs
+++ b/crates/elderpick-node/src/lib.rs
@@ -93,6 +93,7 @@
         feeding: Cell::new(false),
         unreadable: Cell::new(0),
         turned_away: Cell::new(0),
+        unsaid: Cell::new(0),
         spared: Cell::new(0),
         warned: Cell::new(0),
     });
--- a/crates/elderpick-node/src/link.rs
+++ b/crates/elderpick-node/src/link.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Whether it goes on: what was said on it goes out.
+    pub fn goes_on(&self) -> bool {
+        self.ending.get() == Ending::No
+    }
+
     /// Whether nothing waits and it is not ending.
     pub fn free(&self) -> bool {
         self.ending.get() == Ending::No && self.waiting.borrow().is_empty()
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -45,6 +45,8 @@
     pub feeding: Cell<bool>,
     pub unreadable: Cell<u64>,
     pub turned_away: Cell<u64>,
+    /// Answers that went down with their connection.
+    pub unsaid: Cell<u64>,
     /// Connections that would have been closed as idle, with something on them that was not read yet.
     pub spared: Cell<u64>,
     pub warned: Cell<Micros>,
@@ -103,9 +105,16 @@
         self.door.borrow_mut().open(self.now(), conn, open);
     }
 
-    fn answer(&self, conn: Conn, bytes: &[u8]) {
-        if let Some(guest) = self.guests.borrow().get(&conn) {
+    /// Says a final answer on the connection of its set-up. One that goes down with its connection is counted and told.
+    fn answer(&self, conn: Conn, session: u64, bytes: &[u8]) {
+        let said = self.guests.borrow().get(&conn).is_some_and(|guest| {
+            let went_on = guest.link.goes_on();
             guest.link.send(bytes);
+            went_on && guest.link.goes_on()
+        });
+        if !said {
+            self.unsaid.set(self.unsaid.get() + 1);
+            self.warn_seldom(&format!("the answer to {session:016x} has no connection ({conn}) any more"));
         }
         self.opened(conn);
     }
@@ -125,13 +134,13 @@
                 if let Some(guest) = self.guests.borrow().get(&conn) {
                     guest.standing.set(Standing::Served);
                 }
-                self.answer(conn, &text);
+                self.answer(conn, session, &text);
                 self.say_kept();
             }
             Output::Turned { conn, session, cause, stay_away } => {
                 let away = stay_away.filter(|at| *at > 0).map(|at| (at / 1_000) as u64);
                 viewer::release(&mut text, session, cause, away);
-                self.answer(conn, &text);
+                self.answer(conn, session, &text);
             }
             Output::Over { conn, session, cause } => match self.guest_for(conn) {
                 Some(guest) => {
@@ -224,9 +233,20 @@
         let (guests, lines, unreadable) =
             (self.door.borrow().held(), self.hosts.lines(), self.unreadable.get());
         let spoilt = self.hosts.unreadable.get();
-        let (turned_away, spared) = (self.turned_away.get(), self.spared.get());
+        let (turned_away, spared, unsaid) = (self.turned_away.get(), self.spared.get(), self.unsaid.get());
         let (held, counts) = (life.held(), life.counts);
-        tracing::info!(held, guests, lines, unreadable, spoilt, turned_away, spared, ?counts, "state");
+        tracing::info!(
+            held,
+            guests,
+            lines,
+            unreadable,
+            spoilt,
+            turned_away,
+            spared,
+            unsaid,
+            ?counts,
+            "state"
+        );
     }
 }
 
