Crowds count from the first after a take-over; short shares tell of uplinks nothing reports on

Lines at fault, policy.rs: asked_by_others let own growth count only beyond what each of the others asks (meant for a gateway that fills up after an empty start) and damped it by eight middle sessions where a gateway holds 15 to 35; a delivered share closed one server for 2.5 s and told nothing of the uplink behind it. Now the floor binds only while a gateway that took nothing over fills up, the damping is two sessions, and where nothing reports on uplinks a short share that the link does not explain is the uplink's report until a share is full again.

--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -30,6 +30,8 @@
 /// what all of them tell at most: viewers are spread unevenly, which no number of own sessions shows.
 const OWN_TELLS: f64 = 0.3;
 const MOST_OWN_TELL: f64 = 6.0;
+/// What grows by chance alone, in sessions at the middle rate: own growth is damped by so many.
+const BY_CHANCE: f64 = 2.0;
 /// A report of less than this part of what own sessions ask is older than they are.
 const BELIEVED: f64 = 0.5;
 /// A report tells half of what it told after this time, or after this part of a session's usual length.
@@ -126,6 +128,7 @@
     servers: Vec<ServerId>,
     /// What the uplink gives: as told, else what the links behind it do.
     uplink: f64,
+    /// By a report, or by delivered shares that fell short.
     heard: Option<Heard>,
 }
 
@@ -182,6 +185,10 @@
     begun: Option<Micros>,
     /// The list may be older than this gateway's start.
     blind: bool,
+    /// Sessions were handed over at the start; without them this gateway fills up first.
+    took_over: bool,
+    /// Reports tell what is asked of uplinks.
+    uplinks_told: bool,
     servers: BTreeMap<ServerId, Server>,
     racks: BTreeMap<usize, Rack>,
     /// Servers that may be sent to, as the list tells, in an order that the draws shuffle.
@@ -216,6 +223,8 @@
             now: 0,
             begun: None,
             blind: true,
+            took_over: false,
+            uplinks_told: false,
             servers: BTreeMap::new(),
             racks: BTreeMap::new(),
             up: Vec::new(),
@@ -374,7 +383,7 @@
     /// A session handed over at the start. It shows that this is no blind restart: the list is of now. Its
     /// server is asked for its load, so that the rung can be settled and the fleet's load is known.
     fn open(&mut self, id: RequestId, viewing: Viewing, server: ServerId) {
-        self.blind = false;
+        (self.blind, self.took_over) = (false, true);
         if self.set.classes.get(viewing.class).is_none() {
             return;
         }
@@ -489,16 +498,19 @@
 
     /// What the other gateways ask of an average server, as a share of its size. A gateway sees few of the
     /// sessions of a large fleet, so the last reports tell it, and own sessions times the number of gateways
-    /// the less the more gateways there are.
+    /// the less the more gateways there are. Crowds come to all: what others ask is taken to have grown since
+    /// a report as own sessions have, but not to have fallen, since this gateway cuts its own rungs as well.
     fn asked_by_others(&self) -> f64 {
         let (own, gateways) = (self.own_in_all(), self.set.gateways.saturating_sub(1) as f64);
         let middle = self.set.rung_kb.get(self.set.rung_kb.len() / 2).copied().unwrap_or(0.0);
-        let damp = middle * SAMPLE as f64 / 2.0 + 1.0;
+        let damp = middle * BY_CHANCE + 1.0;
+        let usual = self.lasted.unwrap_or(REPORT_HALF_LIFE / REPORT_PART);
+        let filling = !self.took_over && self.begun.is_some_and(|at| ((self.now - at) as f64) < usual);
         let mut told = (self.sessions.len() as f64 * OWN_TELLS / (gateways + 1.0)).min(MOST_OWN_TELL);
         let mut asked = told * own * gateways / self.capacity.max(1.0);
         for (at, _, others, then) in &self.reports {
-            // Own growth up to what each of the others asks is no growth of theirs: this gateway fills up.
-            let each = others * self.capacity / gateways.max(1.0);
+            // While it fills up, own growth up to what each of the others asks is no growth of theirs.
+            let each = if filling { others * self.capacity / gateways.max(1.0) } else { 0.0 };
             let grown = ((own.max(each) + damp) / (then.max(each) + damp)).max(1.0);
             let weight = self.freshness(*at);
             asked += weight * others * grown;
@@ -550,10 +562,25 @@
             self.servers.get_mut(id).expect("looked up above").heard = link;
         }
         if uplink.is_some() {
+            self.uplinks_told = true;
             self.racks.entry(rack).or_default().heard = uplink;
         }
     }
 
+    /// Exception: where nothing reports on uplinks, a share that falls short though the link bears what is
+    /// asked of it tells what is asked of the uplink, until a share there is full again. Guards against
+    /// uplinks that give less than they should. Harm: a moment's shortness closes the whole rack for a while.
+    fn hear_share(&mut self, id: &ServerId, share: f64) {
+        let Some(server) = self.servers.get(id).filter(|_| !self.uplinks_told && share > 0.0) else { return };
+        let rack = self.rack_of(server);
+        let heard = Heard { at: self.now, asked: share.recip().min(10.0), own: self.own_behind(rack) };
+        let bears = || self.link_load(server, self.asked_by_others()).share() < heard.asked;
+        let short = share < SHORT && self.set.racks.is_some() && bears();
+        if let Some(rack) = self.racks.get_mut(&rack).filter(|_| short || share >= SHORT) {
+            rack.heard = short.then_some(heard);
+        }
+    }
+
     fn may_probe_loads(&self) -> bool {
         self.set.may_probe && self.set.reporting == Reporting::WhenProbed
     }
@@ -981,8 +1008,10 @@
                 self.overasked(&server, true, asked);
                 self.settle(&server);
             }
+            Note::Delivered(share) if !share.is_finite() => {}
             Note::Delivered(share) => {
-                if let Some(to) = self.servers.get_mut(&server).filter(|_| share.is_finite()) {
+                self.hear_share(&server, share);
+                if let Some(to) = self.servers.get_mut(&server) {
                     let before = to.share.replace((share, self.now));
                     // Smoothed, it makes up half of what is missing by the next news once the cause is over.
                     let lasts = |(old, at): (f64, Micros)| {
--- a/crates/elderpick-core/tests/ordinary_path.rs
+++ b/crates/elderpick-core/tests/ordinary_path.rs
@@ -397,3 +397,60 @@
     assert!(asks_again(5 * SECOND));
     assert!(!asks_again(40 * SECOND));
 }
+
+/// Found on a fleet's calm day: after a burst the fleet's sum of sessions had grown by half and each gateway took
+/// what the others ask to have grown by a quarter, so that sessions started on racks that gave three quarters.
+#[test]
+fn a_gateway_that_took_sessions_over_sees_a_crowd_in_its_own_growth_from_the_first() {
+    // How many of a crowd get the top rung, by a gateway that holds less than each of the others does.
+    let tops = |took_over: bool| {
+        let set = Settings { cells: Some(100), racks: Some(100), ..probed_site(50) };
+        let mut gateway = Gateway::new(set, in_own_cells(100));
+        if took_over {
+            gateway.open(RequestId(1_000), &server("s99"));
+        }
+        (0..12).for_each(|n| drop(gateway.told(&format!("s{n}"), link_report(0.45))));
+        let crowd = (0..30).map(|_| rung(&gateway.request(Viewing { copies: 100, ..viewing(0) }).1));
+        crowd.filter(|rung| *rung == Some(2)).count()
+    };
+    assert!(tops(true) < tops(false), "{} {}", tops(true), tops(false));
+}
+
+/// Found on a fleet's days with slow uplinks: a short share closed one server for 2.5 s, and sessions went on to the
+/// others behind the same uplink.
+#[test]
+fn a_short_share_tells_of_the_uplink_where_nothing_else_does() {
+    let mates = || vec![entry("a"), entry("b")];
+    let plays_on_a = |servers: Vec<Entry>| {
+        let mut gateway = Gateway::new(settings(vec![class(Effect::Free)]), servers);
+        gateway.told("a", link_report(0.1));
+        gateway.told("b", link_report(0.4));
+        let (id, actions) = gateway.request(Viewing { top: 0, ..viewing(0) });
+        assert_eq!(sent(&actions), Some(server("a")));
+        gateway.playing(id, 0);
+        (gateway, id)
+    };
+    let (mut gateway, id) = plays_on_a(mates());
+    gateway.note(id, &server("a"), Note::Delivered(0.7));
+    assert!(refused(&gateway.request(viewing(0)).1), "b is behind the same uplink");
+    gateway.now += 3 * SECOND;
+    assert!(refused(&gateway.request(viewing(0)).1), "as long as nothing else is heard");
+    gateway.note(id, &server("a"), Note::Delivered(0.99));
+    assert!(sent(&gateway.request(viewing(0)).1).is_some(), "full again");
+
+    let other_rack = vec![entry("a"), Entry { cell: 1, ..entry("b") }];
+    let (mut gateway, id) = plays_on_a(other_rack);
+    gateway.note(id, &server("a"), Note::Delivered(0.7));
+    assert_eq!(sent(&gateway.request(viewing(0)).1), Some(server("b")), "another uplink");
+
+    let (mut gateway, id) = plays_on_a(mates());
+    gateway.told("a", link_report(1.45));
+    gateway.told("b", link_report(0.05));
+    gateway.note(id, &server("a"), Note::Delivered(0.7));
+    assert_eq!(sent(&gateway.request(viewing(0)).1), Some(server("b")), "the link is why");
+
+    let (mut gateway, id) = plays_on_a(mates());
+    gateway.told("b", Report { uplink: Some(0.3), ..link_report(0.4) });
+    gateway.note(id, &server("a"), Note::Delivered(0.7));
+    assert_eq!(sent(&gateway.request(viewing(0)).1), Some(server("b")), "reports tell of uplinks here");
+}
