--- a/crates/elderpick-gateway/src/host.rs
+++ b/crates/elderpick-gateway/src/host.rs
@@ -201,13 +201,23 @@
     pub data: String,
 }
 
+/// What a stream of server-sent events says.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Said {
+    Event(Message),
+    /// Says nothing but that the stream is alive, and that what it had to say before was said.
+    Comment,
+}
+
 /// A stream of server-sent events, by the HTML standard.
 pub struct Events {
     body: Incoming,
     _connection: Connection,
     buffer: Vec<u8>,
-    /// So much of the buffer holds no end of an event.
+    /// So much of the buffer holds no end of a line.
     looked: usize,
+    /// What the lines so far say of the event that comes.
+    message: Message,
 }
 
 /// Most bytes of one event.
@@ -236,43 +246,62 @@
         if answer.status() != StatusCode::OK {
             return Err(Lost::Cut);
         }
-        Ok(Events { body: answer.into_body(), _connection: connection, buffer: Vec::new(), looked: 0 })
+        let (buffer, message) = (Vec::new(), Message::default());
+        Ok(Events { body: answer.into_body(), _connection: connection, buffer, looked: 0, message })
     }
 
     /// The next event. Comments keep the stream awake and are skipped; silence for `within` ends it.
     pub async fn next(&mut self, within: Duration) -> Option<Message> {
         loop {
-            let from = self.looked.saturating_sub(1);
-            let end = self.buffer[from..].windows(2).position(|w| w == b"\n\n").map(|k| from + k);
-            self.looked = if end.is_some() { 0 } else { self.buffer.len() };
-            if let Some(end) = end {
-                let block: Vec<u8> = self.buffer.drain(..end + 2).collect();
-                let mut message = Message::default();
-                for line in String::from_utf8_lossy(&block).lines() {
-                    let (field, value) = line.split_once(':').unwrap_or((line, ""));
-                    let value = value.strip_prefix(' ').unwrap_or(value);
-                    match field {
-                        "event" => message.event = value.to_owned(),
-                        "data" if message.data.is_empty() => message.data = value.to_owned(),
-                        "data" => message.data.extend(["\n", value]),
-                        _ => {}
-                    }
-                }
-                if !message.data.is_empty() {
-                    return Some(message);
+            if let Said::Event(message) = self.said(within).await? {
+                return Some(message);
+            }
+        }
+    }
+
+    /// The next event or comment. One that is not whole after `within`, though bytes of it may trickle in, ends the
+    /// stream.
+    pub async fn said(&mut self, within: Duration) -> Option<Said> {
+        tokio::time::timeout(within, self.whole()).await.ok()?
+    }
+
+    async fn whole(&mut self) -> Option<Said> {
+        loop {
+            while let Some(end) = self.buffer[self.looked..].iter().position(|&b| b == b'\n') {
+                let line: Vec<u8> = self.buffer.drain(..self.looked + end + 1).collect();
+                self.looked = 0;
+                if let Some(said) = self.line(&String::from_utf8_lossy(&line[..line.len() - 1])) {
+                    return Some(said);
                 }
-                continue;
             }
-            let frame = tokio::time::timeout(within, self.body.frame()).await.ok()??.ok()?;
+            self.looked = self.buffer.len();
+            let frame = self.body.frame().await?.ok()?;
             if let Ok(data) = frame.into_data() {
                 // Carriage returns are line ends as well; what we follow sends none but with a line feed.
                 self.buffer.extend(data.iter().filter(|&&b| b != b'\r'));
             }
-            if self.buffer.len() > MOST_EVENT {
+            if self.buffer.len() + self.message.data.len() > MOST_EVENT {
                 return None;
             }
         }
     }
+
+    fn line(&mut self, line: &str) -> Option<Said> {
+        if line.is_empty() {
+            let message = std::mem::take(&mut self.message);
+            return (!message.data.is_empty()).then_some(Said::Event(message));
+        }
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "" => return Some(Said::Comment),
+            "event" => self.message.event = value.to_owned(),
+            "data" if self.message.data.is_empty() => self.message.data = value.to_owned(),
+            "data" => self.message.data.extend(["\n", value]),
+            _ => {}
+        }
+        None
+    }
 }
 
 /// Names a server for logs.
--- a/crates/elderpick-node/src/journal.rs
+++ b/crates/elderpick-node/src/journal.rs
@@ -4,17 +4,15 @@
 use std::time::Duration;
 
 use elderpick_core::api::ListKind;
-use elderpick_gateway::host::Events;
+use elderpick_gateway::host::{Events, Said};
 use elderpick_platform::journal;
 use elderpick_sessions::follow::Take;
 use elderpick_sessions::life::Input;
 
 use crate::node::Node;
 
-/// A stream that says nothing for so long has stopped: a comment comes each second.
+/// A stream that says nothing whole for so long has stopped: a comment comes each second.
 const MUTE: Duration = Duration::from_millis(2_200);
-/// When nothing more comes for so long after the opening, all that was missed has come.
-const SETTLED: Duration = Duration::from_millis(60);
 const OPEN: Duration = Duration::from_millis(1_000);
 
 /// Follows the journal for good: again after each break, at the new address after a change.
@@ -44,21 +42,18 @@
     let Ok(mut events) = Events::open_behind(to, "/journal", &node.name, Some(place), OPEN).await else {
         return;
     };
-    node.follow.borrow_mut().heard();
-    loop {
-        let message = if node.caught_up.get() {
-            events.next(MUTE).await
-        } else {
-            match tokio::time::timeout(SETTLED, events.next(MUTE)).await {
-                Ok(message) => message,
-                Err(_) => {
-                    node.caught_up.set(true);
+    while let Some(said) = events.said(MUTE).await {
+        let message = match said {
+            Said::Event(message) => message,
+            Said::Comment => {
+                // Comments come once what was missed is told: a stream that opened and says nothing proves nothing.
+                node.follow.borrow_mut().heard();
+                if !node.caught_up.replace(true) {
                     node.feed(Input::CaughtUp);
-                    continue;
                 }
+                continue;
             }
         };
-        let Some(message) = message else { return };
         match journal::parse(&message.data) {
             Ok(event) => {
                 if !node.journal_said(event) {
@@ -76,13 +71,15 @@
 impl Node {
     /// Takes an event of the journal; `false` asks for the stream again.
     pub(crate) fn journal_said(self: &Rc<Self>, event: journal::Event) -> bool {
-        match self.follow.borrow_mut().take(event.pos, event.hosts.whole) {
+        let hosts = self.listed(&event);
+        let read = hosts.len() == event.hosts.hosts.len();
+        match self.follow.borrow_mut().take(event.pos, event.hosts.whole, read) {
             Take::Known => return true,
             Take::Gap => return false,
             Take::Apply => {}
         }
+        self.follow.borrow_mut().heard();
         let kind = if event.hosts.whole { ListKind::Full } else { ListKind::Changes };
-        let hosts = self.listed(&event);
         tracing::debug!(number = event.pos, hosts = hosts.len(), ?kind, "the journal tells");
         self.feed(Input::List { kind, hosts });
         true
--- a/crates/elderpick-sessions/src/follow.rs
+++ b/crates/elderpick-sessions/src/follow.rs
@@ -22,11 +22,13 @@
 pub struct Follow {
     place: u64,
     failed: u32,
+    /// The event that was asked for once more, since part of it could not be read.
+    doubted: Option<u64>,
 }
 
 impl Follow {
     pub fn new(place: u64) -> Follow {
-        Follow { place, failed: 0 }
+        Follow { place, ..Follow::default() }
     }
 
     /// The number of the last event that was taken.
@@ -34,18 +36,24 @@
         self.place
     }
 
-    pub fn take(&mut self, number: u64, whole: bool) -> Take {
+    /// `read` tells whether all that the event names could be read. If not it is asked for once more, and then taken
+    /// for what can be read of it: a host that is never readable must not hide the events behind.
+    pub fn take(&mut self, number: u64, whole: bool, read: bool) -> Take {
         if number <= self.place {
             return Take::Known;
         }
         if number > self.place + 1 && !whole {
             return Take::Gap;
         }
+        if !read && self.doubted.replace(number) != Some(number) {
+            return Take::Gap;
+        }
         self.place = number;
         Take::Apply
     }
 
-    /// Something was read: the journal is there.
+    /// News or a comment was read: the journal is there, and the next break is a first one. An opening alone, or what is
+    /// known, is no such sign: a service that breaks off behind it each time would be called without a pause.
     pub fn heard(&mut self) {
         self.failed = 0;
     }
@@ -65,12 +73,26 @@
     #[test]
     fn numbers_decide_what_is_news() {
         let mut follow = Follow::new(3);
-        assert_eq!(follow.take(3, false), Take::Known);
-        assert_eq!(follow.take(4, false), Take::Apply);
-        assert_eq!(follow.take(4, false), Take::Known);
-        assert_eq!((follow.take(6, false), follow.place()), (Take::Gap, 4));
-        assert_eq!((follow.take(9, true), follow.place()), (Take::Apply, 9));
-        assert_eq!(follow.take(1, true), Take::Known, "an old whole list is old");
+        assert_eq!(follow.take(3, false, true), Take::Known);
+        assert_eq!(follow.take(4, false, true), Take::Apply);
+        assert_eq!(follow.take(4, false, true), Take::Known);
+        assert_eq!((follow.take(6, false, true), follow.place()), (Take::Gap, 4));
+        assert_eq!((follow.take(9, true, true), follow.place()), (Take::Apply, 9));
+        assert_eq!(follow.take(1, true, true), Take::Known, "an old whole list is old");
+    }
+
+    #[test]
+    fn an_event_that_cannot_be_read_whole_is_asked_for_once_more() {
+        let mut follow = Follow::new(3);
+        assert_eq!((follow.take(4, false, false), follow.place()), (Take::Gap, 3));
+        assert_eq!(
+            (follow.take(4, false, true), follow.place()),
+            (Take::Apply, 4),
+            "it was spoilt on its way"
+        );
+        assert_eq!(follow.take(5, false, false), Take::Gap);
+        assert_eq!((follow.take(5, false, false), follow.place()), (Take::Apply, 5), "never readable");
+        assert_eq!((follow.take(6, false, true), follow.place()), (Take::Apply, 6));
     }
 
     #[test]
