--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -10,7 +10,7 @@
 use elderpick_core::api::{Micros, Note, Report, ServerId, Status};
 use elderpick_platform::rtsp::{self, Start, cseq};
 use elderpick_sessions::keep::Kept;
-use elderpick_sessions::life::Input;
+use elderpick_sessions::life::{Attempt, Input};
 use elderpick_sessions::watch::Opened;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -27,22 +27,48 @@
 const KEPT_LASTS: Micros = 30_000_000;
 /// A connection that is used no more is kept so long for what may still come on it.
 const RETIRED: Duration = Duration::from_secs(1);
+/// How often what comes may hold an attempt up before it is given up unsent: who floods us may have left.
+const MOST_LOOKS: u32 = 8;
 
 /// One connection to a host.
 pub(crate) struct Line {
     link: Link,
-    /// Set-ups that are out on it, with the time they were written.
-    out: RefCell<BTreeMap<u64, Micros>>,
+    decoder: RefCell<rtsp::Decoder>,
+    /// Set-ups that are out on it: which attempts they are, and when they were written.
+    out: RefCell<BTreeMap<u64, (Attempt, Micros)>>,
     /// Calls for load that are out on it.
     asked: RefCell<BTreeSet<u64>>,
     /// When it was last read from and last written to.
     read: Cell<Micros>,
     used: Cell<Micros>,
+    /// When the life of sessions was last told that the host says anything.
+    told: Cell<Micros>,
     /// Part of a message is held.
     partial: Cell<bool>,
     retired: Cell<bool>,
 }
 
+/// An attempt on its way to a host.
+pub(crate) struct Try {
+    pub server: ServerId,
+    pub session: u64,
+    pub attempt: Attempt,
+    pub bytes: Vec<u8>,
+    /// How often it was held up by what was there to be read before it.
+    pub looks: u32,
+}
+
+impl Try {
+    /// It was not written, and never will be.
+    fn kept(self) -> Input {
+        Input::Kept { server: self.server, session: self.session, attempt: self.attempt }
+    }
+
+    fn never_up(self) -> Input {
+        Input::Cut { server: self.server, session: self.session, attempt: self.attempt, begun: false }
+    }
+}
+
 impl Line {
     fn free(&self) -> bool {
         !self.retired.get() && self.link.free()
@@ -51,6 +77,23 @@
     fn idle(&self) -> bool {
         self.out.borrow().is_empty() && self.asked.borrow().is_empty()
     }
+
+    /// Takes out what is out under a session's number, if it is that attempt.
+    fn take_out(&self, session: u64, attempt: Option<Attempt>) -> Option<(Attempt, Micros)> {
+        let mut out = self.out.borrow_mut();
+        let fits = |(out, _): &&(Attempt, Micros)| attempt.is_none_or(|attempt| attempt == *out);
+        let found = out.get(&session).filter(fits).copied();
+        found.inspect(|_| {
+            out.remove(&session);
+        })
+    }
+
+    /// Ends it while nothing is out on it. Where sessions stand the host may be saying just now that one is over: it is
+    /// heard to the end, since it would say so again on a new connection only.
+    fn leave(&self, stands: bool) {
+        self.retired.set(true);
+        if stands { self.link.leave() } else { self.link.end(true) }
+    }
 }
 
 /// What leads to one host.
@@ -59,7 +102,7 @@
     opening: usize,
     kept: Kept<Vec<u8>>,
     /// Set-ups that wait for an opening to end.
-    waiting: VecDeque<(u64, Vec<u8>)>,
+    waiting: VecDeque<Try>,
 }
 
 impl Default for Ways {
@@ -70,7 +113,7 @@
 
 /// What a call is for.
 enum Call {
-    SetUp { session: u64, bytes: Vec<u8> },
+    SetUp(Try),
     Load { session: u64 },
     Nothing,
 }
@@ -124,96 +167,119 @@
         let (life, ways) = (self.life.borrow(), self.hosts.ways.borrow());
         let idle = ways.iter().flat_map(|(server, ways)| {
             let only = ways.lines.iter().filter(|line| line.free()).count() < 2;
-            let needed = only && life.stands_at(server);
-            let idle = ways.lines.iter().filter(move |line| !needed && line.free() && line.idle());
-            idle.map(move |line| ((only, line.used.get()), line))
+            let stands = life.stands_at(server);
+            let idle = ways.lines.iter().filter(move |line| !(only && stands) && line.free() && line.idle());
+            idle.map(move |line| ((only, line.used.get()), stands, line))
         });
-        let Some((_, line)) = idle.min_by_key(|(missed, _)| *missed) else { return false };
-        line.retired.set(true);
-        line.link.end(true);
+        let Some((_, stands, line)) = idle.min_by_key(|(missed, ..)| *missed) else { return false };
+        line.leave(stands);
         true
     }
 
-    /// The line with the fewest set-ups and calls on it.
+    /// The line with the fewest set-ups and calls on it. What its host has ended is none, though its task may not have
+    /// seen it yet.
     fn line(&self, server: &ServerId) -> Option<Rc<Line>> {
         let ways = self.hosts.ways.borrow();
         let fresh = |line: &&Rc<Line>| line.free() && self.now() - line.read.get() < self.hosts.stale;
         let lines = ways.get(server)?.lines.iter().filter(fresh);
-        lines.min_by_key(|line| (line.out.borrow().len(), line.asked.borrow().len())).cloned()
+        let mut lines: Vec<_> = lines.collect();
+        lines.sort_by_key(|line| (line.out.borrow().len(), line.asked.borrow().len()));
+        lines.into_iter().find(|line| !line.link.ended()).cloned()
+    }
+
+    /// Whether anything has come that is to be heard before an attempt is written: from the viewer that asked, or on
+    /// the line that it would go out on. It is told to the life of sessions by this.
+    pub(crate) fn hears_before(self: &Rc<Self>, one: &Try) -> bool {
+        let asked_on = self.life.borrow().asked_on(one.session);
+        if asked_on.is_some_and(|conn| self.look_at_guest(conn)) {
+            return true;
+        }
+        self.line(&one.server)
+            .is_some_and(|line| line.link.look(|chunk| self.host_heard(&one.server, &line, chunk)))
     }
 
     /// Writes a set-up on an idle line, on a new one, or with others if there may be no further. A bound of ours says
     /// nothing of the host: what it leaves no room for was never sent.
-    pub(crate) fn host_set_up(self: &Rc<Self>, server: ServerId, session: u64, bytes: Vec<u8>) {
-        if !self.life.borrow().may_write(&server, session, self.now()) {
-            return self.feed(Input::Kept { server, session });
+    pub(crate) fn host_set_up(self: &Rc<Self>, one: Try) {
+        if one.looks > MOST_LOOKS || !self.may_write(&one) {
+            return self.feed(one.kept());
         }
+        let server = one.server.clone();
         let line = self.line(&server);
         let load = line.as_ref().map_or(usize::MAX, |line| line.out.borrow().len());
         match line {
-            Some(line) if load == 0 => self.write_set_up(&server, &line, session, &bytes),
-            _ if self.may_open(&server) => self.open(server, Call::SetUp { session, bytes }),
-            Some(line) if load < SHARED => self.write_set_up(&server, &line, session, &bytes),
-            _ if self.may_have_more(&server) && self.make_room() => {
-                self.open(server, Call::SetUp { session, bytes });
-            }
-            _ => {
-                if !self.wait(&server, session, bytes) {
-                    self.feed(Input::Kept { server, session });
-                }
-            }
+            Some(line) if load == 0 => self.write_set_up(&line, one),
+            _ if self.may_open(&server) => self.open(server, Call::SetUp(one)),
+            Some(line) if load < SHARED => self.write_set_up(&line, one),
+            _ if self.may_have_more(&server) && self.make_room() => self.open(server, Call::SetUp(one)),
+            _ => self.wait(one),
         }
     }
 
+    fn may_write(&self, one: &Try) -> bool {
+        self.life.borrow().may_write(&one.server, one.session, one.attempt, self.now())
+    }
+
     /// Lets a set-up wait for an opening to end, if there is one and room.
-    fn wait(&self, server: &ServerId, session: u64, bytes: Vec<u8>) -> bool {
-        let mut ways = self.hosts.ways.borrow_mut();
-        let ways = ways.get_mut(server).filter(|ways| ways.opening > 0 && ways.waiting.len() < WAITING);
-        ways.map(|ways| ways.waiting.push_back((session, bytes))).is_some()
+    fn wait(self: &Rc<Self>, one: Try) {
+        let mut all = self.hosts.ways.borrow_mut();
+        let ways = all.get_mut(&one.server).filter(|ways| ways.opening > 0 && ways.waiting.len() < WAITING);
+        match ways {
+            Some(ways) => ways.waiting.push_back(one),
+            None => {
+                drop(all);
+                self.feed(one.kept());
+            }
+        }
     }
 
     /// Takes all that wait.
-    fn waiting(&self, server: &ServerId) -> VecDeque<(u64, Vec<u8>)> {
+    fn waiting(&self, server: &ServerId) -> VecDeque<Try> {
         let mut ways = self.hosts.ways.borrow_mut();
         ways.get_mut(server).map(|ways| std::mem::take(&mut ways.waiting)).unwrap_or_default()
     }
 
-    /// The last look before the first byte.
-    fn write_set_up(self: &Rc<Self>, server: &ServerId, line: &Rc<Line>, session: u64, bytes: &[u8]) {
+    /// Writes what was looked at right before. A line that does not take the first byte is used no more, and nothing
+    /// of the set-up has left: it goes another way.
+    fn write_set_up(self: &Rc<Self>, line: &Rc<Line>, one: Try) {
         let now = self.now();
-        if !self.life.borrow().may_write(server, session, now) {
-            return self.feed(Input::Kept { server: server.clone(), session });
-        }
-        if line.link.send_now(bytes) {
-            line.out.borrow_mut().insert(session, now);
+        if line.link.send_now(&one.bytes) {
+            line.out.borrow_mut().insert(one.session, (one.attempt, now));
             line.used.set(now);
         } else {
-            line.link.end(true);
-            self.feed(Input::Cut { server: server.clone(), session, begun: false });
+            self.retire(line);
+            self.host_set_up(one);
         }
     }
 
-    pub(crate) fn host_withdraw(self: &Rc<Self>, server: &ServerId, session: u64) {
+    pub(crate) fn host_withdraw(self: &Rc<Self>, server: &ServerId, session: u64, attempt: Attempt) {
         let mut ways = self.hosts.ways.borrow_mut();
         let Some(ways) = ways.get_mut(server) else { return };
-        ways.waiting.retain(|(waits, _)| *waits != session);
+        ways.waiting.retain(|one| one.attempt != attempt);
         for line in &ways.lines {
-            let Some(written) = line.out.borrow_mut().remove(&session) else { continue };
+            let Some(written) = line.take_out(session, Some(attempt)) else { continue };
             line.link.send(&rtsp::teardown(session, None));
             // What hangs in the middle of a message, or has said nothing since, is trusted with no other.
-            if line.partial.get() || line.read.get() < written {
+            if line.partial.get() || line.read.get() < written.1 {
                 self.retire(line);
             }
         }
     }
 
-    fn retire(&self, line: &Rc<Line>) {
+    /// Uses a line no more, and ends it after a while. What else is out on it keeps its chance, whose time-outs bound
+    /// the wait, unless the line hangs in the middle of a message: then nothing can be read on it any more.
+    fn retire(self: &Rc<Self>, line: &Rc<Line>) {
         if !line.retired.replace(true) {
-            let line = Rc::downgrade(line);
+            let (line, node) = (Rc::downgrade(line), self.clone());
             spawn_local(async move {
-                tokio::time::sleep(RETIRED).await;
-                if let Some(line) = line.upgrade() {
-                    line.link.end(true);
+                loop {
+                    tokio::time::sleep(RETIRED).await;
+                    let Some(line) = line.upgrade() else { return };
+                    let hangs =
+                        line.partial.get() && node.now() - line.read.get() >= RETIRED.as_micros() as Micros;
+                    if line.out.borrow().is_empty() || hangs {
+                        return line.link.end(true);
+                    }
                 }
             });
         }
@@ -280,10 +346,21 @@
         self.open(server, Call::Nothing);
     }
 
-    /// Closes all that leads to a host.
+    /// Closes all that leads to a host, and drops what waits for a connection to what it was.
     pub(crate) fn host_forget(&self, server: &ServerId) {
+        let mut ways = self.hosts.ways.borrow_mut();
+        let Some(ways) = ways.get_mut(server) else { return };
+        ways.lines.iter().for_each(|line| line.link.end(true));
+        // The attempts that wait are over by now, and may not be written.
+        ways.waiting.clear();
+        ways.kept.take(self.now()).for_each(drop);
+    }
+
+    /// Whether all that was said to hosts is written, as far as a line to them is up or on its way.
+    pub(crate) fn hosts_told(&self) -> bool {
         let ways = self.hosts.ways.borrow();
-        ways.get(server).into_iter().flat_map(|w| &w.lines).for_each(|line| line.link.end(true));
+        ways.values()
+            .all(|w| w.lines.iter().all(|line| line.link.written()) && (w.opening == 0 || w.kept.is_empty()))
     }
 
     /// Closes what is not needed: lines to hosts that are gone, and more than one that is idle.
@@ -291,14 +368,14 @@
         let (life, now) = (self.life.borrow(), self.now());
         let mut all = self.hosts.ways.borrow_mut();
         all.retain(|server, ways| {
-            let known = life.address(server).is_some();
+            let (known, stands) = (life.address(server).is_some(), life.stands_at(server));
             let mut spare = ways.lines.iter().filter(|l| !l.retired.get()).count();
             for line in &ways.lines {
                 let stale = now - line.used.get().max(line.read.get()) > self.hosts.stale;
                 let surplus = spare > 1 && now - line.used.get() > 10_000_000;
-                if line.idle() && (!known || stale || surplus) {
+                if line.idle() && line.link.goes_on() && (!known || stale || surplus) {
                     spare = spare.saturating_sub(1);
-                    line.link.end(true);
+                    line.leave(stands);
                 }
             }
             known || !ways.lines.is_empty() || ways.opening > 0
@@ -328,16 +405,16 @@
 
     fn never_up(self: &Rc<Self>, server: ServerId, call: Call, how: Opened) {
         self.feed(Input::Opened { server: server.clone(), how });
-        let ended = |server, session| match how {
+        let ended = |one: Try| match how {
             // It was never sent, and nothing is held against the host.
-            Opened::NoRoom => Input::Kept { server, session },
-            _ => Input::Cut { server, session, begun: false },
+            Opened::NoRoom => one.kept(),
+            _ => one.never_up(),
         };
-        for (session, _) in self.waiting(&server) {
-            self.feed(ended(server.clone(), session));
+        for one in self.waiting(&server) {
+            self.feed(ended(one));
         }
         match call {
-            Call::SetUp { session, .. } => self.feed(ended(server, session)),
+            Call::SetUp(one) => self.feed(ended(one)),
             Call::Load { .. } if how == Opened::NoRoom => {}
             Call::Load { .. } => {
                 let (status, report) = (Status::ConnectError, Report::default());
@@ -352,10 +429,12 @@
         let now = self.now();
         let line = Rc::new(Line {
             link: Link::new(stream),
+            decoder: RefCell::default(),
             out: RefCell::default(),
             asked: RefCell::default(),
             read: Cell::new(now),
             used: Cell::new(now),
+            told: Cell::new(now),
             partial: Cell::new(false),
             retired: Cell::new(false),
         });
@@ -366,28 +445,47 @@
             ways.kept.take(now).collect()
         };
         self.feed(Input::Opened { server: server.clone(), how: Opened::Up });
-        match call {
-            Call::SetUp { session, bytes } => self.write_set_up(&server, &line, session, &bytes),
-            Call::Load { session } => self.write_probe(&server, &line, session),
-            Call::Nothing => {}
-        }
         kept.iter().for_each(|bytes| line.link.send(bytes));
-        for (session, bytes) in self.waiting(&server) {
-            self.host_set_up(server.clone(), session, bytes);
+        self.together(|| {
+            match call {
+                Call::SetUp(one) => self.tries.borrow_mut().push_back(one),
+                Call::Load { session } => self.write_probe(&server, &line, session),
+                Call::Nothing => {}
+            }
+            let waiting = self.waiting(&server);
+            self.tries.borrow_mut().extend(waiting);
+        });
+        let whole = line.link.run(&self.buffer, |chunk| self.host_heard(&server, &line, chunk)).await;
+        line.link.end(true);
+        if let Some(ways) = self.hosts.ways.borrow_mut().get_mut(&server) {
+            ways.lines.retain(|other| !Rc::ptr_eq(other, &line));
         }
-        let mut decoder = rtsp::Decoder::default();
-        let mut told = now;
-        let heard = |chunk: &[u8]| {
-            let now = self.now();
-            line.read.set(now);
-            if now - told > 100_000 {
-                told = now;
+        let (out, asked) = (line.out.take(), line.asked.take());
+        drop(line);
+        self.feed(Input::HostClosed { server: server.clone(), whole });
+        for (session, (attempt, _)) in out {
+            self.feed(Input::Cut { server: server.clone(), session, attempt, begun: true });
+        }
+        for _ in asked {
+            let (status, report) = (Status::Reset, Report::default());
+            self.feed(Input::Probed { server: server.clone(), status, report });
+        }
+    }
+
+    /// Takes what came on a line; `false` if it cannot be read. All that came is told before anything is said.
+    fn host_heard(self: &Rc<Self>, server: &ServerId, line: &Rc<Line>, chunk: &[u8]) -> bool {
+        let now = self.now();
+        line.read.set(now);
+        self.together(|| {
+            if now - line.told.get() > 100_000 {
+                line.told.set(now);
                 self.feed(Input::Heard { server: server.clone() });
             }
+            let mut decoder = line.decoder.borrow_mut();
             decoder.push(chunk);
             loop {
                 match decoder.message() {
-                    Ok(Some(message)) => self.host_said(&server, &line, &message),
+                    Ok(Some(message)) => self.host_said(server, line, &message),
                     Ok(None) => break,
                     Err(why) => {
                         self.hosts.unreadable.set(self.hosts.unreadable.get() + 1);
@@ -399,22 +497,7 @@
             }
             line.partial.set(decoder.partial());
             true
-        };
-        line.link.run(&self.buffer, heard).await;
-        line.link.end(true);
-        if let Some(ways) = self.hosts.ways.borrow_mut().get_mut(&server) {
-            ways.lines.retain(|other| !Rc::ptr_eq(other, &line));
-        }
-        let (out, asked) = (line.out.take(), line.asked.take());
-        drop(line);
-        self.feed(Input::HostClosed { server: server.clone() });
-        for (session, _) in out {
-            self.feed(Input::Cut { server: server.clone(), session, begun: true });
-        }
-        for _ in asked {
-            let (status, report) = (Status::Reset, Report::default());
-            self.feed(Input::Probed { server: server.clone(), status, report });
-        }
+        })
     }
 
     fn host_said(self: &Rc<Self>, server: &ServerId, line: &Rc<Line>, message: &rtsp::Message) {
@@ -424,12 +507,19 @@
             Start::Response { status: 100..=199 } => {}
             Start::Response { status } => match message.cseq {
                 cseq::SET_UP => {
-                    line.out.borrow_mut().remove(&session);
-                    let input = match set_up_status(*status) {
-                        Status::Ok => Input::Answer { server, session, description: message.body.clone() },
-                        status => Input::Refused { server, session, status, report: self.report(message) },
-                    };
-                    self.feed(input);
+                    let attempt = line.take_out(session, None).map(|(attempt, _)| attempt);
+                    match (set_up_status(*status), attempt) {
+                        (Status::Ok, attempt) => {
+                            let description = message.body.clone();
+                            self.feed(Input::Answer { server, session, attempt, description });
+                        }
+                        (status, Some(attempt)) => {
+                            let report = self.report(message);
+                            self.feed(Input::Refused { server, session, attempt, status, report });
+                        }
+                        // Of an attempt that was withdrawn here, or of none.
+                        (_, None) => {}
+                    }
                 }
                 cseq::TEARDOWN if *status == 200 => self.feed(Input::ReleaseHeard { server, session }),
                 cseq::OPTIONS if line.asked.borrow_mut().remove(&session) => {
@@ -440,10 +530,10 @@
             },
             Start::Request { method } => match method.as_str() {
                 "TEARDOWN" => {
-                    line.out.borrow_mut().remove(&session);
+                    let attempt = line.take_out(session, None).map(|(attempt, _)| attempt);
                     line.link.send(&rtsp::response(200, message.cseq, session));
-                    let cause = message.cause().unwrap_or(0);
-                    self.feed(Input::Released { server, session, cause, report: self.report(message) });
+                    let (cause, report) = (message.cause().unwrap_or(0), self.report(message));
+                    self.feed(Input::Released { server, session, attempt, cause, report });
                 }
                 "ANNOUNCE" => {
                     if let Some(note) = note(message) {
--- a/crates/elderpick-node/src/lib.rs
+++ b/crates/elderpick-node/src/lib.rs
@@ -24,7 +24,7 @@
 use elderpick_sessions::keep::Kept;
 use elderpick_sessions::life::{Input, Life};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::spawn_local;
 
 use crate::node::Node;
@@ -39,6 +39,9 @@
 /// Then what is idle is closed, so often with such pauses, until nothing is left.
 const CROSSING: Duration = Duration::from_millis(150);
 const MOST_CROSSING: usize = 600;
+/// What was said to hosts is written before the end: how often that is looked for, with such pauses.
+const MOST_LAST_WORDS: usize = 15;
+const LAST_WORDS: Duration = Duration::from_millis(20);
 
 /// Reads a configuration file.
 fn read(path: &Path) -> Result<Boot, String> {
@@ -59,6 +62,10 @@
 }
 
 async fn serve(boot: Boot, path: PathBuf, ready: impl FnOnce(SocketAddr)) -> Result<(), String> {
+    // A signal may come before anything else is ready.
+    let mut term = handler(SignalKind::terminate())?;
+    let mut int = handler(SignalKind::interrupt())?;
+    let mut hang_up = handler(SignalKind::hangup())?;
     let listener = TcpListener::bind(boot.listen).await;
     let listener = listener.map_err(|why| format!("listen: cannot listen on {}: {why}", boot.listen))?;
     let address = listener.local_addr().map_err(|why| format!("listen: {}: {why}", boot.listen))?;
@@ -88,8 +95,10 @@
         moved: Default::default(),
         caught_up: Cell::new(false),
         ending: Cell::new(false),
+        stop_coming: Default::default(),
         timer: Default::default(),
         later: RefCell::default(),
+        tries: RefCell::default(),
         feeding: Cell::new(false),
         unreadable: Cell::new(0),
         turned_away: Cell::new(0),
@@ -97,9 +106,6 @@
         spared: Cell::new(0),
         warned: Cell::new(0),
     });
-    let mut term = handler(SignalKind::terminate())?;
-    let mut int = handler(SignalKind::interrupt())?;
-    let mut hang_up = handler(SignalKind::hangup())?;
     begin(&node, &boot);
     let accepting = spawn_local(viewers::accept(listener, node.clone()));
     spawn_local(node.clone().run_timers());
@@ -117,28 +123,49 @@
     // Viewers go on coming until the front has heard; what stands is left standing, to be handed over.
     node.ending.set(true);
     tracing::info!(open = node.life.borrow().open(), held = node.life.borrow().held(), "ending");
-    tokio::time::sleep(COMING).await;
-    accepting.abort();
+    // The list goes on being followed, wherever the journal moves: what is open may still be placed.
+    pass(COMING, &mut hang_up, || reload(&node, &path)).await;
+    node.stop_coming.notify_one();
+    let _ = accepting.await;
     for _ in 0..MOST_CROSSING {
         node.close_overdue(true);
-        tokio::time::sleep(CROSSING).await;
-        if node.life.borrow().open() == 0 && node.door.borrow().held() == 0 {
+        pass(CROSSING, &mut hang_up, || reload(&node, &path)).await;
+        // A connection is left once its last word is written.
+        if node.life.borrow().open() == 0 && node.guests.borrow().is_empty() {
             break;
         }
     }
+    for _ in 0..MOST_LAST_WORDS {
+        if node.hosts_told() {
+            break;
+        }
+        pass(LAST_WORDS, &mut hang_up, || {}).await;
+    }
     node.log_state();
     tracing::info!("ended");
     Ok(())
 }
 
-fn handler(kind: SignalKind) -> Result<tokio::signal::unix::Signal, String> {
+/// Lets time pass; a signal that comes meanwhile is answered.
+async fn pass(time: Duration, signal: &mut Signal, mut on_signal: impl FnMut()) {
+    let end = tokio::time::sleep(time);
+    tokio::pin!(end);
+    loop {
+        tokio::select! {
+            () = &mut end => return,
+            _ = signal.recv() => on_signal(),
+        }
+    }
+}
+
+fn handler(kind: SignalKind) -> Result<Signal, String> {
     signal(kind).map_err(|why| format!("no signals: {why}"))
 }
 
 /// The list as it was known at the start.
 fn begin(node: &Rc<Node>, boot: &Boot) {
     for (k, event) in boot.known.entries.iter().enumerate() {
-        if node.follow.borrow_mut().take(event.pos, event.hosts.whole || k == 0) != Take::Apply {
+        if node.follow.borrow_mut().take(event.pos, event.hosts.whole || k == 0, true) != Take::Apply {
             // Said twice, or out of its place: the journal tells what is missing.
             continue;
         }
--- a/crates/elderpick-node/src/link.rs
+++ b/crates/elderpick-node/src/link.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::io;
+use std::io::{self, Read};
 use std::time::Duration;
 
 use tokio::net::TcpStream;
@@ -14,6 +14,11 @@
 pub(crate) const CHUNK: usize = 16 << 10;
 /// The last words are given so long to be written.
 const LAST_WORDS: Duration = Duration::from_millis(300);
+/// A peer that was told that nothing more comes has so long to say its last words and to end the connection.
+const LEAVES: Duration = Duration::from_millis(500);
+/// Most that one look takes of what has come.
+const LOOK: usize = 4 << 10;
+const LOOKS: usize = 16;
 
 /// One connection. Its task reads and writes what waits; anyone may send.
 pub(crate) struct Link {
@@ -26,6 +31,8 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Ending {
     No,
+    /// The peer was told that nothing more comes; what it still says is read.
+    Leaving,
     /// Once all that waits is written.
     Flushed,
     Now,
@@ -94,11 +101,46 @@
         self.ending.get() == Ending::No
     }
 
+    /// Whether all that was said on it is written, or never will be.
+    pub fn written(&self) -> bool {
+        self.ending.get() == Ending::Now || self.waiting.borrow().is_empty()
+    }
+
     /// Whether nothing waits and it is not ending.
     pub fn free(&self) -> bool {
         self.ending.get() == Ending::No && self.waiting.borrow().is_empty()
     }
 
+    /// Reads at once what has come, whatever the runtime knows of it; `true` if there was anything. The connection's
+    /// own task sees how it ends. More than a bound is left to that.
+    pub fn look(&self, mut heard: impl FnMut(&[u8]) -> bool) -> bool {
+        let mut any = false;
+        for _ in 0..LOOKS {
+            let mut chunk = [0; LOOK];
+            let read = match self.ending.get() {
+                Ending::No => (&*socket2::SockRef::from(&self.stream)).read(&mut chunk),
+                _ => return any,
+            };
+            let Ok(read @ 1..) = read else { return any };
+            any = true;
+            if !heard(&chunk[..read]) {
+                self.end(false);
+            }
+        }
+        any
+    }
+
+    /// Ends it without losing what the peer may be saying: nothing more is written, and what comes is read until the
+    /// peer ends it as well. For a connection on which nothing is out.
+    pub fn leave(&self) {
+        if !self.free() {
+            return self.end(false);
+        }
+        self.ending.set(Ending::Leaving);
+        let _ = socket2::SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write);
+        self.wake.notify_one();
+    }
+
     /// Ends it: at once, or when all that waits is written. At once means that the peer is told before this returns,
     /// whoever still holds on to it: what was out on it is given up before the next thing is said elsewhere.
     pub fn end(&self, at_once: bool) {
@@ -138,13 +180,31 @@
         Ok(())
     }
 
-    /// Reads and writes until either side ends it. `heard` gets each chunk that came and says whether to go on.
-    pub async fn run(&self, buffer: &RefCell<Vec<u8>>, mut heard: impl FnMut(&[u8]) -> bool) {
+    /// Reads and writes until either side ends it. `heard` gets each chunk that came and says whether to go on. What
+    /// comes behind an end of ours is not heard: whoever sent it sees that it was too late. `true` if the peer ended it
+    /// and all that it said was heard.
+    pub async fn run(&self, buffer: &RefCell<Vec<u8>>, mut heard: impl FnMut(&[u8]) -> bool) -> bool {
         loop {
             let wants_write = !self.waiting.borrow().is_empty();
             match self.ending.get() {
-                Ending::Now => return,
-                Ending::Flushed if !wants_write => return,
+                Ending::Now => return false,
+                Ending::Leaving => {
+                    let last = async {
+                        loop {
+                            match self.read(buffer).await {
+                                Ok(0) => return self.ending.get() == Ending::Leaving,
+                                Ok(read) if self.ending.get() == Ending::Leaving => {
+                                    if !heard(&buffer.borrow()[..read]) {
+                                        return false;
+                                    }
+                                }
+                                _ => return false,
+                            }
+                        }
+                    };
+                    return tokio::time::timeout(LEAVES, last).await.unwrap_or(false);
+                }
+                Ending::Flushed if !wants_write => return false,
                 Ending::Flushed => {
                     let last = async {
                         while !self.waiting.borrow().is_empty() {
@@ -154,24 +214,26 @@
                         }
                     };
                     let _ = tokio::time::timeout(LAST_WORDS, last).await;
-                    return;
+                    return false;
                 }
                 Ending::No => {}
             }
             tokio::select! {
                 read = self.read(buffer) => match read {
-                    Ok(0) | Err(_) => return,
-                    Ok(read) => {
+                    Ok(0) => return matches!(self.ending.get(), Ending::No | Ending::Leaving),
+                    Err(_) => return false,
+                    Ok(read) if matches!(self.ending.get(), Ending::No | Ending::Leaving) => {
                         let chunk = buffer.borrow();
                         if !heard(&chunk[..read]) {
                             drop(chunk);
                             self.end(false);
                         }
                     }
+                    Ok(_) => {}
                 },
                 ready = self.stream.writable(), if wants_write => {
                     if ready.is_err() || self.flush().is_err() {
-                        return;
+                        return false;
                     }
                 }
                 () = self.wake.notified() => {}
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -15,7 +15,7 @@
 use elderpick_sessions::life::{Conn, Input, Life, Output};
 use tokio::sync::Notify;
 
-use crate::hosts::Hosts;
+use crate::hosts::{Hosts, Try};
 use crate::viewers::{Guests, Standing};
 
 /// Releases that wait for a viewers' connection, and how long they are worth saying.
@@ -40,8 +40,12 @@
     pub moved: Notify,
     pub caught_up: Cell<bool>,
     pub ending: Cell<bool>,
+    /// No further connection of viewers is taken.
+    pub stop_coming: Notify,
     pub timer: Notify,
     pub later: RefCell<VecDeque<Input>>,
+    /// Attempts to be written once all that has happened was told; bounded by the set-ups that may be open.
+    pub tries: RefCell<VecDeque<Try>>,
     pub feeding: Cell<bool>,
     pub unreadable: Cell<u64>,
     pub turned_away: Cell<u64>,
@@ -74,23 +78,33 @@
         }
     }
 
+    /// Takes all that `say` tells as one: nothing is carried out before the last of it is told.
+    pub fn together<T>(self: &Rc<Self>, say: impl FnOnce() -> T) -> T {
+        let within = self.feeding.replace(true);
+        let said = say();
+        self.feeding.set(within);
+        if !within {
+            self.drain();
+        }
+        said
+    }
+
     fn drain(self: &Rc<Self>) {
         self.feeding.set(true);
         let before = self.life.borrow().next_timer();
         let mut out = Vec::new();
         loop {
-            let Some(input) = self.later.borrow_mut().pop_front() else { break };
-            let asked = match &input {
-                Input::SetUp { conn, .. } => Some(*conn),
-                Input::Release { session, .. } => self.life.borrow().asked_on(*session),
-                _ => None,
-            };
-            self.life.borrow_mut().handle(self.now(), input, &mut out);
-            if let Some(conn) = asked {
-                self.opened(conn);
+            let input = self.later.borrow_mut().pop_front();
+            if let Some(input) = input {
+                self.take(input, &mut out);
+                continue;
             }
-            for output in out.drain(..) {
-                self.carry_out(output);
+            let Some(mut one) = self.tries.borrow_mut().pop_front() else { break };
+            if self.hears_before(&one) {
+                one.looks += 1;
+                self.tries.borrow_mut().push_front(one);
+            } else {
+                self.host_set_up(one);
             }
         }
         self.feeding.set(false);
@@ -99,14 +113,42 @@
         }
     }
 
+    fn take(self: &Rc<Self>, input: Input, out: &mut Vec<Output>) {
+        let asked = match &input {
+            Input::SetUp { conn, .. } => Some(*conn),
+            Input::Release { session, .. } | Input::Answer { session, .. } => {
+                self.life.borrow().asked_on(*session)
+            }
+            _ => None,
+        };
+        if let (Input::Answer { .. }, Some(conn)) = (&input, asked) {
+            // What its viewer said before it is answered goes first: it may have given up, or be gone.
+            let behind = std::mem::take(&mut *self.later.borrow_mut());
+            self.look_at_guest(conn);
+            loop {
+                let before = self.later.borrow_mut().pop_front();
+                let Some(before) = before else { break };
+                self.take(before, out);
+            }
+            self.later.borrow_mut().extend(behind);
+        }
+        self.life.borrow_mut().handle(self.now(), input, out);
+        let said = std::mem::take(out);
+        said.into_iter().for_each(|output| self.carry_out(output));
+        if let Some(conn) = asked {
+            self.opened(conn);
+        }
+    }
+
     /// The number of set-ups that are open on a connection has changed.
     fn opened(&self, conn: Conn) {
         let open = self.life.borrow().open_on(conn);
         self.door.borrow_mut().open(self.now(), conn, open);
     }
 
-    /// Says a final answer on the connection of its set-up. One that goes down with its connection is counted and told.
-    fn answer(&self, conn: Conn, session: u64, bytes: &[u8]) {
+    /// Says a final answer on the connection of its set-up. One that goes down with its connection is counted and told;
+    /// `false` then.
+    fn answer(&self, conn: Conn, session: u64, bytes: &[u8]) -> bool {
         let said = self.guests.borrow().get(&conn).is_some_and(|guest| {
             let went_on = guest.link.goes_on();
             guest.link.send(bytes);
@@ -117,6 +159,7 @@
             self.warn_seldom(&format!("the answer to {session:016x} has no connection ({conn}) any more"));
         }
         self.opened(conn);
+        said
     }
 
     fn carry_out(self: &Rc<Self>, output: Output) {
@@ -134,7 +177,11 @@
                 if let Some(guest) = self.guests.borrow().get(&conn) {
                     guest.standing.set(Standing::Served);
                 }
-                self.answer(conn, session, &text);
+                if !self.answer(conn, session, &text) {
+                    // Nobody knows of it: it would stand at its host for good.
+                    let cause = viewer::cause::ENDED_BY_VIEWER;
+                    self.feed(Input::Release { conn, session, cause });
+                }
                 self.say_kept();
             }
             Output::Turned { conn, session, cause, stay_away } => {
@@ -149,13 +196,14 @@
                 }
                 None => self.over.borrow_mut().push(self.now(), (session, cause)),
             },
-            Output::SetUp { server, session, class, title, patience, rung, description } => {
+            Output::SetUp { server, session, attempt, class, title, patience, rung, description } => {
                 let patience_ms = (patience.max(0) / 1_000) as u64;
                 let (class, title, description) = (class.as_str(), title.as_str(), &description[..]);
                 let set_up = rtsp::SetUp { session, class, title, patience_ms, rung, description };
-                self.host_set_up(server, session, rtsp::set_up(&set_up));
+                let bytes = rtsp::set_up(&set_up);
+                self.tries.borrow_mut().push_back(Try { server, session, attempt, bytes, looks: 0 });
             }
-            Output::Withdraw { server, session } => self.host_withdraw(&server, session),
+            Output::Withdraw { server, session, attempt } => self.host_withdraw(&server, session, attempt),
             Output::Release { server, session, cause } => {
                 self.host_tell(server, rtsp::teardown(session, Some(cause)));
             }
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -1,6 +1,6 @@
 //! Connections of viewers.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,6 +16,8 @@
 
 /// Set-ups that cannot be read, until the connection is closed.
 const MOST_UNREADABLE: u32 = 8;
+/// Connections that are taken at the end, before the listener is dropped.
+const MOST_ACCEPTED: usize = 1_024;
 
 /// How far a connection has shown that a viewer of ours is behind it.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -29,6 +31,7 @@
 /// One viewers' connection.
 pub(crate) struct Guest {
     pub link: Link,
+    decoder: RefCell<Decoder>,
     pub standing: Cell<Standing>,
     unreadable: Cell<u32>,
 }
@@ -36,10 +39,16 @@
 /// All viewers' connections.
 pub(crate) type Guests = BTreeMap<Conn, Rc<Guest>>;
 
-/// Takes connections until it is dropped.
+/// Takes connections until it is told to stop, and then all that the system has accepted by that time: what is dropped
+/// with the listener is reset, also with a whole set-up on it.
 pub(crate) async fn accept(listener: TcpListener, node: Rc<Node>) {
     loop {
-        match listener.accept().await {
+        let came = tokio::select! {
+            biased;
+            () = node.stop_coming.notified() => break,
+            came = listener.accept() => came,
+        };
+        match came {
             Ok((stream, _)) => node.come(stream),
             Err(why) => {
                 // Out of descriptors or memory: what is idle goes, and nothing spins.
@@ -49,6 +58,14 @@
             }
         }
     }
+    let Ok(listener) = listener.into_std() else { return };
+    // Bounded by what the system keeps, and against those that come meanwhile.
+    for _ in 0..MOST_ACCEPTED {
+        let Ok((stream, _)) = listener.accept() else { return };
+        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        let Ok(stream) = stream else { return };
+        node.come(stream);
+    }
 }
 
 impl Node {
@@ -62,40 +79,61 @@
         }
         let guest = Rc::new(Guest {
             link: Link::new(stream),
+            decoder: RefCell::default(),
             standing: Cell::new(Standing::New),
             unreadable: Cell::new(0),
         });
         self.guests.borrow_mut().insert(conn, guest.clone());
         let node = self.clone();
         spawn_local(async move {
-            let mut decoder = Decoder::default();
-            let heard = |chunk: &[u8]| {
-                decoder.push(chunk);
-                loop {
-                    match decoder.message() {
-                        Ok(Some(message)) => {
-                            node.door.borrow_mut().said(node.now(), conn);
-                            if !node.viewer_said(conn, &guest, &message) {
-                                return false;
-                            }
-                        }
-                        Ok(None) => break,
-                        Err(why) => {
-                            node.bad(&guest, 0, why);
-                            return false;
-                        }
-                    }
-                }
-                node.door.borrow_mut().read(node.now(), conn, decoder.partial());
-                true
-            };
-            guest.link.run(&node.buffer, heard).await;
+            guest.link.run(&node.buffer, |chunk| node.viewer_heard(conn, &guest, chunk)).await;
             node.guests.borrow_mut().remove(&conn);
             node.door.borrow_mut().left(conn);
             node.feed(Input::Closed { conn });
         });
     }
 
+    /// Takes what came on a connection; `false` ends it. All that came is told before anything is sent on: who gives up
+    /// right behind a set-up has asked for nothing.
+    fn viewer_heard(self: &Rc<Self>, conn: Conn, guest: &Rc<Guest>, chunk: &[u8]) -> bool {
+        self.together(|| {
+            let mut decoder = guest.decoder.borrow_mut();
+            decoder.push(chunk);
+            loop {
+                match decoder.message() {
+                    Ok(Some(message)) => {
+                        self.door.borrow_mut().said(self.now(), conn);
+                        if !self.viewer_said(conn, guest, &message) {
+                            return false;
+                        }
+                    }
+                    Ok(None) => break,
+                    Err(why) => {
+                        self.bad(guest, 0, why);
+                        return false;
+                    }
+                }
+            }
+            self.door.borrow_mut().read(self.now(), conn, decoder.partial());
+            true
+        })
+    }
+
+    /// Looks whether a viewer that waits for an answer has said anything, or has left, that its connection's task has
+    /// not come to: after a standstill of this gateway, or behind a line that came up late. The life of sessions is told
+    /// of it; `true` if there was anything.
+    pub(crate) fn look_at_guest(self: &Rc<Self>, conn: Conn) -> bool {
+        let guest = self.guests.borrow().get(&conn).cloned();
+        let said = guest
+            .as_ref()
+            .is_some_and(|guest| guest.link.look(|chunk| self.viewer_heard(conn, guest, chunk)));
+        let there = guest.is_some_and(|guest| guest.link.goes_on() && !guest.link.ended());
+        if !there {
+            self.feed(Input::Closed { conn });
+        }
+        said || !there
+    }
+
     pub(crate) fn close_guest(&self, conn: Conn) {
         if let Some(guest) = self.guests.borrow().get(&conn) {
             // At once if nothing waits to be written: what comes after that is seen by its sender to be too late.
--- a/crates/elderpick-sessions/src/keep.rs
+++ b/crates/elderpick-sessions/src/keep.rs
@@ -45,6 +45,30 @@
         at.and_then(|at| self.words.remove(at)).is_some()
     }
 
+    /// Keeps a word unless it is kept already; it stays as old as it is then.
+    pub fn push_once(&mut self, now: Micros, word: T)
+    where
+        T: PartialEq,
+    {
+        if !self.contains(now, &word) {
+            self.push(now, word);
+        }
+    }
+
+    /// Whether a word is still kept.
+    pub fn contains(&self, now: Micros, word: &T) -> bool
+    where
+        T: PartialEq,
+    {
+        self.iter(now).any(|kept| kept == word)
+    }
+
+    /// All that is kept and not too old, the oldest first.
+    pub fn iter(&self, now: Micros) -> impl Iterator<Item = &T> {
+        let fresh = move |at: &Micros| now - at <= self.lasts;
+        self.words.iter().filter(move |(at, _)| fresh(at)).map(|(_, word)| word)
+    }
+
     pub fn is_empty(&self) -> bool {
         self.words.is_empty()
     }
--- a/crates/elderpick-sessions/src/life.rs
+++ b/crates/elderpick-sessions/src/life.rs
@@ -22,6 +22,10 @@
 /// The number that the runtime gives a viewer's connection.
 pub type Conn = u64;
 
+/// The number of an attempt, of which no other has the same: a word of a host counts for the attempt that it answers,
+/// whatever else goes by the same session.
+pub type Attempt = u64;
+
 /// Set-ups open on one connection, and in all; one more is refused.
 const OPEN_ON_ONE: usize = 64;
 const OPEN: usize = 1_024;
@@ -32,9 +36,17 @@
 /// Set-ups given up of which an answer may still come: how many are remembered, and how long.
 const GIVEN_UP: usize = 1_024;
 const GIVEN_UP_LASTS: Micros = 10_000_000;
-/// Set-ups that were answered: a further one under the number of one is not its viewer's, as each gets a new number.
+/// Withdrawals and releases that no host has confirmed: how many are remembered, and how long. They are said again when
+/// a connection that may have taken them along ends.
+const UNHEARD: usize = 2_048;
+const UNHEARD_LASTS: Micros = 10_000_000;
+/// Set-ups that were answered or given up: a further one under the number of one is not its viewer's, as each gets a
+/// new number.
 const ANSWERED: usize = 16_384;
 const ANSWERED_LASTS: Micros = 30_000_000;
+/// Ends of sessions that are not held here: one that is handed over only then is over already.
+const ENDED: usize = 4_096;
+const ENDED_LASTS: Micros = 10_000_000;
 /// How often hosts are looked at.
 const LOOK: Micros = 50_000;
 
@@ -61,12 +73,15 @@
     Answer {
         server: ServerId,
         session: u64,
+        /// The attempt that is out on the connection that this came on; `None` where none of the session's is.
+        attempt: Option<Attempt>,
         description: Bytes,
     },
     /// A host has not.
     Refused {
         server: ServerId,
         session: u64,
+        attempt: Attempt,
         status: Status,
         report: Report,
     },
@@ -74,6 +89,8 @@
     Released {
         server: ServerId,
         session: u64,
+        /// As in [`Input::Answer`].
+        attempt: Option<Attempt>,
         cause: u8,
         report: Report,
     },
@@ -91,12 +108,14 @@
     Cut {
         server: ServerId,
         session: u64,
+        attempt: Attempt,
         begun: bool,
     },
     /// The set-up was not written, since [`Life::may_write`] forbade it.
     Kept {
         server: ServerId,
         session: u64,
+        attempt: Attempt,
     },
     Probed {
         server: ServerId,
@@ -111,6 +130,8 @@
     /// A host's connection ended.
     HostClosed {
         server: ServerId,
+        /// The host ended it, or it was read to its end: nothing that the host said on it is missing.
+        whole: bool,
     },
     /// Anything was read from a host.
     Heard {
@@ -154,6 +175,7 @@
     SetUp {
         server: ServerId,
         session: u64,
+        attempt: Attempt,
         class: String,
         title: String,
         patience: Micros,
@@ -164,6 +186,7 @@
     Withdraw {
         server: ServerId,
         session: u64,
+        attempt: Attempt,
     },
     /// A session is released at its host.
     Release {
@@ -216,6 +239,7 @@
     Waiting,
     Out {
         server: ServerId,
+        attempt: Attempt,
         until: Micros,
         /// The host's last start, as it was known when this was decided.
         started: Option<Micros>,
@@ -250,6 +274,10 @@
     fn is_out_at(&self, at: &ServerId) -> bool {
         matches!(&self.stage, Stage::Out { server, .. } if server == at)
     }
+
+    fn is_out_as(&self, at: &ServerId, as_: Attempt) -> bool {
+        matches!(&self.stage, Stage::Out { server, attempt, .. } if server == at && *attempt == as_)
+    }
 }
 
 struct Server {
@@ -262,7 +290,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 enum Timer {
     /// The time of a session's attempt is up; goes before the module's own alarms of the same instant.
-    Attempt(u64, usize),
+    Attempt(u64, Attempt),
     Ending(u64),
     Alarm(u64),
 }
@@ -278,7 +306,11 @@
     open: BTreeMap<Conn, BTreeSet<u64>>,
     opened: usize,
     given_up: Kept<(ServerId, u64)>,
+    unheard: Kept<(ServerId, u64)>,
     answered: Used,
+    /// What ended before it was held here, with its host where that said so, and the cause.
+    ended: Kept<(u64, Option<ServerId>, u8)>,
+    attempts: Attempt,
     timers: BinaryHeap<Reverse<(Micros, Timer)>>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
@@ -299,7 +331,10 @@
             open: BTreeMap::new(),
             opened: 0,
             given_up: Kept::new(GIVEN_UP, GIVEN_UP_LASTS),
+            unheard: Kept::new(UNHEARD, UNHEARD_LASTS),
             answered: Used::new(ANSWERED, ANSWERED_LASTS),
+            ended: Kept::new(ENDED, ENDED_LASTS),
+            attempts: 0,
             timers: BinaryHeap::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -346,15 +381,13 @@
 
     /// Whether a set-up may be written to a host now: it is still wanted, its host still takes new ones, and is the
     /// process that it was decided for.
-    pub fn may_write(&self, server: &ServerId, session: u64, now: Micros) -> bool {
-        let Some(Held { stage: Stage::Out { server: at, until, started }, .. }) = self.held.get(&session)
-        else {
+    pub fn may_write(&self, server: &ServerId, session: u64, attempt: Attempt, now: Micros) -> bool {
+        let held = self.held.get(&session).filter(|h| h.is_out_as(server, attempt));
+        let Some(Held { stage: Stage::Out { until, started, .. }, .. }) = held else {
             return false;
         };
         let entry = self.servers.get(server).map(|s| &s.listed.entry);
-        at == server
-            && now < *until
-            && entry.is_some_and(|e| e.state == ServerState::Up && e.started == *started)
+        now < *until && entry.is_some_and(|e| e.state == ServerState::Up && e.started == *started)
     }
 
     /// When [`Input::Tick`] is due.
@@ -374,19 +407,20 @@
                     self.release(now, conn, session, cause::GIVEN_UP, out);
                 }
             }
-            Input::Answer { server, session, description } => {
-                self.answered(now, server, session, description, out);
+            Input::Answer { server, session, attempt, description } => {
+                self.answered(now, server, session, attempt, description, out);
             }
-            Input::Refused { server, session, status, report } => {
-                self.attempt_over(&server, session, status, report);
+            Input::Refused { server, session, attempt, status, report } => {
+                self.attempt_over(&server, session, attempt, status, report);
             }
-            Input::Released { server, session, cause, report } => {
-                self.released(server, session, cause, report, out);
+            Input::Released { server, session, attempt, cause, report } => {
+                self.released(now, server, session, attempt, cause, report, out);
             }
             Input::ReleaseHeard { server, session } => {
+                self.unheard.remove(now, &(server.clone(), session));
                 let ending = |h: &Held| matches!(&h.stage, Stage::Ending { server: at } if *at == server);
                 if self.held.get(&session).is_some_and(ending) {
-                    self.end(session, Status::Cancelled, Report::default());
+                    self.end(now, session, Status::Cancelled, Report::default());
                 }
             }
             Input::Noted { server, session, note } => {
@@ -398,12 +432,12 @@
                     self.events.push_back(Event::Noted { id: RequestId(session), server, note });
                 }
             }
-            Input::Cut { server, session, begun } => {
+            Input::Cut { server, session, attempt, begun } => {
                 let status = if begun { Status::Reset } else { Status::ConnectError };
-                self.attempt_over(&server, session, status, Report::default());
+                self.attempt_over(&server, session, attempt, status, Report::default());
             }
-            Input::Kept { server, session } => {
-                self.attempt_over(&server, session, Status::Ignored, Report::default());
+            Input::Kept { server, session, attempt } => {
+                self.attempt_over(&server, session, attempt, Status::Ignored, Report::default());
             }
             Input::Probed { server, status, report } => {
                 if self.servers.contains_key(&server) {
@@ -415,20 +449,24 @@
                     server.watch.opened(now, how);
                 }
             }
-            Input::HostClosed { server } => {
+            Input::HostClosed { server, whole } => {
                 self.looked = Micros::MIN / 2;
                 if let Some(at) = self.servers.get_mut(&server) {
-                    at.watch.closed();
-                    // A release may have gone down with the connection: it is said again.
-                    let held = &self.held;
-                    let ends =
-                        |s: &&u64| held.get(s).is_some_and(|h| matches!(h.stage, Stage::Ending { .. }));
-                    out.extend(at.standing.iter().filter(ends).map(|session| Output::Release {
-                        server: server.clone(),
-                        session: *session,
-                        cause: cause::ENDED_BY_VIEWER,
-                    }));
+                    at.watch.closed(whole);
                 }
+                // Releases may have gone down with the connection, and a set-up that was withdrawn on it may stand:
+                // they are said again.
+                let cause = cause::ENDED_BY_VIEWER;
+                let held = &self.held;
+                let wanted = |session: &u64| match held.get(session) {
+                    Some(held) => {
+                        held.server() == Some(&server) && !matches!(held.stage, Stage::Ending { .. })
+                    }
+                    None => false,
+                };
+                let unheard = self.unheard.iter(now).filter(|(at, _)| *at == server);
+                let again = unheard.map(|(_, session)| *session).filter(|session| !wanted(session));
+                out.extend(again.map(|session| Output::Release { server: server.clone(), session, cause }));
             }
             Input::Heard { server } => {
                 if let Some(server) = self.servers.get_mut(&server) {
@@ -506,6 +544,15 @@
         if held && at.is_some() {
             return;
         }
+        if let Some((server, by_host, cause)) = at.as_ref().and_then(|at| self.ended_before(now, session, at))
+        {
+            // Its end came here before it did: from its host, of which its viewer is told now, or from its viewer.
+            return match by_host {
+                true if cause == cause::ENDED_BY_VIEWER => {}
+                true => out.push(Output::Over { conn: Some(conn), session, cause }),
+                false => self.say_release(now, server, session, cause, out),
+            };
+        }
         let turned = |cause| Output::Turned { conn, session, cause, stay_away: None };
         let used = held || self.answered.contains(session);
         let Some(class) = class.filter(|_| fits && (!used || at.is_some())) else {
@@ -549,6 +596,13 @@
         self.events.push_back(Event::Request { id: RequestId(session), viewing });
     }
 
+    /// The end of a session that is handed over only now: its host, whether that ended it, and the cause.
+    fn ended_before(&self, now: Micros, session: u64, at: &ServerId) -> Option<(ServerId, bool, u8)> {
+        let mut ended = self.ended.iter(now).filter(|(ended, ..)| *ended == session);
+        let (_, from, cause) = ended.find(|(_, from, _)| from.as_ref().is_none_or(|from| from == at))?;
+        Some((at.clone(), from.is_some(), *cause))
+    }
+
     /// The set-up of a session is open no longer.
     fn close(&mut self, session: u64) {
         let Some(conn) = self.held.get(&session).filter(|h| h.set_up.is_some()).and_then(|h| h.conn) else {
@@ -563,22 +617,48 @@
         }
     }
 
+    /// An attempt is withdrawn at its host, which may have answered it by now or never hear of this.
+    fn say_withdrawn(
+        &mut self,
+        now: Micros,
+        server: ServerId,
+        session: u64,
+        attempt: Attempt,
+        out: &mut Vec<Output>,
+    ) {
+        self.given_up.push_once(now, (server.clone(), session));
+        self.unheard.push_once(now, (server.clone(), session));
+        out.push(Output::Withdraw { server, session, attempt });
+    }
+
+    /// A release at a host, remembered until the host has confirmed it.
+    fn say_release(&mut self, now: Micros, server: ServerId, session: u64, cause: u8, out: &mut Vec<Output>) {
+        self.unheard.push_once(now, (server.clone(), session));
+        out.push(Output::Release { server, session, cause });
+    }
+
     /// A viewer gives a set-up up or ends a session.
     fn release(&mut self, now: Micros, conn: Conn, session: u64, cause: u8, out: &mut Vec<Output>) {
-        let Some(held) = self.held.get_mut(&session) else { return };
+        let Some(held) = self.held.get_mut(&session) else {
+            if !self.answered.contains(session) {
+                self.ended.push(now, (session, None, cause));
+            }
+            return;
+        };
         match &held.stage {
             // Who did not ask has nothing to give up: the answer is still owed.
             Stage::Waiting | Stage::Out { .. } if held.conn != Some(conn) => self.counts.turned += 1,
             Stage::Waiting | Stage::Out { .. } => {
                 self.counts.given_up += 1;
+                self.answered.push(now, session);
                 self.events.push_back(Event::Gone { id: RequestId(session) });
                 self.withdraw(now, session, out);
             }
             Stage::Stands { server } => {
                 let server = server.clone();
-                out.push(Output::Release { server: server.clone(), session, cause });
-                held.stage = Stage::Ending { server };
+                held.stage = Stage::Ending { server: server.clone() };
                 self.timers.push(Reverse((now + ENDING, Timer::Ending(session))));
+                self.say_release(now, server, session, cause, out);
             }
             Stage::Ending { .. } => {}
         }
@@ -605,9 +685,8 @@
     fn withdraw(&mut self, now: Micros, session: u64, out: &mut Vec<Output>) {
         self.close(session);
         let Some(held) = self.held.remove(&session) else { return };
-        if let Stage::Out { server, .. } = held.stage {
-            self.given_up.push(now, (server.clone(), session));
-            out.push(Output::Withdraw { server, session });
+        if let Stage::Out { server, attempt, .. } = held.stage {
+            self.say_withdrawn(now, server, session, attempt, out);
             let (id, attempt, status, closed) = (RequestId(session), held.sends - 1, Status::Cancelled, true);
             self.events.push_back(Event::Outcome { id, attempt, status, closed, report: Report::default() });
         }
@@ -626,11 +705,14 @@
             return self.events.push_back(Event::Outcome { id, attempt, status, closed: false, report });
         };
         let until = held.deadline.min(now + timeout);
-        held.stage = Stage::Out { server: server.clone(), until, started: entry.started };
-        self.timers.push(Reverse((until, Timer::Attempt(session, held.sends))));
+        self.attempts += 1;
+        let attempt = self.attempts;
+        held.stage = Stage::Out { server: server.clone(), attempt, until, started: entry.started };
+        self.timers.push(Reverse((until, Timer::Attempt(session, attempt))));
         out.push(Output::SetUp {
             server,
             session,
+            attempt,
             class: set_up.class.clone(),
             title: set_up.title.clone(),
             patience: until - now,
@@ -640,8 +722,16 @@
     }
 
     /// The attempt at a host has ended without a session.
-    fn attempt_over(&mut self, server: &ServerId, session: u64, status: Status, report: Report) {
-        let Some(held) = self.held.get_mut(&session).filter(|h| h.is_out_at(server)) else { return };
+    fn attempt_over(
+        &mut self,
+        server: &ServerId,
+        session: u64,
+        attempt: Attempt,
+        status: Status,
+        report: Report,
+    ) {
+        let held = self.held.get_mut(&session).filter(|h| h.is_out_as(server, attempt));
+        let Some(held) = held else { return };
         held.stage = Stage::Waiting;
         let (id, attempt) = (RequestId(session), held.sends - 1);
         self.events.push_back(Event::Outcome { id, attempt, status, closed: false, report });
@@ -652,13 +742,18 @@
         now: Micros,
         server: ServerId,
         session: u64,
+        attempt: Option<Attempt>,
         description: Bytes,
         out: &mut Vec<Output>,
     ) {
-        if !self.held.get(&session).is_some_and(|h| h.is_out_at(&server)) {
+        let held = self.held.get(&session);
+        if !held.is_some_and(|h| attempt.is_some_and(|attempt| h.is_out_as(&server, attempt))) {
             // A second copy, an answer that nobody asked for, or one that crossed a withdrawal: only the last stands.
-            if self.given_up.remove(now, &(server.clone(), session)) {
-                out.push(Output::Release { server, session, cause: cause::ENDED_BY_VIEWER });
+            // A host knows a session by its number alone: where a further attempt is out or stands there, a release of
+            // the one before would end that.
+            let another = held.is_some_and(|h| h.server() == Some(&server));
+            if !another && self.given_up.remove(now, &(server.clone(), session)) {
+                self.say_release(now, server, session, cause::ENDED_BY_VIEWER, out);
             }
             return;
         }
@@ -681,27 +776,48 @@
     // ---- What stands ----
 
     /// A host's word that a session is over.
-    fn released(&mut self, server: ServerId, session: u64, cause: u8, report: Report, out: &mut Vec<Output>) {
-        let Some(held) = self.held.get(&session).filter(|h| h.server() == Some(&server)) else { return };
+    #[allow(clippy::too_many_arguments)]
+    fn released(
+        &mut self,
+        now: Micros,
+        server: ServerId,
+        session: u64,
+        attempt: Option<Attempt>,
+        cause: u8,
+        report: Report,
+        out: &mut Vec<Output>,
+    ) {
+        self.unheard.remove(now, &(server.clone(), session));
+        let Some(held) = self.held.get(&session).filter(|h| h.server() == Some(&server)) else {
+            if !self.held.contains_key(&session) && !self.answered.contains(session) {
+                self.ended.push(now, (session, Some(server), cause));
+            }
+            return;
+        };
         let status = match cause {
             cause::GIVEN_UP => Status::Ok,
             cause::ENDED_BY_VIEWER => Status::Cancelled,
             _ => Status::Reset,
         };
         match held.stage {
-            Stage::Out { .. } => self.attempt_over(&server, session, Status::Reset, report),
+            // Of an attempt before, unless it came where this one is out.
+            Stage::Out { .. } => {
+                if let Some(attempt) = attempt {
+                    self.attempt_over(&server, session, attempt, Status::Reset, report);
+                }
+            }
             Stage::Stands { .. } => {
                 if cause != cause::ENDED_BY_VIEWER {
                     out.push(Output::Over { conn: held.conn, session, cause });
                 }
-                self.end(session, status, report);
+                self.end(now, session, status, report);
             }
-            _ => self.end(session, Status::Cancelled, report),
+            _ => self.end(now, session, Status::Cancelled, report),
         }
     }
 
     /// A session that stood is over, and the module is told.
-    fn end(&mut self, session: u64, status: Status, report: Report) {
+    fn end(&mut self, now: Micros, session: u64, status: Status, report: Report) {
         let Some(held) = self.held.remove(&session) else { return };
         if let Some(server) = held.server() {
             let server = server.clone();
@@ -709,30 +825,35 @@
                 at.standing.remove(&session);
             }
             self.drop_if_gone(&server);
+            // Its viewer has heard, or is owed nothing: a hand-over that crosses this makes it stand no more.
+            self.ended.push(now, (session, Some(server), cause::ENDED_BY_VIEWER));
         }
         let (id, attempt) = (RequestId(session), held.sends.saturating_sub(1));
         self.events.push_back(Event::Outcome { id, attempt, status, closed: true, report });
     }
 
     /// All that stands at a host is over: it died, or is out of reach for good.
-    fn lose(&mut self, server: &ServerId, out: &mut Vec<Output>) {
+    fn lose(&mut self, now: Micros, server: &ServerId, out: &mut Vec<Output>) {
         let Some(at) = self.servers.get_mut(server) else { return };
         self.counts.hosts_lost += 1;
-        let out_there: Vec<_> =
-            self.held.iter().filter(|(_, h)| h.is_out_at(server)).map(|(s, _)| *s).collect();
+        let attempt_there = |(session, held): (&u64, &Held)| match &held.stage {
+            Stage::Out { server: at, attempt, .. } if at == server => Some((*session, *attempt)),
+            _ => None,
+        };
+        let out_there: Vec<_> = self.held.iter().filter_map(attempt_there).collect();
         let standing = std::mem::take(&mut at.standing);
         out.push(Output::Forget { server: server.clone() });
-        for session in out_there {
-            self.attempt_over(server, session, Status::Reset, Report::default());
+        for (session, attempt) in out_there {
+            self.attempt_over(server, session, attempt, Status::Reset, Report::default());
         }
         for session in standing {
             let Some(held) = self.held.get(&session) else { continue };
             if let Stage::Stands { .. } = held.stage {
                 out.push(Output::Over { conn: held.conn, session, cause: cause::FAILED });
-                // If it was only out of reach, it has to hear that this is over.
-                out.push(Output::Release { server: server.clone(), session, cause: cause::ENDED_BY_VIEWER });
             }
-            self.end(session, Status::Reset, Report::default());
+            // If it was only out of reach, it has to hear that this is over.
+            self.say_release(now, server.clone(), session, cause::ENDED_BY_VIEWER, out);
+            self.end(now, session, Status::Reset, Report::default());
         }
         self.drop_if_gone(server);
     }
@@ -753,7 +874,7 @@
             }
         }
         for server in lost {
-            self.lose(&server, out);
+            self.lose(now, &server, out);
             if let Some(server) = self.servers.get_mut(&server) {
                 server.watch = Watch::new(now);
             }
@@ -786,7 +907,7 @@
                 }
             };
             if another {
-                self.lose(&id, out);
+                self.lose(now, &id, out);
                 if let Some(server) = self.servers.get_mut(&id) {
                     server.watch = Watch::new(now);
                 }
@@ -818,16 +939,17 @@
                 Timer::Alarm(token) => self.events.push_back(Event::Alarm { token }),
                 Timer::Ending(session) => {
                     if self.held.get(&session).is_some_and(|h| matches!(h.stage, Stage::Ending { .. })) {
-                        self.end(session, Status::Cancelled, Report::default());
+                        self.end(now, session, Status::Cancelled, Report::default());
                     }
                 }
-                Timer::Attempt(session, sends) => {
-                    let Some(held) = self.held.get(&session).filter(|h| h.sends == sends) else { continue };
-                    if let Stage::Out { server, .. } = &held.stage {
-                        let server = server.clone();
-                        self.given_up.push(now, (server.clone(), session));
-                        out.push(Output::Withdraw { server: server.clone(), session });
-                        self.attempt_over(&server, session, Status::TimedOut, Report::default());
+                Timer::Attempt(session, named) => {
+                    let Some(held) = self.held.get(&session) else { continue };
+                    if let Stage::Out { server, attempt, .. } = &held.stage
+                        && *attempt == named
+                    {
+                        let (server, attempt) = (server.clone(), *attempt);
+                        self.say_withdrawn(now, server.clone(), session, attempt, out);
+                        self.attempt_over(&server, session, attempt, Status::TimedOut, Report::default());
                     }
                 }
             }
--- a/crates/elderpick-sessions/src/watch.rs
+++ b/crates/elderpick-sessions/src/watch.rs
@@ -45,6 +45,8 @@
     heard: Micros,
     tested: Option<Micros>,
     connections: usize,
+    /// A connection broke and may have taken words along, which the host says again on the next one only.
+    missed: bool,
     opening: bool,
     refused: u32,
     silent: u32,
@@ -54,7 +56,16 @@
 impl Watch {
     pub fn new(now: Micros) -> Watch {
         let (refused, silent, not_before) = (0, 0, now);
-        Watch { heard: now, tested: None, connections: 0, opening: false, refused, silent, not_before }
+        Watch {
+            heard: now,
+            tested: None,
+            connections: 0,
+            missed: false,
+            opening: false,
+            refused,
+            silent,
+            not_before,
+        }
     }
 
     /// Anything was read from the host.
@@ -62,9 +73,10 @@
         (self.heard, self.tested, self.refused, self.silent) = (now, None, 0, 0);
     }
 
-    /// A connection of the host's ended.
-    pub fn closed(&mut self) {
+    /// A connection of the host's ended; `whole` tells that all that the host said on it was read.
+    pub fn closed(&mut self, whole: bool) {
         self.connections = self.connections.saturating_sub(1);
+        self.missed |= !whole;
     }
 
     /// An opening, whoever asked for it, ended so.
@@ -73,6 +85,7 @@
         match how {
             Opened::Up => {
                 self.connections += 1;
+                self.missed = false;
                 self.heard(now);
             }
             Opened::Refused => self.refused += 1,
@@ -93,7 +106,7 @@
             return Next::Lost;
         }
         let doubtful = self.refused + self.silent > 0 || self.tested.is_some_and(|at| now - at >= TESTED);
-        if self.connections == 0 || doubtful {
+        if self.connections == 0 || doubtful || (self.missed && known) {
             if self.opening || now < self.not_before {
                 return Next::Nothing;
             }
@@ -139,7 +152,7 @@
     #[test]
     fn a_host_that_died_is_lost_at_once_and_a_silent_one_within_five_seconds() {
         let mut died = up(0);
-        died.closed();
+        died.closed(false);
         assert!(lost_after(&mut died, PAUSE, Opened::Refused) <= 200_000);
         let mut silent = up(0);
         let after = lost_after(&mut silent, 0, Opened::Silent);
@@ -151,7 +164,7 @@
         let mut watch = up(0);
         for now in (0..60_000_000).step_by(50_000) {
             if now % 700_000 == 0 {
-                watch.closed();
+                watch.closed(true);
             }
             match watch.next(now, true) {
                 Next::Lost => panic!("lost at {now}"),
@@ -162,18 +175,31 @@
         }
     }
 
+    #[test]
+    fn a_connection_that_broke_is_followed_by_a_new_one_though_others_are_up() {
+        let mut watch = up(0);
+        watch.opened(0, Opened::Up);
+        watch.closed(true);
+        assert_eq!(watch.next(PAUSE, true), Next::Nothing, "all was read");
+        watch.opened(0, Opened::Up);
+        watch.closed(false);
+        assert_eq!(watch.next(PAUSE, true), Next::Open, "what went down with it comes on a new one");
+        watch.opened(PAUSE, Opened::Up);
+        assert_eq!(watch.next(3 * PAUSE, true), Next::Nothing);
+    }
+
     #[test]
     fn a_host_that_left_the_list_is_lost_with_its_last_connection() {
         let mut watch = up(0);
         assert_eq!(watch.next(10, false), Next::Nothing);
-        watch.closed();
+        watch.closed(true);
         assert_eq!(watch.next(20, false), Next::Lost);
     }
 
     #[test]
     fn a_bound_of_ours_is_no_word_on_the_host() {
         let mut watch = up(0);
-        watch.closed();
+        watch.closed(true);
         for now in (PAUSE..60_000_000).step_by(50_000) {
             match watch.next(now, true) {
                 Next::Lost => panic!("lost at {now}"),
--- a/crates/elderpick-sessions/tests/life.rs
+++ b/crates/elderpick-sessions/tests/life.rs
@@ -7,7 +7,7 @@
 use elderpick_core::api::*;
 use elderpick_platform::journal::Listed;
 use elderpick_platform::viewer::{Figures, SetUp, cause};
-use elderpick_sessions::life::{Input, Life, Output};
+use elderpick_sessions::life::{Attempt, Input, Life, Output};
 use elderpick_sessions::watch::Opened;
 use proptest::prelude::*;
 
@@ -72,13 +72,15 @@
 struct World {
     life: Life,
     now: Micros,
+    /// The last attempt of each session.
+    attempts: BTreeMap<u64, Attempt>,
 }
 
 impl World {
     fn new(hosts: &[&str]) -> World {
         let classes = vec!["free".to_owned(), "paid".to_owned()];
         let life = Life::new(Controller::new(1, settings()), classes, 4);
-        let mut world = World { life, now: 1_000_000 * MS };
+        let mut world = World { life, now: 1_000_000 * MS, attempts: BTreeMap::new() };
         let hosts = hosts.iter().map(|name| listed(name, ServerState::Up, None)).collect();
         world.feed(Input::List { kind: ListKind::Full, hosts });
         world
@@ -89,9 +91,29 @@
         let mut out = Vec::new();
         self.life.handle(self.now, input, &mut out);
         out.retain(|o| !matches!(o, Output::Probe { .. }));
+        for output in &out {
+            if let Output::SetUp { session, attempt, .. } = output {
+                self.attempts.insert(*session, *attempt);
+            }
+        }
         out
     }
 
+    /// The number of a session's last attempt.
+    fn attempt(&self, session: u64) -> Attempt {
+        self.attempts.get(&session).copied().unwrap_or(0)
+    }
+
+    fn refuse(&mut self, server: &ServerId, session: u64, status: Status) -> Vec<Output> {
+        let (server, attempt, report) = (server.clone(), self.attempt(session), Report::default());
+        self.feed(Input::Refused { server, session, attempt, status, report })
+    }
+
+    fn released(&mut self, server: &ServerId, session: u64, cause: u8) -> Vec<Output> {
+        let (server, attempt) = (server.clone(), Some(self.attempt(session)));
+        self.feed(Input::Released { server, session, attempt, cause, report: Report::default() })
+    }
+
     fn ask(&mut self, session: u64, class: &str) -> Vec<Output> {
         self.feed(Input::SetUp { conn: 5, came: self.now, set_up: asks(session, class) })
     }
@@ -112,7 +134,8 @@
     }
 
     fn answer(&mut self, at: &ServerId, session: u64) -> Vec<Output> {
-        self.feed(Input::Answer { server: at.clone(), session, description: Bytes::from_static(b"answer") })
+        let (attempt, description) = (Some(self.attempt(session)), Bytes::from_static(b"answer"));
+        self.feed(Input::Answer { server: at.clone(), session, attempt, description })
     }
 
     /// Sets a session up, and where it plays then.
@@ -142,19 +165,11 @@
 #[test]
 fn an_outcome_proves_only_what_it_may() {
     use Status::*;
-    type End = fn(ServerId) -> Input;
-    let refused =
-        |status| Input::Refused { server: server("x"), session: 1, status, report: Report::default() };
-    let at = |input: Input, to: &ServerId| match input {
-        Input::Refused { status, report, .. } => {
-            Input::Refused { server: to.clone(), session: 1, status, report }
-        }
-        other => other,
-    };
+    type End = fn(ServerId, Attempt) -> Input;
     for (status, proves) in [(Full, true), (Ignored, true), (Failed, false), (Reset, false)] {
         let mut world = World::new(&["a", "b"]);
         let first = sent(&world.ask(1, "paid")).unwrap();
-        let out = world.feed(at(refused(status), &first));
+        let out = world.refuse(&first, 1, status);
         let second = sent(&out);
         assert_eq!(
             (second.is_some(), turned(&out)),
@@ -164,15 +179,21 @@
         assert_ne!(second, Some(first));
     }
     let ends: [(End, bool); 4] = [
-        (|server| Input::Cut { server, session: 1, begun: false }, true),
-        (|server| Input::Kept { server, session: 1 }, true),
-        (|server| Input::Cut { server, session: 1, begun: true }, false),
-        (|server| Input::Released { server, session: 1, cause: 16, report: Report::default() }, false),
+        (|server, attempt| Input::Cut { server, session: 1, attempt, begun: false }, true),
+        (|server, attempt| Input::Kept { server, session: 1, attempt }, true),
+        (|server, attempt| Input::Cut { server, session: 1, attempt, begun: true }, false),
+        (
+            |server, attempt| {
+                let (attempt, report) = (Some(attempt), Report::default());
+                Input::Released { server, session: 1, attempt, cause: 16, report }
+            },
+            false,
+        ),
     ];
     for (end, proves) in ends {
         let mut world = World::new(&["a", "b"]);
         let first = sent(&world.ask(1, "paid")).unwrap();
-        let out = world.feed(end(first));
+        let out = world.feed(end(first, world.attempt(1)));
         assert_eq!((sent(&out).is_some(), turned(&out)), (proves, (!proves).then_some(cause::FAILED)));
     }
 }
@@ -190,7 +211,8 @@
     let mut world = World::new(&["a", "b"]);
     let first = sent(&world.ask(1, "free")).unwrap();
     let out = world.pass(250 * MS);
-    let withdrawn = out.iter().position(|o| *o == Output::Withdraw { server: first.clone(), session: 1 });
+    let withdrawn = Output::Withdraw { server: first.clone(), session: 1, attempt: 1 };
+    let withdrawn = out.iter().position(|o| *o == withdrawn);
     let again = out.iter().position(|o| matches!(o, Output::SetUp { .. }));
     assert!(withdrawn.unwrap() < again.unwrap());
     let late = Output::Release { server: first.clone(), session: 1, cause: cause::ENDED_BY_VIEWER };
@@ -211,7 +233,7 @@
             let out = if step { world.answer(&at, 1) } else { world.feed(Input::Tick) };
             finals +=
                 out.iter().filter(|o| matches!(o, Output::Answer { .. } | Output::Turned { .. })).count();
-            let withdrawn = out.contains(&Output::Withdraw { server: at.clone(), session: 1 });
+            let withdrawn = out.contains(&Output::Withdraw { server: at.clone(), session: 1, attempt: 1 });
             assert_eq!(withdrawn, !answered && !step);
         }
         assert_eq!((finals, world.life.open()), (1, 0));
@@ -228,11 +250,9 @@
         let at = sent(&world.ask(1, "paid")).unwrap();
         if served {
             world.answer(&at, 1);
-            let (report, cause) = (Report::default(), cause::GIVEN_UP);
-            world.feed(Input::Released { server: at, session: 1, cause, report });
+            world.released(&at, 1, cause::GIVEN_UP);
         } else {
-            let (status, report) = (Status::Failed, Report::default());
-            assert!(turned(&world.feed(Input::Refused { server: at, session: 1, status, report })).is_some());
+            assert!(turned(&world.refuse(&at, 1, Status::Failed)).is_some());
         }
         assert_eq!(world.life.held(), 0);
         let copied = SetUp { title: "another".into(), ..asks(1, "paid") };
@@ -273,16 +293,16 @@
     for change in changes {
         let mut world = World::new(&["a"]);
         let at = sent(&world.ask(1, "paid")).unwrap();
-        assert!(world.life.may_write(&at, 1, world.now));
-        assert!(!world.life.may_write(&at, 1, world.now + PATIENCE), "its time is over");
+        assert!(world.life.may_write(&at, 1, world.attempt(1), world.now));
+        assert!(!world.life.may_write(&at, 1, world.attempt(1), world.now + PATIENCE), "its time is over");
         let out = world.list(change);
-        assert!(!world.life.may_write(&at, 1, world.now));
+        assert!(!world.life.may_write(&at, 1, world.attempt(1), world.now));
         assert!(sent(&out).is_none());
     }
     let mut world = World::new(&["a"]);
     let at = sent(&world.ask(1, "free")).unwrap();
     world.feed(Input::Release { conn: 5, session: 1, cause: cause::GIVEN_UP });
-    assert!(!world.life.may_write(&at, 1, world.now), "its viewer has left");
+    assert!(!world.life.may_write(&at, 1, world.attempt(1), world.now), "its viewer has left");
 }
 
 #[test]
@@ -292,7 +312,7 @@
     world.play(2, "paid");
     assert_eq!(turned(&world.ask(3, "paid")), Some(cause::REFUSED), "both seats are taken");
     world.feed(Input::Opened { server: at.clone(), how: Opened::Up });
-    world.feed(Input::HostClosed { server: at.clone() });
+    world.feed(Input::HostClosed { server: at.clone(), whole: false });
     let mut over = Vec::new();
     for _ in 0..40 {
         for output in world.pass(50 * MS) {
@@ -349,8 +369,7 @@
         assert_eq!(out, [Output::Release { server: at.clone(), session: 1, cause: cause::ENDED_BY_VIEWER }]);
         assert_eq!(turned(&world.ask(3, "paid")), Some(cause::REFUSED));
         if says {
-            let (report, cause) = (Report::default(), cause::ENDED_BY_VIEWER);
-            assert_eq!(world.feed(Input::Released { server: at, session: 1, cause, report }), []);
+            assert_eq!(world.released(&at, 1, cause::ENDED_BY_VIEWER), []);
         } else {
             assert!(world.pass(1_000 * MS).iter().all(|o| !matches!(o, Output::Over { .. })));
         }
@@ -367,9 +386,13 @@
     let release = Output::Release { server: at.clone(), session: 1, cause: cause::ENDED_BY_VIEWER };
     let said = |out: Vec<Output>| out.into_iter().filter(|o| *o == release).count();
     assert_eq!(said(world.feed(Input::Release { conn: 5, session: 1, cause: cause::ENDED_BY_VIEWER })), 1);
-    assert_eq!(said(world.feed(Input::HostClosed { server: at.clone() })), 1, "and nothing of session 2");
+    assert_eq!(
+        said(world.feed(Input::HostClosed { server: at.clone(), whole: false })),
+        1,
+        "and nothing of session 2"
+    );
     world.feed(Input::ReleaseHeard { server: at.clone(), session: 1 });
-    assert_eq!(said(world.feed(Input::HostClosed { server: at })), 0);
+    assert_eq!(said(world.feed(Input::HostClosed { server: at, whole: false })), 0);
     assert_eq!(world.life.held(), 1);
 }
 
@@ -402,10 +425,8 @@
     }
     assert_eq!((world.life.held(), world.life.counts.handed, world.life.open()), (1, 1, 0));
     let over = Output::Over { conn: Some(5), session: 1, cause: 16 };
-    let released =
-        |cause| Input::Released { server: server("a"), session: 1, cause, report: Report::default() };
-    assert_eq!(world.feed(released(16)), [over]);
-    assert_eq!(world.feed(released(16)), [], "hosts say it again on the next connection");
+    assert_eq!(world.released(&server("a"), 1, 16), [over]);
+    assert_eq!(world.released(&server("a"), 1, 16), [], "hosts say it again on the next connection");
     handed.figures.at = Some("nowhere".into());
     let hand = Input::SetUp { conn: 5, came: world.now, set_up: handed };
     let lost = Output::Over { conn: Some(5), session: 1, cause: cause::FAILED };
@@ -417,7 +438,10 @@
     let mut world = World::new(&["a"]);
     world.play(1, "free");
     let at = sent(&world.ask(2, "free")).unwrap();
-    assert_eq!(world.feed(Input::Closed { conn: 5 }), [Output::Withdraw { server: at, session: 2 }]);
+    assert_eq!(
+        world.feed(Input::Closed { conn: 5 }),
+        [Output::Withdraw { server: at, session: 2, attempt: 2 }]
+    );
     assert_eq!((world.life.held(), world.life.open(), world.life.open_on(5)), (1, 0, 0));
 }
 
@@ -521,15 +545,15 @@
                     if judge.out.remove(&session).is_some() && matches!(status, Failed | Reset) {
                         judge.ran.insert(session);
                     }
-                    let report = Report::default();
-                    world.feed(Input::Refused { server: at, session, status, report })
+                    world.refuse(&at, session, status)
                 }
                 6 => {
                     let begun = pick / 7 % 2 == 0;
                     if judge.out.remove(&session).is_some() && begun {
                         judge.ran.insert(session);
                     }
-                    world.feed(Input::Cut { server: at, session, begun })
+                    let attempt = world.attempt(session);
+                    world.feed(Input::Cut { server: at, session, attempt, begun })
                 }
                 7 => {
                     let session = nth(judge.owed.keys().copied().collect());
@@ -542,11 +566,11 @@
                     world.list(listed(names[pick % 4], state, None))
                 }
                 9 => {
-                    let (report, cause) = (Report::default(), [16, 31, 41][pick / 7 % 3]);
+                    let cause = [16, 31, 41][pick / 7 % 3];
                     if judge.out.remove(&session).is_some() {
                         judge.ran.insert(session);
                     }
-                    world.feed(Input::Released { server: at, session, cause, report })
+                    world.released(&at, session, cause)
                 }
                 _ => {
                     for _ in 0..pick % 400 {
