--- a/crates/elderpick-lab/src/platform.rs
+++ b/crates/elderpick-lab/src/platform.rs
@@ -1,6 +1,6 @@
 //! Stand-ins of the platform: scripted media hosts, its journal service, viewers, and a gateway's process among them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::process::{Child, Command};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::{AbortHandle, spawn_local};
@@ -39,8 +39,22 @@
     Doubles,
     /// Says nothing until it is told to go on.
     Holds,
+    /// Says nothing until it is told to go on, and refuses then.
+    HoldsRefusal(u16),
 }
 
+/// What a host's connection is told to do.
+enum Word {
+    Say(Vec<u8>),
+    Close,
+    /// Ends so that the other side sees a reset.
+    Reset,
+    /// Reads nothing more.
+    Deaf,
+}
+
+type Words = mpsc::UnboundedSender<Word>;
+
 /// A message that a host got: method, session, and the cause or rung that it names.
 pub type Seen = (String, u64, Option<String>);
 
@@ -48,9 +62,13 @@
 struct Inside {
     script: RefCell<VecDeque<Does>>,
     seen: RefCell<Vec<Seen>>,
-    standing: RefCell<BTreeMap<u64, mpsc::UnboundedSender<Vec<u8>>>>,
+    standing: RefCell<BTreeMap<u64, Words>>,
     heard: RefCell<Vec<u64>>,
     go_on: Notify,
+    lines: RefCell<Vec<Words>>,
+    /// Connections that were taken, and what was done on all of them as they were told.
+    taken: Cell<usize>,
+    done: Cell<usize>,
 }
 
 /// A scripted media host.
@@ -58,8 +76,10 @@
     pub name: String,
     pub address: SocketAddr,
     inside: Rc<Inside>,
-    accepting: AbortHandle,
+    accepting: RefCell<Option<AbortHandle>>,
     talking: Rc<RefCell<Vec<AbortHandle>>>,
+    /// Listens, and takes no connection until it is told to.
+    held: RefCell<Option<(TcpListener, TcpStream)>>,
 }
 
 /// The description that a host answers a session's set-up with.
@@ -81,15 +101,83 @@
     pub async fn start(name: &str) -> Result<Host, String> {
         let listener = TcpListener::bind("127.0.0.1:0").await.map_err(fault)?;
         let address = listener.local_addr().map_err(fault)?;
-        let (inside, talking) = (Rc::new(Inside::default()), Rc::new(RefCell::new(Vec::new())));
-        let (within, talks) = (inside.clone(), talking.clone());
+        let host = Host::at(name, address);
+        host.accept(listener);
+        Ok(host)
+    }
+
+    /// Starts one to which no connection comes up until [`Host::let_in`]: its queue is full.
+    pub async fn start_held(name: &str) -> Result<Host, String> {
+        let socket = TcpSocket::new_v4().map_err(fault)?;
+        socket.bind(([127, 0, 0, 1], 0).into()).map_err(fault)?;
+        // One connection fits that is not taken.
+        let listener = socket.listen(0).map_err(fault)?;
+        let address = listener.local_addr().map_err(fault)?;
+        let first = TcpStream::connect(address).await.map_err(fault)?;
+        let host = Host::at(name, address);
+        *host.held.borrow_mut() = Some((listener, first));
+        Ok(host)
+    }
+
+    fn at(name: &str, address: SocketAddr) -> Host {
+        Host {
+            name: name.into(),
+            address,
+            inside: Rc::default(),
+            accepting: RefCell::default(),
+            talking: Rc::default(),
+            held: RefCell::default(),
+        }
+    }
+
+    fn accept(&self, listener: TcpListener) {
+        let (within, talks) = (self.inside.clone(), self.talking.clone());
         let accepting = spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let inside = within.clone();
+                inside.taken.set(inside.taken.get() + 1);
                 talks.borrow_mut().push(spawn_local(async move { inside.talk(stream).await }).abort_handle());
             }
         });
-        Ok(Host { name: name.into(), address, inside, accepting: accepting.abort_handle(), talking })
+        *self.accepting.borrow_mut() = Some(accepting.abort_handle());
+    }
+
+    /// Takes the connections that were held off; the one that filled the queue is its own.
+    pub fn let_in(&self) {
+        if let Some((listener, first)) = self.held.borrow_mut().take() {
+            drop(first);
+            self.accept(listener);
+        }
+    }
+
+    /// How many connections it has taken.
+    pub fn taken(&self) -> usize {
+        self.inside.taken.get()
+    }
+
+    /// How many things its connections have done, of those that they were told.
+    pub fn done(&self) -> usize {
+        self.inside.done.get()
+    }
+
+    fn tell_lines(&self, word: impl Fn() -> Word) {
+        let mut lines = self.inside.lines.borrow_mut();
+        lines.retain(|line| line.send(word()).is_ok());
+    }
+
+    /// Says something on all its connections.
+    pub fn say(&self, bytes: &[u8]) {
+        self.tell_lines(|| Word::Say(bytes.to_vec()));
+    }
+
+    /// Closes all its connections, or resets them, and goes on listening.
+    pub fn hang_up(&self, reset: bool) {
+        self.tell_lines(|| if reset { Word::Reset } else { Word::Close });
+    }
+
+    /// Reads nothing more on the connections that are up.
+    pub fn stop_reading(&self) {
+        self.tell_lines(|| Word::Deaf);
     }
 
     /// What it does with the next set-ups; after that it answers.
@@ -113,13 +201,15 @@
     /// Ends a session that stands there.
     pub fn end(&self, session: u64, cause: u8) {
         if let Some(line) = self.inside.standing.borrow_mut().remove(&session) {
-            let _ = line.send(rtsp::teardown(session, Some(cause)));
+            let _ = line.send(Word::Say(rtsp::teardown(session, Some(cause))));
         }
     }
 
     /// Dies: nothing listens any more and all connections end.
     pub fn die(&self) {
-        self.accepting.abort();
+        if let Some(accepting) = self.accepting.borrow_mut().take() {
+            accepting.abort();
+        }
         self.talking.borrow_mut().drain(..).for_each(|talk| talk.abort());
     }
 }
@@ -127,18 +217,30 @@
 impl Inside {
     async fn talk(self: Rc<Self>, stream: TcpStream) {
         let (mut reads, mut writes) = stream.into_split();
-        let (line, mut words) = mpsc::unbounded_channel::<Vec<u8>>();
-        let (mut decoder, mut chunk) = (rtsp::Decoder::default(), vec![0; 4096]);
+        let (line, mut words) = mpsc::unbounded_channel::<Word>();
+        self.lines.borrow_mut().push(line.clone());
+        let (mut decoder, mut chunk, mut deaf) = (rtsp::Decoder::default(), vec![0; 4096], false);
         loop {
             tokio::select! {
                 word = words.recv() => {
-                    // An empty word closes the connection.
-                    let word = word.unwrap_or_default();
-                    if word.is_empty() || writes.write_all(&word).await.is_err() {
-                        return;
+                    let goes_on = match word {
+                        Some(Word::Say(word)) => writes.write_all(&word).await.is_ok(),
+                        Some(Word::Deaf) => {
+                            deaf = true;
+                            true
+                        }
+                        // The deprecated way waits for nothing here: what is unsaid is dropped.
+                        #[allow(deprecated)]
+                        Some(Word::Reset) => writes.as_ref().set_linger(Some(Duration::ZERO)).is_err(),
+                        Some(Word::Close) | None => false,
+                    };
+                    if !goes_on {
+                        drop((reads, writes));
+                        return self.done.set(self.done.get() + 1);
                     }
+                    self.done.set(self.done.get() + 1);
                 }
-                read = reads.read(&mut chunk) => {
+                read = reads.read(&mut chunk), if !deaf => {
                     let Ok(read @ 1..) = read else { return };
                     decoder.push(&chunk[..read]);
                     while let Ok(Some(message)) = decoder.message() {
@@ -149,14 +251,14 @@
         }
     }
 
-    fn take(self: &Rc<Self>, message: &rtsp::Message, line: &mpsc::UnboundedSender<Vec<u8>>) {
+    fn take(self: &Rc<Self>, message: &rtsp::Message, line: &Words) {
         let session = message.session;
         let Start::Request { method } = &message.start else {
             return self.heard.borrow_mut().push(session);
         };
         let detail = message.header("Reason").or_else(|| message.header("P-Level"));
         self.seen.borrow_mut().push((method.clone(), session, detail.map(str::to_owned)));
-        let say = |bytes: Vec<u8>| drop(line.send(bytes));
+        let say = |bytes: Vec<u8>| drop(line.send(Word::Say(bytes)));
         match method.as_str() {
             "SETUP" => {
                 let does = self.script.borrow_mut().pop_front().unwrap_or(Does::Answers);
@@ -171,13 +273,17 @@
                     Does::Spoils => say(b"RTSP/1.0 200 OK\r\nCSeq: 1\r\n\x07\x01\x02 noise\r\n\r\n".to_vec()),
                     Does::BreaksOff => {
                         say(answer(session)[..60].to_vec());
-                        say(Vec::new());
+                        let _ = line.send(Word::Close);
                     }
-                    Does::Holds => {
+                    Does::Holds | Does::HoldsRefusal(_) => {
                         let (inside, line) = (self.clone(), line.clone());
+                        let then = match does {
+                            Does::HoldsRefusal(status) => rtsp::response(status, 1, session),
+                            _ => answer(session),
+                        };
                         spawn_local(async move {
                             inside.go_on.notified().await;
-                            let _ = line.send(answer(session));
+                            let _ = line.send(Word::Say(then));
                         });
                     }
                 }
@@ -198,18 +304,38 @@
     }
 }
 
+/// How a journal speaks.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Speaks {
+    Well,
+    /// Answers the call and says nothing more.
+    NotAtAll,
+    /// Sends an event byte by byte, which does not end.
+    Trickling,
+    /// Answers the call and closes.
+    Closing,
+    /// Tells its next event with a host in it that cannot be read, this once, and closes.
+    SpoiltOnce,
+}
+
 /// The journal service: events from the first on, to whoever asks.
 pub struct Journal {
     pub address: SocketAddr,
     told: Rc<RefCell<Vec<Value>>>,
     news: Rc<Notify>,
     breaks: Rc<Notify>,
+    /// How it answers calls from now on.
+    pub speaks: Rc<Cell<Speaks>>,
     /// The `Last-Event-ID` of each call.
     pub calls: Rc<RefCell<Vec<u64>>>,
 }
 
 impl Journal {
     pub async fn start() -> Result<Journal, String> {
+        Journal::start_as(Speaks::Well).await
+    }
+
+    pub async fn start_as(speaks: Speaks) -> Result<Journal, String> {
         let listener = TcpListener::bind("127.0.0.1:0").await.map_err(fault)?;
         let address = listener.local_addr().map_err(fault)?;
         let journal = Journal {
@@ -217,15 +343,18 @@
             told: Rc::default(),
             news: Rc::default(),
             breaks: Rc::default(),
+            speaks: Rc::new(Cell::new(speaks)),
             calls: Rc::default(),
         };
         let (told, news, breaks, calls) =
             (journal.told.clone(), journal.news.clone(), journal.breaks.clone(), journal.calls.clone());
+        let speaks = journal.speaks.clone();
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (told, news, breaks, calls) = (told.clone(), news.clone(), breaks.clone(), calls.clone());
+                let speaks = speaks.clone();
                 spawn_local(async move {
-                    let _ = tell(stream, &told, &news, &breaks, &calls).await;
+                    let _ = tell(stream, &told, &news, &breaks, &calls, &speaks).await;
                 });
             }
         });
@@ -265,6 +394,7 @@
     news: &Notify,
     breaks: &Notify,
     calls: &RefCell<Vec<u64>>,
+    speaks: &Cell<Speaks>,
 ) -> std::io::Result<()> {
     let mut head = String::new();
     let (reads, mut writes) = stream.split();
@@ -281,6 +411,29 @@
     writes
         .write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
         .await?;
+    match speaks.get() {
+        Speaks::Well => {}
+        Speaks::Closing => return Ok(()),
+        Speaks::NotAtAll => loop {
+            if reads.read_line(&mut head).await? == 0 {
+                return Ok(());
+            }
+        },
+        Speaks::Trickling => {
+            writes.write_all(b"data: ").await?;
+            loop {
+                writes.write_all(b"x").await?;
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+        }
+        Speaks::SpoiltOnce => {
+            let next = told.borrow().get(last as usize).map(Value::to_string);
+            let Some(next) = next else { return Ok(()) };
+            speaks.set(Speaks::Well);
+            let event = next.replace("127.0.0.1:", "127.0.0.1;");
+            return writes.write_all(format!("id: {}\ndata: {event}\n\n", last + 1).as_bytes()).await;
+        }
+    }
     loop {
         let more: Vec<_> = told.borrow().iter().skip(last as usize).cloned().collect();
         for event in more {
@@ -309,7 +462,10 @@
 
 impl Viewers {
     pub async fn connect(to: SocketAddr) -> Result<Viewers, String> {
-        let (reads, writes) = TcpStream::connect(to).await.map_err(fault)?.into_split();
+        let stream = TcpStream::connect(to).await.map_err(fault)?;
+        // What is written has come when the write returns.
+        stream.set_nodelay(true).map_err(fault)?;
+        let (reads, writes) = stream.into_split();
         Ok(Viewers { reads, writes, decoder: viewer::Decoder::default() })
     }
 
@@ -322,6 +478,22 @@
         self.write(&set_up(session, class, at)).await
     }
 
+    /// Asks whether the gateway takes new viewers, and what it says; what it has read by then was said before.
+    pub async fn test(&mut self) -> Result<bool, String> {
+        self.write(&[0, 9, viewer::kind::TEST, 0, 0, 0, 0, 0, 0, 0, 9]).await?;
+        let answer = self.next().await?.ok_or("closed")?;
+        if answer.kind != viewer::kind::TESTED {
+            return Err(format!("no answer to a test: {answer:?}"));
+        }
+        answer.cause().map(|cause| cause == 1).map_err(fault)
+    }
+
+    /// Ends the connection so that the gateway sees a reset.
+    #[allow(deprecated)]
+    pub fn reset(self) -> Result<(), String> {
+        self.writes.as_ref().set_linger(Some(Duration::ZERO)).map_err(fault)
+    }
+
     pub async fn release(&mut self, session: u64, cause: u8) -> Result<(), String> {
         let mut bytes = Vec::new();
         viewer::release(&mut bytes, session, cause, None);
@@ -417,6 +589,26 @@
         std::fs::write(&self.config, config.to_string()).map_err(fault)
     }
 
+    /// Stops the process where it is: what happens until [`Gateway::resume`] has all happened when it goes on.
+    pub async fn pause(&self) -> Result<(), String> {
+        self.signal(nix::sys::signal::Signal::SIGSTOP)?;
+        let id = self.child.id().ok_or("it has ended")?;
+        let stopped = async {
+            loop {
+                let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).map_err(fault)?;
+                if stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T')) {
+                    return Ok(());
+                }
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, stopped).await.map_err(fault)?
+    }
+
+    pub fn resume(&self) -> Result<(), String> {
+        self.signal(nix::sys::signal::Signal::SIGCONT)
+    }
+
     pub fn signal(&self, signal: nix::sys::signal::Signal) -> Result<(), String> {
         let id = self.child.id().ok_or("it has ended")?;
         nix::sys::signal::kill(nix::unistd::Pid::from_raw(id as i32), signal).map_err(fault)
--- a/crates/elderpick-lab/tests/platform.rs
+++ b/crates/elderpick-lab/tests/platform.rs
@@ -1,74 +1,15 @@
 //! A gateway's process on the platform's wire among scripted hosts, viewers and journal, on loopback.
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::Command;
 
-use elderpick_lab::platform::{Does, Gateway, Host, Journal, PATIENCE, Viewers, config, description, set_up};
-use elderpick_platform::viewer::{self, Message, cause, code, kind};
+use elderpick_lab::platform::{Does, Host, Journal, PATIENCE, Viewers, config, description, set_up};
+use elderpick_platform::viewer::{self, cause, kind};
 use nix::sys::signal::Signal;
 
-fn program() -> PathBuf {
-    env!("CARGO_BIN_EXE_elderpick-lab").into()
-}
-
-/// An empty folder of this test's.
-fn folder(name: &str) -> PathBuf {
-    let path = std::env::temp_dir().join(format!("elderpick-platform-{}-{name}", std::process::id()));
-    let _ = std::fs::remove_dir_all(&path);
-    std::fs::create_dir_all(&path).unwrap();
-    path
-}
-
-struct World {
-    hosts: Vec<Host>,
-    journal: Journal,
-    gateway: Gateway,
-    folder: PathBuf,
-}
-
-impl Drop for World {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
-async fn world(name: &str, hosts: usize, sockets: usize) -> World {
-    let mut all = Vec::new();
-    for k in 0..hosts {
-        all.push(Host::start(&format!("s-{k}")).await.unwrap());
-    }
-    let journal = Journal::start().await.unwrap();
-    journal.tell(true, &all.iter().map(|host| (host, "Ready")).collect::<Vec<_>>());
-    let folder = folder(name);
-    let gateway = Gateway::start(&program(), &folder, &config(&journal, sockets)).await.unwrap();
-    World { hosts: all, journal, gateway, folder }
-}
-
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    tokio::task::LocalSet::new().block_on(&runtime, test);
-}
-
-/// Asks until `holds`, for as long as anything is waited for.
-async fn until(what: &str, mut holds: impl FnMut() -> bool) {
-    let wait = async {
-        while !holds() {
-            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
-        }
-    };
-    assert!(tokio::time::timeout(PATIENCE, wait).await.is_ok(), "{what}");
-}
+mod common;
 
-fn described(message: &Message) -> Vec<u8> {
-    let found = message.parameters().map(Result::unwrap).find(|(code, _)| *code == code::DESCRIPTION);
-    found.unwrap().1.to_vec()
-}
-
-fn host_saw(world: &World, method: &str, session: u64) -> Vec<(String, Option<String>)> {
-    let seen = world.hosts.iter().flat_map(|host| host.seen().into_iter().map(|s| (host.name.clone(), s)));
-    let fits = seen.filter(|(_, (m, s, _))| m == method && *s == session);
-    fits.map(|(host, (_, _, detail))| (host, detail)).collect()
-}
+use common::{described, folder, host_saw, program, run, until, world};
 
 #[test]
 fn a_calm_run_from_set_up_to_release() {
--- a/crates/elderpick-node/src/link.rs
+++ b/crates/elderpick-node/src/link.rs
@@ -277,4 +277,78 @@
         let mut all = Vec::new();
         assert_eq!((peer.read_to_end(&mut all).expect("an end"), held.send_now(b"more")), (3, false));
     }
+
+    /// A connection, and its other end.
+    async fn pair() -> (Link, std::net::TcpStream) {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let stream = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("up");
+        (Link::new(stream), listener.accept().expect("a connection").0)
+    }
+
+    /// Both have happened when its task comes to run; the runtime picks by chance which it sees first, so many times.
+    #[tokio::test]
+    async fn what_comes_behind_our_end_is_not_heard() {
+        use std::io::Write;
+        for _ in 0..64 {
+            let (link, mut peer) = pair().await;
+            let (buffer, mut heard) = (RefCell::new(vec![0; CHUNK]), 0);
+            let mut run = Box::pin(link.run(&buffer, |chunk| {
+                heard += chunk.len();
+                true
+            }));
+            // It waits for either.
+            assert!(poll_once(run.as_mut()).await.is_none());
+            peer.write_all(b"late").expect("written");
+            link.stream.readable().await.expect("the runtime knows of it");
+            link.end(true);
+            assert!(!run.await, "not all was heard");
+            assert_eq!(heard, 0);
+        }
+    }
+
+    #[tokio::test]
+    async fn who_leaves_hears_the_last_words_of_the_other_side() {
+        use std::io::Write;
+        let (link, mut peer) = pair().await;
+        let (buffer, mut heard) = (RefCell::new(vec![0; CHUNK]), Vec::new());
+        link.leave();
+        let mut all = Vec::new();
+        // It has seen the end before it says its last words.
+        assert_eq!(peer.read_to_end(&mut all).expect("an end"), 0);
+        peer.write_all(b"over").expect("written");
+        drop(peer);
+        let whole = link.run(&buffer, |chunk| {
+            heard.extend_from_slice(chunk);
+            true
+        });
+        assert!(whole.await);
+        assert_eq!(heard, b"over");
+        assert!(!link.send_now(b"more"));
+    }
+
+    #[tokio::test]
+    async fn a_look_takes_what_has_come_before_the_runtime_knows_of_it() {
+        use std::io::Write;
+        let (link, mut peer) = pair().await;
+        let mut heard = Vec::new();
+        assert!(!link.look(|_| true));
+        peer.write_all(b"x").expect("written");
+        drop(peer);
+        assert!(link.look(|chunk| {
+            heard.extend_from_slice(chunk);
+            true
+        }));
+        assert!(heard == b"x" && link.ended() && !link.look(|_| true));
+    }
+
+    /// Polls once.
+    async fn poll_once<T>(mut future: std::pin::Pin<&mut impl Future<Output = T>>) -> Option<T> {
+        std::future::poll_fn(|context| {
+            std::task::Poll::Ready(match future.as_mut().poll(context) {
+                std::task::Poll::Ready(done) => Some(done),
+                std::task::Poll::Pending => None,
+            })
+        })
+        .await
+    }
 }
