A session that its host ended before the answer is said is answered as failed, not as standing

Its viewer looked, and left, in the moment in which its session began, and the answer promised what was over. docs/measurements/fleet.md held that nothing can be done: part of it can. hosts.rs: what came behind an answer in the same piece was told after the answer was said (node.rs, take); no look was made whether more had come. Now the line is looked at, an end that was read makes the final answer 'failed', and where the host spoke of the session's delivery before its answer was said, the answer waits 3 ms for an end right behind: its viewer has looked already. What stays: an end that is still on its way when the answer is said, about a third of a millisecond.

--- a/crates/elderpick-lab/src/platform.rs
+++ b/crates/elderpick-lab/src/platform.rs
@@ -37,6 +37,10 @@
     BreaksOff,
     /// Answers twice.
     Doubles,
+    /// Answers, tells of poor delivery and ends the session, in one piece.
+    EndsAtOnce(u8),
+    /// Answers and tells of delivery in one piece.
+    Notes,
     /// Says nothing until it is told to go on.
     Holds,
     /// Says nothing until it is told to go on, and refuses then.
@@ -96,6 +100,12 @@
     [head.into_bytes(), body].concat()
 }
 
+fn note(session: u64) -> Vec<u8> {
+    let head = "ANNOUNCE rtsp://media/session RTSP/1.0\r\nCSeq: 4\r\n";
+    format!("{head}Session: {session:016x}\r\nX-Note: d\r\nP-Amount: 0.551\r\nContent-Length: 0\r\n\r\n")
+        .into_bytes()
+}
+
 impl Host {
     /// Starts one on a port of the system's.
     pub async fn start(name: &str) -> Result<Host, String> {
@@ -262,13 +272,17 @@
         match method.as_str() {
             "SETUP" => {
                 let does = self.script.borrow_mut().pop_front().unwrap_or(Does::Answers);
-                let stands = matches!(does, Does::Answers | Does::Doubles | Does::Holds);
+                let stands = matches!(does, Does::Answers | Does::Doubles | Does::Holds | Does::Notes);
                 if stands {
                     self.standing.borrow_mut().insert(session, line.clone());
                 }
                 match does {
                     Does::Answers => say(answer(session)),
                     Does::Doubles => say([answer(session), answer(session), answer(!session)].concat()),
+                    Does::EndsAtOnce(cause) => {
+                        say([answer(session), note(session), rtsp::teardown(session, Some(cause))].concat());
+                    }
+                    Does::Notes => say([answer(session), note(session)].concat()),
                     Does::Refuses(status) => say(rtsp::response(status, 1, session)),
                     Does::Spoils => say(b"RTSP/1.0 200 OK\r\nCSeq: 1\r\n\x07\x01\x02 noise\r\n\r\n".to_vec()),
                     Does::BreaksOff => {
--- a/crates/elderpick-lab/tests/crossings.rs
+++ b/crates/elderpick-lab/tests/crossings.rs
@@ -295,6 +295,24 @@
     });
 }
 
+/// Seen on a fleet's day: a viewer looked and left in the very moment in which its session began.
+#[test]
+fn a_session_that_is_over_before_its_answer_is_said_is_not_answered_as_standing() {
+    run(async {
+        let world = world("moment", 1, 256).await;
+        let mut viewers = connect(&world).await;
+        world.hosts[0].script(&[Does::EndsAtOnce(31), Does::EndsAtOnce(16), Does::Notes]);
+        for session in [1, 2] {
+            assert_eq!(asked(&mut viewers, session, "paid").await, (kind::RELEASE, Some(cause::FAILED)));
+        }
+        assert_eq!(asked(&mut viewers, 3, "paid").await, SERVED, "it stands all the same");
+        // Each had one final answer, and the third is the only one that stands.
+        world.hosts[0].die();
+        assert_eq!(ended(&mut viewers, 3).await, (kind::RELEASE, Some(cause::FAILED)));
+        assert!(viewers.test().await.unwrap());
+    });
+}
+
 /// Few descriptors, so that several set-ups share a line.
 #[test]
 fn a_line_that_is_used_no_more_keeps_what_is_out_on_it() {
--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -508,25 +508,39 @@
                 line.told.set(now);
                 self.feed(Input::Heard { server: server.clone() });
             }
-            let mut decoder = line.decoder.borrow_mut();
-            decoder.push(chunk);
-            loop {
-                match decoder.message() {
-                    Ok(Some(message)) => self.host_said(server, line, &message),
-                    Ok(None) => break,
-                    Err(why) => {
-                        self.hosts.unreadable.set(self.hosts.unreadable.get() + 1);
-                        tracing::debug!(server = %server, %why, "a host sent what cannot be read");
-                        line.link.end(true);
-                        return false;
-                    }
-                }
+            let before = self.later.borrow().len();
+            let mut goes_on = self.host_read(server, line, chunk);
+            let answers = |input: &Input| matches!(input, Input::Answer { .. });
+            if goes_on && self.later.borrow().iter().skip(before).any(answers) {
+                // Whether it still stands: its host may have said more by now.
+                line.link.look(|chunk| {
+                    goes_on = self.host_read(server, line, chunk);
+                    goes_on
+                });
             }
-            line.partial.set(decoder.partial());
-            true
+            goes_on
         })
     }
 
+    fn host_read(self: &Rc<Self>, server: &ServerId, line: &Rc<Line>, chunk: &[u8]) -> bool {
+        let mut decoder = line.decoder.borrow_mut();
+        decoder.push(chunk);
+        loop {
+            match decoder.message() {
+                Ok(Some(message)) => self.host_said(server, line, &message),
+                Ok(None) => break,
+                Err(why) => {
+                    self.hosts.unreadable.set(self.hosts.unreadable.get() + 1);
+                    tracing::debug!(server = %server, %why, "a host sent what cannot be read");
+                    line.link.end(true);
+                    return false;
+                }
+            }
+        }
+        line.partial.set(decoder.partial());
+        true
+    }
+
     fn host_said(self: &Rc<Self>, server: &ServerId, line: &Rc<Line>, message: &rtsp::Message) {
         let (session, server) = (message.session, server.clone());
         tracing::trace!(server = %server, ?message, "a host says");
@@ -538,7 +552,8 @@
                     match (set_up_status(*status), attempt) {
                         (Status::Ok, attempt) => {
                             let description = message.body.clone();
-                            self.feed(Input::Answer { server, session, attempt, description });
+                            let over = None;
+                            self.feed(Input::Answer { server, session, attempt, description, over });
                         }
                         (status, Some(attempt)) => {
                             let report = self.report(message);
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -1,7 +1,7 @@
 //! One gateway: what its tasks share, and how what the sessions' life says is carried out.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,6 +14,7 @@
 use elderpick_sessions::keep::Kept;
 use elderpick_sessions::life::{Conn, Input, Life, Output};
 use tokio::sync::Notify;
+use tokio::task::spawn_local;
 
 use crate::hosts::{Hosts, Try};
 use crate::viewers::{Guests, Standing};
@@ -39,6 +40,9 @@
     pub journal: Cell<SocketAddr>,
     pub moved: Notify,
     pub caught_up: Cell<bool>,
+    /// Answers that wait a moment, and the cause for which the host has ended the session meanwhile; bounded by the
+    /// set-ups that may be open.
+    pub held_answers: RefCell<BTreeMap<u64, Option<u8>>>,
     pub ending: Cell<bool>,
     /// No further connection of viewers is taken.
     pub stop_coming: Notify,
@@ -132,6 +136,7 @@
             }
             self.later.borrow_mut().extend(behind);
         }
+        let Some(input) = self.settled(input) else { return };
         self.life.borrow_mut().handle(self.now(), input, out);
         let said = std::mem::take(out);
         said.into_iter().for_each(|output| self.carry_out(output));
@@ -140,6 +145,46 @@
         }
     }
 
+    /// Whether what is answered still stands. An end that was read behind the answer is told with it. Where the host has
+    /// spoken of the session's delivery already, its viewer has looked, and an end may be right behind: the answer waits
+    /// a moment for it. `None` for what waits, or goes with what does.
+    fn settled(self: &Rc<Self>, input: Input) -> Option<Input> {
+        let (server, session, attempt, description) = match input {
+            Input::Released { session, cause, .. } if self.held_answers.borrow().contains_key(&session) => {
+                self.held_answers.borrow_mut().insert(session, Some(cause));
+                return None;
+            }
+            Input::Answer { server, session, attempt: Some(attempt), description, over: None } => {
+                (server, session, attempt, description)
+            }
+            input => return Some(input),
+        };
+        let ended = |input: &Input| match input {
+            Input::Released { server: at, session: of, cause, .. } if *at == server && *of == session => {
+                Some(*cause)
+            }
+            _ => None,
+        };
+        let mut later = self.later.borrow_mut();
+        let over = later.iter().find_map(ended);
+        later.retain(|input| ended(input).is_none());
+        let noted = |input: &Input| matches!(input, Input::Noted { session: of, .. } if *of == session);
+        let waits = over.is_none()
+            && later.iter().any(noted)
+            && self.held_answers.borrow_mut().insert(session, None).is_none();
+        let attempt = Some(attempt);
+        if !waits {
+            return Some(Input::Answer { server, session, attempt, description, over });
+        }
+        let node = self.clone();
+        spawn_local(async move {
+            tokio::time::sleep(MOMENT).await;
+            let over = node.held_answers.borrow_mut().remove(&session).flatten();
+            node.feed(Input::Answer { server, session, attempt, description, over });
+        });
+        None
+    }
+
     /// The number of set-ups that are open on a connection has changed.
     fn opened(&self, conn: Conn) {
         let open = self.life.borrow().open_on(conn);
@@ -304,4 +349,6 @@
 }
 
 const STALL: Micros = 20_000;
+/// An answer whose session its host has spoken of already waits so long for what is right behind.
+const MOMENT: Duration = Duration::from_millis(3);
 const CHORES: Duration = Duration::from_millis(200);
--- a/crates/elderpick-sessions/src/life.rs
+++ b/crates/elderpick-sessions/src/life.rs
@@ -76,6 +76,8 @@
         /// The attempt that is out on the connection that this came on; `None` where none of the session's is.
         attempt: Option<Attempt>,
         description: Bytes,
+        /// Its host has ended it since, for this cause, and nothing was answered yet.
+        over: Option<u8>,
     },
     /// A host has not.
     Refused {
@@ -414,8 +416,8 @@
                     self.release(now, conn, session, cause::GIVEN_UP, out);
                 }
             }
-            Input::Answer { server, session, attempt, description } => {
-                self.answered(now, server, session, attempt, description, out);
+            Input::Answer { server, session, attempt, description, over } => {
+                self.answered(now, server, session, attempt, (description, over), out);
             }
             Input::Refused { server, session, attempt, status, report } => {
                 self.attempt_over(&server, session, attempt, status, report);
@@ -755,7 +757,7 @@
         server: ServerId,
         session: u64,
         attempt: Option<Attempt>,
-        description: Bytes,
+        (description, over): (Bytes, Option<u8>),
         out: &mut Vec<Output>,
     ) {
         let held = self.held.get(&session);
@@ -774,6 +776,15 @@
         held.stage = Stage::Stands { server: server.clone() };
         held.set_up = None;
         let attempt = held.sends - 1;
+        if let Some(cause) = over {
+            // It stood for a moment: an answer would promise what is over.
+            let turned = |conn| Output::Turned { conn, session, cause: cause::FAILED, stay_away: None };
+            out.extend(held.conn.map(turned));
+            self.counts.failed += 1;
+            self.answered.push(now, session);
+            self.events.push_back(Event::Playing { id: RequestId(session), attempt });
+            return self.end(now, session, Life::ended_as(cause), Report::default());
+        }
         if let Some(conn) = held.conn {
             out.push(Output::Answer { conn, session, description });
         }
@@ -787,6 +798,15 @@
 
     // ---- What stands ----
 
+    /// What a host's cause for an end means.
+    fn ended_as(cause: u8) -> Status {
+        match cause {
+            cause::GIVEN_UP => Status::Ok,
+            cause::ENDED_BY_VIEWER => Status::Cancelled,
+            _ => Status::Reset,
+        }
+    }
+
     /// A host's word that a session is over.
     #[allow(clippy::too_many_arguments)]
     fn released(
@@ -806,11 +826,7 @@
             }
             return;
         };
-        let status = match cause {
-            cause::GIVEN_UP => Status::Ok,
-            cause::ENDED_BY_VIEWER => Status::Cancelled,
-            _ => Status::Reset,
-        };
+        let status = Life::ended_as(cause);
         match held.stage {
             // Of an attempt before, unless it came where this one is out.
             Stage::Out { .. } => {
--- a/crates/elderpick-sessions/tests/crossings.rs
+++ b/crates/elderpick-sessions/tests/crossings.rs
@@ -399,7 +399,7 @@
                 }
                 let description = Bytes::from_static(b"answer");
                 let (server, attempt) = self.mixed(session, server, attempt);
-                self.feed(Input::Answer { server, session, attempt, description });
+                self.feed(Input::Answer { server, session, attempt, description, over: None });
             }
             Say::Refused(session, status) => {
                 let own = self.lines[line].out.remove(&session);
