--- a/crates/elderpick-lab/src/platform.rs
+++ b/crates/elderpick-lab/src/platform.rs
@@ -66,6 +66,8 @@
 struct Inside {
     script: RefCell<VecDeque<Does>>,
     seen: RefCell<Vec<Seen>>,
+    /// Class and patience of each set-up, by session.
+    asked: RefCell<BTreeMap<u64, (String, u64)>>,
     standing: RefCell<BTreeMap<u64, Words>>,
     heard: RefCell<Vec<u64>>,
     go_on: Notify,
@@ -203,6 +205,11 @@
         self.inside.seen.borrow().clone()
     }
 
+    /// Class and patience that a set-up named.
+    pub fn asked(&self, session: u64) -> Option<(String, u64)> {
+        self.inside.asked.borrow().get(&session).cloned()
+    }
+
     /// Sessions whose release the gateway has said to have heard.
     pub fn heard(&self) -> Vec<u64> {
         self.inside.heard.borrow().clone()
@@ -271,6 +278,9 @@
         let say = |bytes: Vec<u8>| drop(line.send(Word::Say(bytes)));
         match method.as_str() {
             "SETUP" => {
+                let told = |name| message.header(name).unwrap_or_default().trim().to_owned();
+                let patience = told("X-Patience").parse().unwrap_or_default();
+                self.asked.borrow_mut().insert(session, (told("Subject"), patience));
                 let does = self.script.borrow_mut().pop_front().unwrap_or(Does::Answers);
                 let stands = matches!(does, Does::Answers | Does::Doubles | Does::Holds | Does::Notes);
                 if stands {
@@ -532,13 +542,18 @@
 
 /// A set-up as viewers send it.
 pub fn set_up(session: u64, class: &str, at: Option<&str>) -> Vec<u8> {
+    set_up_of(session, class, at, "8000", "7f3a9c21e0b4d655")
+}
+
+/// A set-up with a patience and a title of its own.
+pub fn set_up_of(session: u64, class: &str, at: Option<&str>, patience: &str, title: &str) -> Vec<u8> {
     let at = at.map(|at| format!(";at:{at}")).unwrap_or_default();
     let figures = format!("home:0;copies:1;top:1;viewer:0000000000000001{at}");
     let mut bytes = Vec::new();
     let parameters: [(u8, &[u8]); 5] = [
         (viewer::code::CLASS, class.as_bytes()),
-        (viewer::code::PATIENCE, b"8000"),
-        (viewer::code::TITLE, b"7f3a9c21e0b4d655"),
+        (viewer::code::PATIENCE, patience.as_bytes()),
+        (viewer::code::TITLE, title.as_bytes()),
         (viewer::code::FIGURES, figures.as_bytes()),
         (viewer::code::DESCRIPTION, b"offer"),
     ];
--- a/crates/elderpick-lab/tests/crossings.rs
+++ b/crates/elderpick-lab/tests/crossings.rs
@@ -1,7 +1,7 @@
 //! Two events that cross, on real sockets, in the order that a test forces: the gateway's process is stopped while both
 //! happen, or a stand-in holds one of them until the other has. `docs/design/crossings.md` names each path.
 
-use elderpick_lab::platform::{Does, Host, Journal, PATIENCE, Speaks, Viewers, config, set_up};
+use elderpick_lab::platform::{Does, Host, Journal, PATIENCE, Speaks, Viewers, config, set_up, set_up_of};
 use elderpick_platform::rtsp;
 use elderpick_platform::viewer::{self, cause, kind};
 use nix::sys::signal::Signal;
@@ -565,3 +565,70 @@
         assert!(viewers.test().await.unwrap(), "nothing else stood");
     });
 }
+
+// ---- Another customer's settings ----
+
+/// Seven classes in no order of their names; the arrays by class are too short, too long, missing, or have zeros.
+fn many_classes(config: &mut Value) {
+    let settings = &mut config["settings"];
+    let class = |name: &str, effect: &str, limit: i64| {
+        json!({"name": name, "effect": effect, "group": "all", "on_time_us": limit / 2, "hard_limit_us": limit,
+               "window_us": 0, "worth": 1.0, "stream": true})
+    };
+    settings["profiles"] = json!([
+        class("zebra", "free", 40_000_000),
+        class("ant", "single_shot", 900_000),
+        class("mole", "free", 3_000_000),
+        class("ant-eater", "single_shot", 60_000_000)
+    ]);
+    settings["extra"]["class_floor"] = json!([0, 1]);
+    settings["extra"]["class_top"] = json!([0, 1, 1, 0, 5, 5]);
+    settings["extra"]["class_scale"] = json!([]);
+    settings["extra"].as_object_mut().unwrap().remove("class_seats");
+    settings["limits"]["may_probe"] = json!(false);
+}
+
+#[test]
+fn nothing_of_one_set_up_reaches_anothers() {
+    run(async {
+        let hosts = vec![Host::start("s-0").await.unwrap(), Host::start("s-1").await.unwrap()];
+        let world = world_of("classes", hosts, Journal::start().await.unwrap(), 256, many_classes).await;
+        // Each refuses once, so that some are sent a second time.
+        world.hosts.iter().for_each(|host| host.script(&[Does::Refuses(454)]));
+        let mut viewers = connect(&world).await;
+        let wishes = [
+            (1, "zebra", 30_000, "00000000000000a1", "0"),
+            (2, "ant", 900, "00000000000000b2", "1"),
+            (3, "mole", 2_500, "00000000000000c3", "1"),
+            (4, "ant-eater", 59_000, "00000000000000d4", "0"),
+        ];
+        let mut all = Vec::new();
+        for (session, class, patience, title, _) in wishes {
+            all.extend(set_up_of(session, class, None, &patience.to_string(), title));
+            // One that cannot be read, and an unknown class beside a known prefix, between any two.
+            all.extend(set_up_of(session + 10, "ant-e", None, "77777", "00000000000000ff"));
+            all.extend(set_up_of(session + 20, "mole", None, "not a number", "00000000000000fe"));
+        }
+        viewers.write(&all).await.unwrap();
+        let mut answers = Vec::new();
+        for _ in 0..12 {
+            let answer = viewers.next().await.unwrap().unwrap();
+            answers.push((answer.session, answer.kind));
+        }
+        answers.sort_unstable();
+        let served = |session: u64| (session, if session <= 4 { kind::ANSWER } else { kind::RELEASE });
+        assert_eq!(answers, [1, 2, 3, 4, 11, 12, 13, 14, 21, 22, 23, 24].map(served));
+        for (session, class, patience, _, top) in wishes {
+            let sent = host_saw(&world, "SETUP", session);
+            assert!(sent.iter().all(|(_, rung)| rung.as_deref().is_some_and(|rung| rung <= top)), "{sent:?}");
+            for (host, _) in sent {
+                let host = world.hosts.iter().find(|at| at.name == host).unwrap();
+                let (named, waits) = host.asked(session).unwrap();
+                assert_eq!(named, class);
+                assert!(waits <= patience, "{waits} of {patience}");
+            }
+        }
+        let twice = wishes.iter().filter(|wish| host_saw(&world, "SETUP", wish.0).len() == 2).count();
+        assert!(twice > 0, "none was sent a second time");
+    });
+}
