Releases are owed until confirmed; silent set-ups are taken back; standstills count

New: releases.rs; - a set-up written into silence arrived when its host read again, after its viewer had left: a line that does not answer a test within 50 ms of the withdrawal is reset (hosts.rs, `doubt`; link.rs, `abort`); - a set-up's time counted from its reading (viewers.rs, `came: self.now()`), so that a standstill was added to it; - an answer that waits its moment was keyed by session alone (node.rs, `settled`): another host's word ended it, and a time-out within the moment wrote no withdrawal.

--- a/crates/elderpick-lab/src/platform.rs
+++ b/crates/elderpick-lab/src/platform.rs
@@ -53,8 +53,9 @@
     Close,
     /// Ends so that the other side sees a reset.
     Reset,
-    /// Reads nothing more.
+    /// Reads nothing more, until it reads again.
     Deaf,
+    Hears,
 }
 
 type Words = mpsc::UnboundedSender<Word>;
@@ -75,6 +76,8 @@
     /// Connections that were taken, and what was done on all of them as they were told.
     taken: Cell<usize>,
     done: Cell<usize>,
+    /// Connections that the gateway has ended.
+    ended: Cell<usize>,
 }
 
 /// A scripted media host.
@@ -102,6 +105,11 @@
     [head.into_bytes(), body].concat()
 }
 
+/// An answer with a word on poor delivery right behind it.
+pub fn answer_with_note(session: u64) -> Vec<u8> {
+    [answer(session), note(session)].concat()
+}
+
 fn note(session: u64) -> Vec<u8> {
     let head = "ANNOUNCE rtsp://media/session RTSP/1.0\r\nCSeq: 4\r\n";
     format!("{head}Session: {session:016x}\r\nX-Note: d\r\nP-Amount: 0.551\r\nContent-Length: 0\r\n\r\n")
@@ -118,6 +126,17 @@
         Ok(host)
     }
 
+    /// Starts one whose system takes little of what it does not read.
+    pub async fn start_narrow(name: &str) -> Result<Host, String> {
+        let socket = TcpSocket::new_v4().map_err(fault)?;
+        socket.set_recv_buffer_size(2_048).map_err(fault)?;
+        socket.bind(([127, 0, 0, 1], 0).into()).map_err(fault)?;
+        let listener = socket.listen(64).map_err(fault)?;
+        let host = Host::at(name, listener.local_addr().map_err(fault)?);
+        host.accept(listener);
+        Ok(host)
+    }
+
     /// Starts one to which no connection comes up until [`Host::let_in`]: its queue is full.
     pub async fn start_held(name: &str) -> Result<Host, String> {
         let socket = TcpSocket::new_v4().map_err(fault)?;
@@ -167,6 +186,11 @@
         self.inside.taken.get()
     }
 
+    /// How many of them the gateway has ended, as far as they were read.
+    pub fn ended(&self) -> usize {
+        self.inside.ended.get()
+    }
+
     /// How many things its connections have done, of those that they were told.
     pub fn done(&self) -> usize {
         self.inside.done.get()
@@ -192,6 +216,11 @@
         self.tell_lines(|| Word::Deaf);
     }
 
+    /// Reads again on the connections that are still up for it.
+    pub fn read_on(&self) {
+        self.tell_lines(|| Word::Hears);
+    }
+
     /// What it does with the next set-ups; after that it answers.
     pub fn script(&self, does: &[Does]) {
         self.inside.script.borrow_mut().extend(does);
@@ -242,8 +271,8 @@
                 word = words.recv() => {
                     let goes_on = match word {
                         Some(Word::Say(word)) => writes.write_all(&word).await.is_ok(),
-                        Some(Word::Deaf) => {
-                            deaf = true;
+                        Some(word @ (Word::Deaf | Word::Hears)) => {
+                            deaf = matches!(word, Word::Deaf);
                             true
                         }
                         // The deprecated way waits for nothing here: what is unsaid is dropped.
@@ -258,7 +287,7 @@
                     self.done.set(self.done.get() + 1);
                 }
                 read = reads.read(&mut chunk), if !deaf => {
-                    let Ok(read @ 1..) = read else { return };
+                    let Ok(read @ 1..) = read else { return self.ended.set(self.ended.get() + 1) };
                     decoder.push(&chunk[..read]);
                     while let Ok(Some(message)) = decoder.message() {
                         self.take(&message, &line);
@@ -292,7 +321,7 @@
                     Does::EndsAtOnce(cause) => {
                         say([answer(session), note(session), rtsp::teardown(session, Some(cause))].concat());
                     }
-                    Does::Notes => say([answer(session), note(session)].concat()),
+                    Does::Notes => say(answer_with_note(session)),
                     Does::Refuses(status) => say(rtsp::response(status, 1, session)),
                     Does::Spoils => say(b"RTSP/1.0 200 OK\r\nCSeq: 1\r\n\x07\x01\x02 noise\r\n\r\n".to_vec()),
                     Does::BreaksOff => {
@@ -545,6 +574,22 @@
     set_up_of(session, class, at, "8000", "7f3a9c21e0b4d655")
 }
 
+/// A set-up with a patience of its own and a description of so many bytes.
+pub fn set_up_with(session: u64, class: &str, patience: &str, description: usize) -> Vec<u8> {
+    let figures = "home:0;copies:1;top:1;viewer:0000000000000001";
+    let mut bytes = Vec::new();
+    let description = vec![b'x'; description];
+    let parameters: [(u8, &[u8]); 5] = [
+        (viewer::code::CLASS, class.as_bytes()),
+        (viewer::code::PATIENCE, patience.as_bytes()),
+        (viewer::code::TITLE, b"7f3a9c21e0b4d655"),
+        (viewer::code::FIGURES, figures.as_bytes()),
+        (viewer::code::DESCRIPTION, &description),
+    ];
+    let _ = viewer::encode(&mut bytes, viewer::kind::SET_UP, session, &parameters);
+    bytes
+}
+
 /// A set-up with a patience and a title of its own.
 pub fn set_up_of(session: u64, class: &str, at: Option<&str>, patience: &str, title: &str) -> Vec<u8> {
     let at = at.map(|at| format!(";at:{at}")).unwrap_or_default();
--- a/crates/elderpick-lab/tests/crossings.rs
+++ b/crates/elderpick-lab/tests/crossings.rs
@@ -1,7 +1,9 @@
 //! Two events that cross, on real sockets, in the order that a test forces: the gateway's process is stopped while both
 //! happen, or a stand-in holds one of them until the other has. `docs/design/crossings.md` names each path.
 
-use elderpick_lab::platform::{Does, Host, Journal, PATIENCE, Speaks, Viewers, config, set_up, set_up_of};
+use elderpick_lab::platform::{
+    Does, Host, Journal, PATIENCE, Speaks, Viewers, answer_with_note, config, set_up, set_up_of, set_up_with,
+};
 use elderpick_platform::rtsp;
 use elderpick_platform::viewer::{self, cause, kind};
 use nix::sys::signal::Signal;
@@ -632,3 +634,175 @@
         assert!(twice > 0, "none was sent a second time");
     });
 }
+
+// ---- Releases that cross a close ----
+
+#[test]
+fn a_release_that_goes_down_with_its_connection_is_said_on_another() {
+    run(async {
+        let world = world("unconfirmed", 1, 256).await;
+        let mut first = connect(&world).await;
+        assert_eq!(asked(&mut first, 1, "free").await, SERVED);
+        let (mut leaves, mut stays) = (connect(&world).await, connect(&world).await);
+        assert_eq!(asked(&mut leaves, 2, "free").await, SERVED);
+        assert_eq!(asked(&mut stays, 3, "free").await, SERVED);
+        drop(first);
+        // Its own connection is gone, so that its release goes out on the one that was served first of the others.
+        assert_eq!(asked(&mut stays, 4, "free").await, SERVED);
+        world.hosts[0].end(1, 16);
+        until("the gateway has heard it", || world.hosts[0].heard().contains(&1)).await;
+        assert!(stays.test().await.unwrap(), "it went out, and not here");
+        leaves.reset().unwrap();
+        assert_eq!(ended(&mut stays, 1).await, (kind::RELEASE, Some(16)));
+        // Said on the way to the one that left, confirmed here: no other connection's end brings it again.
+        let mut last = connect(&world).await;
+        stays.write(&heard(1)).await.unwrap();
+        assert!(stays.test().await.unwrap());
+        assert_eq!(asked(&mut last, 5, "free").await, SERVED);
+        stays.reset().unwrap();
+        assert!(last.test().await.unwrap());
+        assert_eq!(asked(&mut last, 6, "free").await, SERVED);
+    });
+}
+
+/// A viewer's word that it has heard a release.
+fn heard(session: u64) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    viewer::encode(&mut bytes, kind::RELEASE_HEARD, session, &[]).unwrap();
+    bytes
+}
+
+/// More than one connection takes at once, and more than were kept before.
+#[test]
+fn all_of_a_crowd_that_is_over_at_once_hear_of_it() {
+    run(async {
+        let world = world("crowd", 1, 256).await;
+        let mut viewers = connect(&world).await;
+        let all = 10..6_010_u64;
+        for session in all.clone() {
+            viewers.ask(session, "free", Some("s-0")).await.unwrap();
+        }
+        assert!(viewers.test().await.unwrap(), "all are handed over");
+        viewers.reset().unwrap();
+        world.hosts[0].die();
+        // Long enough to be sure that it is lost, while no connection is up that has shown a viewer behind it.
+        gateway_has_waited(&world).await;
+        let mut others = connect(&world).await;
+        others.ask(2, "free", None).await.unwrap();
+        let (mut over, mut answered) = (Vec::new(), false);
+        while !answered || over.len() < all.clone().count() {
+            let message = others.next().await.unwrap().expect("the connection goes on");
+            assert_eq!(message.kind, kind::RELEASE);
+            match message.session {
+                2 => answered = true,
+                session => {
+                    others.write(&heard(session)).await.unwrap();
+                    over.push(session);
+                }
+            }
+        }
+        over.sort_unstable();
+        assert!(over.into_iter().eq(all), "each once");
+    });
+}
+
+// ---- A gateway that stood still ----
+
+#[test]
+fn time_that_a_set_up_lay_unread_is_no_time_that_its_viewer_waits_on() {
+    run(async {
+        let world = world_of(
+            "unread",
+            vec![Host::start("s-0").await.unwrap()],
+            Journal::start().await.unwrap(),
+            256,
+            unprobed,
+        )
+        .await;
+        let mut viewers = connect(&world).await;
+        assert_eq!(asked(&mut viewers, 1, "paid").await, SERVED);
+        world.gateway.pause().await.unwrap();
+        viewers.write(&set_up_of(2, "paid", None, "8000", "7f3a9c21e0b4d655")).await.unwrap();
+        viewers.write(&set_up_of(3, "paid", None, "1000", "7f3a9c21e0b4d655")).await.unwrap();
+        tokio::time::sleep(std::time::Duration::from_millis(1_500)).await;
+        world.gateway.resume().unwrap();
+        // However long it takes to go on, less is left than what was left then.
+        let mut answers = vec![ended_any(&mut viewers).await, ended_any(&mut viewers).await];
+        answers.sort_unstable();
+        assert_eq!(answers, [(2, SERVED), (3, (kind::RELEASE, Some(cause::FAILED)))]);
+        let (_, waits) = world.hosts[0].asked(2).unwrap();
+        assert!(waits <= 6_500, "{waits} ms of 8,000 are left");
+        assert_eq!(host_saw(&world, "SETUP", 3), [], "its viewer's time was over");
+    });
+}
+
+/// The next final answer, whosever.
+async fn ended_any(viewers: &mut Viewers) -> (u64, (u8, Option<u8>)) {
+    let answer = viewers.next().await.unwrap().expect("an answer");
+    (answer.session, (answer.kind, answer.cause().ok()))
+}
+
+// ---- Set-ups written into silence ----
+
+/// What its host's system has not taken never arrives, though the network is whole again later: as a cut one is, the
+/// line is full and its host reads nothing.
+#[test]
+fn a_set_up_that_never_arrived_is_taken_back_with_its_viewer() {
+    run(async {
+        for how in LEAVES {
+            let host = Host::start_narrow("s-0").await.unwrap();
+            let world = world_of("silence", vec![host], Journal::start().await.unwrap(), 256, unprobed).await;
+            let mut viewers = connect(&world).await;
+            assert_eq!(asked(&mut viewers, 1, "paid").await, SERVED);
+            let before = world.hosts[0].done();
+            world.hosts[0].stop_reading();
+            until("it reads no more", || world.hosts[0].done() > before).await;
+            let mut leaves = connect(&world).await;
+            leaves.write(&set_up_with(2, "paid", "8000", 15_000)).await.unwrap();
+            assert!(leaves.test().await.unwrap(), "it was read");
+            assert!(viewers.test().await.unwrap(), "and written as far as it could be");
+            let _open = how.leave(leaves, 2).await;
+            gateway_has_waited(&world).await;
+            world.hosts[0].read_on();
+            until("the line has ended", || world.hosts[0].ended() >= 1).await;
+            assert_eq!(asked(&mut viewers, 3, "paid").await, SERVED);
+            assert_eq!(host_saw(&world, "SETUP", 2), [], "{how:?}");
+        }
+    });
+}
+
+// ---- Answers that wait a moment ----
+
+/// Which of the two words is read first is left to chance, so many times.
+#[test]
+fn anothers_word_on_a_session_does_not_end_an_answer_that_waits() {
+    run(async {
+        let hosts = vec![Host::start("s-0").await.unwrap(), Host::start("s-1").await.unwrap()];
+        let world = world_of("moment-of", hosts, Journal::start().await.unwrap(), 256, unprobed).await;
+        let mut viewers = connect(&world).await;
+        for session in 1..200 {
+            assert_eq!(asked(&mut viewers, session, "free").await, SERVED);
+            if world.hosts.iter().all(|host| host.taken() > 0) {
+                break;
+            }
+        }
+        for session in 1_000..1_024 {
+            world.hosts.iter().for_each(|host| host.script(&[Does::Holds]));
+            viewers.ask(session, "paid", None).await.unwrap();
+            until("it is out", || !host_saw(&world, "SETUP", session).is_empty()).await;
+            let at = host_saw(&world, "SETUP", session)[0].0.clone();
+            world.gateway.pause().await.unwrap();
+            for host in &world.hosts {
+                let before = host.done();
+                let word = match host.name == at {
+                    true => answer_with_note(session),
+                    false => rtsp::teardown(session, Some(16)),
+                };
+                host.say(&word);
+                until("it is said", || host.done() > before).await;
+            }
+            world.gateway.resume().unwrap();
+            assert_eq!(ended(&mut viewers, session).await, SERVED);
+        }
+    });
+}
--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -29,6 +29,9 @@
 const KEPT_LASTS: Micros = 30_000_000;
 /// A connection that is used no more is kept so long for what may still come on it.
 const RETIRED: Duration = Duration::from_secs(1);
+/// A withdrawal is confirmed by then where its line goes on. A set-up that arrives more than a tenth of a second behind
+/// its viewer's end is one too many, and what is written takes time.
+const CONFIRMED: Duration = Duration::from_millis(50);
 /// How often what comes may hold an attempt up before it is given up unsent: who floods us may have left.
 const MOST_LOOKS: u32 = 8;
 
@@ -267,6 +270,10 @@
     }
 
     pub(crate) fn host_withdraw(self: &Rc<Self>, server: &ServerId, session: u64, attempt: Attempt) {
+        // An answer that waits is told at once: as it comes behind its withdrawal, it is released.
+        if let Some(answer) = self.take_held(server, session, Some(attempt)) {
+            self.feed(answer);
+        }
         let mut ways = self.hosts.ways.borrow_mut();
         let Some(ways) = ways.get_mut(server) else { return };
         ways.waiting.retain(|one| one.attempt != attempt);
@@ -276,10 +283,28 @@
             // What hangs in the middle of a message, or has said nothing since, is trusted with no other.
             if line.partial.get() || line.read.get() < written.1 {
                 self.retire(line);
+                self.doubt(line);
             }
         }
     }
 
+    /// A line that has said nothing since a set-up was written may have to carry that still. It is tested: unless its
+    /// host says anything soon, what is on its way to it is taken back.
+    fn doubt(self: &Rc<Self>, line: &Rc<Line>) {
+        line.link.send(&rtsp::options(self.hosts.new_call(), false));
+        let (read, line) = (line.read.get(), Rc::downgrade(line));
+        spawn_local(async move {
+            tokio::time::sleep(CONFIRMED).await;
+            // What else is out on it keeps its chance, and is withdrawn in its turn.
+            if let Some(line) = line.upgrade()
+                && line.read.get() == read
+                && line.out.borrow().is_empty()
+            {
+                line.link.abort();
+            }
+        });
+    }
+
     /// Uses a line no more, and ends it after a while. What else is out on it keeps its chance, whose time-outs bound
     /// the wait, unless the line hangs in the middle of a message: then nothing can be read on it any more.
     fn retire(self: &Rc<Self>, line: &Rc<Line>) {
@@ -292,7 +317,7 @@
                     let hangs =
                         line.partial.get() && node.now() - line.read.get() >= RETIRED.as_micros() as Micros;
                     if line.out.borrow().is_empty() || hangs {
-                        return line.link.end(true);
+                        return line.link.abort();
                     }
                 }
             });
@@ -375,7 +400,7 @@
     pub(crate) fn host_forget(&self, server: &ServerId) {
         let mut ways = self.hosts.ways.borrow_mut();
         let Some(ways) = ways.get_mut(server) else { return };
-        ways.lines.iter().for_each(|line| line.link.end(true));
+        ways.lines.iter().for_each(|line| line.link.abort());
         // The attempts that wait are over by now, and may not be written.
         ways.waiting.clear();
         ways.kept.take(self.now()).for_each(drop);
@@ -452,6 +477,7 @@
     /// A line came up: says what waits for it and reads until it ends.
     async fn up(self: Rc<Self>, server: ServerId, stream: TcpStream, call: Call) {
         let now = self.now();
+        tracing::trace!(server = %server, "a line is up");
         let line = Rc::new(Line {
             link: Link::new(stream),
             decoder: RefCell::default(),
@@ -489,6 +515,7 @@
         let (out, asked) = (line.out.take(), line.asked.take());
         let unheard = line.unheard.take().into_iter().collect();
         drop(line);
+        tracing::trace!(server = %server, whole, "a line has ended");
         self.feed(Input::HostClosed { server: server.clone(), whole, unheard });
         for (session, (attempt, _)) in out {
             self.feed(Input::Cut { server: server.clone(), session, attempt, begun: true });
--- a/crates/elderpick-node/src/lib.rs
+++ b/crates/elderpick-node/src/lib.rs
@@ -17,12 +17,12 @@
 
 use elderpick_core::Controller;
 use elderpick_core::api::{ListKind, Micros};
-use elderpick_gateway::shell::WallClock;
+use elderpick_gateway::shell::{Clock, WallClock};
 use elderpick_platform::boot::{self, Boot};
 use elderpick_sessions::door::Guests as Door;
 use elderpick_sessions::follow::{Follow, Take};
-use elderpick_sessions::keep::Kept;
-use elderpick_sessions::life::{Input, Life};
+use elderpick_sessions::life::{self, Input, Life};
+use elderpick_sessions::releases::Releases;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::spawn_local;
@@ -78,9 +78,12 @@
     let for_viewers = boot.limits.sockets - for_hosts - RESERVE.min(boot.limits.sockets / 4);
     let connect = Some(info.limits.connect_timeout_us).filter(|us| *us > 0).unwrap_or(CONNECT);
     let connect = Duration::from_micros(connect as u64);
+    let clock = WallClock::start();
+    let (ran, behind) = (clock.now(), None);
     let node = Rc::new(Node {
+        awake: Cell::new(node::Awake { ran, due: ran, behind }),
         life: RefCell::new(life),
-        clock: WallClock::start(),
+        clock,
         name: boot.name.clone(),
         zones: info.zones.clone(),
         kinds: info.flavors.clone(),
@@ -89,7 +92,7 @@
         door: RefCell::new(Door::new(for_viewers)),
         next_conn: Cell::new(0),
         buffer: RefCell::new(vec![0; link::CHUNK]),
-        over: RefCell::new(Kept::new(node::RELEASES, node::RELEASES_LAST)),
+        releases: RefCell::new(Releases::new(life::STANDING)),
         follow: RefCell::new(Follow::new(0)),
         journal: Cell::new(boot.journal),
         moved: Default::default(),
--- a/crates/elderpick-node/src/link.rs
+++ b/crates/elderpick-node/src/link.rs
@@ -154,6 +154,13 @@
         self.wake.notify_one();
     }
 
+    /// Ends it so that what the peer's system has not confirmed never arrives: a network that is cut would carry it, and
+    /// the end behind it, once it is whole again. The system drops it when the connection's task does.
+    pub fn abort(&self) {
+        let _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        self.end(true);
+    }
+
     /// Reads into a buffer, once there is something; 0 at the end.
     async fn read(&self, buffer: &RefCell<Vec<u8>>) -> io::Result<usize> {
         loop {
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -6,24 +6,41 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use elderpick_core::api::Micros;
+use bytes::Bytes;
+use elderpick_core::api::{Micros, ServerId};
 use elderpick_gateway::shell::{Clock, WallClock};
 use elderpick_platform::{rtsp, viewer};
 use elderpick_sessions::door::Guests as Door;
 use elderpick_sessions::follow::Follow;
-use elderpick_sessions::keep::Kept;
-use elderpick_sessions::life::{Conn, Input, Life, Output};
+use elderpick_sessions::life::{Attempt, Conn, Input, Life, Output};
+use elderpick_sessions::releases::Releases;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
 use crate::hosts::{Hosts, Try};
-use crate::viewers::{Guests, Standing};
+use crate::viewers::{Guest, Guests, Standing};
 
-/// Releases that wait for a viewers' connection, and how long they are worth saying.
-pub(crate) const RELEASES: usize = 4_096;
-pub(crate) const RELEASES_LAST: Micros = 10_000_000;
+/// An answer that waits a moment for an end right behind.
+pub(crate) struct HeldAnswer {
+    attempt: Attempt,
+    description: Bytes,
+    /// The cause for which its host has ended the session meanwhile.
+    over: Option<u8>,
+}
+
+/// Whether the gateway runs.
+#[derive(Clone, Copy)]
+pub(crate) struct Awake {
+    /// When it last ran with all read that had come.
+    pub ran: Micros,
+    /// When it meant to run again.
+    pub due: Micros,
+    /// Since when it may not have read all that has come.
+    pub behind: Option<Micros>,
+}
 
 pub(crate) struct Node {
+    pub awake: Cell<Awake>,
     pub life: RefCell<Life>,
     pub clock: WallClock,
     pub name: String,
@@ -35,14 +52,14 @@
     pub next_conn: Cell<Conn>,
     /// What is read goes here first; each task is done with it before the next one reads.
     pub buffer: RefCell<Vec<u8>>,
-    pub over: RefCell<Kept<(u64, u8)>>,
+    /// What is over and not confirmed by its viewer; bounded by the sessions that may stand.
+    pub releases: RefCell<Releases>,
     pub follow: RefCell<Follow>,
     pub journal: Cell<SocketAddr>,
     pub moved: Notify,
     pub caught_up: Cell<bool>,
-    /// Answers that wait a moment, and the cause for which the host has ended the session meanwhile; bounded by the
-    /// set-ups that may be open.
-    pub held_answers: RefCell<BTreeMap<u64, Option<u8>>>,
+    /// Answers that wait a moment; bounded by the set-ups that may be open.
+    pub held_answers: RefCell<BTreeMap<(ServerId, u64), HeldAnswer>>,
     pub ending: Cell<bool>,
     /// No further connection of viewers is taken.
     pub stop_coming: Notify,
@@ -150,8 +167,13 @@
     /// a moment for it. `None` for what waits, or goes with what does.
     fn settled(self: &Rc<Self>, input: Input) -> Option<Input> {
         let (server, session, attempt, description) = match input {
-            Input::Released { session, cause, .. } if self.held_answers.borrow().contains_key(&session) => {
-                self.held_answers.borrow_mut().insert(session, Some(cause));
+            Input::Released { server, session, attempt, cause, report } => {
+                let mut held = self.held_answers.borrow_mut();
+                // Only its own host ends it; another's word is of an attempt before.
+                let Some(answer) = held.get_mut(&(server.clone(), session)) else {
+                    return Some(Input::Released { server, session, attempt, cause, report });
+                };
+                answer.over = Some(cause);
                 return None;
             }
             Input::Answer { server, session, attempt: Some(attempt), description, over: None } => {
@@ -168,23 +190,52 @@
         let mut later = self.later.borrow_mut();
         let over = later.iter().find_map(ended);
         later.retain(|input| ended(input).is_none());
-        let noted = |input: &Input| matches!(input, Input::Noted { session: of, .. } if *of == session);
-        let waits = over.is_none()
-            && later.iter().any(noted)
-            && self.held_answers.borrow_mut().insert(session, None).is_none();
-        let attempt = Some(attempt);
+        let noted = |input: &Input| matches!(input, Input::Noted { server: at, session: of, .. } if *at == server && *of == session);
+        let waits = over.is_none() && later.iter().any(noted);
         if !waits {
-            return Some(Input::Answer { server, session, attempt, description, over });
+            return Some(Input::Answer { server, session, attempt: Some(attempt), description, over });
         }
+        let held = HeldAnswer { attempt, description, over: None };
+        self.held_answers.borrow_mut().insert((server.clone(), session), held);
         let node = self.clone();
         spawn_local(async move {
             tokio::time::sleep(MOMENT).await;
-            let over = node.held_answers.borrow_mut().remove(&session).flatten();
-            node.feed(Input::Answer { server, session, attempt, description, over });
+            if let Some(answer) = node.take_held(&server, session, Some(attempt)) {
+                node.feed(answer);
+            }
         });
         None
     }
 
+    /// Takes out an answer that waits, if it is that attempt's.
+    pub(crate) fn take_held(
+        &self,
+        server: &ServerId,
+        session: u64,
+        attempt: Option<Attempt>,
+    ) -> Option<Input> {
+        let mut all = self.held_answers.borrow_mut();
+        let key = (server.clone(), session);
+        let fits = all.get(&key).is_some_and(|held| attempt.is_none_or(|attempt| attempt == held.attempt));
+        let held = if fits { all.remove(&key)? } else { return None };
+        let HeldAnswer { attempt, description, over } = held;
+        let (server, session) = key;
+        Some(Input::Answer { server, session, attempt: Some(attempt), description, over })
+    }
+
+    /// Tells all answers that wait: a time-out that falls into their moment would find their attempts still out.
+    fn tell_held(self: &Rc<Self>) {
+        while let Some((server, session)) = self.first_held() {
+            if let Some(answer) = self.take_held(&server, session, None) {
+                self.feed(answer);
+            }
+        }
+    }
+
+    fn first_held(&self) -> Option<(ServerId, u64)> {
+        self.held_answers.borrow().keys().next().cloned()
+    }
+
     /// The number of set-ups that are open on a connection has changed.
     fn opened(&self, conn: Conn) {
         let open = self.life.borrow().open_on(conn);
@@ -227,20 +278,19 @@
                     let cause = viewer::cause::ENDED_BY_VIEWER;
                     self.feed(Input::Release { conn, session, cause });
                 }
-                self.say_kept();
+                self.say_releases();
             }
             Output::Turned { conn, session, cause, stay_away } => {
                 let away = stay_away.filter(|at| *at > 0).map(|at| (at / 1_000) as u64);
                 viewer::release(&mut text, session, cause, away);
                 self.answer(conn, session, &text);
             }
-            Output::Over { conn, session, cause } => match self.guest_for(conn) {
-                Some(guest) => {
-                    viewer::release(&mut text, session, cause, None);
-                    guest.link.send(&text);
+            Output::Over { conn, session, cause } => {
+                self.releases.borrow_mut().owe(self.now(), session, cause);
+                if let Some(guest) = self.guest_for(conn) {
+                    self.say_release(&guest, session, cause);
                 }
-                None => self.over.borrow_mut().push(self.now(), (session, cause)),
-            },
+            }
             Output::SetUp { server, session, attempt, class, title, patience, rung, description } => {
                 let patience_ms = (patience.max(0) / 1_000) as u64;
                 let (class, title, description) = (class.as_str(), title.as_str(), &description[..]);
@@ -267,42 +317,63 @@
         }
     }
 
-    /// Says what waited for a viewers' connection.
-    pub fn say_kept(&self) {
-        if self.over.borrow().is_empty() {
-            return;
-        }
-        let Some(guest) = self.guest_for(None) else { return };
+    fn say_release(&self, guest: &Guest, session: u64, cause: u8) {
         let mut text = Vec::new();
-        for (session, cause) in self.over.borrow_mut().take(self.now()) {
-            viewer::release(&mut text, session, cause, None);
-        }
+        viewer::release(&mut text, session, cause, None);
+        tracing::trace!(session, on = guest.conn, "a release goes out");
         guest.link.send(&text);
+        self.releases.borrow_mut().said(self.now(), session, guest.conn);
+    }
+
+    /// Says what waited for a viewers' connection, on each as much as it takes at once: what is more would end it.
+    pub fn say_releases(&self) {
+        loop {
+            let next = self.releases.borrow_mut().next(self.now());
+            let Some((session, cause)) = next else { return };
+            let Some(guest) = self.guest_for(None) else { return };
+            self.say_release(&guest, session, cause);
+        }
+    }
+
+    /// The earliest time at which what is read now may have come. While the gateway stands still nothing is read, and
+    /// who waits counts from when its last byte came: where it stood still, that may be since it last ran.
+    pub fn came(&self) -> Micros {
+        let (now, awake) = (self.now(), self.awake.get());
+        let stood_still = now - awake.due > STALL;
+        awake.behind.unwrap_or(if stood_still { awake.ran } else { now })
     }
 
     /// What is due next happens at its time.
     pub async fn run_timers(self: Rc<Self>) {
         loop {
-            let due = self.life.borrow().next_timer();
-            let Some(due) = due else {
-                self.timer.notified().await;
-                continue;
-            };
-            let now = self.now();
+            let (now, timer) = (self.now(), self.life.borrow().next_timer());
+            let due = timer.map_or(now + BEAT, |timer| timer.min(now + BEAT));
             if due > now {
+                let behind = self.awake.get().behind;
+                self.awake.set(Awake { ran: now, due, behind });
                 tokio::select! {
                     () = tokio::time::sleep(Duration::from_micros((due - now) as u64)) => {}
                     () = self.timer.notified() => {}
                 }
-                continue;
             }
-            if now - due > STALL {
-                // What arrived while the gateway stood still is handled before its time-outs.
+            let late = self.now() - due > STALL;
+            let mut awake = self.awake.get();
+            awake.behind = if late { awake.behind.or(Some(awake.ran)) } else { None };
+            self.awake.set(awake);
+            if late {
+                // What arrived while the gateway stood still is handled before its time-outs, as far as these can wait.
+                let until = self.now() + STALL;
                 for _ in 0..64 {
                     tokio::task::yield_now().await;
+                    if self.now() >= until {
+                        break;
+                    }
                 }
             }
-            self.feed(Input::Tick);
+            if timer.is_some_and(|timer| timer <= self.now()) {
+                self.tell_held();
+                self.feed(Input::Tick);
+            }
         }
     }
 
@@ -312,7 +383,7 @@
         loop {
             tokio::time::sleep(CHORES).await;
             self.close_overdue(false);
-            self.say_kept();
+            self.say_releases();
             rounds += 1;
             if rounds.is_multiple_of(5) {
                 self.host_tidy();
@@ -348,7 +419,10 @@
     }
 }
 
+/// Later by so much than it meant to run, it stood still.
 const STALL: Micros = 20_000;
+/// How often it means to run at least.
+const BEAT: Micros = 50_000;
 /// An answer whose session its host has spoken of already waits so long for what is right behind.
 const MOMENT: Duration = Duration::from_millis(3);
 const CHORES: Duration = Duration::from_millis(200);
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -30,6 +30,7 @@
 
 /// One viewers' connection.
 pub(crate) struct Guest {
+    pub conn: Conn,
     pub link: Link,
     decoder: RefCell<Decoder>,
     pub standing: Cell<Standing>,
@@ -78,6 +79,7 @@
             Welcome::Full => return self.turned_away.set(self.turned_away.get() + 1),
         }
         let guest = Rc::new(Guest {
+            conn,
             link: Link::new(stream),
             decoder: RefCell::default(),
             standing: Cell::new(Standing::New),
@@ -86,10 +88,14 @@
         self.guests.borrow_mut().insert(conn, guest.clone());
         let node = self.clone();
         spawn_local(async move {
+            tracing::trace!(conn, "a viewers' connection comes");
             guest.link.run(&node.buffer, |chunk| node.viewer_heard(conn, &guest, chunk)).await;
+            tracing::trace!(conn, "a viewers' connection has ended");
             node.guests.borrow_mut().remove(&conn);
             node.door.borrow_mut().left(conn);
+            node.releases.borrow_mut().ended(node.now(), conn);
             node.feed(Input::Closed { conn });
+            node.say_releases();
         });
     }
 
@@ -172,7 +178,7 @@
             kind::SET_UP => match SetUp::parse(message) {
                 Ok(set_up) => {
                     guest.standing.set(guest.standing.get().max(Standing::Asked));
-                    self.feed(Input::SetUp { conn, came: self.now(), set_up });
+                    self.feed(Input::SetUp { conn, came: self.came(), set_up });
                 }
                 Err(why) => {
                     self.bad(guest, session, why);
@@ -197,7 +203,8 @@
                 viewer::tested(&mut text, session, !self.ending.get());
                 guest.link.send(&text);
             }
-            kind::PROGRESS | kind::RELEASE_HEARD => {}
+            kind::RELEASE_HEARD => self.releases.borrow_mut().confirmed(session),
+            kind::PROGRESS => {}
             _ => {
                 self.bad(guest, session, elderpick_platform::Bad("a message of an unknown type"));
                 return false;
--- a/crates/elderpick-sessions/src/life.rs
+++ b/crates/elderpick-sessions/src/life.rs
@@ -30,7 +30,7 @@
 const OPEN_ON_ONE: usize = 64;
 const OPEN: usize = 1_024;
 /// Sessions that stand; one more is refused.
-const STANDING: usize = 50_000;
+pub const STANDING: usize = 50_000;
 /// A host's word that a session is over is waited for so long, then its seat is taken to be free.
 const ENDING: Micros = 1_000_000;
 /// Set-ups given up of which an answer may still come: how many are remembered, and how long.
--- /dev/null
+++ b/crates/elderpick-sessions/tests/releases.rs
@@ -0,0 +1,79 @@
+//! Releases towards viewers, until they are confirmed.
+
+use elderpick_sessions::releases::Releases;
+
+const SECOND: i64 = 1_000_000;
+
+/// All that waits goes out on a connection.
+fn say(releases: &mut Releases, now: i64, conn: u64) -> Vec<(u64, u8)> {
+    let mut said = Vec::new();
+    while let Some((session, cause)) = releases.next(now) {
+        releases.said(now, session, conn);
+        said.push((session, cause));
+    }
+    said
+}
+
+#[test]
+fn what_goes_down_with_its_connection_is_said_again_and_what_was_confirmed_is_not() {
+    let mut releases = Releases::new(9);
+    (1..=3).for_each(|session| releases.owe(session as i64, session, 16));
+    assert_eq!(say(&mut releases, 10, 7), [(1, 16), (2, 16), (3, 16)], "the oldest first");
+    assert!(!releases.waits());
+    releases.confirmed(2);
+    releases.ended(20, 8);
+    assert!(!releases.waits(), "another connection's end");
+    releases.ended(20, 7);
+    assert_eq!((say(&mut releases, 30, 9), releases.repeated), (vec![(1, 16), (3, 16)], 2));
+    releases.confirmed(1);
+    releases.confirmed(3);
+    releases.ended(40, 9);
+    assert!(releases.is_empty() && !releases.waits());
+}
+
+#[test]
+fn what_went_out_long_before_its_connections_end_has_arrived() {
+    let mut releases = Releases::new(9);
+    releases.owe(0, 1, 16);
+    say(&mut releases, 0, 7);
+    releases.ended(SECOND + 1, 7);
+    assert!(!releases.waits() && releases.is_empty());
+}
+
+#[test]
+fn the_oldest_make_room_and_old_ones_are_not_said() {
+    let mut releases = Releases::new(2);
+    (1..=3).for_each(|session| releases.owe(session as i64, session, 16));
+    assert_eq!((releases.next(4), releases.dropped, releases.len()), (Some((2, 16)), 1, 2));
+    releases.owe(5, 2, 31);
+    assert_eq!(say(&mut releases, 6, 7), [(3, 16), (2, 31)], "owed anew, once");
+    releases.owe(SECOND, 4, 16);
+    assert_eq!(releases.next(12 * SECOND), None);
+    assert!(releases.is_empty());
+}
+
+/// As many as a gateway may hold, all over at once and their connections gone again and again: each is said on one
+/// connection at a time, and all are confirmed in the end.
+#[test]
+fn a_crowd_that_is_over_at_once_is_owed_until_the_last_has_confirmed() {
+    let all = 50_000;
+    let mut releases = Releases::new(all as usize);
+    (0..all).for_each(|session| releases.owe(0, session, 41));
+    for conn in 0..100 {
+        for _ in 0..1_000 {
+            let Some((session, _)) = releases.next(1) else { break };
+            releases.said(1, session, conn);
+            // Every second one is confirmed before the connection ends.
+            if session % 2 == conn % 2 {
+                releases.confirmed(session);
+            }
+        }
+        releases.ended(1, conn);
+    }
+    let left = releases.len();
+    assert!(left <= all as usize / 2, "{left}");
+    let said = say(&mut releases, 2, 1_000);
+    assert_eq!(said.len(), left, "none is forgotten");
+    said.iter().for_each(|(session, _)| releases.confirmed(*session));
+    assert!(releases.is_empty() && releases.dropped == 0);
+}
