Answers wait a moment while viewers look; lost hosts come back for paid sessions too

So viewers look at their delivery at one time, and hosts' notes tell of it. An answer now goes behind all that has come (one turn of the runtime), and where any host has spoken of delivery or of a viewer that left within 3 ms it waits 3 ms (answers.rs, out of node.rs `settled`; before, only a note on its own session counted). What stays open is the time that the first note takes.

Now only what could not be read to its end holds it up, and it is looked at again; - a gateway with paid sessions alone served nobody once its hosts had died and come back (`healthy`, policy.rs): none but a free session went on trial. Now a paid one does, 4 s after the back-off; - 300 connections at once ran into the descriptor limit ("Too many open files", three times in a test with the system's limit set): the accept loop did not let the connections that made room go first (viewers.rs).

--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -922,10 +922,12 @@
         if !server.lost && (server.strikes == 0 || shared) {
             return true;
         }
-        // After the back-off one session on trial, and none that may be set up only once.
-        let safe = self.set.classes[session.wish.class].effect != Effect::SingleShot;
+        // After the back-off one session on trial; one that may be set up only once if no other came for a
+        // while, since where all are such the server would not be used again.
+        let only_once = self.set.classes[session.wish.class].effect == Effect::SingleShot;
+        let from = server.avoid_until + if only_once { BACK_OFF } else { 0 };
         let on_trial = || server.sessions.iter().any(|id| !self.sessions[id].playing);
-        safe && self.now >= server.avoid_until && !on_trial()
+        self.now >= from && !on_trial()
     }
 
     // ---- Cold pace ----
--- a/crates/elderpick-core/tests/health.rs
+++ b/crates/elderpick-core/tests/health.rs
@@ -53,6 +53,30 @@
     assert_eq!(trials, 1);
 }
 
+/// Found with a gateway that has paid sessions alone: a server that died and was back was never used again.
+#[test]
+fn where_all_sessions_are_paid_one_goes_on_trial_a_while_after_the_back_off() {
+    let paid = class(Effect::SingleShot);
+    let servers = vec![entry("a"), entry("b"), entry("c")];
+    let mut gateway = Gateway::new(settings(vec![paid]), servers);
+    let low = Viewing { top: 0, ..viewing(0) };
+    let (id, actions) = gateway.request(low.clone());
+    let lost = sent(&actions).expect("an empty fleet admits");
+    gateway.outcome(id, 0, Status::ConnectError);
+    gateway.now += 4 * SECOND;
+    for _ in 0..8 {
+        assert_ne!(sent(&gateway.request(low.clone()).1), Some(lost.clone()), "others may find out");
+    }
+    gateway.now += 2 * SECOND;
+    let mut trials =
+        (0..32).map(|_| gateway.request(low.clone())).filter(|(_, a)| sent(a) == Some(lost.clone()));
+    let (id, _) = trials.next().expect("none other comes");
+    assert_eq!(trials.count(), 0, "one at a time");
+    gateway.playing(id, 0);
+    let used = (0..32).filter(|_| sent(&gateway.request(low.clone()).1) == Some(lost.clone())).count();
+    assert!(used > 1, "it is as good as the others: {used}");
+}
+
 #[test]
 fn where_most_servers_fail_the_cause_is_shared_and_they_stay_in_use() {
     let mut gateway =
--- a/crates/elderpick-lab/src/platform.rs
+++ b/crates/elderpick-lab/src/platform.rs
@@ -173,6 +173,15 @@
         *self.accepting.borrow_mut() = Some(accepting.abort_handle());
     }
 
+    /// Listens again where it did before it died, as a process that knows of nothing.
+    pub async fn come_back(&self) -> Result<(), String> {
+        let socket = TcpSocket::new_v4().map_err(fault)?;
+        socket.set_reuseaddr(true).map_err(fault)?;
+        socket.bind(self.address).map_err(fault)?;
+        self.accept(socket.listen(64).map_err(fault)?);
+        Ok(())
+    }
+
     /// Takes the connections that were held off; the one that filled the queue is its own.
     pub fn let_in(&self) {
         if let Some((listener, first)) = self.held.borrow_mut().take() {
@@ -379,6 +388,10 @@
     breaks: Rc<Notify>,
     /// How it answers calls from now on.
     pub speaks: Rc<Cell<Speaks>>,
+    /// Streams that are open say nothing more, and stay open.
+    mute: Rc<Notify>,
+    /// How many streams have fallen silent.
+    pub silent: Rc<Cell<usize>>,
     /// The `Last-Event-ID` of each call.
     pub calls: Rc<RefCell<Vec<u64>>>,
 }
@@ -397,17 +410,19 @@
             news: Rc::default(),
             breaks: Rc::default(),
             speaks: Rc::new(Cell::new(speaks)),
+            mute: Rc::default(),
+            silent: Rc::default(),
             calls: Rc::default(),
         };
         let (told, news, breaks, calls) =
             (journal.told.clone(), journal.news.clone(), journal.breaks.clone(), journal.calls.clone());
-        let speaks = journal.speaks.clone();
+        let (speaks, mute, silent) = (journal.speaks.clone(), journal.mute.clone(), journal.silent.clone());
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (told, news, breaks, calls) = (told.clone(), news.clone(), breaks.clone(), calls.clone());
-                let speaks = speaks.clone();
+                let (speaks, mute, silent) = (speaks.clone(), mute.clone(), silent.clone());
                 spawn_local(async move {
-                    let _ = tell(stream, &told, &news, &breaks, &calls, &speaks).await;
+                    let _ = tell(stream, &told, (&news, &breaks, &mute), &silent, &calls, &speaks).await;
                 });
             }
         });
@@ -435,6 +450,11 @@
         self.breaks.notify_waiters();
     }
 
+    /// Falls silent on all streams, which stay open; calls from now on are answered.
+    pub fn fall_silent(&self) {
+        self.mute.notify_waiters();
+    }
+
     /// Takes over what another one has told.
     pub fn succeed(&self, other: &Journal) {
         self.told.borrow_mut().clone_from(&other.told.borrow());
@@ -444,8 +464,8 @@
 async fn tell(
     mut stream: TcpStream,
     told: &RefCell<Vec<Value>>,
-    news: &Notify,
-    breaks: &Notify,
+    (news, breaks, mute): (&Notify, &Notify, &Notify),
+    silent: &Cell<usize>,
     calls: &RefCell<Vec<u64>>,
     speaks: &Cell<Speaks>,
 ) -> std::io::Result<()> {
@@ -501,6 +521,11 @@
             () = breaks.notified() => {
                 return writes.write_all(format!("id: {}\ndata: {{\"pos\":", last + 1).as_bytes()).await;
             }
+            () = mute.notified() => {
+                silent.set(silent.get() + 1);
+                while reads.read_line(&mut head).await? > 0 {}
+                return Ok(());
+            }
             () = tokio::time::sleep(Duration::from_secs(1)) => writes.write_all(b": awake\n\n").await?,
         }
     }
@@ -646,8 +671,11 @@
     pub async fn start(program: &Path, folder: &Path, config: &Value) -> Result<Gateway, String> {
         let path = folder.join("config.json");
         std::fs::write(&path, config.to_string()).map_err(fault)?;
-        let mut command = Command::new(program);
-        command.arg("gateway").arg("--platform").arg(&path).kill_on_drop(true);
+        // Under the limit that the platform sets for it.
+        let sockets = config["limits"]["sockets"].as_u64().ok_or("limits.sockets")?;
+        let mut command = Command::new("/bin/sh");
+        command.arg("-c").arg(format!("ulimit -n {sockets} && exec \"$0\" gateway --platform \"$1\""));
+        command.arg(program).arg(&path).kill_on_drop(true);
         let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn().map_err(fault)?;
         let mut lines = BufReader::new(child.stdout.take().ok_or("no standard output")?).lines();
         let line = tokio::time::timeout(PATIENCE, lines.next_line()).await.map_err(fault)?.map_err(fault)?;
--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
-use crate::link::Link;
+use crate::link::{Link, Look};
 use crate::node::Node;
 
 /// Set-ups that one connection carries where no further one may be opened.
@@ -32,8 +32,10 @@
 /// A withdrawal is confirmed by then where its line goes on. A set-up that arrives more than a tenth of a second behind
 /// its viewer's end is one too many, and what is written takes time.
 const CONFIRMED: Duration = Duration::from_millis(50);
-/// How often what comes may hold an attempt up before it is given up unsent: who floods us may have left.
-const MOST_LOOKS: u32 = 8;
+/// How often what comes may hold an attempt up at a time. Where the last look left something unread, who floods us may
+/// have left: it is looked at again after a pause.
+const MOST_LOOKS: u32 = 9;
+const LOOKS_APART: Duration = Duration::from_millis(1);
 
 /// One connection to a host.
 pub(crate) struct Line {
@@ -63,6 +65,8 @@
     pub bytes: Vec<u8>,
     /// How often it was held up by what was there to be read before it.
     pub looks: u32,
+    /// The last look left something unread.
+    pub unread: bool,
 }
 
 impl Try {
@@ -206,21 +210,31 @@
 
     /// Whether anything has come that is to be heard before an attempt is written: from the viewer that asked, or on
     /// the line that it would go out on. It is told to the life of sessions by this.
-    pub(crate) fn hears_before(self: &Rc<Self>, one: &Try) -> bool {
+    pub(crate) fn hears_before(self: &Rc<Self>, one: &mut Try) -> bool {
+        if one.looks >= MOST_LOOKS {
+            return false;
+        }
+        one.looks += 1;
         let asked_on = self.life.borrow().asked_on(one.session);
-        if asked_on.is_some_and(|conn| self.look_at_guest(conn)) {
-            return true;
+        let mut look = asked_on.map_or(Look::Nothing, |conn| self.look_at_guest(conn));
+        if look == Look::Nothing
+            && let Some(line) = self.line(&one.server)
+        {
+            look = line.link.look(|chunk| self.host_heard(&one.server, &line, chunk));
         }
-        self.line(&one.server)
-            .is_some_and(|line| line.link.look(|chunk| self.host_heard(&one.server, &line, chunk)))
+        one.unread = look == Look::More;
+        look != Look::Nothing
     }
 
     /// Writes a set-up on an idle line, on a new one, or with others if there may be no further. A bound of ours says
     /// nothing of the host: what it leaves no room for was never sent.
     pub(crate) fn host_set_up(self: &Rc<Self>, one: Try) {
-        if one.looks > MOST_LOOKS || !self.may_write(&one) {
+        if !self.may_write(&one) {
             return self.feed(one.kept());
         }
+        if one.unread {
+            return self.look_later(one);
+        }
         let server = one.server.clone();
         let line = self.line(&server);
         let load = line.as_ref().map_or(usize::MAX, |line| line.out.borrow().len());
@@ -233,6 +247,15 @@
         }
     }
 
+    /// Looks again once others had their turn; the attempt's time bounds how often.
+    fn look_later(self: &Rc<Self>, one: Try) {
+        let node = self.clone();
+        spawn_local(async move {
+            tokio::time::sleep(LOOKS_APART).await;
+            node.together(|| node.tries.borrow_mut().push_back(Try { looks: 0, unread: false, ..one }));
+        });
+    }
+
     fn may_write(&self, one: &Try) -> bool {
         self.life.borrow().may_write(&one.server, one.session, one.attempt, self.now())
     }
@@ -271,9 +294,7 @@
 
     pub(crate) fn host_withdraw(self: &Rc<Self>, server: &ServerId, session: u64, attempt: Attempt) {
         // An answer that waits is told at once: as it comes behind its withdrawal, it is released.
-        if let Some(answer) = self.take_held(server, session, Some(attempt)) {
-            self.feed(answer);
-        }
+        self.tell_answer(server, session, attempt);
         let mut ways = self.hosts.ways.borrow_mut();
         let Some(ways) = ways.get_mut(server) else { return };
         ways.waiting.retain(|one| one.attempt != attempt);
@@ -500,11 +521,11 @@
         kept.into_iter().for_each(|told| line.say(told));
         self.together(|| {
             match call {
-                Call::SetUp(one) => self.tries.borrow_mut().push_back(one),
+                Call::SetUp(one) => self.tries.borrow_mut().push_back(Try { looks: 0, unread: false, ..one }),
                 Call::Load { session } => self.write_probe(&server, &line, session),
                 Call::Nothing => {}
             }
-            let waiting = self.waiting(&server);
+            let waiting = self.waiting(&server).into_iter().map(|one| Try { looks: 0, unread: false, ..one });
             self.tries.borrow_mut().extend(waiting);
         });
         let whole = line.link.run(&self.buffer, |chunk| self.host_heard(&server, &line, chunk)).await;
--- a/crates/elderpick-node/src/link.rs
+++ b/crates/elderpick-node/src/link.rs
@@ -20,6 +20,16 @@
 const LOOK: usize = 4 << 10;
 const LOOKS: usize = 16;
 
+/// What a look at a connection found.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum Look {
+    Nothing,
+    /// All that had come was taken.
+    All,
+    /// More than one look takes.
+    More,
+}
+
 /// One connection. Its task reads and writes what waits; anyone may send.
 pub(crate) struct Link {
     stream: TcpStream,
@@ -111,23 +121,23 @@
         self.ending.get() == Ending::No && self.waiting.borrow().is_empty()
     }
 
-    /// Reads at once what has come, whatever the runtime knows of it; `true` if there was anything. The connection's
-    /// own task sees how it ends. More than a bound is left to that.
-    pub fn look(&self, mut heard: impl FnMut(&[u8]) -> bool) -> bool {
-        let mut any = false;
+    /// Reads at once what has come, whatever the runtime knows of it. The connection's own task sees how it ends. More than
+    /// a bound is left to that.
+    pub fn look(&self, mut heard: impl FnMut(&[u8]) -> bool) -> Look {
+        let mut found = Look::Nothing;
         for _ in 0..LOOKS {
             let mut chunk = [0; LOOK];
             let read = match self.ending.get() {
                 Ending::No => (&*socket2::SockRef::from(&self.stream)).read(&mut chunk),
-                _ => return any,
+                _ => return found,
             };
-            let Ok(read @ 1..) = read else { return any };
-            any = true;
+            let Ok(read @ 1..) = read else { return found };
+            found = Look::All;
             if !heard(&chunk[..read]) {
                 self.end(false);
             }
         }
-        any
+        Look::More
     }
 
     /// Ends it without losing what the peer may be saying: nothing more is written, and what comes is read until the
@@ -338,14 +348,15 @@
         use std::io::Write;
         let (link, mut peer) = pair().await;
         let mut heard = Vec::new();
-        assert!(!link.look(|_| true));
+        assert_eq!(link.look(|_| true), Look::Nothing);
         peer.write_all(b"x").expect("written");
         drop(peer);
-        assert!(link.look(|chunk| {
+        let look = link.look(|chunk| {
             heard.extend_from_slice(chunk);
             true
-        }));
-        assert!(heard == b"x" && link.ended() && !link.look(|_| true));
+        });
+        assert!(look == Look::All && heard == b"x" && link.ended());
+        assert_eq!(link.look(|_| true), Look::Nothing);
     }
 
     /// Polls once.
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -1,15 +1,16 @@
 //! One gateway: what its tasks share, and how what the sessions' life says is carried out.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use elderpick_core::api::{Micros, ServerId};
 use elderpick_gateway::shell::{Clock, WallClock};
-use elderpick_platform::{rtsp, viewer};
+use elderpick_platform::rtsp;
+use elderpick_platform::viewer::{self, cause};
+use elderpick_sessions::answers::Answers;
 use elderpick_sessions::door::Guests as Door;
 use elderpick_sessions::follow::Follow;
 use elderpick_sessions::life::{Attempt, Conn, Input, Life, Output};
@@ -20,14 +21,6 @@
 use crate::hosts::{Hosts, Try};
 use crate::viewers::{Guest, Guests, Standing};
 
-/// An answer that waits a moment for an end right behind.
-pub(crate) struct HeldAnswer {
-    attempt: Attempt,
-    description: Bytes,
-    /// The cause for which its host has ended the session meanwhile.
-    over: Option<u8>,
-}
-
 /// Whether the gateway runs.
 #[derive(Clone, Copy)]
 pub(crate) struct Awake {
@@ -58,8 +51,7 @@
     pub journal: Cell<SocketAddr>,
     pub moved: Notify,
     pub caught_up: Cell<bool>,
-    /// Answers that wait a moment; bounded by the set-ups that may be open.
-    pub held_answers: RefCell<BTreeMap<(ServerId, u64), HeldAnswer>>,
+    pub answers: RefCell<Answers>,
     pub ending: Cell<bool>,
     /// No further connection of viewers is taken.
     pub stop_coming: Notify,
@@ -121,8 +113,7 @@
                 continue;
             }
             let Some(mut one) = self.tries.borrow_mut().pop_front() else { break };
-            if self.hears_before(&one) {
-                one.looks += 1;
+            if self.hears_before(&mut one) {
                 self.tries.borrow_mut().push_front(one);
             } else {
                 self.host_set_up(one);
@@ -135,6 +126,7 @@
     }
 
     fn take(self: &Rc<Self>, input: Input, out: &mut Vec<Output>) {
+        let Some(input) = self.settled(input) else { return };
         let asked = match &input {
             Input::SetUp { conn, .. } => Some(*conn),
             Input::Release { session, .. } | Input::Answer { session, .. } => {
@@ -153,7 +145,6 @@
             }
             self.later.borrow_mut().extend(behind);
         }
-        let Some(input) = self.settled(input) else { return };
         self.life.borrow_mut().handle(self.now(), input, out);
         let said = std::mem::take(out);
         said.into_iter().for_each(|output| self.carry_out(output));
@@ -162,80 +153,46 @@
         }
     }
 
-    /// Whether what is answered still stands. An end that was read behind the answer is told with it. Where the host has
-    /// spoken of the session's delivery already, its viewer has looked, and an end may be right behind: the answer waits
-    /// a moment for it. `None` for what waits, or goes with what does.
+    /// Whether what happens is for the life of sessions now. An answer is told once all else that has come is read, and
+    /// while viewers look a moment later.
     fn settled(self: &Rc<Self>, input: Input) -> Option<Input> {
-        let (server, session, attempt, description) = match input {
-            Input::Released { server, session, attempt, cause, report } => {
-                let mut held = self.held_answers.borrow_mut();
-                // Only its own host ends it; another's word is of an attempt before.
-                let Some(answer) = held.get_mut(&(server.clone(), session)) else {
-                    return Some(Input::Released { server, session, attempt, cause, report });
-                };
-                answer.over = Some(cause);
-                return None;
-            }
-            Input::Answer { server, session, attempt: Some(attempt), description, over: None } => {
-                (server, session, attempt, description)
-            }
-            input => return Some(input),
-        };
-        let ended = |input: &Input| match input {
-            Input::Released { server: at, session: of, cause, .. } if *at == server && *of == session => {
-                Some(*cause)
-            }
+        let waits = match &input {
+            Input::Answer { server, session, attempt, .. } => Some((server.clone(), *session, *attempt)),
             _ => None,
         };
-        let mut later = self.later.borrow_mut();
-        let over = later.iter().find_map(ended);
-        later.retain(|input| ended(input).is_none());
-        let noted = |input: &Input| matches!(input, Input::Noted { server: at, session: of, .. } if *at == server && *of == session);
-        let waits = over.is_none() && later.iter().any(noted);
-        if !waits {
-            return Some(Input::Answer { server, session, attempt: Some(attempt), description, over });
+        let settled = self.answers.borrow_mut().take(self.now(), input);
+        if let (None, Some((server, session, Some(attempt)))) = (&settled, waits) {
+            let node = self.clone();
+            spawn_local(async move {
+                // The runtime looks at all connections meanwhile.
+                tokio::task::yield_now().await;
+                let pause = node.answers.borrow().pause(node.now());
+                if pause > 0 {
+                    tokio::time::sleep(Duration::from_micros(pause as u64)).await;
+                }
+                node.tell_answer(&server, session, attempt);
+            });
         }
-        let held = HeldAnswer { attempt, description, over: None };
-        self.held_answers.borrow_mut().insert((server.clone(), session), held);
-        let node = self.clone();
-        spawn_local(async move {
-            tokio::time::sleep(MOMENT).await;
-            if let Some(answer) = node.take_held(&server, session, Some(attempt)) {
-                node.feed(answer);
-            }
-        });
-        None
+        settled
     }
 
-    /// Takes out an answer that waits, if it is that attempt's.
-    pub(crate) fn take_held(
-        &self,
-        server: &ServerId,
-        session: u64,
-        attempt: Option<Attempt>,
-    ) -> Option<Input> {
-        let mut all = self.held_answers.borrow_mut();
-        let key = (server.clone(), session);
-        let fits = all.get(&key).is_some_and(|held| attempt.is_none_or(|attempt| attempt == held.attempt));
-        let held = if fits { all.remove(&key)? } else { return None };
-        let HeldAnswer { attempt, description, over } = held;
-        let (server, session) = key;
-        Some(Input::Answer { server, session, attempt: Some(attempt), description, over })
+    /// Tells an answer that waits, if it does.
+    pub(crate) fn tell_answer(self: &Rc<Self>, server: &ServerId, session: u64, attempt: Attempt) {
+        let answer = self.answers.borrow_mut().tell(server, session, attempt);
+        if let Some(answer) = answer {
+            self.feed(answer);
+        }
     }
 
     /// Tells all answers that wait: a time-out that falls into their moment would find their attempts still out.
-    fn tell_held(self: &Rc<Self>) {
-        while let Some((server, session)) = self.first_held() {
-            if let Some(answer) = self.take_held(&server, session, None) {
-                self.feed(answer);
-            }
+    fn tell_answers(self: &Rc<Self>) {
+        loop {
+            let first = self.answers.borrow().first();
+            let Some((server, session, attempt)) = first else { return };
+            self.tell_answer(&server, session, attempt);
         }
     }
 
-    fn first_held(&self) -> Option<(ServerId, u64)> {
-        self.held_answers.borrow().keys().next().cloned()
-    }
-
     /// The number of set-ups that are open on a connection has changed.
     fn opened(&self, conn: Conn) {
         let open = self.life.borrow().open_on(conn);
@@ -266,8 +223,8 @@
                 if let Err(why) = viewer::answer(&mut text, session, &description) {
                     // A host's description that a viewers' message cannot hold: the session is of no use.
                     self.warn_seldom(&format!("an answer cannot be passed on: {why}"));
-                    viewer::release(&mut text, session, viewer::cause::FAILED, None);
-                    let cause = viewer::cause::ENDED_BY_VIEWER;
+                    viewer::release(&mut text, session, cause::FAILED, None);
+                    let cause = cause::ENDED_BY_VIEWER;
                     self.feed(Input::Release { conn, session, cause });
                 }
                 if let Some(guest) = self.guests.borrow().get(&conn) {
@@ -275,7 +232,7 @@
                 }
                 if !self.answer(conn, session, &text) {
                     // Nobody knows of it: it would stand at its host for good.
-                    let cause = viewer::cause::ENDED_BY_VIEWER;
+                    let cause = cause::ENDED_BY_VIEWER;
                     self.feed(Input::Release { conn, session, cause });
                 }
                 self.say_releases();
@@ -296,7 +253,14 @@
                 let (class, title, description) = (class.as_str(), title.as_str(), &description[..]);
                 let set_up = rtsp::SetUp { session, class, title, patience_ms, rung, description };
                 let bytes = rtsp::set_up(&set_up);
-                self.tries.borrow_mut().push_back(Try { server, session, attempt, bytes, looks: 0 });
+                self.tries.borrow_mut().push_back(Try {
+                    server,
+                    session,
+                    attempt,
+                    bytes,
+                    looks: 0,
+                    unread: false,
+                });
             }
             Output::Withdraw { server, session, attempt } => self.host_withdraw(&server, session, attempt),
             Output::Release { server, session, cause } => {
@@ -371,7 +335,7 @@
                 }
             }
             if timer.is_some_and(|timer| timer <= self.now()) {
-                self.tell_held();
+                self.tell_answers();
                 self.feed(Input::Tick);
             }
         }
@@ -423,6 +387,4 @@
 const STALL: Micros = 20_000;
 /// How often it means to run at least.
 const BEAT: Micros = 50_000;
-/// An answer whose session its host has spoken of already waits so long for what is right behind.
-const MOMENT: Duration = Duration::from_millis(3);
 const CHORES: Duration = Duration::from_millis(200);
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
-use crate::link::Link;
+use crate::link::{Link, Look};
 use crate::node::Node;
 
 /// Set-ups that cannot be read, until the connection is closed.
@@ -50,7 +50,12 @@
             came = listener.accept() => came,
         };
         match came {
-            Ok((stream, _)) => node.come(stream),
+            Ok((stream, _)) => {
+                if node.come(stream) {
+                    // The one that made room has its descriptor still, until its task has run.
+                    tokio::task::yield_now().await;
+                }
+            }
             Err(why) => {
                 // Out of descriptors or memory: what is idle goes, and nothing spins.
                 node.warn_seldom(&format!("cannot accept: {why}"));
@@ -70,13 +75,17 @@
 }
 
 impl Node {
-    fn come(self: &Rc<Self>, stream: TcpStream) {
+    /// Takes a connection; `true` if another is closed for it.
+    fn come(self: &Rc<Self>, stream: TcpStream) -> bool {
         let conn = self.next_conn.replace(self.next_conn.get() + 1);
         let welcome = self.door.borrow_mut().come(self.now(), conn, |conn| self.quiet(conn));
         match welcome {
             Welcome::Admitted => {}
             Welcome::InsteadOf(other) => self.close_guest(other),
-            Welcome::Full => return self.turned_away.set(self.turned_away.get() + 1),
+            Welcome::Full => {
+                self.turned_away.set(self.turned_away.get() + 1);
+                return false;
+            }
         }
         let guest = Rc::new(Guest {
             conn,
@@ -97,6 +106,7 @@
             node.feed(Input::Closed { conn });
             node.say_releases();
         });
+        matches!(welcome, Welcome::InsteadOf(_))
     }
 
     /// Takes what came on a connection; `false` ends it. All that came is told before anything is sent on: who gives up
@@ -127,17 +137,18 @@
 
     /// Looks whether a viewer that waits for an answer has said anything, or has left, that its connection's task has
     /// not come to: after a standstill of this gateway, or behind a line that came up late. The life of sessions is told
-    /// of it; `true` if there was anything.
-    pub(crate) fn look_at_guest(self: &Rc<Self>, conn: Conn) -> bool {
+    /// of it.
+    pub(crate) fn look_at_guest(self: &Rc<Self>, conn: Conn) -> Look {
         let guest = self.guests.borrow().get(&conn).cloned();
-        let said = guest
+        let look = guest
             .as_ref()
-            .is_some_and(|guest| guest.link.look(|chunk| self.viewer_heard(conn, guest, chunk)));
+            .map_or(Look::Nothing, |guest| guest.link.look(|chunk| self.viewer_heard(conn, guest, chunk)));
         let there = guest.is_some_and(|guest| guest.link.goes_on() && !guest.link.ended());
-        if !there {
-            self.feed(Input::Closed { conn });
+        if there {
+            return look;
         }
-        said || !there
+        self.feed(Input::Closed { conn });
+        Look::All
     }
 
     pub(crate) fn close_guest(&self, conn: Conn) {
