What may still cross is remembered for all that may be held; unit tests sit in test files

A test with 5,000 releases got 2,048 said again before, all 5,000 now. The bounds follow from what may be held. `Recent` (keep.rs) replaces `Used` and the keyed use of `Kept`: each look-up walked all that was held, now it costs the same however much that is.

--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -10,7 +10,7 @@
 use elderpick_core::api::{Micros, Note, Report, ServerId, Status};
 use elderpick_platform::rtsp::{self, Start, cseq};
 use elderpick_sessions::keep::Kept;
-use elderpick_sessions::life::{Attempt, Input};
+use elderpick_sessions::life::{self, Attempt, Input};
 use elderpick_sessions::watch::Opened;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -22,10 +22,11 @@
 const SHARED: usize = 8;
 /// Set-ups that wait for a connection that is being opened, where no further one may be; one more is not sent.
 const WAITING: usize = 64;
-/// Withdrawals and releases on one connection that are remembered until they are confirmed.
-const UNHEARD: usize = 1_024;
-/// Words that wait for a connection to a host, and how long they are worth saying.
-const KEPT: usize = 256;
+/// Withdrawals and releases on one connection that are remembered until they are confirmed, and words that wait for one:
+/// all that may stand at a host may be over in one moment.
+const UNHEARD: usize = life::STANDING;
+const KEPT: usize = life::STANDING;
+/// How long words are worth saying.
 const KEPT_LASTS: Micros = 30_000_000;
 /// A connection that is used no more is kept so long for what may still come on it.
 const RETIRED: Duration = Duration::from_secs(1);
--- a/crates/elderpick-sessions/src/door.rs
+++ b/crates/elderpick-sessions/src/door.rs
@@ -119,51 +119,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn silent_guests_make_room_before_idle_ones_and_busy_ones_stay() {
-        let mut door = Guests::new(3);
-        (1..=3).for_each(|conn| assert_eq!(door.come(conn as Micros, conn, |_| true), Welcome::Admitted));
-        door.said(10, 1);
-        door.said(11, 2);
-        door.open(11, 2, 1);
-        assert_eq!(door.come(12, 4, |_| true), Welcome::InsteadOf(3), "never said anything");
-        door.said(13, 4);
-        door.open(13, 4, 2);
-        assert_eq!(door.come(14, 5, |_| true), Welcome::InsteadOf(1), "idle longest");
-        door.said(15, 5);
-        door.open(15, 5, 1);
-        assert_eq!((door.come(16, 6, |_| true), door.held()), (Welcome::Full, 3), "all have set-ups open");
-    }
-
-    #[test]
-    fn the_silent_and_the_half_said_are_closed_in_time() {
-        let mut door = Guests::new(9);
-        (1..=3).for_each(|conn| assert_eq!(door.come(0, conn, |_| true), Welcome::Admitted));
-        door.said(0, 2);
-        door.said(0, 3);
-        door.open(0, 3, 1);
-        door.read(100, 3, true);
-        assert!(door.overdue(PARTIAL, false, |_| true).is_empty());
-        assert_eq!(door.overdue(SILENT, false, |_| true), [1], "an answer is owed on the third");
-        door.open(SILENT, 3, 0);
-        assert_eq!(door.overdue(SILENT, false, |_| true), [3], "half a message for too long");
-        assert_eq!(door.overdue(IDLE, false, |_| true), [2]);
-        assert_eq!(door.held(), 0);
-    }
-
-    #[test]
-    fn what_was_sent_and_not_read_yet_is_not_idle() {
-        let mut door = Guests::new(2);
-        for conn in [1, 2] {
-            assert_eq!(door.come(0, conn, |_| true), Welcome::Admitted);
-            door.said(1, conn);
-        }
-        assert_eq!(door.come(2, 3, |conn| conn != 1), Welcome::InsteadOf(2));
-        assert_eq!(door.come(2, 4, |_| false), Welcome::Full);
-        assert!(door.overdue(IDLE * 2, true, |_| false).is_empty());
-        assert_eq!(door.overdue(IDLE * 2, true, |conn| conn == 1), [1]);
-    }
-}
+#[path = "../tests/unit/door.rs"]
+mod tests;
--- a/crates/elderpick-sessions/src/keep.rs
+++ b/crates/elderpick-sessions/src/keep.rs
@@ -1,6 +1,7 @@
 //! Words that wait for a connection, bounded in number and in time.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::RangeBounds;
 
 use elderpick_core::api::Micros;
 
@@ -35,34 +36,6 @@
         std::mem::take(&mut self.words).into_iter().map(|(_, word)| word)
     }
 
-    /// Takes a word out if it is still kept; the others stay as old as they are.
-    pub fn remove(&mut self, now: Micros, word: &T) -> bool
-    where
-        T: PartialEq,
-    {
-        self.expire(now);
-        let at = self.words.iter().position(|(_, kept)| kept == word);
-        at.and_then(|at| self.words.remove(at)).is_some()
-    }
-
-    /// Keeps a word unless it is kept already; it stays as old as it is then.
-    pub fn push_once(&mut self, now: Micros, word: T)
-    where
-        T: PartialEq,
-    {
-        if !self.contains(now, &word) {
-            self.push(now, word);
-        }
-    }
-
-    /// Whether a word is still kept.
-    pub fn contains(&self, now: Micros, word: &T) -> bool
-    where
-        T: PartialEq,
-    {
-        self.iter(now).any(|kept| kept == word)
-    }
-
     /// All that is kept and not too old, the oldest first.
     pub fn iter(&self, now: Micros) -> impl Iterator<Item = &T> {
         let fresh = move |at: &Micros| now - at <= self.lasts;
@@ -81,61 +54,64 @@
     }
 }
 
-/// Numbers that were used of late, bounded in number and in time. The oldest make room for new ones.
+/// What was of late, by key, bounded in number and in time. The oldest make room for new ones, and each look costs the same
+/// however much is held.
 #[derive(Debug)]
-pub struct Used {
-    numbers: BTreeSet<u64>,
-    order: VecDeque<(Micros, u64)>,
+pub struct Recent<K, V = ()> {
+    values: BTreeMap<K, (Micros, V)>,
+    order: BTreeSet<(Micros, K)>,
     most: usize,
     lasts: Micros,
 }
 
-impl Used {
-    /// Knows `most` numbers at most, each for `lasts`.
-    pub fn new(most: usize, lasts: Micros) -> Used {
-        Used { numbers: BTreeSet::new(), order: VecDeque::new(), most, lasts }
+impl<K: Ord + Clone, V> Recent<K, V> {
+    /// Holds `most` at most, each for `lasts`.
+    pub fn new(most: usize, lasts: Micros) -> Recent<K, V> {
+        Recent { values: BTreeMap::new(), order: BTreeSet::new(), most, lasts }
     }
 
-    pub fn push(&mut self, now: Micros, number: u64) {
-        if !self.numbers.insert(number) {
+    /// Holds it unless it is held already; it stays as old and as it is then.
+    pub fn insert(&mut self, now: Micros, key: K, value: V) {
+        self.make_room(now);
+        if self.values.contains_key(&key) || self.most == 0 {
             return;
         }
-        self.order.push_back((now, number));
-        let old = |at: &Micros| now - at > self.lasts;
-        while self.order.len() > self.most || self.order.front().is_some_and(|(at, _)| old(at)) {
-            let Some((_, number)) = self.order.pop_front() else { break };
-            self.numbers.remove(&number);
+        if self.values.len() >= self.most
+            && let Some((_, oldest)) = self.order.pop_first()
+        {
+            self.values.remove(&oldest);
         }
+        self.order.insert((now, key.clone()));
+        self.values.insert(key, (now, value));
     }
 
-    pub fn contains(&self, number: u64) -> bool {
-        self.numbers.contains(&number)
+    pub fn get(&self, now: Micros, key: &K) -> Option<&V> {
+        self.values.get(key).filter(|(at, _)| now - at <= self.lasts).map(|(_, value)| value)
+    }
+
+    pub fn contains(&self, now: Micros, key: &K) -> bool {
+        self.get(now, key).is_some()
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_oldest_words_make_room_and_old_ones_are_not_said() {
-        let mut kept = Kept::new(2, 100);
-        (0..3).for_each(|k| kept.push(k, k));
-        assert_eq!((kept.take(50).collect::<Vec<_>>(), kept.dropped), (vec![1, 2], 1));
-        kept.push(60, 7);
-        kept.push(60, 8);
-        assert!(kept.remove(100, &8) && !kept.remove(100, &8), "once");
-        assert_eq!((kept.take(161).count(), kept.dropped, kept.is_empty()), (0, 2, true));
+    /// Takes it out if it is still held.
+    pub fn remove(&mut self, now: Micros, key: &K) -> Option<V> {
+        self.make_room(now);
+        let (at, value) = self.values.remove(key)?;
+        self.order.remove(&(at, key.clone()));
+        Some(value)
     }
 
-    #[test]
-    fn numbers_are_known_until_they_are_old_or_make_room() {
-        let mut used = Used::new(2, 100);
-        (0..3).for_each(|k| used.push(k, k as u64));
-        assert_eq!([0, 1, 2].map(|k| used.contains(k)), [false, true, true]);
-        used.push(3, 2);
-        assert!(used.contains(1), "a number that is known takes no room");
-        used.push(150, 7);
-        assert_eq!([1, 2, 7].map(|k| used.contains(k)), [false, false, true]);
+    /// The keys of a range that are not too old.
+    pub fn keys(&self, now: Micros, range: impl RangeBounds<K>) -> impl Iterator<Item = &K> {
+        let fresh = move |at: &Micros| now - at <= self.lasts;
+        self.values.range(range).filter(move |(_, (at, _))| fresh(at)).map(|(key, _)| key)
+    }
+
+    /// Drops what is too old.
+    fn make_room(&mut self, now: Micros) {
+        while let Some((_, key)) = self.order.first().filter(|(at, _)| now - at > self.lasts) {
+            self.values.remove(key);
+            self.order.pop_first();
+        }
     }
 }
--- a/crates/elderpick-sessions/src/life.rs
+++ b/crates/elderpick-sessions/src/life.rs
@@ -16,7 +16,7 @@
 use elderpick_platform::journal::Listed;
 use elderpick_platform::viewer::{SetUp, cause};
 
-use crate::keep::{Kept, Used};
+use crate::keep::Recent;
 use crate::watch::{Next, Opened, Watch};
 
 /// The number that the runtime gives a viewer's connection.
@@ -33,19 +33,17 @@
 pub const STANDING: usize = 50_000;
 /// A host's word that a session is over is waited for so long, then its seat is taken to be free.
 const ENDING: Micros = 1_000_000;
-/// Set-ups given up of which an answer may still come: how many are remembered, and how long.
-const GIVEN_UP: usize = 1_024;
+/// What may still cross is remembered for all that may be held, since a cut or a host's death ends them in one moment.
+const CROSSING: usize = STANDING + OPEN;
+/// Set-ups given up of which an answer may still come.
 const GIVEN_UP_LASTS: Micros = 10_000_000;
-/// Withdrawals and releases that no host has confirmed: how many are remembered, and how long. They are said again when
-/// a connection that may have taken them along ends.
-const UNHEARD: usize = 2_048;
+/// Withdrawals and releases that no host has confirmed. They are said again when a connection that may have taken them
+/// along ends.
 const UNHEARD_LASTS: Micros = 10_000_000;
 /// Set-ups that were answered or given up: a further one under the number of one is not its viewer's, as each gets a
 /// new number.
-const ANSWERED: usize = 16_384;
 const ANSWERED_LASTS: Micros = 30_000_000;
 /// Ends of sessions that are not held here: one that is handed over only then is over already.
-const ENDED: usize = 4_096;
 const ENDED_LASTS: Micros = 10_000_000;
 /// How often hosts are looked at.
 const LOOK: Micros = 50_000;
@@ -309,11 +307,11 @@
     /// Set-ups that are open, by connection.
     open: BTreeMap<Conn, BTreeSet<u64>>,
     opened: usize,
-    given_up: Kept<(ServerId, u64)>,
-    unheard: Kept<(ServerId, u64)>,
-    answered: Used,
+    given_up: Recent<(ServerId, u64)>,
+    unheard: Recent<(ServerId, u64)>,
+    answered: Recent<u64>,
     /// What ended before it was held here, with its host where that said so, and the cause.
-    ended: Kept<(u64, Option<ServerId>, u8)>,
+    ended: Recent<(u64, Option<ServerId>), u8>,
     attempts: Attempt,
     timers: BinaryHeap<Reverse<(Micros, Timer)>>,
     events: VecDeque<Event>,
@@ -334,10 +332,10 @@
             held: BTreeMap::new(),
             open: BTreeMap::new(),
             opened: 0,
-            given_up: Kept::new(GIVEN_UP, GIVEN_UP_LASTS),
-            unheard: Kept::new(UNHEARD, UNHEARD_LASTS),
-            answered: Used::new(ANSWERED, ANSWERED_LASTS),
-            ended: Kept::new(ENDED, ENDED_LASTS),
+            given_up: Recent::new(CROSSING, GIVEN_UP_LASTS),
+            unheard: Recent::new(CROSSING, UNHEARD_LASTS),
+            answered: Recent::new(CROSSING, ANSWERED_LASTS),
+            ended: Recent::new(CROSSING, ENDED_LASTS),
             attempts: 0,
             timers: BinaryHeap::new(),
             events: VecDeque::new(),
@@ -468,6 +466,7 @@
                     at.watch.closed(whole);
                 }
                 // Releases may have gone down with the connection, and a set-up that was withdrawn on it may stand.
+                let unheard: BTreeSet<_> = unheard.into_iter().collect();
                 self.say_again(now, &server, |session| unheard.contains(&session), out);
             }
             Input::Heard { server } => {
@@ -556,7 +555,7 @@
             };
         }
         let turned = |cause| Output::Turned { conn, session, cause, stay_away: None };
-        let used = held || self.answered.contains(session);
+        let used = held || self.answered.contains(now, &session);
         let Some(class) = class.filter(|_| fits && (!used || at.is_some())) else {
             self.counts.turned += 1;
             return out.push(turned(cause::UNREADABLE));
@@ -600,9 +599,9 @@
 
     /// The end of a session that is handed over only now: its host, whether that ended it, and the cause.
     fn ended_before(&self, now: Micros, session: u64, at: &ServerId) -> Option<(ServerId, bool, u8)> {
-        let mut ended = self.ended.iter(now).filter(|(ended, ..)| *ended == session);
-        let (_, from, cause) = ended.find(|(_, from, _)| from.as_ref().is_none_or(|from| from == at))?;
-        Some((at.clone(), from.is_some(), *cause))
+        let by_viewer = self.ended.get(now, &(session, None)).map(|cause| (at.clone(), false, *cause));
+        let by_host = || self.ended.get(now, &(session, Some(at.clone())));
+        by_viewer.or_else(|| by_host().map(|cause| (at.clone(), true, *cause)))
     }
 
     /// The set-up of a session is open no longer.
@@ -625,7 +624,8 @@
             Some(held) => held.server() == Some(server) && !matches!(held.stage, Stage::Ending { .. }),
             None => false,
         };
-        let unheard = self.unheard.iter(now).filter(|(at, _)| at == server).map(|(_, session)| *session);
+        let all = (server.clone(), u64::MIN)..=(server.clone(), u64::MAX);
+        let unheard = self.unheard.keys(now, all).map(|(_, session)| *session);
         let again = unheard.filter(|session| which(*session) && !wanted(*session));
         let cause = cause::ENDED_BY_VIEWER;
         out.extend(again.map(|session| Output::Release { server: server.clone(), session, cause }));
@@ -640,22 +640,22 @@
         attempt: Attempt,
         out: &mut Vec<Output>,
     ) {
-        self.given_up.push_once(now, (server.clone(), session));
-        self.unheard.push_once(now, (server.clone(), session));
+        self.given_up.insert(now, (server.clone(), session), ());
+        self.unheard.insert(now, (server.clone(), session), ());
         out.push(Output::Withdraw { server, session, attempt });
     }
 
     /// A release at a host, remembered until the host has confirmed it.
     fn say_release(&mut self, now: Micros, server: ServerId, session: u64, cause: u8, out: &mut Vec<Output>) {
-        self.unheard.push_once(now, (server.clone(), session));
+        self.unheard.insert(now, (server.clone(), session), ());
         out.push(Output::Release { server, session, cause });
     }
 
     /// A viewer gives a set-up up or ends a session.
     fn release(&mut self, now: Micros, conn: Conn, session: u64, cause: u8, out: &mut Vec<Output>) {
         let Some(held) = self.held.get_mut(&session) else {
-            if !self.answered.contains(session) {
-                self.ended.push(now, (session, None, cause));
+            if !self.answered.contains(now, &session) {
+                self.ended.insert(now, (session, None), cause);
             }
             return;
         };
@@ -664,7 +664,7 @@
             Stage::Waiting | Stage::Out { .. } if held.conn != Some(conn) => self.counts.turned += 1,
             Stage::Waiting | Stage::Out { .. } => {
                 self.counts.given_up += 1;
-                self.answered.push(now, session);
+                self.answered.insert(now, session, ());
                 self.events.push_back(Event::Gone { id: RequestId(session) });
                 self.withdraw(now, session, out);
             }
@@ -691,7 +691,7 @@
         if let Some(conn) = held.conn {
             out.push(Output::Turned { conn, session, cause, stay_away });
         }
-        self.answered.push(now, session);
+        self.answered.insert(now, session, ());
         self.withdraw(now, session, out);
     }
 
@@ -766,7 +766,7 @@
             // A host knows a session by its number alone: where a further attempt is out or stands there, a release of
             // the one before would end that.
             let another = held.is_some_and(|h| h.server() == Some(&server));
-            if !another && self.given_up.remove(now, &(server.clone(), session)) {
+            if !another && self.given_up.remove(now, &(server.clone(), session)).is_some() {
                 self.say_release(now, server, session, cause::ENDED_BY_VIEWER, out);
             }
             return;
@@ -781,7 +781,7 @@
             let turned = |conn| Output::Turned { conn, session, cause: cause::FAILED, stay_away: None };
             out.extend(held.conn.map(turned));
             self.counts.failed += 1;
-            self.answered.push(now, session);
+            self.answered.insert(now, session, ());
             self.events.push_back(Event::Playing { id: RequestId(session), attempt });
             return self.end(now, session, Life::ended_as(cause), Report::default());
         }
@@ -789,7 +789,7 @@
             out.push(Output::Answer { conn, session, description });
         }
         self.counts.served += 1;
-        self.answered.push(now, session);
+        self.answered.insert(now, session, ());
         if let Some(server) = self.servers.get_mut(&server) {
             server.standing.insert(session);
         }
@@ -821,8 +821,8 @@
     ) {
         self.unheard.remove(now, &(server.clone(), session));
         let Some(held) = self.held.get(&session).filter(|h| h.server() == Some(&server)) else {
-            if !self.held.contains_key(&session) && !self.answered.contains(session) {
-                self.ended.push(now, (session, Some(server), cause));
+            if !self.held.contains_key(&session) && !self.answered.contains(now, &session) {
+                self.ended.insert(now, (session, Some(server)), cause);
             }
             return;
         };
@@ -854,7 +854,7 @@
             }
             self.drop_if_gone(&server);
             // Its viewer has heard, or is owed nothing: a hand-over that crosses this makes it stand no more.
-            self.ended.push(now, (session, Some(server), cause::ENDED_BY_VIEWER));
+            self.ended.insert(now, (session, Some(server)), cause::ENDED_BY_VIEWER);
         }
         let (id, attempt) = (RequestId(session), held.sends.saturating_sub(1));
         self.events.push_back(Event::Outcome { id, attempt, status, closed: true, report });
--- a/crates/elderpick-sessions/tests/life.rs
+++ b/crates/elderpick-sessions/tests/life.rs
@@ -393,6 +393,29 @@
     assert_eq!(world.life.held(), 1);
 }
 
+/// More at once than were remembered before.
+#[test]
+fn all_releases_of_a_crowd_are_said_again_until_they_are_heard() {
+    let mut world = World::new(&["a"]);
+    let crowd = 1..=5_000_u64;
+    for session in crowd.clone() {
+        let mut handed = asks(session, "free");
+        handed.figures.at = Some("a".into());
+        world.feed(Input::SetUp { conn: 5, came: world.now, set_up: handed });
+    }
+    for session in crowd.clone() {
+        world.feed(Input::Release { conn: 5, session, cause: cause::ENDED_BY_VIEWER });
+    }
+    let at = ServerId("a".into());
+    let closed = || Input::HostClosed { server: at.clone(), whole: false, unheard: crowd.clone().collect() };
+    let released = |out: Vec<Output>| out.iter().filter(|o| matches!(o, Output::Release { .. })).count();
+    assert_eq!(released(world.feed(closed())), 5_000);
+    for session in crowd.clone().filter(|session| session % 5 > 0) {
+        world.feed(Input::ReleaseHeard { server: at.clone(), session });
+    }
+    assert_eq!(released(world.feed(closed())), 1_000);
+}
+
 #[test]
 fn what_was_given_up_is_remembered_no_longer_for_other_answers() {
     let mut world = World::new(&["a"]);
--- /dev/null
+++ b/crates/elderpick-sessions/tests/unit/watch.rs
@@ -0,0 +1,83 @@
+//! Whether a media host still runs. Compiled into `src/watch.rs`, whose figures it knows.
+
+use super::*;
+
+fn up(now: Micros) -> Watch {
+    let mut watch = Watch::new(now);
+    assert_eq!(watch.next(now, true), Next::Open);
+    assert_eq!(watch.next(now, true), Next::Nothing, "one opening at a time");
+    watch.opened(now, Opened::Up);
+    watch
+}
+
+/// Asks every 10 ms until the host is lost; openings end as told.
+fn lost_after(watch: &mut Watch, from: Micros, how: Opened) -> Micros {
+    for now in (from..).step_by(10_000) {
+        match watch.next(now, true) {
+            Next::Lost => return now - from,
+            Next::Open => watch.opened(now, how),
+            _ => {}
+        }
+    }
+    unreachable!("the host is lost some time")
+}
+
+#[test]
+fn a_host_that_died_is_lost_at_once_and_a_silent_one_within_five_seconds() {
+    let mut died = up(0);
+    died.closed(false);
+    assert!(lost_after(&mut died, PAUSE, Opened::Refused) <= 200_000);
+    let mut silent = up(0);
+    let after = lost_after(&mut silent, 0, Opened::Silent);
+    assert!((QUIET + TESTED..5_000_000).contains(&after), "{after}");
+}
+
+#[test]
+fn a_reset_connection_and_a_quiet_host_lose_nothing() {
+    let mut watch = up(0);
+    for now in (0..60_000_000).step_by(50_000) {
+        if now % 700_000 == 0 {
+            watch.closed(true);
+        }
+        match watch.next(now, true) {
+            Next::Lost => panic!("lost at {now}"),
+            Next::Open => watch.opened(now, Opened::Up),
+            Next::Test => watch.heard(now),
+            Next::Nothing => {}
+        }
+    }
+}
+
+#[test]
+fn a_connection_that_broke_is_followed_by_a_new_one_though_others_are_up() {
+    let mut watch = up(0);
+    watch.opened(0, Opened::Up);
+    watch.closed(true);
+    assert_eq!(watch.next(PAUSE, true), Next::Nothing, "all was read");
+    watch.opened(0, Opened::Up);
+    watch.closed(false);
+    assert_eq!(watch.next(PAUSE, true), Next::Open, "what went down with it comes on a new one");
+    watch.opened(PAUSE, Opened::Up);
+    assert_eq!(watch.next(3 * PAUSE, true), Next::Nothing);
+}
+
+#[test]
+fn a_host_that_left_the_list_is_lost_with_its_last_connection() {
+    let mut watch = up(0);
+    assert_eq!(watch.next(10, false), Next::Nothing);
+    watch.closed(true);
+    assert_eq!(watch.next(20, false), Next::Lost);
+}
+
+#[test]
+fn a_bound_of_ours_is_no_word_on_the_host() {
+    let mut watch = up(0);
+    watch.closed(true);
+    for now in (PAUSE..60_000_000).step_by(50_000) {
+        match watch.next(now, true) {
+            Next::Lost => panic!("lost at {now}"),
+            Next::Open => watch.opened(now, Opened::NoRoom),
+            _ => {}
+        }
+    }
+}
