A host whose test stays unanswered is lost, though no connection can be tried

A test that is not answered for 4 s now tells by itself: 6 s after the last word, of the 8 s that the protocol gives.

--- a/crates/elderpick-sessions/src/watch.rs
+++ b/crates/elderpick-sessions/src/watch.rs
@@ -10,6 +10,9 @@
 const QUIET: Micros = 2_000_000;
 /// The test's answer is waited for so long, then a new connection must show that the host is there.
 const TESTED: Micros = 1_000_000;
+/// A test that is not answered by then tells that the host is lost, also where no new connection can be tried: its viewers
+/// have to hear within 8 s of an end.
+const UNANSWERED: Micros = 4_000_000;
 /// Connections that are refused, or do not come up, before the host counts as lost.
 const REFUSED: u32 = 2;
 const SILENT: u32 = 3;
@@ -102,7 +105,9 @@
     /// What to do now for a host where sessions stand. `known` says that the list still has it: the address of one that
     /// is gone may be another's by now.
     pub fn next(&mut self, now: Micros, known: bool) -> Next {
-        if self.refused >= REFUSED || self.silent >= SILENT || (!known && self.connections == 0) {
+        let unanswered = self.tested.is_some_and(|at| now - at >= UNANSWERED);
+        if self.refused >= REFUSED || self.silent >= SILENT || unanswered || (!known && self.connections == 0)
+        {
             return Next::Lost;
         }
         let doubtful = self.refused + self.silent > 0 || self.tested.is_some_and(|at| now - at >= TESTED);
--- a/crates/elderpick-sessions/tests/unit/watch.rs
+++ b/crates/elderpick-sessions/tests/unit/watch.rs
@@ -12,7 +12,7 @@
 
 /// Asks every 10 ms until the host is lost; openings end as told.
 fn lost_after(watch: &mut Watch, from: Micros, how: Opened) -> Micros {
-    for now in (from..).step_by(10_000) {
+    for now in (from..from + 60_000_000).step_by(10_000) {
         match watch.next(now, true) {
             Next::Lost => return now - from,
             Next::Open => watch.opened(now, how),
@@ -81,3 +81,11 @@
         }
     }
 }
+
+/// Its line is up and says nothing, and this gateway has no descriptor for another.
+#[test]
+fn a_silent_host_is_lost_in_time_though_no_connection_can_be_tried() {
+    let mut watch = up(0);
+    let after = lost_after(&mut watch, 0, Opened::NoRoom);
+    assert!((QUIET + TESTED..8_000_000).contains(&after), "{after}");
+}
