A hand-over that lay unread since before its host was another process is over

Cause: `at` was taken at its word (`Life::set_up`). The time since which it may have lain unread is known now (`came`), and compared with when the start was heard. The new test fails on the code before.

--- a/crates/elderpick-sessions/src/life.rs
+++ b/crates/elderpick-sessions/src/life.rs
@@ -287,6 +287,8 @@
     /// Sessions that stand there or are ending.
     standing: BTreeSet<u64>,
     watch: Watch,
+    /// When it was heard to be another process than before.
+    renewed: Option<Micros>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
@@ -580,6 +582,12 @@
                 self.counts.turned += 1;
                 return out.push(Output::Over { conn: Some(conn), session, cause: cause::FAILED });
             };
+            if to.renewed.is_some_and(|heard| came < heard) {
+                // It may have lain unread since before its host became another process, and played at the one before.
+                self.counts.turned += 1;
+                self.say_release(now, server, session, cause::ENDED_BY_VIEWER, out);
+                return out.push(Output::Over { conn: Some(conn), session, cause: cause::FAILED });
+            }
             to.standing.insert(session);
             self.counts.handed += 1;
             self.held.insert(session, new(Stage::Stands { server: server.clone() }, None));
@@ -930,8 +938,8 @@
                     another
                 }
                 None => {
-                    let server =
-                        Server { listed: host.clone(), standing: BTreeSet::new(), watch: Watch::new(now) };
+                    let (listed, standing, watch) = (host.clone(), BTreeSet::new(), Watch::new(now));
+                    let server = Server { listed, standing, watch, renewed: None };
                     self.servers.insert(id.clone(), server);
                     false
                 }
@@ -940,6 +948,7 @@
                 self.lose(now, &id, out);
                 if let Some(server) = self.servers.get_mut(&id) {
                     server.watch = Watch::new(now);
+                    server.renewed = Some(now);
                 }
             }
         }
--- a/crates/elderpick-sessions/tests/life.rs
+++ b/crates/elderpick-sessions/tests/life.rs
@@ -393,6 +393,27 @@
     assert_eq!(world.life.held(), 1);
 }
 
+/// The gateway stood still from before its host became another process, which it hears of first.
+#[test]
+fn a_hand_over_that_lay_unread_since_before_its_host_was_another_process_does_not_stand() {
+    let mut world = World::new(&["a"]);
+    let came = world.now;
+    world.pass(1_500 * MS);
+    world.list(listed("a", ServerState::Up, Some(came + 500 * MS)));
+    let mut hand = |came, session| {
+        let mut handed = asks(session, "free");
+        handed.figures.at = Some("a".into());
+        let out = world.feed(Input::SetUp { conn: 5, came, set_up: handed });
+        (out, world.life.held())
+    };
+    let (out, held) = hand(came, 1);
+    let over = Output::Over { conn: Some(5), session: 1, cause: cause::FAILED };
+    let release = |o: &Output| matches!(o, Output::Release { session: 1, .. });
+    assert!(held == 0 && out.contains(&over) && out.iter().any(release), "{out:?}");
+    let (out, held) = hand(came + 1_500 * MS, 2);
+    assert_eq!((out, held), (vec![], 1), "what came since plays at the new one");
+}
+
 /// More at once than were remembered before.
 #[test]
 fn all_releases_of_a_crowd_are_said_again_until_they_are_heard() {
