--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -10,7 +10,7 @@
 use elderpick_core::api::{Micros, Note, Report, ServerId, Status};
 use elderpick_platform::rtsp::{self, Start, cseq};
 use elderpick_sessions::keep::Kept;
-use elderpick_sessions::life::{self, Attempt, Input};
+use elderpick_sessions::life::{self, AttemptId, Input};
 use elderpick_sessions::watch::Opened;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -43,7 +43,7 @@
     link: Link,
     decoder: RefCell<rtsp::Decoder>,
     /// Set-ups that are out on it: which attempts they are, and when they were written.
-    out: RefCell<BTreeMap<u64, (Attempt, Micros)>>,
+    out: RefCell<BTreeMap<u64, (AttemptId, Micros)>>,
     /// Sessions whose withdrawal or release was said on it and not confirmed on it.
     unheard: RefCell<BTreeSet<u64>>,
     /// Calls for load that are out on it.
@@ -59,10 +59,10 @@
 }
 
 /// An attempt on its way to a host.
-pub(crate) struct Try {
+pub(crate) struct Attempt {
     pub server: ServerId,
     pub session: u64,
-    pub attempt: Attempt,
+    pub attempt: AttemptId,
     pub bytes: Vec<u8>,
     /// How often it was held up by what was there to be read before it.
     pub looks: u32,
@@ -70,7 +70,7 @@
     pub unread: bool,
 }
 
-impl Try {
+impl Attempt {
     /// It was not written, and never will be.
     fn kept(self) -> Input {
         Input::Kept { server: self.server, session: self.session, attempt: self.attempt }
@@ -90,7 +90,7 @@
         self.out.borrow().is_empty() && self.asked.borrow().is_empty()
     }
 
-    fn say(&self, (over, bytes): Told) {
+    fn say(&self, (over, bytes): Message) {
         let mut unheard = self.unheard.borrow_mut();
         let room = unheard.len() < UNHEARD;
         unheard.extend(over.filter(|_| room));
@@ -98,9 +98,9 @@
     }
 
     /// Takes out what is out under a session's number, if it is that attempt.
-    fn take_out(&self, session: u64, attempt: Option<Attempt>) -> Option<(Attempt, Micros)> {
+    fn take_out(&self, session: u64, attempt: Option<AttemptId>) -> Option<(AttemptId, Micros)> {
         let mut out = self.out.borrow_mut();
-        let fits = |(out, _): &&(Attempt, Micros)| attempt.is_none_or(|attempt| attempt == *out);
+        let fits = |(out, _): &&(AttemptId, Micros)| attempt.is_none_or(|attempt| attempt == *out);
         let found = out.get(&session).filter(fits).copied();
         found.inspect(|_| {
             out.remove(&session);
@@ -116,15 +116,15 @@
 }
 
 /// A word that wants no answer, and the session that it withdraws or releases, if it does.
-type Told = (Option<u64>, Vec<u8>);
+type Message = (Option<u64>, Vec<u8>);
 
 /// What leads to one host.
 struct Ways {
     lines: Vec<Rc<Line>>,
     opening: usize,
-    kept: Kept<Told>,
+    kept: Kept<Message>,
     /// Set-ups that wait for an opening to end.
-    waiting: VecDeque<Try>,
+    waiting: VecDeque<Attempt>,
 }
 
 impl Default for Ways {
@@ -135,7 +135,7 @@
 
 /// What a call is for.
 enum Call {
-    SetUp(Try),
+    SetUp(Attempt),
     Load { session: u64 },
     Nothing,
 }
@@ -211,7 +211,7 @@
 
     /// Whether anything has come that is to be heard before an attempt is written: from the viewer that asked, or on
     /// the line that it would go out on. It is told to the life of sessions by this.
-    pub(crate) fn hears_before(self: &Rc<Self>, one: &mut Try) -> bool {
+    pub(crate) fn hears_before(self: &Rc<Self>, one: &mut Attempt) -> bool {
         if one.looks >= MOST_LOOKS {
             return false;
         }
@@ -229,7 +229,7 @@
 
     /// Writes a set-up on an idle line, on a new one, or with others if there may be no further. A bound of ours says
     /// nothing of the host: what it leaves no room for was never sent.
-    pub(crate) fn host_set_up(self: &Rc<Self>, one: Try) {
+    pub(crate) fn host_set_up(self: &Rc<Self>, one: Attempt) {
         if !self.may_write(&one) {
             return self.feed(one.kept());
         }
@@ -249,20 +249,22 @@
     }
 
     /// Looks again once others had their turn; the attempt's time bounds how often.
-    fn look_later(self: &Rc<Self>, one: Try) {
+    fn look_later(self: &Rc<Self>, one: Attempt) {
         let node = self.clone();
         spawn_local(async move {
             tokio::time::sleep(LOOKS_APART).await;
-            node.together(|| node.tries.borrow_mut().push_back(Try { looks: 0, unread: false, ..one }));
+            node.together(|| {
+                node.attempts.borrow_mut().push_back(Attempt { looks: 0, unread: false, ..one })
+            });
         });
     }
 
-    fn may_write(&self, one: &Try) -> bool {
+    fn may_write(&self, one: &Attempt) -> bool {
         self.life.borrow().may_write(&one.server, one.session, one.attempt, self.now())
     }
 
     /// Lets a set-up wait for an opening to end, if there is one and room.
-    fn wait(self: &Rc<Self>, one: Try) {
+    fn wait(self: &Rc<Self>, one: Attempt) {
         let mut all = self.hosts.ways.borrow_mut();
         let ways = all.get_mut(&one.server).filter(|ways| ways.opening > 0 && ways.waiting.len() < WAITING);
         match ways {
@@ -275,14 +277,14 @@
     }
 
     /// Takes all that wait.
-    fn waiting(&self, server: &ServerId) -> VecDeque<Try> {
+    fn waiting(&self, server: &ServerId) -> VecDeque<Attempt> {
         let mut ways = self.hosts.ways.borrow_mut();
         ways.get_mut(server).map(|ways| std::mem::take(&mut ways.waiting)).unwrap_or_default()
     }
 
     /// Writes what was looked at right before. A line that does not take the first byte is used no more, and nothing
     /// of the set-up has left: it goes another way.
-    fn write_set_up(self: &Rc<Self>, line: &Rc<Line>, one: Try) {
+    fn write_set_up(self: &Rc<Self>, line: &Rc<Line>, one: Attempt) {
         let now = self.now();
         if line.link.send_now(&one.bytes) {
             line.out.borrow_mut().insert(one.session, (one.attempt, now));
@@ -293,7 +295,7 @@
         }
     }
 
-    pub(crate) fn host_withdraw(self: &Rc<Self>, server: &ServerId, session: u64, attempt: Attempt) {
+    pub(crate) fn host_withdraw(self: &Rc<Self>, server: &ServerId, session: u64, attempt: AttemptId) {
         let mut ways = self.hosts.ways.borrow_mut();
         let Some(ways) = ways.get_mut(server) else { return };
         ways.waiting.retain(|one| one.attempt != attempt);
@@ -345,7 +347,7 @@
     }
 
     /// Says something that needs no answer, now or on the next line that comes up.
-    pub(crate) fn host_tell(self: &Rc<Self>, server: ServerId, told: Told) {
+    pub(crate) fn host_tell(self: &Rc<Self>, server: ServerId, told: Message) {
         if let Some(line) = self.line(&server) {
             return line.say(told);
         }
@@ -475,7 +477,7 @@
 
     fn never_up(self: &Rc<Self>, server: ServerId, call: Call, how: Opened) {
         self.feed(Input::Opened { server: server.clone(), how });
-        let ended = |one: Try| match how {
+        let ended = |one: Attempt| match how {
             // It was never sent, and nothing is held against the host.
             Opened::NoRoom => one.kept(),
             _ => one.never_up(),
@@ -520,12 +522,15 @@
         kept.into_iter().for_each(|told| line.say(told));
         self.together(|| {
             match call {
-                Call::SetUp(one) => self.tries.borrow_mut().push_back(Try { looks: 0, unread: false, ..one }),
+                Call::SetUp(one) => {
+                    self.attempts.borrow_mut().push_back(Attempt { looks: 0, unread: false, ..one })
+                }
                 Call::Load { session } => self.write_probe(&server, &line, session),
                 Call::Nothing => {}
             }
-            let waiting = self.waiting(&server).into_iter().map(|one| Try { looks: 0, unread: false, ..one });
-            self.tries.borrow_mut().extend(waiting);
+            let waiting =
+                self.waiting(&server).into_iter().map(|one| Attempt { looks: 0, unread: false, ..one });
+            self.attempts.borrow_mut().extend(waiting);
         });
         let whole = line.link.run(&self.buffer, |chunk| self.host_heard(&server, &line, chunk)).await;
         line.link.end(true);
--- a/crates/elderpick-node/src/lib.rs
+++ b/crates/elderpick-node/src/lib.rs
@@ -101,7 +101,7 @@
         stop_coming: Default::default(),
         timer: Default::default(),
         later: RefCell::default(),
-        tries: RefCell::default(),
+        attempts: RefCell::default(),
         feeding: Cell::new(false),
         unreadable: Cell::new(0),
         turned_away: Cell::new(0),
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -16,7 +16,7 @@
 use elderpick_sessions::releases::Releases;
 use tokio::sync::Notify;
 
-use crate::hosts::{Hosts, Try};
+use crate::hosts::{Attempt, Hosts};
 use crate::viewers::{Guest, Guests, Standing};
 
 /// Whether the gateway runs.
@@ -55,7 +55,7 @@
     pub timer: Notify,
     pub later: RefCell<VecDeque<Input>>,
     /// Attempts to be written once all that has happened was told; bounded by the set-ups that may be open.
-    pub tries: RefCell<VecDeque<Try>>,
+    pub attempts: RefCell<VecDeque<Attempt>>,
     pub feeding: Cell<bool>,
     pub unreadable: Cell<u64>,
     pub turned_away: Cell<u64>,
@@ -109,9 +109,9 @@
                 self.take(input, &mut out);
                 continue;
             }
-            let Some(mut one) = self.tries.borrow_mut().pop_front() else { break };
+            let Some(mut one) = self.attempts.borrow_mut().pop_front() else { break };
             if self.hears_before(&mut one) {
-                self.tries.borrow_mut().push_front(one);
+                self.attempts.borrow_mut().push_front(one);
             } else {
                 self.host_set_up(one);
             }
@@ -226,7 +226,7 @@
                 let (class, title, description) = (class.as_str(), title.as_str(), &description[..]);
                 let set_up = rtsp::SetUp { session, class, title, patience_ms, rung, description };
                 let bytes = rtsp::set_up(&set_up);
-                self.tries.borrow_mut().push_back(Try {
+                self.attempts.borrow_mut().push_back(Attempt {
                     server,
                     session,
                     attempt,
--- a/crates/elderpick-sessions/src/life.rs
+++ b/crates/elderpick-sessions/src/life.rs
@@ -24,7 +24,7 @@
 
 /// The number of an attempt, of which no other has the same: a word of a host counts for the attempt that it answers,
 /// whatever else goes by the same session.
-pub type Attempt = u64;
+pub type AttemptId = u64;
 
 /// Set-ups open on one connection, and in all; one more is refused.
 const OPEN_ON_ONE: usize = 64;
@@ -72,7 +72,7 @@
         server: ServerId,
         session: u64,
         /// The attempt that is out on the connection that this came on; `None` where none of the session's is.
-        attempt: Option<Attempt>,
+        attempt: Option<AttemptId>,
         description: Bytes,
         /// Its host has ended it since, for this cause, and nothing was answered yet.
         over: Option<u8>,
@@ -81,7 +81,7 @@
     Refused {
         server: ServerId,
         session: u64,
-        attempt: Attempt,
+        attempt: AttemptId,
         status: Status,
         report: Report,
     },
@@ -90,7 +90,7 @@
         server: ServerId,
         session: u64,
         /// As in [`Input::Answer`].
-        attempt: Option<Attempt>,
+        attempt: Option<AttemptId>,
         cause: u8,
         report: Report,
     },
@@ -108,14 +108,14 @@
     Cut {
         server: ServerId,
         session: u64,
-        attempt: Attempt,
+        attempt: AttemptId,
         begun: bool,
     },
     /// The set-up was not written, since [`Life::may_write`] forbade it.
     Kept {
         server: ServerId,
         session: u64,
-        attempt: Attempt,
+        attempt: AttemptId,
     },
     Probed {
         server: ServerId,
@@ -177,7 +177,7 @@
     SetUp {
         server: ServerId,
         session: u64,
-        attempt: Attempt,
+        attempt: AttemptId,
         class: String,
         title: String,
         patience: Micros,
@@ -188,7 +188,7 @@
     Withdraw {
         server: ServerId,
         session: u64,
-        attempt: Attempt,
+        attempt: AttemptId,
     },
     /// A session is released at its host.
     Release {
@@ -241,7 +241,7 @@
     Waiting,
     Out {
         server: ServerId,
-        attempt: Attempt,
+        attempt: AttemptId,
         until: Micros,
         /// The host's last start, as it was known when this was decided.
         started: Option<Micros>,
@@ -277,7 +277,7 @@
         matches!(&self.stage, Stage::Out { server, .. } if server == at)
     }
 
-    fn is_out_as(&self, at: &ServerId, as_: Attempt) -> bool {
+    fn is_out_as(&self, at: &ServerId, as_: AttemptId) -> bool {
         matches!(&self.stage, Stage::Out { server, attempt, .. } if server == at && *attempt == as_)
     }
 }
@@ -294,7 +294,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 enum Timer {
     /// The time of a session's attempt is up; goes before the module's own alarms of the same instant.
-    Attempt(u64, Attempt),
+    Attempt(u64, AttemptId),
     Ending(u64),
     Alarm(u64),
 }
@@ -314,7 +314,7 @@
     answered: Recent<u64>,
     /// What ended before it was held here, with its host where that said so, and the cause.
     ended: Recent<(u64, Option<ServerId>), u8>,
-    attempts: Attempt,
+    attempts: AttemptId,
     timers: BinaryHeap<Reverse<(Micros, Timer)>>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
@@ -390,7 +390,7 @@
 
     /// Whether a set-up may be written to a host now: it is still wanted, its host still takes new ones, and is the
     /// process that it was decided for.
-    pub fn may_write(&self, server: &ServerId, session: u64, attempt: Attempt, now: Micros) -> bool {
+    pub fn may_write(&self, server: &ServerId, session: u64, attempt: AttemptId, now: Micros) -> bool {
         let held = self.held.get(&session).filter(|h| h.is_out_as(server, attempt));
         let Some(Held { stage: Stage::Out { until, started, .. }, .. }) = held else {
             return false;
@@ -645,7 +645,7 @@
         now: Micros,
         server: ServerId,
         session: u64,
-        attempt: Attempt,
+        attempt: AttemptId,
         out: &mut Vec<Output>,
     ) {
         self.given_up.insert(now, (server.clone(), session), ());
@@ -748,7 +748,7 @@
         &mut self,
         server: &ServerId,
         session: u64,
-        attempt: Attempt,
+        attempt: AttemptId,
         status: Status,
         report: Report,
     ) {
@@ -764,7 +764,7 @@
         now: Micros,
         server: ServerId,
         session: u64,
-        attempt: Option<Attempt>,
+        attempt: Option<AttemptId>,
         (description, over): (Bytes, Option<u8>),
         out: &mut Vec<Output>,
     ) {
@@ -822,7 +822,7 @@
         now: Micros,
         server: ServerId,
         session: u64,
-        attempt: Option<Attempt>,
+        attempt: Option<AttemptId>,
         cause: u8,
         report: Report,
         out: &mut Vec<Output>,
--- a/crates/elderpick-sessions/tests/crossings.rs
+++ b/crates/elderpick-sessions/tests/crossings.rs
@@ -9,7 +9,7 @@
 use elderpick_core::api::*;
 use elderpick_platform::journal::Listed;
 use elderpick_platform::viewer::{Figures, SetUp, cause};
-use elderpick_sessions::life::{Attempt, Input, Life, Output};
+use elderpick_sessions::life::{AttemptId, Input, Life, Output};
 use elderpick_sessions::watch::Opened;
 
 const MS: Micros = 1_000;
@@ -65,7 +65,7 @@
     to_host: VecDeque<Word>,
     to_gate: VecDeque<Say>,
     /// As the gateway sees it: what is out, and ends said on it that were not confirmed.
-    out: BTreeMap<u64, Attempt>,
+    out: BTreeMap<u64, AttemptId>,
     unheard: BTreeSet<u64>,
 }
 
@@ -93,10 +93,10 @@
 struct Judge {
     owed: BTreeMap<u64, (Micros, bool)>,
     /// The attempt that is out for a session, and where.
-    out: BTreeMap<u64, (Attempt, usize)>,
+    out: BTreeMap<u64, (AttemptId, usize)>,
     /// All attempts made for a session, and which are proven never to have run.
-    made: BTreeMap<u64, Vec<Attempt>>,
-    proven: BTreeSet<Attempt>,
+    made: BTreeMap<u64, Vec<AttemptId>>,
+    proven: BTreeSet<AttemptId>,
     /// Where sessions stand, as the gateway says.
     stands: BTreeMap<u64, usize>,
     broken: Option<String>,
@@ -166,7 +166,7 @@
     lines: Vec<Line>,
     hosts: Vec<Host>,
     /// Connections that are being opened, with what they are opened for.
-    opening: Vec<(usize, Option<(u64, Attempt)>)>,
+    opening: Vec<(usize, Option<(u64, AttemptId)>)>,
     judge: Judge,
     next: u64,
     /// Sessions that a gateway before set up, which are handed over some time.
@@ -332,7 +332,7 @@
         }
     }
 
-    fn write(&mut self, line: usize, session: u64, attempt: Attempt) {
+    fn write(&mut self, line: usize, session: u64, attempt: AttemptId) {
         let server = name(self.lines[line].host);
         if self.life.may_write(&server, session, attempt, self.now) {
             self.lines[line].out.insert(session, attempt);
@@ -344,7 +344,7 @@
     }
 
     /// The gateway learns that an attempt is over, and whether that proves that it never ran.
-    fn end_attempt(&mut self, session: u64, attempt: Attempt, proves: bool) {
+    fn end_attempt(&mut self, session: u64, attempt: AttemptId, proves: bool) {
         if self.judge.out.get(&session).is_some_and(|(out, _)| *out == attempt) {
             self.judge.out.remove(&session);
         }
@@ -429,7 +429,7 @@
     }
 
     /// Which attempt a word counts for: its own, or for a double the one that is out, wherever that is.
-    fn mixed(&self, session: u64, server: ServerId, own: Option<Attempt>) -> (ServerId, Option<Attempt>) {
+    fn mixed(&self, session: u64, server: ServerId, own: Option<AttemptId>) -> (ServerId, Option<AttemptId>) {
         match self.judge.out.get(&session) {
             Some((out, at)) if self.wrong == Wrong::MixesAttempts => (name(*at), Some(*out)),
             _ => (server, own),
--- a/crates/elderpick-sessions/tests/life.rs
+++ b/crates/elderpick-sessions/tests/life.rs
@@ -7,7 +7,7 @@
 use elderpick_core::api::*;
 use elderpick_platform::journal::Listed;
 use elderpick_platform::viewer::{Figures, SetUp, cause};
-use elderpick_sessions::life::{Attempt, Input, Life, Output};
+use elderpick_sessions::life::{AttemptId, Input, Life, Output};
 use elderpick_sessions::watch::Opened;
 use proptest::prelude::*;
 
@@ -73,7 +73,7 @@
     life: Life,
     now: Micros,
     /// The last attempt of each session.
-    attempts: BTreeMap<u64, Attempt>,
+    attempts: BTreeMap<u64, AttemptId>,
 }
 
 impl World {
@@ -100,7 +100,7 @@
     }
 
     /// The number of a session's last attempt.
-    fn attempt(&self, session: u64) -> Attempt {
+    fn attempt(&self, session: u64) -> AttemptId {
         self.attempts.get(&session).copied().unwrap_or(0)
     }
 
@@ -165,7 +165,7 @@
 #[test]
 fn an_outcome_proves_only_what_it_may() {
     use Status::*;
-    type End = fn(ServerId, Attempt) -> Input;
+    type End = fn(ServerId, AttemptId) -> Input;
     for (status, proves) in [(Full, true), (Ignored, true), (Failed, false), (Reset, false)] {
         let mut world = World::new(&["a", "b"]);
         let first = sent(&world.ask(1, "paid")).unwrap();
