--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -9,8 +9,8 @@
 
 use elderpick_core::api::{Micros, Note, Report, ServerId, Status};
 use elderpick_platform::rtsp::{self, Start, cseq};
-use elderpick_sessions::keep::Kept;
 use elderpick_sessions::life::{self, AttemptId, Input};
+use elderpick_sessions::pending::PendingQueue;
 use elderpick_sessions::watch::Opened;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -25,9 +25,9 @@
 /// Withdrawals and releases on one connection that are remembered until they are confirmed, and words that wait for one:
 /// all that may stand at a host may be over in one moment.
 const UNHEARD: usize = life::STANDING;
-const KEPT: usize = life::STANDING;
+const PENDING: usize = life::STANDING;
 /// How long words are worth saying.
-const KEPT_LASTS: Micros = 30_000_000;
+const PENDING_LASTS: Micros = 30_000_000;
 /// A connection that is used no more is kept so long for what may still come on it.
 const RETIRED: Duration = Duration::from_secs(1);
 /// A withdrawal is confirmed by then where its line goes on. A set-up that arrives more than a tenth of a second behind
@@ -122,14 +122,19 @@
 struct Ways {
     lines: Vec<Rc<Line>>,
     opening: usize,
-    kept: Kept<Message>,
+    pending: PendingQueue<Message>,
     /// Set-ups that wait for an opening to end.
     waiting: VecDeque<Attempt>,
 }
 
 impl Default for Ways {
     fn default() -> Self {
-        Ways { lines: Vec::new(), opening: 0, kept: Kept::new(KEPT, KEPT_LASTS), waiting: VecDeque::new() }
+        Ways {
+            lines: Vec::new(),
+            opening: 0,
+            pending: PendingQueue::new(PENDING, PENDING_LASTS),
+            waiting: VecDeque::new(),
+        }
     }
 }
 
@@ -353,7 +358,7 @@
         }
         let mut ways = self.hosts.ways.borrow_mut();
         let ways = ways.entry(server.clone()).or_default();
-        ways.kept.push(self.now(), told);
+        ways.pending.push(self.now(), told);
         let idle = ways.opening == 0;
         if idle {
             self.open_later(server);
@@ -371,7 +376,7 @@
         let ways = self.hosts.ways.borrow();
         let waits = ways.iter().filter(|(server, ways)| {
             let listed = life.is_listed(server);
-            listed && ways.opening == 0 && ways.lines.is_empty() && ways.kept.iter(now).next().is_some()
+            listed && ways.opening == 0 && ways.lines.is_empty() && ways.pending.iter(now).next().is_some()
         });
         waits.for_each(|(server, _)| self.open_later(server.clone()));
     }
@@ -425,14 +430,15 @@
         ways.lines.iter().for_each(|line| line.link.abort());
         // The attempts that wait are over by now, and may not be written.
         ways.waiting.clear();
-        ways.kept.take(self.now()).for_each(drop);
+        ways.pending.take(self.now()).for_each(drop);
     }
 
     /// Whether all that was said to hosts is written, as far as a line to them is up or on its way.
     pub(crate) fn hosts_told(&self) -> bool {
         let ways = self.hosts.ways.borrow();
-        ways.values()
-            .all(|w| w.lines.iter().all(|line| line.link.written()) && (w.opening == 0 || w.kept.is_empty()))
+        ways.values().all(|w| {
+            w.lines.iter().all(|line| line.link.written()) && (w.opening == 0 || w.pending.is_empty())
+        })
     }
 
     /// Closes what is not needed: lines to hosts that are gone, and more than one that is idle.
@@ -516,7 +522,7 @@
             let mut ways = self.hosts.ways.borrow_mut();
             let ways = ways.entry(server.clone()).or_default();
             ways.lines.push(line.clone());
-            ways.kept.take(now).collect()
+            ways.pending.take(now).collect()
         };
         self.feed(Input::Opened { server: server.clone(), how: Opened::Up });
         kept.into_iter().for_each(|told| line.say(told));
--- a/crates/elderpick-sessions/src/life.rs
+++ b/crates/elderpick-sessions/src/life.rs
@@ -16,7 +16,7 @@
 use elderpick_platform::journal::Listed;
 use elderpick_platform::viewer::{SetUp, cause};
 
-use crate::keep::Recent;
+use crate::pending::Recent;
 use crate::watch::{Next, Opened, Watch};
 
 /// The number that the runtime gives a viewer's connection.
--- a/crates/elderpick-sessions/src/keep.rs
+++ b/crates/elderpick-sessions/src/pending.rs
@@ -7,7 +7,7 @@
 
 /// Keeps words in order until they can be said. The oldest make room for new ones.
 #[derive(Debug)]
-pub struct Kept<T> {
+pub struct PendingQueue<T> {
     words: VecDeque<(Micros, T)>,
     most: usize,
     lasts: Micros,
@@ -15,10 +15,10 @@
     pub dropped: u64,
 }
 
-impl<T> Kept<T> {
+impl<T> PendingQueue<T> {
     /// Keeps `most` words at most, each for `lasts`.
-    pub fn new(most: usize, lasts: Micros) -> Kept<T> {
-        Kept { words: VecDeque::new(), most, lasts, dropped: 0 }
+    pub fn new(most: usize, lasts: Micros) -> PendingQueue<T> {
+        PendingQueue { words: VecDeque::new(), most, lasts, dropped: 0 }
     }
 
     pub fn push(&mut self, now: Micros, word: T) {
--- a/crates/elderpick-sessions/tests/keep.rs
+++ b/crates/elderpick-sessions/tests/pending.rs
@@ -1,10 +1,10 @@
 //! What waits for a connection, and what was of late.
 
-use elderpick_sessions::keep::{Kept, Recent};
+use elderpick_sessions::pending::{PendingQueue, Recent};
 
 #[test]
 fn the_oldest_words_make_room_and_old_ones_are_not_said() {
-    let mut kept = Kept::new(2, 100);
+    let mut kept = PendingQueue::new(2, 100);
     (0..3).for_each(|k| kept.push(k, k));
     assert_eq!((kept.take(50).collect::<Vec<_>>(), kept.dropped), (vec![1, 2], 1));
     kept.push(60, 7);
