Rename: clients under an admission limit (were guests at a door)

`admission.rs` has `Admission` and its `Client`s, `viewers.rs` the connections of clients; the state line of the log says `clients`.

--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -222,7 +222,7 @@
         }
         one.looks += 1;
         let asked_on = self.life.borrow().asked_on(one.session);
-        let mut look = asked_on.map_or(Look::Nothing, |conn| self.look_at_guest(conn));
+        let mut look = asked_on.map_or(Look::Nothing, |conn| self.look_at_client(conn));
         if look == Look::Nothing
             && let Some(line) = self.line(&one.server)
         {
--- a/crates/elderpick-node/src/lib.rs
+++ b/crates/elderpick-node/src/lib.rs
@@ -19,7 +19,7 @@
 use elderpick_core::api::{ListKind, Micros};
 use elderpick_gateway::shell::{Clock, WallClock};
 use elderpick_platform::boot::{self, Boot};
-use elderpick_sessions::door::Guests as Door;
+use elderpick_sessions::admission::Admission;
 use elderpick_sessions::follow::{Follow, Take};
 use elderpick_sessions::life::{self, Input, Life};
 use elderpick_sessions::releases::Releases;
@@ -88,8 +88,8 @@
         zones: info.zones.clone(),
         kinds: info.flavors.clone(),
         hosts: hosts::Hosts::new(for_hosts, connect, info.limits.conn_idle_us, seed),
-        guests: RefCell::default(),
-        door: RefCell::new(Door::new(for_viewers)),
+        clients: RefCell::default(),
+        admission: RefCell::new(Admission::new(for_viewers)),
         next_conn: Cell::new(0),
         buffer: RefCell::new(vec![0; link::CHUNK]),
         releases: RefCell::new(Releases::new(life::STANDING)),
@@ -134,7 +134,7 @@
         node.close_overdue(true);
         pass(CROSSING, &mut hang_up, || reload(&node, &path)).await;
         // A connection is left once its last word is written.
-        if node.life.borrow().open() == 0 && node.guests.borrow().is_empty() {
+        if node.life.borrow().open() == 0 && node.clients.borrow().is_empty() {
             break;
         }
     }
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -10,14 +10,14 @@
 use elderpick_gateway::shell::{Clock, WallClock};
 use elderpick_platform::rtsp;
 use elderpick_platform::viewer::{self, cause};
-use elderpick_sessions::door::Guests as Door;
+use elderpick_sessions::admission::Admission;
 use elderpick_sessions::follow::Follow;
 use elderpick_sessions::life::{Conn, Input, Life, Output};
 use elderpick_sessions::releases::Releases;
 use tokio::sync::Notify;
 
 use crate::hosts::{Attempt, Hosts};
-use crate::viewers::{Guest, Guests, Standing};
+use crate::viewers::{Client, Clients, Standing};
 
 /// Whether the gateway runs.
 #[derive(Clone, Copy)]
@@ -38,8 +38,8 @@
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
     pub hosts: Hosts,
-    pub guests: RefCell<Guests>,
-    pub door: RefCell<Door>,
+    pub clients: RefCell<Clients>,
+    pub admission: RefCell<Admission>,
     pub next_conn: Cell<Conn>,
     /// What is read goes here first; each task is done with it before the next one reads.
     pub buffer: RefCell<Vec<u8>>,
@@ -133,7 +133,7 @@
         if let (Input::Answer { .. }, Some(conn)) = (&input, asked) {
             // What its viewer said before it is answered goes first: it may have given up, or be gone.
             let behind = std::mem::take(&mut *self.later.borrow_mut());
-            self.look_at_guest(conn);
+            self.look_at_client(conn);
             loop {
                 let before = self.later.borrow_mut().pop_front();
                 let Some(before) = before else { break };
@@ -169,16 +169,16 @@
     /// The number of set-ups that are open on a connection has changed.
     fn opened(&self, conn: Conn) {
         let open = self.life.borrow().open_on(conn);
-        self.door.borrow_mut().open(self.now(), conn, open);
+        self.admission.borrow_mut().open(self.now(), conn, open);
     }
 
     /// Says a final answer on the connection of its set-up. One that goes down with its connection is counted and told;
     /// `false` then.
     fn answer(&self, conn: Conn, session: u64, bytes: &[u8]) -> bool {
-        let said = self.guests.borrow().get(&conn).is_some_and(|guest| {
-            let went_on = guest.link.goes_on();
-            guest.link.send(bytes);
-            went_on && guest.link.goes_on()
+        let said = self.clients.borrow().get(&conn).is_some_and(|client| {
+            let went_on = client.link.goes_on();
+            client.link.send(bytes);
+            went_on && client.link.goes_on()
         });
         if !said {
             self.unsaid.set(self.unsaid.get() + 1);
@@ -200,8 +200,8 @@
                     let cause = cause::ENDED_BY_VIEWER;
                     self.feed(Input::Release { conn, session, cause });
                 }
-                if let Some(guest) = self.guests.borrow().get(&conn) {
-                    guest.standing.set(Standing::Served);
+                if let Some(client) = self.clients.borrow().get(&conn) {
+                    client.standing.set(Standing::Served);
                 }
                 if !self.answer(conn, session, &text) {
                     // Nobody knows of it: it would stand at its host for good.
@@ -217,8 +217,8 @@
             }
             Output::Over { conn, session, cause } => {
                 self.releases.borrow_mut().owe(self.now(), session, cause);
-                if let Some(guest) = self.guest_for(conn) {
-                    self.say_release(&guest, session, cause);
+                if let Some(client) = self.client_for(conn) {
+                    self.say_release(&client, session, cause);
                 }
             }
             Output::SetUp { server, session, attempt, class, title, patience, rung, description } => {
@@ -254,12 +254,12 @@
         }
     }
 
-    fn say_release(&self, guest: &Guest, session: u64, cause: u8) {
+    fn say_release(&self, client: &Client, session: u64, cause: u8) {
         let mut text = Vec::new();
         viewer::release(&mut text, session, cause, None);
-        tracing::trace!(session, on = guest.conn, "a release goes out");
-        guest.link.send(&text);
-        self.releases.borrow_mut().said(self.now(), session, guest.conn);
+        tracing::trace!(session, on = client.conn, "a release goes out");
+        client.link.send(&text);
+        self.releases.borrow_mut().said(self.now(), session, client.conn);
     }
 
     /// Says what waited for a viewers' connection, on each as much as it takes at once: what is more would end it.
@@ -267,8 +267,8 @@
         loop {
             let next = self.releases.borrow_mut().next(self.now());
             let Some((session, cause)) = next else { return };
-            let Some(guest) = self.guest_for(None) else { return };
-            self.say_release(&guest, session, cause);
+            let Some(client) = self.client_for(None) else { return };
+            self.say_release(&client, session, cause);
         }
     }
 
@@ -335,14 +335,14 @@
 
     pub fn log_state(&self) {
         let life = self.life.borrow();
-        let (guests, lines, unreadable) =
-            (self.door.borrow().held(), self.hosts.lines(), self.unreadable.get());
+        let (clients, lines, unreadable) =
+            (self.admission.borrow().held(), self.hosts.lines(), self.unreadable.get());
         let spoilt = self.hosts.unreadable.get();
         let (turned_away, spared, unsaid) = (self.turned_away.get(), self.spared.get(), self.unsaid.get());
         let (held, counts) = (life.held(), life.counts);
         tracing::info!(
             held,
-            guests,
+            clients,
             lines,
             unreadable,
             spoilt,
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use elderpick_platform::viewer::{self, Decoder, Message, SetUp, cause, kind};
-use elderpick_sessions::door::Welcome;
+use elderpick_sessions::admission::Welcome;
 use elderpick_sessions::life::{Conn, Input};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
@@ -29,7 +29,7 @@
 }
 
 /// One viewers' connection.
-pub(crate) struct Guest {
+pub(crate) struct Client {
     pub conn: Conn,
     pub link: Link,
     decoder: RefCell<Decoder>,
@@ -38,7 +38,7 @@
 }
 
 /// All viewers' connections.
-pub(crate) type Guests = BTreeMap<Conn, Rc<Guest>>;
+pub(crate) type Clients = BTreeMap<Conn, Rc<Client>>;
 
 /// Takes connections until it is told to stop, and then all that the system has accepted by that time: what is dropped
 /// with the listener is reset, also with a whole set-up on it.
@@ -78,30 +78,30 @@
     /// Takes a connection; `true` if another is closed for it.
     fn come(self: &Rc<Self>, stream: TcpStream) -> bool {
         let conn = self.next_conn.replace(self.next_conn.get() + 1);
-        let welcome = self.door.borrow_mut().come(self.now(), conn, |conn| self.quiet(conn));
+        let welcome = self.admission.borrow_mut().come(self.now(), conn, |conn| self.quiet(conn));
         match welcome {
             Welcome::Admitted => {}
-            Welcome::InsteadOf(other) => self.close_guest(other),
+            Welcome::InsteadOf(other) => self.close_client(other),
             Welcome::Full => {
                 self.turned_away.set(self.turned_away.get() + 1);
                 return false;
             }
         }
-        let guest = Rc::new(Guest {
+        let client = Rc::new(Client {
             conn,
             link: Link::new(stream),
             decoder: RefCell::default(),
             standing: Cell::new(Standing::New),
             unreadable: Cell::new(0),
         });
-        self.guests.borrow_mut().insert(conn, guest.clone());
+        self.clients.borrow_mut().insert(conn, client.clone());
         let node = self.clone();
         spawn_local(async move {
             tracing::trace!(conn, "a viewers' connection comes");
-            guest.link.run(&node.buffer, |chunk| node.viewer_heard(conn, &guest, chunk)).await;
+            client.link.run(&node.buffer, |chunk| node.viewer_heard(conn, &client, chunk)).await;
             tracing::trace!(conn, "a viewers' connection has ended");
-            node.guests.borrow_mut().remove(&conn);
-            node.door.borrow_mut().left(conn);
+            node.clients.borrow_mut().remove(&conn);
+            node.admission.borrow_mut().left(conn);
             node.releases.borrow_mut().ended(node.now(), conn);
             node.feed(Input::Closed { conn });
             node.say_releases();
@@ -111,26 +111,26 @@
 
     /// Takes what came on a connection; `false` ends it. All that came is told before anything is sent on: who gives up
     /// right behind a set-up has asked for nothing.
-    fn viewer_heard(self: &Rc<Self>, conn: Conn, guest: &Rc<Guest>, chunk: &[u8]) -> bool {
+    fn viewer_heard(self: &Rc<Self>, conn: Conn, client: &Rc<Client>, chunk: &[u8]) -> bool {
         self.together(|| {
-            let mut decoder = guest.decoder.borrow_mut();
+            let mut decoder = client.decoder.borrow_mut();
             decoder.push(chunk);
             loop {
                 match decoder.message() {
                     Ok(Some(message)) => {
-                        self.door.borrow_mut().said(self.now(), conn);
-                        if !self.viewer_said(conn, guest, &message) {
+                        self.admission.borrow_mut().said(self.now(), conn);
+                        if !self.viewer_said(conn, client, &message) {
                             return false;
                         }
                     }
                     Ok(None) => break,
                     Err(why) => {
-                        self.bad(guest, 0, why);
+                        self.bad(client, 0, why);
                         return false;
                     }
                 }
             }
-            self.door.borrow_mut().read(self.now(), conn, decoder.partial());
+            self.admission.borrow_mut().read(self.now(), conn, decoder.partial());
             true
         })
     }
@@ -138,12 +138,12 @@
     /// Looks whether a viewer that waits for an answer has said anything, or has left, that its connection's task has
     /// not come to: after a standstill of this gateway, or behind a line that came up late. The life of sessions is told
     /// of it.
-    pub(crate) fn look_at_guest(self: &Rc<Self>, conn: Conn) -> Look {
-        let guest = self.guests.borrow().get(&conn).cloned();
-        let look = guest
+    pub(crate) fn look_at_client(self: &Rc<Self>, conn: Conn) -> Look {
+        let client = self.clients.borrow().get(&conn).cloned();
+        let look = client
             .as_ref()
-            .map_or(Look::Nothing, |guest| guest.link.look(|chunk| self.viewer_heard(conn, guest, chunk)));
-        let there = guest.is_some_and(|guest| guest.link.goes_on() && !guest.link.ended());
+            .map_or(Look::Nothing, |client| client.link.look(|chunk| self.viewer_heard(conn, client, chunk)));
+        let there = client.is_some_and(|client| client.link.goes_on() && !client.link.ended());
         if there {
             return look;
         }
@@ -151,50 +151,50 @@
         Look::All
     }
 
-    pub(crate) fn close_guest(&self, conn: Conn) {
-        if let Some(guest) = self.guests.borrow().get(&conn) {
+    pub(crate) fn close_client(&self, conn: Conn) {
+        if let Some(client) = self.clients.borrow().get(&conn) {
             // At once if nothing waits to be written: what comes after that is seen by its sender to be too late.
-            guest.link.end(guest.link.free());
+            client.link.end(client.link.free());
         }
     }
 
     /// Whether nothing has come on a connection that was not read yet.
     pub(crate) fn quiet(&self, conn: Conn) -> bool {
-        let quiet = self.guests.borrow().get(&conn).is_none_or(|guest| guest.link.quiet());
+        let quiet = self.clients.borrow().get(&conn).is_none_or(|client| client.link.quiet());
         self.spared.set(self.spared.get() + u64::from(!quiet));
         quiet
     }
 
     /// Closes what is overdue, or at the end all on which nothing is open.
     pub(crate) fn close_overdue(&self, all_idle: bool) {
-        let overdue = self.door.borrow_mut().overdue(self.now(), all_idle, |conn| self.quiet(conn));
-        overdue.into_iter().for_each(|conn| self.close_guest(conn));
+        let overdue = self.admission.borrow_mut().overdue(self.now(), all_idle, |conn| self.quiet(conn));
+        overdue.into_iter().for_each(|conn| self.close_client(conn));
     }
 
     /// What cannot be read gets an error.
-    fn bad(&self, guest: &Guest, session: u64, why: elderpick_platform::Bad) {
+    fn bad(&self, client: &Client, session: u64, why: elderpick_platform::Bad) {
         self.unreadable.set(self.unreadable.get() + 1);
         tracing::debug!(%why, "a viewer sent what cannot be read");
         let mut text = Vec::new();
         viewer::release(&mut text, session, cause::UNREADABLE, None);
-        guest.link.send(&text);
-        guest.standing.set(Standing::Bad);
+        client.link.send(&text);
+        client.standing.set(Standing::Bad);
     }
 
     /// Takes one message; `false` ends the connection.
-    fn viewer_said(self: &Rc<Self>, conn: Conn, guest: &Rc<Guest>, message: &Message) -> bool {
+    fn viewer_said(self: &Rc<Self>, conn: Conn, client: &Rc<Client>, message: &Message) -> bool {
         let session = message.session;
         tracing::trace!(conn, ?message, "a viewer says");
         match message.kind {
             kind::SET_UP => match SetUp::parse(message) {
                 Ok(set_up) => {
-                    guest.standing.set(guest.standing.get().max(Standing::Asked));
+                    client.standing.set(client.standing.get().max(Standing::Asked));
                     self.feed(Input::SetUp { conn, came: self.came(), set_up });
                 }
                 Err(why) => {
-                    self.bad(guest, session, why);
-                    guest.unreadable.set(guest.unreadable.get() + 1);
-                    return guest.unreadable.get() < MOST_UNREADABLE;
+                    self.bad(client, session, why);
+                    client.unreadable.set(client.unreadable.get() + 1);
+                    return client.unreadable.get() < MOST_UNREADABLE;
                 }
             },
             kind::RELEASE => match message.cause() {
@@ -202,22 +202,22 @@
                     self.feed(Input::Release { conn, session, cause });
                     let mut text = Vec::new();
                     let _ = viewer::encode(&mut text, kind::RELEASE_HEARD, session, &[]);
-                    guest.link.send(&text);
+                    client.link.send(&text);
                 }
                 Err(why) => {
-                    self.bad(guest, session, why);
+                    self.bad(client, session, why);
                     return false;
                 }
             },
             kind::TEST => {
                 let mut text = Vec::new();
                 viewer::tested(&mut text, session, !self.ending.get());
-                guest.link.send(&text);
+                client.link.send(&text);
             }
             kind::RELEASE_HEARD => self.releases.borrow_mut().confirmed(session),
             kind::PROGRESS => {}
             _ => {
-                self.bad(guest, session, elderpick_platform::Bad("a message of an unknown type"));
+                self.bad(client, session, elderpick_platform::Bad("a message of an unknown type"));
                 return false;
             }
         }
@@ -225,11 +225,11 @@
     }
 
     /// The connection to say that a session is over on: its own, else the one that is most surely a viewer's.
-    pub(crate) fn guest_for(&self, conn: Option<Conn>) -> Option<Rc<Guest>> {
-        let guests = self.guests.borrow();
-        let hears = |guest: &&Rc<Guest>| guest.link.free() && !guest.link.ended();
-        let own = conn.and_then(|conn| guests.get(&conn)).filter(hears);
-        let best = |standing| guests.values().filter(|g| g.standing.get() == standing).find(hears);
+    pub(crate) fn client_for(&self, conn: Option<Conn>) -> Option<Rc<Client>> {
+        let clients = self.clients.borrow();
+        let hears = |client: &&Rc<Client>| client.link.free() && !client.link.ended();
+        let own = conn.and_then(|conn| clients.get(&conn)).filter(hears);
+        let best = |standing| clients.values().filter(|g| g.standing.get() == standing).find(hears);
         own.or_else(|| best(Standing::Served)).or_else(|| best(Standing::Asked)).cloned()
     }
 }
--- a/crates/elderpick-sessions/src/door.rs
+++ b/crates/elderpick-sessions/src/admission.rs
@@ -18,7 +18,7 @@
 const IDLE: Micros = 20_000_000;
 
 #[derive(Clone, Copy, Debug)]
-struct Guest {
+struct Client {
     came: Micros,
     /// When it last said something whole.
     said: Option<Micros>,
@@ -40,78 +40,82 @@
 
 /// The connections of viewers.
 #[derive(Debug)]
-pub struct Guests {
+pub struct Admission {
     most: usize,
-    guests: HashMap<Conn, Guest>,
+    clients: HashMap<Conn, Client>,
 }
 
-impl Guests {
-    pub fn new(most: usize) -> Guests {
-        Guests { most, guests: HashMap::new() }
+impl Admission {
+    pub fn new(most: usize) -> Admission {
+        Admission { most, clients: HashMap::new() }
     }
 
     pub fn held(&self) -> usize {
-        self.guests.len()
+        self.clients.len()
     }
 
     /// A connection came. `quiet` tells whether nothing has come on another one that was not read yet.
     pub fn come(&mut self, now: Micros, conn: Conn, quiet: impl Fn(Conn) -> bool) -> Welcome {
         let mut welcome = Welcome::Admitted;
-        if self.guests.len() >= self.most {
-            let idle = self.guests.iter().filter(|(_, guest)| guest.open == 0);
-            let order = |(conn, guest): (&Conn, &Guest)| {
-                (guest.said.is_some(), guest.said.unwrap_or(guest.came), *conn)
+        if self.clients.len() >= self.most {
+            let idle = self.clients.iter().filter(|(_, client)| client.open == 0);
+            let order = |(conn, client): (&Conn, &Client)| {
+                (client.said.is_some(), client.said.unwrap_or(client.came), *conn)
             };
             let mut idle: Vec<_> = idle.map(order).collect();
             idle.sort_unstable();
             let Some((_, _, first)) = idle.into_iter().find(|(_, _, conn)| quiet(*conn)) else {
                 return Welcome::Full;
             };
-            self.guests.remove(&first);
+            self.clients.remove(&first);
             welcome = Welcome::InsteadOf(first);
         }
-        self.guests.insert(conn, Guest { came: now, said: None, partial: None, open: 0 });
+        self.clients.insert(conn, Client { came: now, said: None, partial: None, open: 0 });
         welcome
     }
 
     /// A whole message came.
     pub fn said(&mut self, now: Micros, conn: Conn) {
-        if let Some(guest) = self.guests.get_mut(&conn) {
-            guest.said = Some(now);
-            guest.partial = None;
+        if let Some(client) = self.clients.get_mut(&conn) {
+            client.said = Some(now);
+            client.partial = None;
         }
     }
 
     /// All that came was read; `partial` tells whether part of a message is left.
     pub fn read(&mut self, now: Micros, conn: Conn, partial: bool) {
-        if let Some(guest) = self.guests.get_mut(&conn) {
-            guest.partial = partial.then(|| guest.partial.unwrap_or(now));
+        if let Some(client) = self.clients.get_mut(&conn) {
+            client.partial = partial.then(|| client.partial.unwrap_or(now));
         }
     }
 
     /// So many set-ups are open on it now.
     pub fn open(&mut self, now: Micros, conn: Conn, open: usize) {
-        if let Some(guest) = self.guests.get_mut(&conn) {
-            guest.open = open;
-            guest.said = guest.said.map(|_| now);
+        if let Some(client) = self.clients.get_mut(&conn) {
+            client.open = open;
+            client.said = client.said.map(|_| now);
         }
     }
 
     pub fn left(&mut self, conn: Conn) {
-        self.guests.remove(&conn);
+        self.clients.remove(&conn);
     }
 
     /// Connections to close now. `all_idle` closes all on which nothing is open, at the end. `quiet` as above.
     pub fn overdue(&mut self, now: Micros, all_idle: bool, quiet: impl Fn(Conn) -> bool) -> Vec<Conn> {
-        let over = |conn: Conn, guest: &Guest| {
-            let silent = guest.said.is_none() && now - guest.came >= SILENT;
-            let partial = guest.partial.is_some_and(|since| now - since >= PARTIAL);
-            let idle = guest.said.is_some_and(|at| now - at >= IDLE);
+        let over = |conn: Conn, client: &Client| {
+            let silent = client.said.is_none() && now - client.came >= SILENT;
+            let partial = client.partial.is_some_and(|since| now - since >= PARTIAL);
+            let idle = client.said.is_some_and(|at| now - at >= IDLE);
             // What is open is still owed its answer, whatever else the connection does.
-            guest.open == 0 && (partial || silent || idle || all_idle) && quiet(conn)
+            client.open == 0 && (partial || silent || idle || all_idle) && quiet(conn)
         };
-        let mut over: Vec<_> =
-            self.guests.iter().filter(|(conn, guest)| over(**conn, guest)).map(|(conn, _)| *conn).collect();
+        let mut over: Vec<_> = self
+            .clients
+            .iter()
+            .filter(|(conn, client)| over(**conn, client))
+            .map(|(conn, _)| *conn)
+            .collect();
         over.sort_unstable();
         over.iter().for_each(|conn| self.left(*conn));
         over
@@ -119,5 +123,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/unit/door.rs"]
+#[path = "../tests/unit/admission.rs"]
 mod tests;
--- a/crates/elderpick-sessions/src/lib.rs
+++ b/crates/elderpick-sessions/src/lib.rs
@@ -2,10 +2,10 @@
 //!
 //! [`life`] stands between the decision module and the sockets: it tells the module what happens, carries out what the
 //! module decides and adds no choice of its own. [`watch`] judges whether a media host still runs, [`follow`] keeps the
-//! place in the journal, [`pending`] what could not be said yet, [`releases`] what viewers have not confirmed, [`door`] who
+//! place in the journal, [`pending`] what could not be said yet, [`releases`] what viewers have not confirmed, [`admission`] who
 //! may stay connected.
 
-pub mod door;
+pub mod admission;
 pub mod follow;
 pub mod life;
 pub mod pending;
