--- a/crates/elderpick-lab/tests/crossings.rs
+++ b/crates/elderpick-lab/tests/crossings.rs
@@ -74,6 +74,17 @@
     assert_eq!(half.next().await.unwrap(), None, "half a message is not waited for");
 }
 
+/// Asks until lines to all hosts are up; they are idle then. The number of sessions is a bound for the wait.
+async fn all_lines_up(world: &World, viewers: &mut Viewers) {
+    for session in 1..200 {
+        assert_eq!(asked(viewers, session, "free").await, SERVED);
+        if world.hosts.iter().all(|host| host.taken() > 0) {
+            return;
+        }
+    }
+    panic!("a host has no line");
+}
+
 /// Whether a connection to a port has been asked for and is not up.
 fn is_opening(port: u16) -> bool {
     let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
@@ -116,13 +127,7 @@
             let journal = Journal::start().await.unwrap();
             let world = world_of("refused", hosts, journal, 256, unprobed).await;
             let mut viewers = connect(&world).await;
-            // Lines to both are up and idle; the number of tries is a bound for the wait.
-            for session in 1..200 {
-                assert_eq!(asked(&mut viewers, session, "free").await, SERVED);
-                if world.hosts.iter().all(|host| host.taken() > 0) {
-                    break;
-                }
-            }
+            all_lines_up(&world, &mut viewers).await;
             world.hosts.iter().for_each(|host| host.script(&[Does::HoldsRefusal(453)]));
             viewers.ask(1_000, "free", None).await.unwrap();
             until("it is out", || host_saw(&world, "SETUP", 1_000).len() == 1).await;
@@ -782,12 +787,7 @@
             let journal = Journal::start().await.unwrap();
             let world = world_of("anothers", hosts, journal, 256, unprobed).await;
             let mut viewers = connect(&world).await;
-            for session in 1..200 {
-                assert_eq!(asked(&mut viewers, session, "free").await, SERVED);
-                if world.hosts.iter().all(|host| host.taken() > 0) {
-                    break;
-                }
-            }
+            all_lines_up(&world, &mut viewers).await;
             world.hosts.iter().for_each(|host| host.script(&[Does::Holds]));
             let session = 1_000;
             viewers.ask(session, "paid", None).await.unwrap();
