--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -665,7 +665,11 @@
 }
 
 async fn connect(to: SocketAddr, within: Duration) -> Result<TcpStream, Opened> {
-    match tokio::time::timeout(within, TcpStream::connect(to)).await {
+    let up = tokio::time::timeout(within, TcpStream::connect(to)).await;
+    if let Ok(Err(why)) = &up {
+        tracing::debug!(%to, %why, "a connection to a host does not come up");
+    }
+    match up {
         Ok(Ok(stream)) => Ok(stream),
         Ok(Err(why)) if out_of_room(&why) => Err(Opened::NoRoom),
         Ok(Err(_)) => Err(Opened::Refused),
