--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -56,9 +56,8 @@
 const UNREACHED: Micros = 1_000_000;
 /// Less time than this is too little for an attempt.
 const LEAST_ATTEMPT: Micros = 60_000;
-/// Loads differ by as much before another zone is preferred: reports are as noisy, and what happens there is
-/// known later.
-const ZONE_BIAS: f64 = 0.15;
+/// Loads differ by as much before another zone is preferred.
+const ZONE_BIAS: f64 = 0.05;
 /// Token of the alarm after which the list is asked for; requests have the others.
 const LIST_TOKEN: u64 = 0;
 const LIST_AGAIN: Micros = 1_000_000;
