A paid session goes on trial only where no server is left; releases in the state line

Cause: letting a paid session try a server a while after its back-off makes more further attempts than needed where others serve. What the change was for is a gateway that serves nobody: so it acts only there now.

--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -922,12 +922,11 @@
         if !server.lost && (server.strikes == 0 || shared) {
             return true;
         }
-        // After the back-off one session on trial; one that may be set up only once if no other came for a
-        // while, since where all are such the server would not be used again.
+        // After the back-off one session on trial, and none that may be set up only once while others serve.
         let only_once = self.set.classes[session.wish.class].effect == Effect::SingleShot;
-        let from = server.avoid_until + if only_once { BACK_OFF } else { 0 };
+        let safe = !only_once || self.up.iter().all(|id| self.struck.contains(id));
         let on_trial = || server.sessions.iter().any(|id| !self.sessions[id].playing);
-        self.now >= from && !on_trial()
+        safe && self.now >= server.avoid_until && !on_trial()
     }
 
     // ---- Cold pace ----
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -340,6 +340,8 @@
         let spoilt = self.hosts.unreadable.get();
         let (turned_away, spared, unsaid) = (self.turned_away.get(), self.spared.get(), self.unsaid.get());
         let (held, counts) = (life.held(), life.counts);
+        let releases = self.releases.borrow();
+        let (unconfirmed, said_again, dropped) = (releases.len(), releases.repeated, releases.dropped);
         tracing::info!(
             held,
             clients,
@@ -349,6 +351,9 @@
             turned_away,
             spared,
             unsaid,
+            unconfirmed,
+            said_again,
+            dropped,
             ?counts,
             "state"
         );
--- a/crates/elderpick-sessions/src/releases.rs
+++ b/crates/elderpick-sessions/src/releases.rs
@@ -101,11 +101,6 @@
         }
     }
 
-    /// Whether one waits for a connection.
-    pub fn waits(&self) -> bool {
-        !self.waiting.is_empty()
-    }
-
     /// How many are owed.
     pub fn len(&self) -> usize {
         self.owed.len()
