--- a/crates/elderpick-platform/src/boot.rs
+++ b/crates/elderpick-platform/src/boot.rs
@@ -7,6 +7,7 @@
 
 use elderpick_core::api::{BudgetRule, Class, ColdRule, Effect, Group, Micros, Reporting as How, Settings};
 use serde::Deserialize;
+use serde_json::Value;
 
 use crate::journal;
 
@@ -40,14 +41,37 @@
     pub entries: Vec<journal::Event>,
 }
 
+/// Largest whole number that a floating-point figure holds exactly.
+const MOST_WHOLE: f64 = 9_007_199_254_740_992.0;
+
+/// Makes one form of what may be written in two: a field that is `null` is one that is missing, and a whole number is a
+/// whole number however it is written.
+fn normalize(value: &mut Value) {
+    match value {
+        Value::Object(fields) => {
+            fields.retain(|_, field| !field.is_null());
+            fields.values_mut().for_each(normalize);
+        }
+        Value::Array(values) => values.iter_mut().for_each(normalize),
+        Value::Number(number) if !number.is_i64() && !number.is_u64() => {
+            let whole = number.as_f64().filter(|n| n.fract() == 0.0 && n.abs() <= MOST_WHOLE);
+            if let Some(whole) = whole {
+                *value = Value::from(whole as i64);
+            }
+        }
+        _ => {}
+    }
+}
+
 /// Fewest descriptors that a gateway can work with.
 const LEAST_SOCKETS: usize = 64;
 
 impl Boot {
     /// Reads a configuration; the error names the field that is wrong.
     pub fn parse(text: &[u8]) -> Result<Boot, String> {
-        let read = &mut serde_json::Deserializer::from_slice(text);
-        let boot: Boot = serde_path_to_error::deserialize(read).map_err(|why| why.to_string())?;
+        let mut value: Value = serde_json::from_slice(text).map_err(|why| why.to_string())?;
+        normalize(&mut value);
+        let boot: Boot = serde_path_to_error::deserialize(value).map_err(|why| why.to_string())?;
         if boot.limits.sockets < LEAST_SOCKETS {
             return Err(format!("limits.sockets: {} is under {LEAST_SOCKETS}", boot.limits.sockets));
         }
@@ -146,6 +170,8 @@
     pub connect_timeout_us: i64,
     /// Media hosts close connections that were idle so long; 0 where it is not told.
     pub conn_idle_us: i64,
+    /// Attempts that one connection to a media host carries at a time.
+    pub streams_per_conn: Option<usize>,
     pub max_attempts: Option<usize>,
     pub max_retry_after_us: i64,
     pub may_probe: bool,
--- a/crates/elderpick-platform/src/rtsp.rs
+++ b/crates/elderpick-platform/src/rtsp.rs
@@ -47,6 +47,11 @@
         std::str::from_utf8(&self.head[value.clone()]).ok()
     }
 
+    /// How many bytes the whole message has.
+    pub fn length(&self) -> usize {
+        self.head.len() + self.body.len()
+    }
+
     /// The cause that a `Reason` header names, as in `cause=16`.
     pub fn cause(&self) -> Option<u8> {
         self.header("Reason")?
@@ -94,6 +99,9 @@
             }
             self.looked = self.held.len();
             // Noise is told by its first line, which comes long before a head's bound.
+            if !may_begin(&self.held) {
+                return Err(Bad("what begins is no request and no answer"));
+            }
             return plausible(&self.held[from..]).map(|()| None);
         };
         self.looked = end - 4;
@@ -112,9 +120,26 @@
     }
 }
 
+/// Longest name of a method.
+const MOST_METHOD: usize = 32;
+
+/// Whether bytes can be the beginning of a message. What a head that understates its length leaves behind, can hardly be.
+fn may_begin(held: &[u8]) -> bool {
+    let agree = |whole: &[u8], part: &[u8]| whole.iter().zip(part).all(|(a, b)| a == b);
+    if agree(b"RTSP/1.0 ", held) {
+        return true;
+    }
+    let method = held.iter().take_while(|b| is_of_method(b)).count();
+    (1..=MOST_METHOD).contains(&method) && agree(b" rtsp://", &held[method..])
+}
+
+fn is_of_method(byte: &u8) -> bool {
+    byte.is_ascii_uppercase() || *byte == b'_'
+}
+
 /// What has come of a head so far holds nothing but lines of text.
 fn plausible(held: &[u8]) -> Result<(), Bad> {
-    let text = |b: &u8| (b' '..=b'~').contains(b) || matches!(b, b'\r' | b'\n' | b'\t');
+    let text = |b: &u8| !b.is_ascii_control() || matches!(b, b'\r' | b'\n' | b'\t');
     if held.iter().all(text) { Ok(()) } else { Err(Bad("a head holds what is no text")) }
 }
 
@@ -182,7 +207,7 @@
             Ok(Start::Response { status: status.ok_or(Bad("no status"))? })
         }
         (Some(method), Some(uri), Some("RTSP/1.0"))
-            if uri.starts_with("rtsp://") && method.bytes().all(|b| b.is_ascii_uppercase() || b == b'_') =>
+            if uri.starts_with("rtsp://") && method.bytes().all(|b| is_of_method(&b)) =>
         {
             Ok(Start::Request { method: method.to_owned() })
         }
@@ -190,6 +215,9 @@
     }
 }
 
+/// Most bytes of a set-up's head beside its class and its title.
+pub const SET_UP_HEAD: usize = 160;
+
 /// A set-up as it goes to a media host.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct SetUp<'a> {
--- a/crates/elderpick-platform/src/viewer.rs
+++ b/crates/elderpick-platform/src/viewer.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 
-use crate::{Bad, MOST_MESSAGE};
+use crate::{Bad, MOST_MESSAGE, rtsp};
 
 /// Types of messages, as the platform numbers them.
 pub mod kind {
@@ -165,11 +165,18 @@
     std::str::from_utf8(value).map_err(|_| Bad("a parameter is not text"))
 }
 
-/// A name that can stand in a line of the hosts' wire.
+/// A name that can stand in an address on the hosts' wire: in any script, without spaces.
 fn name(value: &[u8]) -> Result<String, Bad> {
-    let name = text(value)?;
-    let plain = !name.is_empty() && name.len() <= MOST_NAME && name.bytes().all(|b| b.is_ascii_graphic());
-    if plain { Ok(name.to_owned()) } else { Err(Bad("a name is empty, too long or not plain")) }
+    let name = label(value)?;
+    if name.contains(char::is_whitespace) { Err(Bad("a name holds spaces")) } else { Ok(name) }
+}
+
+/// A label that can be the value of a header on the hosts' wire: classes are named as the settings name them.
+fn label(value: &[u8]) -> Result<String, Bad> {
+    let label = text(value)?;
+    let fits = !label.is_empty() && label.len() <= MOST_NAME;
+    let one_line = label.trim() == label && !label.contains(char::is_control);
+    if fits && one_line { Ok(label.to_owned()) } else { Err(Bad("a name is empty, too long or not plain")) }
 }
 
 fn number(value: &str) -> Result<u64, Bad> {
@@ -210,7 +217,7 @@
         for parameter in message.parameters() {
             let (code, value) = parameter?;
             let twice = match code {
-                code::CLASS => class.replace(name(value)?).is_some(),
+                code::CLASS => class.replace(label(value)?).is_some(),
                 code::PATIENCE => patience.replace(number(text(value)?)?).is_some(),
                 code::TITLE => title.replace(name(value)?).is_some(),
                 code::FIGURES => figures.replace(Figures::parse(value)?).is_some(),
@@ -230,14 +237,20 @@
             return Err(Bad("a set-up waits no time or over an hour"));
         }
         let description = description.or(plays.then(Bytes::new));
-        Ok(SetUp {
+        let set_up = SetUp {
             session: message.session,
             class: class.ok_or(Bad("a set-up names no class"))?,
             patience_ms,
             title: title.ok_or(Bad("a set-up names no title"))?,
             figures,
             description: description.ok_or(Bad("a set-up has no description"))?,
-        })
+        };
+        if set_up.fits_a_host() { Ok(set_up) } else { Err(Bad("a set-up is too long for a media host")) }
+    }
+
+    /// Whether it fits into a message to a media host, whose head is longer than that of viewers' messages.
+    fn fits_a_host(&self) -> bool {
+        rtsp::SET_UP_HEAD + self.class.len() + self.title.len() + self.description.len() <= MOST_MESSAGE
     }
 }
 
