--- a/crates/elderpick-lab/src/platform.rs
+++ b/crates/elderpick-lab/src/platform.rs
@@ -45,6 +45,8 @@
     Holds,
     /// Says nothing until it is told to go on, and refuses then.
     HoldsRefusal(u16),
+    /// Answers with a `Content-Length` that is so many bytes less than the description.
+    Understates(usize),
 }
 
 /// What a host's connection is told to do.
@@ -78,6 +80,13 @@
     done: Cell<usize>,
     /// Connections that the gateway has ended.
     ended: Cell<usize>,
+    /// The connection of each set-up that is undecided, and most that there were on one at a time.
+    undecided: RefCell<BTreeMap<u64, usize>>,
+    most_undecided: Cell<usize>,
+    /// Bytes of the longest message.
+    longest: Cell<usize>,
+    /// Bytes of the descriptions with which it answers what it holds.
+    long: Cell<Option<usize>>,
 }
 
 /// A scripted media host.
@@ -98,11 +107,14 @@
 
 fn answer(session: u64) -> Vec<u8> {
     let body = description(session);
-    let head = format!(
-        "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: {session:016x}\r\nContent-Length: {}\r\n\r\n",
-        body.len()
-    );
-    [head.into_bytes(), body].concat()
+    answer_of(session, &body, body.len())
+}
+
+/// An answer with this description, of which the head tells so many bytes.
+fn answer_of(session: u64, body: &[u8], told: usize) -> Vec<u8> {
+    let head =
+        format!("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: {session:016x}\r\nContent-Length: {told}\r\n\r\n");
+    [head.as_bytes(), body].concat()
 }
 
 /// An answer with a word on poor delivery right behind it.
@@ -166,8 +178,10 @@
         let accepting = spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let inside = within.clone();
-                inside.taken.set(inside.taken.get() + 1);
-                talks.borrow_mut().push(spawn_local(async move { inside.talk(stream).await }).abort_handle());
+                let number = inside.taken.get();
+                inside.taken.set(number + 1);
+                let talk = spawn_local(async move { inside.talk(stream, number).await });
+                talks.borrow_mut().push(talk.abort_handle());
             }
         });
         *self.accepting.borrow_mut() = Some(accepting.abort_handle());
@@ -200,6 +214,16 @@
         self.inside.ended.get()
     }
 
+    /// Most set-ups that one of its connections has carried at a time.
+    pub fn most_on_one_connection(&self) -> usize {
+        self.inside.most_undecided.get()
+    }
+
+    /// How many bytes the longest message had that it got.
+    pub fn longest_message(&self) -> usize {
+        self.inside.longest.get()
+    }
+
     /// How many things its connections have done, of those that they were told.
     pub fn done(&self) -> usize {
         self.inside.done.get()
@@ -239,6 +263,12 @@
         self.inside.go_on.notify_waiters();
     }
 
+    /// Goes on, and answers what it holds with descriptions of so many bytes.
+    pub fn answer_long(&self, bytes: usize) {
+        self.inside.long.set(Some(bytes));
+        self.go_on();
+    }
+
     pub fn seen(&self) -> Vec<Seen> {
         self.inside.seen.borrow().clone()
     }
@@ -270,7 +300,7 @@
 }
 
 impl Inside {
-    async fn talk(self: Rc<Self>, stream: TcpStream) {
+    async fn talk(self: Rc<Self>, stream: TcpStream, connection: usize) {
         let (mut reads, mut writes) = stream.into_split();
         let (line, mut words) = mpsc::unbounded_channel::<Word>();
         self.lines.borrow_mut().push(line.clone());
@@ -299,14 +329,23 @@
                     let Ok(read @ 1..) = read else { return self.ended.set(self.ended.get() + 1) };
                     decoder.push(&chunk[..read]);
                     while let Ok(Some(message)) = decoder.message() {
-                        self.take(&message, &line);
+                        self.longest.set(self.longest.get().max(message.length()));
+                        self.take(&message, connection, &line);
                     }
                 }
             }
         }
     }
 
-    fn take(self: &Rc<Self>, message: &rtsp::Message, line: &Words) {
+    /// A set-up waits for its decision on a connection.
+    fn holds(&self, session: u64, connection: usize) {
+        let mut undecided = self.undecided.borrow_mut();
+        undecided.insert(session, connection);
+        let there = undecided.values().filter(|other| **other == connection).count();
+        self.most_undecided.set(self.most_undecided.get().max(there));
+    }
+
+    fn take(self: &Rc<Self>, message: &rtsp::Message, connection: usize, line: &Words) {
         let session = message.session;
         let Start::Request { method } = &message.start else {
             return self.heard.borrow_mut().push(session);
@@ -320,12 +359,23 @@
                 let patience = told("X-Patience").parse().unwrap_or_default();
                 self.asked.borrow_mut().insert(session, (told("Subject"), patience));
                 let does = self.script.borrow_mut().pop_front().unwrap_or(Does::Answers);
-                let stands = matches!(does, Does::Answers | Does::Doubles | Does::Holds | Does::Notes);
+                let stands = !matches!(
+                    does,
+                    Does::Refuses(_)
+                        | Does::Spoils
+                        | Does::BreaksOff
+                        | Does::EndsAtOnce(_)
+                        | Does::HoldsRefusal(_)
+                );
                 if stands {
                     self.standing.borrow_mut().insert(session, line.clone());
                 }
                 match does {
                     Does::Answers => say(answer(session)),
+                    Does::Understates(bytes) => {
+                        let body = description(session);
+                        say(answer_of(session, &body, body.len() - bytes));
+                    }
                     Does::Doubles => say([answer(session), answer(session), answer(!session)].concat()),
                     Does::EndsAtOnce(cause) => {
                         say([answer(session), note(session), rtsp::teardown(session, Some(cause))].concat());
@@ -343,14 +393,19 @@
                             Does::HoldsRefusal(status) => rtsp::response(status, 1, session),
                             _ => answer(session),
                         };
+                        self.holds(session, connection);
                         spawn_local(async move {
                             inside.go_on.notified().await;
-                            let _ = line.send(Word::Say(then));
+                            inside.undecided.borrow_mut().remove(&session);
+                            let long =
+                                inside.long.get().map(|bytes| answer_of(session, &vec![b'y'; bytes], bytes));
+                            let _ = line.send(Word::Say(long.unwrap_or(then)));
                         });
                     }
                 }
             }
             "TEARDOWN" => {
+                self.undecided.borrow_mut().remove(&session);
                 if self.standing.borrow_mut().remove(&session).is_some() {
                     say(rtsp::teardown(session, Some(31)));
                 }
@@ -540,7 +595,17 @@
 
 impl Viewers {
     pub async fn connect(to: SocketAddr) -> Result<Viewers, String> {
-        let stream = TcpStream::connect(to).await.map_err(fault)?;
+        Viewers::over(TcpStream::connect(to).await.map_err(fault)?)
+    }
+
+    /// Connects with a system that takes little of what is not read.
+    pub async fn connect_narrow(to: SocketAddr) -> Result<Viewers, String> {
+        let socket = TcpSocket::new_v4().map_err(fault)?;
+        socket.set_recv_buffer_size(2_048).map_err(fault)?;
+        Viewers::over(socket.connect(to).await.map_err(fault)?)
+    }
+
+    fn over(stream: TcpStream) -> Result<Viewers, String> {
         // What is written has come when the write returns.
         stream.set_nodelay(true).map_err(fault)?;
         let (reads, writes) = stream.into_split();
@@ -566,6 +631,12 @@
         answer.cause().map(|cause| cause == 1).map_err(fault)
     }
 
+    /// Waits until something has come that is not read yet.
+    pub async fn has_come(&self) -> Result<(), String> {
+        let come = tokio::time::timeout(PATIENCE, self.reads.readable()).await;
+        come.map_err(|_| "nothing came".to_owned())?.map_err(fault)
+    }
+
     /// Ends the connection so that the gateway sees a reset.
     #[allow(deprecated)]
     pub fn reset(self) -> Result<(), String> {
--- a/crates/elderpick-lab/tests/crossings.rs
+++ b/crates/elderpick-lab/tests/crossings.rs
@@ -176,6 +176,39 @@
     });
 }
 
+/// Nothing tells whether its viewer had left before the answer came; its session would stand for nobody.
+#[test]
+fn an_answer_that_crosses_the_end_of_its_connection_is_released_at_its_host() {
+    run(async {
+        for how in [Leaves::Closes, Leaves::Resets] {
+            let world = world("crosses", 1, 256).await;
+            let mut viewers = connect(&world).await;
+            viewers.ask(1, "paid", None).await.unwrap();
+            viewers.has_come().await.unwrap();
+            how.leave(viewers, 1).await;
+            until("its host hears that it is over", || !host_saw(&world, "TEARDOWN", 1).is_empty()).await;
+            // Whoever was its viewer, and is there after all, hears of it.
+            let mut others = connect(&world).await;
+            assert_eq!(asked(&mut others, 2, "free").await, SERVED);
+            assert_eq!(ended(&mut others, 1).await, (kind::RELEASE, Some(cause::FAILED)), "{how:?}");
+        }
+    });
+}
+
+/// No connection owns a session: one that ends later ends nothing.
+#[test]
+fn a_connection_that_ends_behind_its_answers_ends_no_session() {
+    run(async {
+        let world = world("behind", 1, 256).await;
+        let mut viewers = connect(&world).await;
+        assert_eq!(asked(&mut viewers, 1, "paid").await, SERVED);
+        gateway_has_waited(&world).await;
+        drop(viewers);
+        gateway_has_waited(&world).await;
+        assert_eq!(host_saw(&world, "TEARDOWN", 1), []);
+    });
+}
+
 #[test]
 fn a_set_up_and_its_end_in_one_piece_are_never_sent_on() {
     run(async {
@@ -654,6 +687,8 @@
         drop(first);
         // Its own connection is gone, so that its release goes out on the one that was served first of the others.
         assert_eq!(asked(&mut stays, 4, "free").await, SERVED);
+        // No answer crosses the end of its connection below.
+        gateway_has_waited(&world).await;
         world.hosts[0].end(1, 16);
         until("the gateway has heard it", || world.hosts[0].heard().contains(&1)).await;
         assert!(stays.test().await.unwrap(), "it went out, and not here");
--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use elderpick_core::api::{Micros, Note, Report, ServerId, Status};
+use elderpick_platform::MOST_MESSAGE;
 use elderpick_platform::rtsp::{self, Start, cseq};
 use elderpick_sessions::life::{self, AttemptId, Input};
 use elderpick_sessions::pending::PendingQueue;
@@ -18,16 +19,17 @@
 use crate::link::{Link, Look};
 use crate::node::Node;
 
-/// Set-ups that one connection carries where no further one may be opened.
+/// Set-ups that one connection carries where no further one may be opened, unless the settings allow fewer.
 const SHARED: usize = 8;
+/// A connection to a host where sessions stand is not closed for another sooner than this: with few descriptors all hosts
+/// are reached in turn, and the pace bounds what the turns cost.
+const TURN: Micros = 1_000_000;
 /// Set-ups that wait for a connection that is being opened, where no further one may be; one more is not sent.
 const WAITING: usize = 64;
 /// Withdrawals and releases on one connection that are remembered until they are confirmed, and words that wait for one:
 /// all that may stand at a host may be over in one moment.
 const UNHEARD: usize = life::STANDING;
 const PENDING: usize = life::STANDING;
-/// How long words are worth saying.
-const PENDING_LASTS: Micros = 30_000_000;
 /// A connection that is used no more is kept so long for what may still come on it.
 const RETIRED: Duration = Duration::from_secs(1);
 /// A withdrawal is confirmed by then where its line goes on. A set-up that arrives more than a tenth of a second behind
@@ -48,7 +50,8 @@
     unheard: RefCell<BTreeSet<u64>>,
     /// Calls for load that are out on it.
     asked: RefCell<BTreeSet<u64>>,
-    /// When it was last read from and last written to.
+    /// When it came up, was last read from and last written to.
+    up: Micros,
     read: Cell<Micros>,
     used: Cell<Micros>,
     /// When the life of sessions was last told that the host says anything.
@@ -56,6 +59,8 @@
     /// Part of a message is held.
     partial: Cell<bool>,
     retired: Cell<bool>,
+    /// It was closed to make room for one to another host.
+    made_room: Cell<bool>,
 }
 
 /// An attempt on its way to a host.
@@ -132,7 +137,7 @@
         Ways {
             lines: Vec::new(),
             opening: 0,
-            pending: PendingQueue::new(PENDING, PENDING_LASTS),
+            pending: PendingQueue::new(PENDING, life::OUTAGE),
             waiting: VecDeque::new(),
         }
     }
@@ -145,10 +150,27 @@
     Nothing,
 }
 
+/// What bounds the connections to hosts.
+pub(crate) struct Limits {
+    /// Descriptors for all of them.
+    pub connections: usize,
+    /// Descriptors beside these for connections that are being closed.
+    pub ending: usize,
+    /// Set-ups on one connection, if the settings tell.
+    pub set_ups_on_one: Option<usize>,
+    /// How long one may take to come up.
+    pub connect: Duration,
+    /// After how long hosts close idle ones; 0 if that is not told.
+    pub idle: Micros,
+}
+
 pub(crate) struct Hosts {
     ways: RefCell<BTreeMap<ServerId, Ways>>,
-    /// Descriptors for all hosts.
+    /// Descriptors for all hosts, and beside these for what is being closed.
     most: usize,
+    ending: usize,
+    /// Set-ups that one connection carries at a time.
+    shared: usize,
     connect: Duration,
     /// A line that was idle so long is not written a set-up to: its host may be closing it.
     stale: Micros,
@@ -157,10 +179,25 @@
 }
 
 impl Hosts {
-    pub fn new(most: usize, connect: Duration, idle: Micros, first_call: u64) -> Hosts {
-        let stale = if idle > 0 { idle / 3 * 2 } else { Micros::MAX };
-        let next_call = Cell::new(first_call);
-        Hosts { ways: RefCell::default(), most, connect, stale, next_call, unreadable: Cell::new(0) }
+    pub fn new(limits: Limits, first_call: u64) -> Hosts {
+        Hosts {
+            ways: RefCell::default(),
+            most: limits.connections,
+            ending: limits.ending,
+            shared: limits.set_ups_on_one.map_or(SHARED, |most| most.clamp(1, SHARED)),
+            connect: limits.connect,
+            stale: if limits.idle > 0 { limits.idle / 3 * 2 } else { Micros::MAX },
+            next_call: Cell::new(first_call),
+            unreadable: Cell::new(0),
+        }
+    }
+
+    /// Lines that are up and not being closed, and openings.
+    fn in_use(&self) -> usize {
+        let ways = self.ways.borrow();
+        let in_use =
+            |ways: &Ways| ways.lines.iter().filter(|line| line.link.goes_on()).count() + ways.opening;
+        ways.values().map(in_use).sum()
     }
 
     pub fn lines(&self) -> usize {
@@ -188,17 +225,19 @@
         of_host < each
     }
 
-    /// Ends the idle line that is missed least: one of several to its host, else one to a host where nothing stands; of
-    /// those the one that was used longest ago.
+    /// Ends the idle line that is missed least: one of several to its host, else one to a host where nothing stands, else
+    /// one whose host had its turn; of those the one that was used longest ago.
     fn make_room(&self) -> bool {
-        let (life, ways) = (self.life.borrow(), self.hosts.ways.borrow());
+        let (life, ways, now) = (self.life.borrow(), self.hosts.ways.borrow(), self.now());
         let idle = ways.iter().flat_map(|(server, ways)| {
             let only = ways.lines.iter().filter(|line| line.free()).count() < 2;
             let stands = life.stands_at(server);
-            let idle = ways.lines.iter().filter(move |line| !(only && stands) && line.free() && line.idle());
-            idle.map(move |line| ((only, line.used.get()), stands, line))
+            let may_go = move |line: &Rc<Line>| !(only && stands) || now - line.up >= TURN;
+            let idle = ways.lines.iter().filter(move |line| may_go(line) && line.free() && line.idle());
+            idle.map(move |line| ((only, only && stands, line.used.get()), stands, line))
         });
         let Some((_, stands, line)) = idle.min_by_key(|(missed, ..)| *missed) else { return false };
+        line.made_room.set(true);
         line.leave(stands);
         true
     }
@@ -247,7 +286,7 @@
         match line {
             Some(line) if load == 0 => self.write_set_up(&line, one),
             _ if self.may_open(&server) => self.open(server, Call::SetUp(one)),
-            Some(line) if load < SHARED => self.write_set_up(&line, one),
+            Some(line) if load < self.hosts.shared => self.write_set_up(&line, one),
             _ if self.may_have_more(&server) && self.make_room() => self.open(server, Call::SetUp(one)),
             _ => self.wait(one),
         }
@@ -307,8 +346,8 @@
         for line in &ways.lines {
             let Some(written) = line.take_out(session, Some(attempt)) else { continue };
             line.say((Some(session), rtsp::teardown(session, None)));
-            // What hangs in the middle of a message, or has said nothing since, is trusted with no other.
-            if line.partial.get() || line.read.get() < written.1 {
+            // What hangs in the middle of a message, has said nothing since, or has not taken all, is trusted with no other.
+            if line.partial.get() || line.read.get() < written.1 || !line.link.free() {
                 self.retire(line);
                 self.doubt(line);
             }
@@ -316,16 +355,15 @@
     }
 
     /// A line that has said nothing since a set-up was written may have to carry that still. It is tested: unless its
-    /// host says anything soon, what is on its way to it is taken back.
+    /// host says anything soon, what is on its way to it is taken back, whatever else is out on it: the end of its viewer
+    /// bounds when a set-up may arrive.
     fn doubt(self: &Rc<Self>, line: &Rc<Line>) {
         line.link.send(&rtsp::options(self.hosts.new_call(), false));
         let (read, line) = (line.read.get(), Rc::downgrade(line));
         spawn_local(async move {
             tokio::time::sleep(CONFIRMED).await;
-            // What else is out on it keeps its chance, and is withdrawn in its turn.
             if let Some(line) = line.upgrade()
-                && line.read.get() == read
-                && line.out.borrow().is_empty()
+                && (line.read.get() == read || !line.link.written())
             {
                 line.link.abort();
             }
@@ -381,6 +419,27 @@
         waits.for_each(|(server, _)| self.open_later(server.clone()));
     }
 
+    /// Says what waits for a host on a line that is up, as much as that takes at once: what is more would end it.
+    fn say_pending(&self, server: &ServerId, line: &Line) {
+        let now = self.now();
+        while line.free() {
+            let next = self.hosts.ways.borrow_mut().get_mut(server).and_then(|ways| ways.pending.pop(now));
+            let Some(message) = next else { return };
+            line.say(message);
+        }
+    }
+
+    /// Goes on with what waits for hosts whose lines have taken what they were told.
+    pub(crate) fn hosts_say_pending(&self) {
+        let lines: Vec<_> = {
+            let ways = self.hosts.ways.borrow();
+            let waits = ways.iter().filter(|(_, ways)| !ways.pending.is_empty());
+            let free = |ways: &Ways| ways.lines.iter().find(|line| line.free()).cloned();
+            waits.filter_map(|(server, ways)| Some((server.clone(), free(ways)?))).collect()
+        };
+        lines.iter().for_each(|(server, line)| self.say_pending(server, line));
+    }
+
     pub(crate) fn host_probe(self: &Rc<Self>, server: ServerId) {
         let session = self.hosts.new_call();
         match self.line(&server) {
@@ -433,11 +492,13 @@
         ways.pending.take(self.now()).for_each(drop);
     }
 
-    /// Whether all that was said to hosts is written, as far as a line to them is up or on its way.
+    /// Whether all that was said to hosts is written, as far as the list still has them.
     pub(crate) fn hosts_told(&self) -> bool {
         let ways = self.hosts.ways.borrow();
-        ways.values().all(|w| {
-            w.lines.iter().all(|line| line.link.written()) && (w.opening == 0 || w.pending.is_empty())
+        let life = self.life.borrow();
+        ways.iter().all(|(server, w)| {
+            let written = w.lines.iter().all(|line| line.link.written());
+            written && (w.pending.is_empty() || !life.is_listed(server))
         })
     }
 
@@ -460,10 +521,20 @@
         });
     }
 
+    /// Whether a line may be opened, another closed for it if need be. Lines that are being closed hold their descriptors
+    /// for a moment longer, for which some are set aside.
+    fn finds_room(&self) -> bool {
+        let beside = self.hosts.lines() < self.hosts.most + self.hosts.ending;
+        beside && (self.hosts.in_use() < self.hosts.most || self.make_room())
+    }
+
     fn open(self: &Rc<Self>, server: ServerId, call: Call) {
         let Some(to) = self.life.borrow().address(&server) else {
             return self.never_up(server, call, Opened::Refused);
         };
+        if !self.finds_room() {
+            return self.never_up(server, call, Opened::NoRoom);
+        }
         self.hosts.ways.borrow_mut().entry(server.clone()).or_default().opening += 1;
         let node = self.clone();
         spawn_local(async move {
@@ -488,8 +559,9 @@
             Opened::NoRoom => one.kept(),
             _ => one.never_up(),
         };
-        for one in self.waiting(&server) {
-            self.feed(ended(one));
+        let others = self.hosts.ways.borrow().get(&server).map_or(0, |ways| ways.opening);
+        if how != Opened::NoRoom || others == 0 {
+            self.waiting(&server).into_iter().for_each(|one| self.feed(ended(one)));
         }
         match call {
             Call::SetUp(one) => self.feed(ended(one)),
@@ -507,25 +579,22 @@
         let now = self.now();
         tracing::trace!(server = %server, "a line is up");
         let line = Rc::new(Line {
-            link: Link::new(stream),
+            link: Link::new(stream, SHARED * MOST_MESSAGE),
             decoder: RefCell::default(),
             out: RefCell::default(),
             unheard: RefCell::default(),
             asked: RefCell::default(),
+            up: now,
             read: Cell::new(now),
             used: Cell::new(now),
             told: Cell::new(now),
             partial: Cell::new(false),
             retired: Cell::new(false),
+            made_room: Cell::new(false),
         });
-        let kept: Vec<_> = {
-            let mut ways = self.hosts.ways.borrow_mut();
-            let ways = ways.entry(server.clone()).or_default();
-            ways.lines.push(line.clone());
-            ways.pending.take(now).collect()
-        };
+        self.hosts.ways.borrow_mut().entry(server.clone()).or_default().lines.push(line.clone());
         self.feed(Input::Opened { server: server.clone(), how: Opened::Up });
-        kept.into_iter().for_each(|told| line.say(told));
+        self.say_pending(&server, &line);
         self.together(|| {
             match call {
                 Call::SetUp(one) => {
@@ -545,9 +614,10 @@
         }
         let (out, asked) = (line.out.take(), line.asked.take());
         let unheard = line.unheard.take().into_iter().collect();
+        let made_room = line.made_room.get();
         drop(line);
         tracing::trace!(server = %server, whole, "a line has ended");
-        self.feed(Input::HostClosed { server: server.clone(), whole, unheard });
+        self.feed(Input::HostClosed { server: server.clone(), whole, unheard, made_room });
         for (session, (attempt, _)) in out {
             self.feed(Input::Cut { server: server.clone(), session, attempt, begun: true });
         }
@@ -576,10 +646,24 @@
                     goes_on
                 });
             }
+            if !goes_on {
+                self.distrust_answers(before);
+            }
             goes_on
         })
     }
 
+    /// Takes answers that came right before what cannot be read for spoilt ones: a head that understates its length
+    /// leaves the end of its description behind as noise.
+    fn distrust_answers(&self, from: usize) {
+        for input in self.later.borrow_mut().iter_mut().skip(from) {
+            if let Input::Answer { server, session, attempt: Some(attempt), .. } = input {
+                *input =
+                    Input::Cut { server: server.clone(), session: *session, attempt: *attempt, begun: true };
+            }
+        }
+    }
+
     fn host_read(self: &Rc<Self>, server: &ServerId, line: &Rc<Line>, chunk: &[u8]) -> bool {
         let mut decoder = line.decoder.borrow_mut();
         decoder.push(chunk);
--- a/crates/elderpick-node/src/lib.rs
+++ b/crates/elderpick-node/src/lib.rs
@@ -23,25 +23,29 @@
 use elderpick_sessions::follow::{Follow, Take};
 use elderpick_sessions::life::{self, Input, Life};
 use elderpick_sessions::releases::Releases;
+use elderpick_sessions::shutdown::Shutdown;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::spawn_local;
 
 use crate::node::Node;
 
-/// Descriptors that are neither viewers' nor hosts': the listener, the journal, standard streams, the runtime's, and
-/// some to accept and turn away with.
+/// Descriptors that are neither viewers' nor hosts': those of the process, and some for connections that are on their way
+/// out. A quarter of all is the most that is set aside.
 const RESERVE: usize = 32;
+/// Of these the process has the listener, the journal, three standard streams and the runtime's own.
+const OF_THE_PROCESS: usize = 12;
 /// A connection to a host that is not up by then is given up, where the settings tell no other time.
 const CONNECT: Micros = 250_000;
 /// After SIGTERM viewers go on coming for a while; then no new connection is taken.
 const COMING: Duration = Duration::from_millis(900);
-/// Then what is idle is closed, so often with such pauses, until nothing is left.
+/// Then what is idle is closed, with such pauses, until nothing is left.
 const CROSSING: Duration = Duration::from_millis(150);
-const MOST_CROSSING: usize = 600;
-/// What was said to hosts is written before the end: how often that is looked for, with such pauses.
-const MOST_LAST_WORDS: usize = 15;
+/// What was said to hosts is written before the end: how often that is looked for, with such pauses. Words that found no
+/// connection are tried again meanwhile.
+const MOST_LAST_WORDS: usize = 100;
 const LAST_WORDS: Duration = Duration::from_millis(20);
+const RETRIES_APART: usize = 10;
 
 /// Reads a configuration file.
 fn read(path: &Path) -> Result<Boot, String> {
@@ -73,9 +77,12 @@
     let info = &boot.settings;
     let core = Controller::new(seed, boot::settings(info)?);
     let classes = info.profiles.iter().map(|p| p.name.clone()).collect();
-    let life = Life::new(core, classes, info.extra.cells.unwrap_or(1));
+    let life = Life::new(core, classes, info.extra.cells);
     let for_hosts = boot.limits.sockets * 3 / 8;
-    let for_viewers = boot.limits.sockets - for_hosts - RESERVE.min(boot.limits.sockets / 4);
+    let reserve = RESERVE.min(boot.limits.sockets / 4);
+    let for_viewers = boot.limits.sockets - for_hosts - reserve;
+    // One half for lines to hosts that are being closed, the other for viewers that are told that there is no room.
+    let spare = reserve.saturating_sub(OF_THE_PROCESS) / 2;
     let connect = Some(info.limits.connect_timeout_us).filter(|us| *us > 0).unwrap_or(CONNECT);
     let connect = Duration::from_micros(connect as u64);
     let clock = WallClock::start();
@@ -87,9 +94,20 @@
         name: boot.name.clone(),
         zones: info.zones.clone(),
         kinds: info.flavors.clone(),
-        hosts: hosts::Hosts::new(for_hosts, connect, info.limits.conn_idle_us, seed),
+        hosts: hosts::Hosts::new(
+            hosts::Limits {
+                connections: for_hosts,
+                ending: spare,
+                set_ups_on_one: info.limits.streams_per_conn,
+                connect,
+                idle: info.limits.conn_idle_us,
+            },
+            seed,
+        ),
         clients: RefCell::default(),
         admission: RefCell::new(Admission::new(for_viewers)),
+        most_refusing: spare.max(1),
+        refusing: Cell::new(0),
         next_conn: Cell::new(0),
         buffer: RefCell::new(vec![0; link::CHUNK]),
         releases: RefCell::new(Releases::new(life::STANDING)),
@@ -130,18 +148,22 @@
     pass(COMING, &mut hang_up, || reload(&node, &path)).await;
     node.stop_coming.notify_one();
     let _ = accepting.await;
-    for _ in 0..MOST_CROSSING {
+    let mut shutdown = Shutdown::default();
+    loop {
         node.close_overdue(true);
         pass(CROSSING, &mut hang_up, || reload(&node, &path)).await;
-        // A connection is left once its last word is written.
-        if node.life.borrow().open() == 0 && node.clients.borrow().is_empty() {
+        let (open, connections) = (node.life.borrow().open(), node.clients.borrow().len());
+        if shutdown.may_end(open, connections) {
             break;
         }
     }
-    for _ in 0..MOST_LAST_WORDS {
+    for round in 0..MOST_LAST_WORDS {
         if node.hosts_told() {
             break;
         }
+        if round % RETRIES_APART == 0 {
+            node.host_say_kept();
+        }
         pass(LAST_WORDS, &mut hang_up, || {}).await;
     }
     node.log_state();
--- a/crates/elderpick-node/src/link.rs
+++ b/crates/elderpick-node/src/link.rs
@@ -8,14 +8,17 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-/// Most bytes that wait to be written; a peer that reads so little is cut off.
-const MOST_WAITING: usize = 64 << 10;
+/// Nothing more is read from a peer while more bytes than this wait to be written to it: who does not read what it is
+/// owed cannot ask for more.
+pub(crate) const READS_UP_TO: usize = 64 << 10;
 /// What is read at a time.
 pub(crate) const CHUNK: usize = 16 << 10;
 /// The last words are given so long to be written.
 const LAST_WORDS: Duration = Duration::from_millis(300);
 /// A peer that was told that nothing more comes has so long to say its last words and to end the connection.
 const LEAVES: Duration = Duration::from_millis(500);
+/// How often it is looked whether a connection breaks behind its end.
+const BREAK_LOOKS: u32 = 10;
 /// Most that one look takes of what has come.
 const LOOK: usize = 4 << 10;
 const LOOKS: usize = 16;
@@ -34,6 +37,8 @@
 pub(crate) struct Link {
     stream: TcpStream,
     waiting: RefCell<VecDeque<u8>>,
+    /// Most bytes that may wait; a peer that reads so little is cut off.
+    most_waiting: usize,
     wake: Notify,
     ending: Cell<Ending>,
 }
@@ -49,9 +54,16 @@
 }
 
 impl Link {
-    pub fn new(stream: TcpStream) -> Link {
+    /// `most_owed` is what may be owed to the peer by the time that nothing more is read from it.
+    pub fn new(stream: TcpStream, most_owed: usize) -> Link {
         let _ = stream.set_nodelay(true);
-        Link { stream, waiting: RefCell::default(), wake: Notify::new(), ending: Cell::new(Ending::No) }
+        Link {
+            stream,
+            waiting: RefCell::default(),
+            most_waiting: READS_UP_TO + most_owed,
+            wake: Notify::new(),
+            ending: Cell::new(Ending::No),
+        }
     }
 
     /// Writes what can be written now and keeps the rest. A peer that reads too little is cut off.
@@ -61,7 +73,7 @@
         }
         let mut waiting = self.waiting.borrow_mut();
         let written = if waiting.is_empty() { self.stream.try_write(bytes).unwrap_or(0) } else { 0 };
-        if waiting.len() + bytes.len() - written > MOST_WAITING {
+        if waiting.len() + bytes.len() - written > self.most_waiting {
             self.ending.set(Ending::Now);
         } else {
             waiting.extend(&bytes[written..]);
@@ -171,6 +183,17 @@
         self.end(true);
     }
 
+    /// Whether the peer's system tells within this time, behind an end in order, that it does not take what was sent.
+    pub async fn breaks_within(&self, time: Duration) -> bool {
+        for _ in 0..BREAK_LOOKS {
+            if !matches!(self.stream.take_error(), Ok(None)) {
+                return true;
+            }
+            tokio::time::sleep(time / BREAK_LOOKS).await;
+        }
+        false
+    }
+
     /// Reads into a buffer, once there is something; 0 at the end.
     async fn read(&self, buffer: &RefCell<Vec<u8>>) -> io::Result<usize> {
         loop {
@@ -202,7 +225,8 @@
     /// and all that it said was heard.
     pub async fn run(&self, buffer: &RefCell<Vec<u8>>, mut heard: impl FnMut(&[u8]) -> bool) -> bool {
         loop {
-            let wants_write = !self.waiting.borrow().is_empty();
+            let waiting = self.waiting.borrow().len();
+            let (wants_write, reads) = (waiting > 0, waiting <= READS_UP_TO);
             match self.ending.get() {
                 Ending::Now => return false,
                 Ending::Leaving => {
@@ -236,7 +260,7 @@
                 Ending::No => {}
             }
             tokio::select! {
-                read = self.read(buffer) => match read {
+                read = self.read(buffer), if reads => match read {
                     Ok(0) => return matches!(self.ending.get(), Ending::No | Ending::Leaving),
                     Err(_) => return false,
                     Ok(read) if matches!(self.ending.get(), Ending::No | Ending::Leaving) => {
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -10,7 +10,7 @@
 use elderpick_gateway::shell::{Clock, WallClock};
 use elderpick_platform::rtsp;
 use elderpick_platform::viewer::{self, cause};
-use elderpick_sessions::admission::Admission;
+use elderpick_sessions::admission::{Admission, Connections};
 use elderpick_sessions::follow::Follow;
 use elderpick_sessions::life::{Conn, Input, Life, Output};
 use elderpick_sessions::releases::Releases;
@@ -40,6 +40,9 @@
     pub hosts: Hosts,
     pub clients: RefCell<Clients>,
     pub admission: RefCell<Admission>,
+    /// Connections beyond those that are admitted, which are only told so; how many there may be and are.
+    pub most_refusing: usize,
+    pub refusing: Cell<usize>,
     pub next_conn: Cell<Conn>,
     /// What is read goes here first; each task is done with it before the next one reads.
     pub buffer: RefCell<Vec<u8>>,
@@ -188,6 +191,13 @@
         said
     }
 
+    /// Remembers an answer for as long as it may cross the end of its connection.
+    fn answered_on(&self, conn: Conn, session: u64) {
+        if let Some(client) = self.clients.borrow().get(&conn) {
+            client.answers.borrow_mut().push(self.now(), session);
+        }
+    }
+
     fn carry_out(self: &Rc<Self>, output: Output) {
         let mut text = Vec::new();
         tracing::trace!(?output, "to do");
@@ -203,7 +213,9 @@
                 if let Some(client) = self.clients.borrow().get(&conn) {
                     client.standing.set(Standing::Served);
                 }
-                if !self.answer(conn, session, &text) {
+                if self.answer(conn, session, &text) {
+                    self.answered_on(conn, session);
+                } else {
                     // Nobody knows of it: it would stand at its host for good.
                     let cause = cause::ENDED_BY_VIEWER;
                     self.feed(Input::Release { conn, session, cause });
@@ -319,7 +331,9 @@
         loop {
             tokio::time::sleep(CHORES).await;
             self.close_overdue(false);
+            self.end_done();
             self.say_releases();
+            self.hosts_say_pending();
             rounds += 1;
             if rounds.is_multiple_of(5) {
                 self.host_tidy();
@@ -360,6 +374,16 @@
     }
 }
 
+impl Connections for Node {
+    fn quiet(&self, conn: Conn) -> bool {
+        Node::quiet(self, conn)
+    }
+
+    fn stands_on(&self, conn: Conn) -> bool {
+        self.life.borrow().stands_on(conn)
+    }
+}
+
 /// Later by so much than it meant to run, it stood still.
 const STALL: Micros = 20_000;
 /// How often it means to run at least.
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -2,20 +2,32 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use elderpick_core::api::Micros;
+use elderpick_platform::MOST_MESSAGE;
 use elderpick_platform::viewer::{self, Decoder, Message, SetUp, cause, kind};
 use elderpick_sessions::admission::Welcome;
-use elderpick_sessions::life::{Conn, Input};
+use elderpick_sessions::life::{Conn, Input, OPEN_ON_ONE};
+use elderpick_sessions::pending::PendingQueue;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
 use crate::link::{Link, Look};
 use crate::node::Node;
 
-/// Set-ups that cannot be read, until the connection is closed.
+/// Messages that cannot be read, until nothing more is read on their connection.
 const MOST_UNREADABLE: u32 = 8;
+/// An answer crosses the end of its connection within this time, as the platform says of what crosses a close.
+const CROSSES_END: Duration = Duration::from_millis(50);
+/// Answers on one connection that may cross its end.
+const MOST_CROSSING: usize = 1_024;
+/// How soon it is looked again whether there is room for another connection.
+const ROOM_AGAIN: Duration = Duration::from_millis(5);
+/// A connection that is not admitted has so long to ask, and to be told so.
+const REFUSES_FOR: Micros = 1_000_000;
 /// Connections that are taken at the end, before the listener is dropped.
 const MOST_ACCEPTED: usize = 1_024;
 
@@ -35,8 +47,17 @@
     decoder: RefCell<Decoder>,
     pub standing: Cell<Standing>,
     unreadable: Cell<u32>,
+    /// What comes is not read any more; it is ended once all that is open on it is answered.
+    deaf: Cell<bool>,
+    /// It was not admitted at this time: its set-ups are refused.
+    refused: Option<Micros>,
+    /// Sessions that were answered on it of late.
+    pub answers: RefCell<PendingQueue<u64>>,
 }
 
+/// Most that may be owed to one connection's viewers: an answer for each set-up that is open.
+const MOST_OWED: usize = OPEN_ON_ONE * MOST_MESSAGE;
+
 /// All viewers' connections.
 pub(crate) type Clients = BTreeMap<Conn, Rc<Client>>;
 
@@ -47,7 +68,7 @@
         let came = tokio::select! {
             biased;
             () = node.stop_coming.notified() => break,
-            came = listener.accept() => came,
+            came = accept_one(&listener, &node) => came,
         };
         match came {
             Ok((stream, _)) => {
@@ -74,65 +95,140 @@
     }
 }
 
+/// Takes the next connection once there is room for it, or at least to tell its viewer that there is none.
+async fn accept_one(listener: &TcpListener, node: &Rc<Node>) -> std::io::Result<(TcpStream, SocketAddr)> {
+    while !node.can_answer_one_more() {
+        tokio::time::sleep(ROOM_AGAIN).await;
+    }
+    listener.accept().await
+}
+
 impl Node {
+    fn can_answer_one_more(&self) -> bool {
+        self.refusing.get() < self.most_refusing || self.admission.borrow().has_room(self)
+    }
+
     /// Takes a connection; `true` if another is closed for it.
     fn come(self: &Rc<Self>, stream: TcpStream) -> bool {
         let conn = self.next_conn.replace(self.next_conn.get() + 1);
-        let welcome = self.admission.borrow_mut().come(self.now(), conn, |conn| self.quiet(conn));
+        let welcome = self.admission.borrow_mut().come(self.now(), conn, &**self);
+        let mut refused = None;
         match welcome {
             Welcome::Admitted => {}
             Welcome::InsteadOf(other) => self.close_client(other),
             Welcome::Full => {
                 self.turned_away.set(self.turned_away.get() + 1);
-                return false;
+                if self.refusing.get() >= self.most_refusing {
+                    return false;
+                }
+                self.refusing.set(self.refusing.get() + 1);
+                refused = Some(self.now());
             }
         }
         let client = Rc::new(Client {
             conn,
-            link: Link::new(stream),
+            link: Link::new(stream, MOST_OWED),
             decoder: RefCell::default(),
             standing: Cell::new(Standing::New),
             unreadable: Cell::new(0),
+            deaf: Cell::new(false),
+            refused,
+            answers: RefCell::new(PendingQueue::new(MOST_CROSSING, CROSSES_END.as_micros() as Micros)),
         });
         self.clients.borrow_mut().insert(conn, client.clone());
         let node = self.clone();
         spawn_local(async move {
             tracing::trace!(conn, "a viewers' connection comes");
-            client.link.run(&node.buffer, |chunk| node.viewer_heard(conn, &client, chunk)).await;
-            tracing::trace!(conn, "a viewers' connection has ended");
-            node.clients.borrow_mut().remove(&conn);
-            node.admission.borrow_mut().left(conn);
-            node.releases.borrow_mut().ended(node.now(), conn);
-            node.feed(Input::Closed { conn });
-            node.say_releases();
+            let whole = client.link.run(&node.buffer, |chunk| node.viewer_heard(conn, &client, chunk)).await;
+            tracing::trace!(conn, whole, "a viewers' connection has ended");
+            node.viewer_left(&client);
+            node.release_unheard(&client, whole).await;
         });
         matches!(welcome, Welcome::InsteadOf(_))
     }
 
-    /// Takes what came on a connection; `false` ends it. All that came is told before anything is sent on: who gives up
-    /// right behind a set-up has asked for nothing.
+    /// A viewers' connection has ended.
+    fn viewer_left(self: &Rc<Self>, client: &Client) {
+        let conn = client.conn;
+        self.clients.borrow_mut().remove(&conn);
+        self.admission.borrow_mut().left(conn);
+        self.refusing.set(self.refusing.get() - usize::from(client.refused.is_some()));
+        self.releases.borrow_mut().ended(self.now(), conn);
+        self.feed(Input::Closed { conn });
+        self.say_releases();
+    }
+
+    /// Ends the sessions whose answers crossed the end of their connection, which was reset, or whose peer's system says
+    /// that it took nothing more: their viewers have not heard, and nobody would ever end them. `whole` tells that the
+    /// connection ended in order.
+    async fn release_unheard(self: &Rc<Self>, client: &Client, whole: bool) {
+        let crossing: Vec<_> = client.answers.borrow_mut().take(self.came()).collect();
+        let ended_by_peer = client.link.goes_on();
+        if crossing.is_empty() || !ended_by_peer || (whole && !client.link.breaks_within(CROSSES_END).await) {
+            return;
+        }
+        for session in crossing {
+            if self.life.borrow().asked_on(session) != Some(client.conn) {
+                continue;
+            }
+            self.unsaid.set(self.unsaid.get() + 1);
+            self.feed(Input::Release { conn: client.conn, session, cause: cause::ENDED_BY_VIEWER });
+            // Whoever has heard the answer after all hears of its end.
+            self.releases.borrow_mut().owe(self.now(), session, cause::FAILED);
+        }
+        self.say_releases();
+    }
+
+    /// Ends connections on which nothing more is read, and those that were not admitted and have not asked in time.
+    pub(crate) fn end_done(&self) {
+        let now = self.now();
+        let clients: Vec<_> = self.clients.borrow().values().cloned().collect();
+        for client in clients {
+            self.end_if_done(&client);
+            if client.refused.is_some_and(|at| now - at >= REFUSES_FOR) {
+                client.link.end(false);
+            }
+        }
+    }
+
+    /// Ends a connection on which nothing more is read, once all that was open on it is answered. What is open is known
+    /// only when all that has happened was told.
+    fn end_if_done(&self, client: &Client) {
+        let told = !self.feeding.get();
+        if told && client.deaf.get() && self.life.borrow().open_on(client.conn) == 0 {
+            client.link.end(false);
+        }
+    }
+
+    /// Takes what came on a connection. All that came is told before anything is sent on: who gives up right behind a
+    /// set-up has asked for nothing. What cannot be read ends the connection, once what is open on it is answered.
     fn viewer_heard(self: &Rc<Self>, conn: Conn, client: &Rc<Client>, chunk: &[u8]) -> bool {
+        if client.deaf.get() {
+            return true;
+        }
         self.together(|| {
             let mut decoder = client.decoder.borrow_mut();
             decoder.push(chunk);
-            loop {
+            while !client.deaf.get() {
                 match decoder.message() {
                     Ok(Some(message)) => {
                         self.admission.borrow_mut().said(self.now(), conn);
-                        if !self.viewer_said(conn, client, &message) {
-                            return false;
-                        }
+                        self.viewer_said(conn, client, &message);
                     }
                     Ok(None) => break,
                     Err(why) => {
                         self.bad(client, 0, why);
-                        return false;
+                        client.deaf.set(true);
                     }
                 }
             }
-            self.admission.borrow_mut().read(self.now(), conn, decoder.partial());
-            true
-        })
+            let partial = !client.deaf.get() && decoder.partial();
+            self.admission.borrow_mut().read(self.now(), conn, partial);
+            // Who was not admitted has been told so by now.
+            client.deaf.set(client.deaf.get() || (client.refused.is_some() && !partial));
+        });
+        self.end_if_done(client);
+        true
     }
 
     /// Looks whether a viewer that waits for an answer has said anything, or has left, that its connection's task has
@@ -167,11 +263,11 @@
 
     /// Closes what is overdue, or at the end all on which nothing is open.
     pub(crate) fn close_overdue(&self, all_idle: bool) {
-        let overdue = self.admission.borrow_mut().overdue(self.now(), all_idle, |conn| self.quiet(conn));
+        let overdue = self.admission.borrow_mut().overdue(self.now(), all_idle, self);
         overdue.into_iter().for_each(|conn| self.close_client(conn));
     }
 
-    /// What cannot be read gets an error.
+    /// What cannot be read gets an error. Behind too many of them nothing more is read.
     fn bad(&self, client: &Client, session: u64, why: elderpick_platform::Bad) {
         self.unreadable.set(self.unreadable.get() + 1);
         tracing::debug!(%why, "a viewer sent what cannot be read");
@@ -179,23 +275,24 @@
         viewer::release(&mut text, session, cause::UNREADABLE, None);
         client.link.send(&text);
         client.standing.set(Standing::Bad);
+        client.unreadable.set(client.unreadable.get() + 1);
+        client.deaf.set(client.deaf.get() || client.unreadable.get() >= MOST_UNREADABLE);
     }
 
-    /// Takes one message; `false` ends the connection.
-    fn viewer_said(self: &Rc<Self>, conn: Conn, client: &Rc<Client>, message: &Message) -> bool {
+    /// Takes one message.
+    fn viewer_said(self: &Rc<Self>, conn: Conn, client: &Rc<Client>, message: &Message) {
         let session = message.session;
         tracing::trace!(conn, ?message, "a viewer says");
         match message.kind {
             kind::SET_UP => match SetUp::parse(message) {
+                Ok(set_up) if client.refused.is_some() && set_up.figures.at.is_none() => {
+                    self.refuse(client, session);
+                }
                 Ok(set_up) => {
                     client.standing.set(client.standing.get().max(Standing::Asked));
                     self.feed(Input::SetUp { conn, came: self.came(), set_up });
                 }
-                Err(why) => {
-                    self.bad(client, session, why);
-                    client.unreadable.set(client.unreadable.get() + 1);
-                    return client.unreadable.get() < MOST_UNREADABLE;
-                }
+                Err(why) => self.bad(client, session, why),
             },
             kind::RELEASE => match message.cause() {
                 Ok(cause) => {
@@ -204,24 +301,24 @@
                     let _ = viewer::encode(&mut text, kind::RELEASE_HEARD, session, &[]);
                     client.link.send(&text);
                 }
-                Err(why) => {
-                    self.bad(client, session, why);
-                    return false;
-                }
+                Err(why) => self.bad(client, session, why),
             },
             kind::TEST => {
                 let mut text = Vec::new();
                 viewer::tested(&mut text, session, !self.ending.get());
                 client.link.send(&text);
             }
-            kind::RELEASE_HEARD => self.releases.borrow_mut().confirmed(session),
+            kind::RELEASE_HEARD => self.releases.borrow_mut().confirmed(session, conn),
             kind::PROGRESS => {}
-            _ => {
-                self.bad(client, session, elderpick_platform::Bad("a message of an unknown type"));
-                return false;
-            }
+            _ => self.bad(client, session, elderpick_platform::Bad("a message of an unknown type")),
         }
-        true
+    }
+
+    /// Refuses a set-up on a connection that was not admitted: nothing of it was ever sent on.
+    fn refuse(&self, client: &Client, session: u64) {
+        let mut text = Vec::new();
+        viewer::release(&mut text, session, cause::REFUSED, None);
+        client.link.send(&text);
     }
 
     /// The connection to say that a session is over on: its own, else the one that is most surely a viewer's.
--- a/crates/elderpick-sessions/src/admission.rs
+++ b/crates/elderpick-sessions/src/admission.rs
@@ -1,8 +1,10 @@
 //! Who may stay connected: connections of viewers within the descriptors that are planned for them.
 //!
 //! A connection may be closed while no set-up is open on it. One that never said anything whole goes first, then the
-//! one that has been idle longest; only when all have set-ups open is a new one turned away. One that has sent what was
-//! not read yet is not idle, whatever is known of it here: the caller looks.
+//! one that has been idle longest, first of those on which no session stands; only when all have set-ups open is a new
+//! one turned away. Those on which sessions stand stay open while there is room: the ends of sessions are told on them,
+//! and viewers may have no other. One that has sent what was not read yet is not idle, whatever is known of it here: the
+//! caller looks.
 
 use std::collections::HashMap;
 
@@ -14,7 +16,7 @@
 const SILENT: Micros = 2_000_000;
 /// Part of a message is waited for so long.
 const PARTIAL: Micros = 1_500_000;
-/// Idle connections are kept so long; viewers close theirs sooner.
+/// Idle connections on which no session stands are kept so long; viewers close theirs sooner.
 const IDLE: Micros = 20_000_000;
 
 #[derive(Clone, Copy, Debug)]
@@ -38,6 +40,14 @@
     Full,
 }
 
+/// What the caller knows of connections.
+pub trait Connections {
+    /// Whether nothing has come on it that was not read yet.
+    fn quiet(&self, conn: Conn) -> bool;
+    /// Whether sessions stand that were asked for on it.
+    fn stands_on(&self, conn: Conn) -> bool;
+}
+
 /// The connections of viewers.
 #[derive(Debug)]
 pub struct Admission {
@@ -54,17 +64,24 @@
         self.clients.len()
     }
 
-    /// A connection came. `quiet` tells whether nothing has come on another one that was not read yet.
-    pub fn come(&mut self, now: Micros, conn: Conn, quiet: impl Fn(Conn) -> bool) -> Welcome {
+    /// Whether one more connection would be admitted.
+    pub fn has_room(&self, known: &impl Connections) -> bool {
+        let may_go = |(conn, client): (&Conn, &Client)| client.open == 0 && known.quiet(*conn);
+        self.clients.len() < self.most || self.clients.iter().any(may_go)
+    }
+
+    /// A connection came.
+    pub fn come(&mut self, now: Micros, conn: Conn, known: &impl Connections) -> Welcome {
         let mut welcome = Welcome::Admitted;
         if self.clients.len() >= self.most {
             let idle = self.clients.iter().filter(|(_, client)| client.open == 0);
             let order = |(conn, client): (&Conn, &Client)| {
-                (client.said.is_some(), client.said.unwrap_or(client.came), *conn)
+                let said = client.said.is_some();
+                ((said, known.stands_on(*conn)), client.said.unwrap_or(client.came), *conn)
             };
             let mut idle: Vec<_> = idle.map(order).collect();
             idle.sort_unstable();
-            let Some((_, _, first)) = idle.into_iter().find(|(_, _, conn)| quiet(*conn)) else {
+            let Some((_, _, first)) = idle.into_iter().find(|(_, _, conn)| known.quiet(*conn)) else {
                 return Welcome::Full;
             };
             self.clients.remove(&first);
@@ -101,14 +118,14 @@
         self.clients.remove(&conn);
     }
 
-    /// Connections to close now. `all_idle` closes all on which nothing is open, at the end. `quiet` as above.
-    pub fn overdue(&mut self, now: Micros, all_idle: bool, quiet: impl Fn(Conn) -> bool) -> Vec<Conn> {
+    /// Connections to close now. `all_idle` closes all on which nothing is open, at the end.
+    pub fn overdue(&mut self, now: Micros, all_idle: bool, known: &impl Connections) -> Vec<Conn> {
         let over = |conn: Conn, client: &Client| {
             let silent = client.said.is_none() && now - client.came >= SILENT;
             let partial = client.partial.is_some_and(|since| now - since >= PARTIAL);
-            let idle = client.said.is_some_and(|at| now - at >= IDLE);
+            let idle = client.said.is_some_and(|at| now - at >= IDLE) && !known.stands_on(conn);
             // What is open is still owed its answer, whatever else the connection does.
-            client.open == 0 && (partial || silent || idle || all_idle) && quiet(conn)
+            client.open == 0 && (partial || silent || idle || all_idle) && known.quiet(conn)
         };
         let mut over: Vec<_> = self
             .clients
--- a/crates/elderpick-sessions/src/life.rs
+++ b/crates/elderpick-sessions/src/life.rs
@@ -27,7 +27,7 @@
 pub type AttemptId = u64;
 
 /// Set-ups open on one connection, and in all; one more is refused.
-const OPEN_ON_ONE: usize = 64;
+pub const OPEN_ON_ONE: usize = 64;
 const OPEN: usize = 1_024;
 /// Sessions that stand; one more is refused.
 pub const STANDING: usize = 50_000;
@@ -35,16 +35,16 @@
 const ENDING: Micros = 1_000_000;
 /// What may still cross is remembered for all that may be held, since a cut or a host's death ends them in one moment.
 const CROSSING: usize = STANDING + OPEN;
-/// Set-ups given up of which an answer may still come.
-const GIVEN_UP_LASTS: Micros = 10_000_000;
-/// Withdrawals and releases that no host has confirmed. They are said again when a connection that may have taken them
-/// along ends.
-const UNHEARD_LASTS: Micros = 10_000_000;
+/// How long a host may be out of reach and still be told what it missed: withdrawals and releases that it has not
+/// confirmed, and the answers to what was withdrawn. It must exceed every outage after which the host goes on as the
+/// same process, which no setting tells, so that their number is the bound that counts.
+pub const OUTAGE: Micros = 600_000_000;
 /// Set-ups that were answered or given up: a further one under the number of one is not its viewer's, as each gets a
-/// new number.
+/// new number. It delays nothing.
 const ANSWERED_LASTS: Micros = 30_000_000;
-/// Ends of sessions that are not held here: one that is handed over only then is over already.
-const ENDED_LASTS: Micros = 10_000_000;
+/// Ends of sessions that are not held here: one that is handed over only then is over already. Hand-overs come right
+/// after the first test is passed, and a start may take 30 s.
+const ENDED_LASTS: Micros = 60_000_000;
 /// How often hosts are looked at.
 const LOOK: Micros = 50_000;
 
@@ -134,6 +134,8 @@
         whole: bool,
         /// Sessions whose withdrawal or release was said on it and not confirmed on it.
         unheard: Vec<u64>,
+        /// It was closed to make room for one to another host.
+        made_room: bool,
     },
     /// Anything was read from a host.
     Heard {
@@ -303,12 +305,15 @@
 pub struct Life {
     core: Controller,
     classes: Vec<String>,
-    cells: usize,
+    /// `None` where the settings tell of no cells: then any host holds any title.
+    cells: Option<usize>,
     servers: BTreeMap<ServerId, Server>,
     held: BTreeMap<u64, Held>,
     /// Set-ups that are open, by connection.
     open: BTreeMap<Conn, BTreeSet<u64>>,
     opened: usize,
+    /// How many sessions stand or are ending, by the connection that they were asked for on.
+    standing_on: BTreeMap<Conn, usize>,
     given_up: Recent<(ServerId, u64)>,
     unheard: Recent<(ServerId, u64)>,
     answered: Recent<u64>,
@@ -324,18 +329,19 @@
 }
 
 impl Life {
-    /// `classes` are the names of the module's classes in their order; `cells` how many there are.
-    pub fn new(core: Controller, classes: Vec<String>, cells: usize) -> Life {
+    /// `classes` are the names of the module's classes in their order; `cells` how many there are, if that is told.
+    pub fn new(core: Controller, classes: Vec<String>, cells: Option<usize>) -> Life {
         Life {
             core,
             classes,
-            cells: cells.max(1),
+            cells: cells.filter(|cells| *cells > 0),
             servers: BTreeMap::new(),
             held: BTreeMap::new(),
             open: BTreeMap::new(),
             opened: 0,
-            given_up: Recent::new(CROSSING, GIVEN_UP_LASTS),
-            unheard: Recent::new(CROSSING, UNHEARD_LASTS),
+            standing_on: BTreeMap::new(),
+            given_up: Recent::new(CROSSING, OUTAGE),
+            unheard: Recent::new(CROSSING, OUTAGE),
             answered: Recent::new(CROSSING, ANSWERED_LASTS),
             ended: Recent::new(CROSSING, ENDED_LASTS),
             attempts: 0,
@@ -378,6 +384,11 @@
         self.open.get(&conn).map_or(0, BTreeSet::len)
     }
 
+    /// Whether sessions stand that were asked for on a connection: their viewers are told of their ends on it.
+    pub fn stands_on(&self, conn: Conn) -> bool {
+        self.standing_on.contains_key(&conn)
+    }
+
     /// The connection that a session was asked for on.
     pub fn asked_on(&self, session: u64) -> Option<Conn> {
         self.held.get(&session)?.conn
@@ -462,10 +473,13 @@
                     server.watch.opened(now, how);
                 }
             }
-            Input::HostClosed { server, whole, unheard } => {
+            Input::HostClosed { server, whole, unheard, made_room } => {
                 self.looked = Micros::MIN / 2;
                 if let Some(at) = self.servers.get_mut(&server) {
                     at.watch.closed(whole);
+                    if made_room {
+                        at.watch.made_room(now);
+                    }
                 }
                 // Releases may have gone down with the connection, and a set-up that was withdrawn on it may stand.
                 let unheard: BTreeSet<_> = unheard.into_iter().collect();
@@ -541,8 +555,9 @@
         let figures = &set_up.figures;
         let class = self.classes.iter().position(|name| *name == set_up.class);
         let at = figures.at.as_ref().map(|at| ServerId(at.as_str().into()));
-        let copies = (1..=self.cells).contains(&figures.copies);
-        let fits = copies && figures.home < self.cells && figures.top.is_none_or(|top| top <= 255);
+        let in_cells = |cells: usize| figures.home < cells && figures.copies <= cells;
+        let holders = figures.copies > 0 && self.cells.is_none_or(in_cells);
+        let fits = holders && figures.top.is_none_or(|top| top <= 255);
         let held = self.held.contains_key(&session);
         if held && at.is_some() {
             return;
@@ -589,6 +604,7 @@
                 return out.push(Output::Over { conn: Some(conn), session, cause: cause::FAILED });
             }
             to.standing.insert(session);
+            self.stands_now(Some(conn));
             self.counts.handed += 1;
             self.held.insert(session, new(Stage::Stands { server: server.clone() }, None));
             self.events.push_back(Event::Open { id: RequestId(session), viewing, server });
@@ -648,14 +664,14 @@
         attempt: AttemptId,
         out: &mut Vec<Output>,
     ) {
-        self.given_up.insert(now, (server.clone(), session), ());
-        self.unheard.insert(now, (server.clone(), session), ());
+        self.given_up.renew(now, (server.clone(), session), ());
+        self.unheard.renew(now, (server.clone(), session), ());
         out.push(Output::Withdraw { server, session, attempt });
     }
 
     /// A release at a host, remembered until the host has confirmed it.
     fn say_release(&mut self, now: Micros, server: ServerId, session: u64, cause: u8, out: &mut Vec<Output>) {
-        self.unheard.insert(now, (server.clone(), session), ());
+        self.unheard.renew(now, (server.clone(), session), ());
         out.push(Output::Release { server, session, cause });
     }
 
@@ -783,17 +799,18 @@
         let Some(held) = self.held.get_mut(&session) else { return };
         held.stage = Stage::Stands { server: server.clone() };
         held.set_up = None;
-        let attempt = held.sends - 1;
+        let (conn, attempt) = (held.conn, held.sends - 1);
+        self.stands_now(conn);
         if let Some(cause) = over {
             // It stood for a moment: an answer would promise what is over.
             let turned = |conn| Output::Turned { conn, session, cause: cause::FAILED, stay_away: None };
-            out.extend(held.conn.map(turned));
+            out.extend(conn.map(turned));
             self.counts.failed += 1;
             self.answered.insert(now, session, ());
             self.events.push_back(Event::Playing { id: RequestId(session), attempt });
             return self.end(now, session, Life::ended_as(cause), Report::default());
         }
-        if let Some(conn) = held.conn {
+        if let Some(conn) = conn {
             out.push(Output::Answer { conn, session, description });
         }
         self.counts.served += 1;
@@ -852,9 +869,27 @@
         }
     }
 
+    fn stands_now(&mut self, conn: Option<Conn>) {
+        if let Some(conn) = conn {
+            *self.standing_on.entry(conn).or_default() += 1;
+        }
+    }
+
+    fn stands_no_more(&mut self, conn: Option<Conn>) {
+        if let Some(conn) = conn
+            && let Some(count) = self.standing_on.get_mut(&conn)
+        {
+            *count -= 1;
+            if *count == 0 {
+                self.standing_on.remove(&conn);
+            }
+        }
+    }
+
     /// A session that stood is over, and the module is told.
     fn end(&mut self, now: Micros, session: u64, status: Status, report: Report) {
         let Some(held) = self.held.remove(&session) else { return };
+        self.stands_no_more(held.conn);
         if let Some(server) = held.server() {
             let server = server.clone();
             if let Some(at) = self.servers.get_mut(&server) {
@@ -903,7 +938,9 @@
         }
         self.looked = now;
         let mut lost = Vec::new();
-        for (id, server) in self.servers.iter_mut().filter(|(_, s)| !s.standing.is_empty()) {
+        let mut watched: Vec<_> = self.servers.iter_mut().filter(|(_, s)| !s.standing.is_empty()).collect();
+        watched.sort_by_key(|(_, server)| server.watch.last_heard());
+        for (id, server) in watched {
             match server.watch.next(now, server.listed.entry.state != ServerState::Gone) {
                 Next::Nothing => {}
                 Next::Test => out.push(Output::Test { server: id.clone() }),
--- a/crates/elderpick-sessions/src/pending.rs
+++ b/crates/elderpick-sessions/src/pending.rs
@@ -30,6 +30,12 @@
         self.words.push_back((now, word));
     }
 
+    /// The oldest word that is still worth saying.
+    pub fn pop(&mut self, now: Micros) -> Option<T> {
+        self.expire(now);
+        self.words.pop_front().map(|(_, word)| word)
+    }
+
     /// All that is still worth saying.
     pub fn take(&mut self, now: Micros) -> impl Iterator<Item = T> {
         self.expire(now);
@@ -85,6 +91,12 @@
         self.values.insert(key, (now, value));
     }
 
+    /// Holds it as of now, whatever was held of it before.
+    pub fn renew(&mut self, now: Micros, key: K, value: V) {
+        self.remove(now, &key);
+        self.insert(now, key, value);
+    }
+
     pub fn get(&self, now: Micros, key: &K) -> Option<&V> {
         self.values.get(key).filter(|(at, _)| now - at <= self.lasts).map(|(_, value)| value)
     }
--- a/crates/elderpick-sessions/src/releases.rs
+++ b/crates/elderpick-sessions/src/releases.rs
@@ -9,8 +9,9 @@
 
 use crate::life::Conn;
 
-/// A release that is not confirmed by then is worth saying no longer.
-const LASTS: Micros = 10_000_000;
+/// A release that went out so long ago has arrived: confirming is free. One that found no connection yet is owed
+/// however long that takes.
+const CONFIRMED_BY: Micros = 10_000_000;
 /// What went out longer before its connection's end than this has arrived: confirming is free.
 const CROSSES: Micros = 1_000_000;
 
@@ -31,9 +32,11 @@
     order: BTreeSet<(Micros, u64)>,
     /// Those that wait for a connection.
     waiting: BTreeSet<(Micros, u64)>,
+    /// Those that were said, by when.
+    said_at: BTreeSet<(Micros, u64)>,
     /// Those that were said on a connection and are not confirmed.
     said_on: BTreeMap<Conn, BTreeSet<u64>>,
-    /// Releases that were dropped at the bound or grew too old unsaid.
+    /// Releases that were dropped at the bound unsaid.
     pub dropped: u64,
     /// Releases that were said again, since their connection ended behind them.
     pub repeated: u64,
@@ -47,6 +50,7 @@
             owed: BTreeMap::new(),
             order: BTreeSet::new(),
             waiting: BTreeSet::new(),
+            said_at: BTreeSet::new(),
             said_on: BTreeMap::new(),
             dropped: 0,
             repeated: 0,
@@ -59,7 +63,7 @@
         self.forget(session);
         while self.owed.len() >= self.most {
             let Some(&(_, oldest)) = self.order.first() else { break };
-            self.dropped += 1;
+            self.dropped += u64::from(self.owed.get(&oldest).is_some_and(|owed| owed.said.is_none()));
             self.forget(oldest);
         }
         self.owed.insert(session, Owed { cause, since: now, said: None });
@@ -78,21 +82,26 @@
     pub fn said(&mut self, now: Micros, session: u64, conn: Conn) {
         let Some(owed) = self.owed.get_mut(&session) else { return };
         self.waiting.remove(&(owed.since, session));
+        self.said_at.insert((now, session));
         owed.said = Some((conn, now));
         self.said_on.entry(conn).or_default().insert(session);
     }
 
-    /// Its viewer has confirmed it.
-    pub fn confirmed(&mut self, session: u64) {
-        self.forget(session);
+    /// Its viewer has confirmed it, on the connection that it was said on: what is confirmed elsewhere was not heard.
+    pub fn confirmed(&mut self, session: u64, conn: Conn) {
+        let said_on = self.owed.get(&session).and_then(|owed| owed.said).map(|(conn, _)| conn);
+        if said_on == Some(conn) {
+            self.forget(session);
+        }
     }
 
     /// A connection ended: what was on its way on it is owed anew.
     pub fn ended(&mut self, now: Micros, conn: Conn) {
         for session in self.said_on.remove(&conn).unwrap_or_default() {
             let Some(owed) = self.owed.get_mut(&session) else { continue };
-            let on_its_way = owed.said.take().is_some_and(|(_, at)| now - at <= CROSSES);
-            if on_its_way {
+            let Some((_, said)) = owed.said.take() else { continue };
+            self.said_at.remove(&(said, session));
+            if now - said <= CROSSES {
                 self.repeated += 1;
                 self.waiting.insert((owed.since, session));
             } else {
@@ -114,9 +123,9 @@
         let Some(owed) = self.owed.remove(&session) else { return };
         self.order.remove(&(owed.since, session));
         self.waiting.remove(&(owed.since, session));
-        if let Some((conn, _)) = owed.said
-            && let Some(said) = self.said_on.get_mut(&conn)
-        {
+        let Some((conn, at)) = owed.said else { return };
+        self.said_at.remove(&(at, session));
+        if let Some(said) = self.said_on.get_mut(&conn) {
             said.remove(&session);
             if said.is_empty() {
                 self.said_on.remove(&conn);
@@ -125,8 +134,7 @@
     }
 
     fn expire(&mut self, now: Micros) {
-        while let Some(&(_, session)) = self.order.first().filter(|(since, _)| now - since > LASTS) {
-            self.dropped += u64::from(self.owed.get(&session).is_some_and(|owed| owed.said.is_none()));
+        while let Some(&(_, session)) = self.said_at.first().filter(|(at, _)| now - at > CONFIRMED_BY) {
             self.forget(session);
         }
     }
--- a/crates/elderpick-sessions/src/watch.rs
+++ b/crates/elderpick-sessions/src/watch.rs
@@ -13,6 +13,9 @@
 /// A test that is not answered by then tells that the host is lost, also where no new connection can be tried: its viewers
 /// have to hear within 8 s of an end.
 const UNANSWERED: Micros = 4_000_000;
+/// An opening that has not ended by then holds up the next one no longer, however long the settings let it take:
+/// connections that come up late do so within a second.
+const NEXT_OPENING: Micros = 1_200_000;
 /// Connections that are refused, or do not come up, before the host counts as lost.
 const REFUSED: u32 = 2;
 const SILENT: u32 = 3;
@@ -50,7 +53,10 @@
     connections: usize,
     /// A connection broke and may have taken words along, which the host says again on the next one only.
     missed: bool,
-    opening: bool,
+    /// Since when the newest opening is on its way.
+    opening: Option<Micros>,
+    /// Since when connections are opened and none came up.
+    reaching: Option<Micros>,
     refused: u32,
     silent: u32,
     not_before: Micros,
@@ -64,7 +70,8 @@
             tested: None,
             connections: 0,
             missed: false,
-            opening: false,
+            opening: None,
+            reaching: None,
             refused,
             silent,
             not_before,
@@ -73,7 +80,7 @@
 
     /// Anything was read from the host.
     pub fn heard(&mut self, now: Micros) {
-        (self.heard, self.tested, self.refused, self.silent) = (now, None, 0, 0);
+        (self.heard, self.tested, self.reaching, self.refused, self.silent) = (now, None, None, 0, 0);
     }
 
     /// A connection of the host's ended; `whole` tells that all that the host said on it was read.
@@ -82,9 +89,19 @@
         self.missed |= !whole;
     }
 
+    /// A connection of the host's was closed to make room for another host's: that one goes first.
+    pub fn made_room(&mut self, now: Micros) {
+        self.not_before = now + 2 * PAUSE;
+    }
+
+    /// When the host last said anything. Where there is no room for all, who was heard longest ago goes first.
+    pub fn last_heard(&self) -> Micros {
+        self.heard
+    }
+
     /// An opening, whoever asked for it, ended so.
     pub fn opened(&mut self, now: Micros, how: Opened) {
-        self.opening = false;
+        self.opening = None;
         match how {
             Opened::Up => {
                 self.connections += 1;
@@ -93,7 +110,8 @@
             }
             Opened::Refused => self.refused += 1,
             Opened::Silent => self.silent += 1,
-            Opened::NoRoom => {}
+            // Nothing was asked of the host.
+            Opened::NoRoom => self.reaching = None,
         }
         self.not_before = now + PAUSE;
     }
@@ -105,21 +123,21 @@
     /// What to do now for a host where sessions stand. `known` says that the list still has it: the address of one that
     /// is gone may be another's by now.
     pub fn next(&mut self, now: Micros, known: bool) -> Next {
-        let unanswered = self.tested.is_some_and(|at| now - at >= UNANSWERED);
-        if self.refused >= REFUSED || self.silent >= SILENT || unanswered || (!known && self.connections == 0)
-        {
+        if self.is_lost(now, known) {
             return Next::Lost;
         }
         let doubtful = self.refused + self.silent > 0 || self.tested.is_some_and(|at| now - at >= TESTED);
         if self.connections == 0 || doubtful || (self.missed && known) {
-            if self.opening || now < self.not_before {
+            let opening = self.opening.is_some_and(|since| now - since < NEXT_OPENING);
+            if opening || now < self.not_before {
                 return Next::Nothing;
             }
             if !known {
                 // No new connection can tell of it, and it has not answered its test.
                 return Next::Lost;
             }
-            self.opening = true;
+            self.opening = Some(now);
+            self.reaching = self.reaching.or(Some(now));
             return Next::Open;
         }
         if self.tested.is_none() && now - self.heard >= QUIET {
@@ -128,6 +146,15 @@
         }
         Next::Nothing
     }
+
+    /// Whether what was asked of the host tells that it runs no more. None of the bounds depends on how long the
+    /// settings let a connection take to come up: viewers have to hear within 8 s of an end.
+    fn is_lost(&self, now: Micros, known: bool) -> bool {
+        let untested = self.tested.is_some_and(|since| now - since >= UNANSWERED);
+        let unreached = self.connections == 0 && self.reaching.is_some_and(|since| now - since >= UNANSWERED);
+        let gone = !known && self.connections == 0;
+        self.refused >= REFUSED || self.silent >= SILENT || untested || unreached || gone
+    }
 }
 
 #[cfg(test)]
--- a/crates/elderpick-sessions/tests/pending.rs
+++ b/crates/elderpick-sessions/tests/pending.rs
@@ -38,3 +38,13 @@
     assert_eq!(recent.keys(161, ..).collect::<Vec<_>>(), [&("b", 1)]);
     assert_eq!(recent.remove(171, &("b", 1)), None);
 }
+
+#[test]
+fn what_is_renewed_is_as_old_as_that() {
+    let mut recent = Recent::new(9, 100);
+    recent.insert(0, ("a", 7), 1);
+    recent.renew(90, ("a", 7), 2);
+    assert_eq!(recent.get(150, &("a", 7)), Some(&2));
+    recent.renew(150, ("b", 1), 3);
+    assert_eq!((recent.get(191, &("a", 7)), recent.get(191, &("b", 1))), (None, Some(&3)));
+}
--- a/crates/elderpick-sessions/tests/unit/watch.rs
+++ b/crates/elderpick-sessions/tests/unit/watch.rs
@@ -89,3 +89,60 @@
     let after = lost_after(&mut watch, 0, Opened::NoRoom);
     assert!((QUIET + TESTED..8_000_000).contains(&after), "{after}");
 }
+
+/// Openings end after `connect`, unless they come up or the host is lost before; a call each 50 ms, as from the life of
+/// sessions.
+fn lost_by(mut watch: Watch, connect: Micros, how: Opened) -> Micros {
+    let mut openings = std::collections::VecDeque::new();
+    for now in (0..60_000_000).step_by(50_000) {
+        while openings.front().is_some_and(|at| at + connect <= now) {
+            openings.pop_front();
+            watch.opened(now, how);
+        }
+        match watch.next(now, true) {
+            Next::Lost => return now,
+            Next::Open => openings.push_back(now),
+            _ => {}
+        }
+    }
+    unreachable!("the host is lost some time")
+}
+
+/// Its end may lie up to [`QUIET`] before the first question where a connection is up, and right before it otherwise.
+#[test]
+fn a_silent_host_is_lost_within_eight_seconds_whatever_the_settings_let_connections_take() {
+    for connect in [1, 60_000, 250_000, 600_000, 1_000_000, 2_000_000, 3_000_000, 10_000_000, 3_600_000_000] {
+        let vanished = up(0);
+        let mut idle = up(0);
+        idle.closed(true);
+        for watch in [vanished, idle] {
+            let after = lost_by(watch, connect, Opened::Silent);
+            assert!(after < 7_500_000, "{connect}: {after}");
+        }
+    }
+}
+
+#[test]
+fn an_opening_that_never_ends_is_followed_by_others_before_the_host_is_lost() {
+    let mut watch = up(0);
+    watch.closed(true);
+    let mut openings = Vec::new();
+    for now in (0..UNANSWERED).step_by(50_000) {
+        if watch.next(now, true) == Next::Open {
+            openings.push(now);
+        }
+    }
+    assert!(openings.len() >= 3, "{openings:?}");
+    watch.opened(UNANSWERED - 1, Opened::Up);
+    assert_eq!(watch.next(UNANSWERED, true), Next::Nothing, "one of them came up");
+    assert_eq!(watch.next(UNANSWERED + QUIET, true), Next::Test);
+}
+
+#[test]
+fn a_standstill_of_the_gateway_loses_no_host() {
+    let mut watch = up(0);
+    watch.closed(true);
+    assert_eq!(watch.next(30_000_000, true), Next::Open, "it was not tried yet");
+    watch.opened(30_050_000, Opened::Up);
+    assert_eq!(watch.next(30_100_000, true), Next::Nothing);
+}
