--- a/crates/elderpick-sessions/src/watch.rs
+++ b/crates/elderpick-sessions/src/watch.rs
@@ -55,7 +55,7 @@
     missed: bool,
     /// Since when the newest opening is on its way.
     opening: Option<Micros>,
-    /// Since when connections are opened and none came up.
+    /// Since when connections are opened, none came up, and nothing was heard on those that are up.
     reaching: Option<Micros>,
     refused: u32,
     silent: u32,
@@ -151,7 +151,7 @@
     /// settings let a connection take to come up: viewers have to hear within 8 s of an end.
     fn is_lost(&self, now: Micros, known: bool) -> bool {
         let untested = self.tested.is_some_and(|since| now - since >= UNANSWERED);
-        let unreached = self.connections == 0 && self.reaching.is_some_and(|since| now - since >= UNANSWERED);
+        let unreached = self.reaching.is_some_and(|since| now - since >= UNANSWERED);
         let gone = !known && self.connections == 0;
         self.refused >= REFUSED || self.silent >= SILENT || untested || unreached || gone
     }
--- a/crates/elderpick-sessions/tests/unit/watch.rs
+++ b/crates/elderpick-sessions/tests/unit/watch.rs
@@ -115,7 +115,10 @@
         let vanished = up(0);
         let mut idle = up(0);
         idle.closed(true);
-        for watch in [vanished, idle] {
+        // Its one refusal lets no test go out, though a connection is up.
+        let mut doubted = up(0);
+        doubted.opened(0, Opened::Refused);
+        for watch in [vanished, idle, doubted] {
             let after = lost_by(watch, connect, Opened::Silent);
             assert!(after < 7_500_000, "{connect}: {after}");
         }
