--- a/crates/elderpick-node/src/link.rs
+++ b/crates/elderpick-node/src/link.rs
@@ -13,8 +13,8 @@
 pub(crate) const READS_UP_TO: usize = 64 << 10;
 /// What is read at a time.
 pub(crate) const CHUNK: usize = 16 << 10;
-/// The last words are given so long to be written.
-const LAST_WORDS: Duration = Duration::from_millis(300);
+/// The last words are given so long to be written: they may be answers that are owed, to a peer that reads slowly.
+const LAST_WORDS: Duration = Duration::from_secs(2);
 /// A peer that was told that nothing more comes has so long to say its last words and to end the connection.
 const LEAVES: Duration = Duration::from_millis(500);
 /// How often it is looked whether a connection breaks behind its end.
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -88,6 +88,7 @@
     let Ok(listener) = listener.into_std() else { return };
     // Bounded by what the system keeps, and against those that come meanwhile.
     for _ in 0..MOST_ACCEPTED {
+        wait_for_room(&node).await;
         let Ok((stream, _)) = listener.accept() else { return };
         let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
         let Ok(stream) = stream else { return };
@@ -97,10 +98,14 @@
 
 /// Takes the next connection once there is room for it, or at least to tell its viewer that there is none.
 async fn accept_one(listener: &TcpListener, node: &Rc<Node>) -> std::io::Result<(TcpStream, SocketAddr)> {
+    wait_for_room(node).await;
+    listener.accept().await
+}
+
+async fn wait_for_room(node: &Rc<Node>) {
     while !node.can_answer_one_more() {
         tokio::time::sleep(ROOM_AGAIN).await;
     }
-    listener.accept().await
 }
 
 impl Node {
@@ -195,7 +200,8 @@
     /// only when all that has happened was told.
     fn end_if_done(&self, client: &Client) {
         let told = !self.feeding.get();
-        if told && client.deaf.get() && self.life.borrow().open_on(client.conn) == 0 {
+        let answered = told && self.life.borrow().open_on(client.conn) == 0;
+        if answered && client.deaf.get() && client.link.written() {
             client.link.end(false);
         }
     }
--- a/crates/elderpick-platform/src/viewer.rs
+++ b/crates/elderpick-platform/src/viewer.rs
@@ -159,7 +159,8 @@
 
 /// Most milliseconds that a viewer may say to wait: an hour.
 const MOST_PATIENCE: u64 = 3_600_000;
-const MOST_NAME: usize = 128;
+/// Longest name. What a message to a media host can hold is the bound that counts.
+const MOST_NAME: usize = 1_024;
 
 fn text(value: &[u8]) -> Result<&str, Bad> {
     std::str::from_utf8(value).map_err(|_| Bad("a parameter is not text"))
--- a/crates/elderpick-sessions/tests/settings_sweep.rs
+++ b/crates/elderpick-sessions/tests/settings_sweep.rs
@@ -48,10 +48,13 @@
     (0..rungs).map(|rung| 100.0 * (rung + 1) as f64).collect()
 }
 
+/// What one field, or those that belong together, are changed to.
+type Change = Box<dyn Fn(&mut Conditions)>;
+
 /// The fields of the settings, one change each: what is left out of a case is as in the ordinary settings.
-fn changes(seed: u64) -> Vec<Box<dyn Fn(&mut Conditions)>> {
+fn changes(seed: u64) -> Vec<Change> {
     let mut chance = Chance(seed);
-    let mut all: Vec<Box<dyn Fn(&mut Conditions)>> = Vec::new();
+    let mut all: Vec<Change> = Vec::new();
     let classes: Vec<_> = (0..=chance.below(6)).map(|_| any_class(&mut chance)).collect();
     all.push(Box::new(move |c| c.settings.classes = classes.clone()));
     let ladder = any_ladder(&mut chance);
