--- /dev/null
+++ b/crates/elderpick-node/src/hosts/received.rs
@@ -0,0 +1,154 @@
+//! What hosts say, read and told to the session lifecycle.
+
+use std::rc::Rc;
+
+use elderpick_core::api::{Note, Report, ServerId, Status};
+use elderpick_platform::rtsp::{self, Start, cseq};
+use elderpick_sessions::life::Input;
+
+use super::Line;
+use crate::node::Node;
+
+impl Node {
+    /// Takes what came on a line; `false` if it cannot be read. All that came is told before anything is said.
+    pub(super) fn host_heard(self: &Rc<Self>, server: &ServerId, line: &Rc<Line>, chunk: &[u8]) -> bool {
+        let now = self.now();
+        line.read.set(now);
+        self.together(|| {
+            if now - line.told.get() > 100_000 {
+                line.told.set(now);
+                self.feed(Input::Heard { server: server.clone() });
+            }
+            let before = self.later.borrow().len();
+            let mut goes_on = self.host_read(server, line, chunk);
+            let answers = |input: &Input| matches!(input, Input::Answer { .. });
+            if goes_on && self.later.borrow().iter().skip(before).any(answers) {
+                // Whether it still stands: its host may have said more by now.
+                line.link.look(|chunk| {
+                    goes_on = self.host_read(server, line, chunk);
+                    goes_on
+                });
+            }
+            if !goes_on {
+                self.distrust_answers(before);
+            }
+            goes_on
+        })
+    }
+
+    /// Takes answers that came right before what cannot be read for spoilt ones: a head that understates its length
+    /// leaves the end of its description behind as noise.
+    pub(super) fn distrust_answers(&self, from: usize) {
+        for input in self.later.borrow_mut().iter_mut().skip(from) {
+            if let Input::Answer { server, session, attempt: Some(attempt), .. } = input {
+                *input =
+                    Input::Cut { server: server.clone(), session: *session, attempt: *attempt, begun: true };
+            }
+        }
+    }
+
+    pub(super) fn host_read(self: &Rc<Self>, server: &ServerId, line: &Rc<Line>, chunk: &[u8]) -> bool {
+        let mut decoder = line.decoder.borrow_mut();
+        decoder.push(chunk);
+        loop {
+            match decoder.message() {
+                Ok(Some(message)) => self.host_said(server, line, &message),
+                Ok(None) => break,
+                Err(why) => {
+                    self.hosts.unreadable.set(self.hosts.unreadable.get() + 1);
+                    tracing::debug!(server = %server, %why, "a host sent what cannot be read");
+                    line.link.end(true);
+                    return false;
+                }
+            }
+        }
+        line.partial.set(decoder.partial());
+        true
+    }
+
+    pub(super) fn host_said(self: &Rc<Self>, server: &ServerId, line: &Rc<Line>, message: &rtsp::Message) {
+        let (session, server) = (message.session, server.clone());
+        tracing::trace!(server = %server, ?message, "a host says");
+        match &message.start {
+            Start::Response { status: 100..=199 } => {}
+            Start::Response { status } => match message.cseq {
+                cseq::SET_UP => {
+                    let attempt = line.take_out(session, None).map(|(attempt, _)| attempt);
+                    match (set_up_status(*status), attempt) {
+                        (Status::Ok, attempt) => {
+                            let description = message.body.clone();
+                            let over = None;
+                            self.feed(Input::Answer { server, session, attempt, description, over });
+                        }
+                        (status, Some(attempt)) => {
+                            let report = self.report(message);
+                            self.feed(Input::Refused { server, session, attempt, status, report });
+                        }
+                        // Of an attempt that was withdrawn here, or of none.
+                        (_, None) => {}
+                    }
+                }
+                cseq::TEARDOWN if *status == 200 => {
+                    line.unheard.borrow_mut().remove(&session);
+                    self.feed(Input::ReleaseHeard { server, session });
+                }
+                cseq::OPTIONS if line.asked.borrow_mut().remove(&session) => {
+                    let status = if *status == 200 { Status::Ok } else { Status::Failed };
+                    self.feed(Input::Probed { server, status, report: self.report(message) });
+                }
+                _ => {}
+            },
+            Start::Request { method } => match method.as_str() {
+                "TEARDOWN" => {
+                    let attempt = line.take_out(session, None).map(|(attempt, _)| attempt);
+                    line.link.send(&rtsp::response(200, message.cseq, session));
+                    let (cause, report) = (message.cause().unwrap_or(0), self.report(message));
+                    self.feed(Input::Released { server, session, attempt, cause, report });
+                }
+                "ANNOUNCE" => {
+                    if let Some(note) = note(message) {
+                        self.feed(Input::Noted { server, session, note });
+                    }
+                }
+                "OPTIONS" => line.link.send(&rtsp::response(200, message.cseq, session)),
+                _ => {}
+            },
+        }
+    }
+
+    /// A host's report, by the names that the settings give.
+    pub(super) fn report(&self, message: &rtsp::Message) -> Report {
+        let mut report = Report::default();
+        for (name, value) in message.state() {
+            match name {
+                "x0" | "util" | "utilization" => report.link = Some(value),
+                "x1" => report.uplink = Some(value),
+                "inflight" | "outstanding" => report.streams = Some(value),
+                _ => {}
+            }
+        }
+        report
+    }
+}
+
+/// What an answer to a set-up means.
+fn set_up_status(status: u16) -> Status {
+    match status {
+        200 => Status::Ok,
+        453 => Status::Full,
+        454 => Status::Ignored,
+        504 => Status::Reset,
+        _ => Status::Failed,
+    }
+}
+
+fn note(message: &rtsp::Message) -> Option<Note> {
+    let amount: f64 = message.header("P-Amount")?.trim().parse().ok().filter(|n: &f64| n.is_finite())?;
+    Some(match message.header("X-Note")?.trim() {
+        "d" => Note::Delivered(amount),
+        "r" => Note::Rung(amount.max(0.0) as usize),
+        "l" => Note::LinkAsked(amount),
+        "u" => Note::UplinkAsked(amount),
+        _ => return None,
+    })
+}
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -9,7 +9,7 @@
 use elderpick_core::api::Micros;
 use elderpick_platform::MOST_MESSAGE;
 use elderpick_platform::viewer::{self, Decoder, Message, SetUp, cause, kind};
-use elderpick_sessions::admission::Welcome;
+use elderpick_sessions::admission::AdmissionDecision;
 use elderpick_sessions::life::{Conn, Input, OPEN_ON_ONE};
 use elderpick_sessions::pending::PendingQueue;
 use tokio::net::{TcpListener, TcpStream};
@@ -119,9 +119,9 @@
         let welcome = self.admission.borrow_mut().come(self.now(), conn, &**self);
         let mut refused = None;
         match welcome {
-            Welcome::Admitted => {}
-            Welcome::InsteadOf(other) => self.close_client(other),
-            Welcome::Full => {
+            AdmissionDecision::Admitted => {}
+            AdmissionDecision::InsteadOf(other) => self.close_client(other),
+            AdmissionDecision::Full => {
                 self.turned_away.set(self.turned_away.get() + 1);
                 if self.refusing.get() >= self.most_refusing {
                     return false;
@@ -149,7 +149,7 @@
             node.viewer_left(&client);
             node.release_unheard(&client, whole).await;
         });
-        matches!(welcome, Welcome::InsteadOf(_))
+        matches!(welcome, AdmissionDecision::InsteadOf(_))
     }
 
     /// A viewers' connection has ended.
--- a/crates/elderpick-sessions/src/admission.rs
+++ b/crates/elderpick-sessions/src/admission.rs
@@ -32,7 +32,7 @@
 
 /// What is to be done with a connection that came.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Welcome {
+pub enum AdmissionDecision {
     Admitted,
     /// Admitted, and this one is to be closed for it.
     InsteadOf(Conn),
@@ -71,8 +71,8 @@
     }
 
     /// A connection came.
-    pub fn come(&mut self, now: Micros, conn: Conn, known: &impl Connections) -> Welcome {
-        let mut welcome = Welcome::Admitted;
+    pub fn come(&mut self, now: Micros, conn: Conn, known: &impl Connections) -> AdmissionDecision {
+        let mut welcome = AdmissionDecision::Admitted;
         if self.clients.len() >= self.most {
             let idle = self.clients.iter().filter(|(_, client)| client.open == 0);
             let order = |(conn, client): (&Conn, &Client)| {
@@ -82,10 +82,10 @@
             let mut idle: Vec<_> = idle.map(order).collect();
             idle.sort_unstable();
             let Some((_, _, first)) = idle.into_iter().find(|(_, _, conn)| known.quiet(*conn)) else {
-                return Welcome::Full;
+                return AdmissionDecision::Full;
             };
             self.clients.remove(&first);
-            welcome = Welcome::InsteadOf(first);
+            welcome = AdmissionDecision::InsteadOf(first);
         }
         self.clients.insert(conn, Client { came: now, said: None, partial: None, open: 0 });
         welcome
--- a/crates/elderpick-sessions/src/watch.rs
+++ b/crates/elderpick-sessions/src/health.rs
@@ -47,7 +47,7 @@
 
 /// What is known of a host's life.
 #[derive(Clone, Debug)]
-pub struct Watch {
+pub struct HealthMonitor {
     heard: Micros,
     tested: Option<Micros>,
     connections: usize,
@@ -62,10 +62,10 @@
     not_before: Micros,
 }
 
-impl Watch {
-    pub fn new(now: Micros) -> Watch {
+impl HealthMonitor {
+    pub fn new(now: Micros) -> HealthMonitor {
         let (refused, silent, not_before) = (0, 0, now);
-        Watch {
+        HealthMonitor {
             heard: now,
             tested: None,
             connections: 0,
@@ -158,5 +158,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/unit/watch.rs"]
+#[path = "../tests/unit/health.rs"]
 mod tests;
--- /dev/null
+++ b/crates/elderpick-sessions/src/life/attempts.rs
@@ -0,0 +1,121 @@
+//! Attempts to set a session up at a host, and what its host says to them.
+
+use std::cmp::Reverse;
+
+use bytes::Bytes;
+use elderpick_core::api::{Event, Micros, Report, RequestId, ServerId, ServerState, Status};
+use elderpick_platform::viewer::cause;
+
+use super::{AttemptId, Life, Output, Stage, Timer};
+
+impl Life {
+    pub(super) fn send(
+        &mut self,
+        now: Micros,
+        session: u64,
+        server: ServerId,
+        timeout: Micros,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(held) = self.held.get_mut(&session) else { return };
+        let (Some(set_up), Stage::Waiting) = (&held.set_up, &held.stage) else { return };
+        held.sends += 1;
+        let entry = self.servers.get(&server).map(|s| &s.listed.entry);
+        let Some(entry) = entry.filter(|e| e.state == ServerState::Up && timeout > 0) else {
+            let (id, attempt, status) = (RequestId(session), held.sends - 1, Status::Ignored);
+            let report = Report::default();
+            return self.events.push_back(Event::Outcome { id, attempt, status, closed: false, report });
+        };
+        let until = held.deadline.min(now + timeout);
+        self.attempts += 1;
+        let attempt = self.attempts;
+        held.stage = Stage::Out { server: server.clone(), attempt, until, started: entry.started };
+        self.timers.push(Reverse((until, Timer::Attempt(session, attempt))));
+        out.push(Output::SetUp {
+            server,
+            session,
+            attempt,
+            class: set_up.class.clone(),
+            title: set_up.title.clone(),
+            patience: until - now,
+            rung: held.rung,
+            description: set_up.description.clone(),
+        });
+    }
+
+    /// The attempt at a host has ended without a session.
+    pub(super) fn attempt_over(
+        &mut self,
+        server: &ServerId,
+        session: u64,
+        attempt: AttemptId,
+        status: Status,
+        report: Report,
+    ) {
+        let held = self.held.get_mut(&session).filter(|h| h.is_out_as(server, attempt));
+        let Some(held) = held else { return };
+        held.stage = Stage::Waiting;
+        let (id, attempt) = (RequestId(session), held.sends - 1);
+        self.events.push_back(Event::Outcome { id, attempt, status, closed: false, report });
+    }
+
+    pub(super) fn answered(
+        &mut self,
+        now: Micros,
+        server: ServerId,
+        session: u64,
+        attempt: Option<AttemptId>,
+        (description, over): (Bytes, Option<u8>),
+        out: &mut Vec<Output>,
+    ) {
+        let held = self.held.get(&session);
+        if !held.is_some_and(|h| attempt.is_some_and(|attempt| h.is_out_as(&server, attempt))) {
+            // A second copy, an answer that nobody asked for, or one that crossed a withdrawal: only the last stands.
+            // A host knows a session by its number alone: where a further attempt is out or stands there, a release of
+            // the one before would end that.
+            let another = held.is_some_and(|h| h.server() == Some(&server));
+            if !another && self.given_up.remove(now, &(server.clone(), session)).is_some() {
+                self.say_release(now, server, session, cause::ENDED_BY_VIEWER, out);
+            }
+            return;
+        }
+        self.close(session);
+        let Some(held) = self.held.get_mut(&session) else { return };
+        held.stage = Stage::Stands { server: server.clone() };
+        held.set_up = None;
+        let (conn, attempt) = (held.conn, held.sends - 1);
+        self.stands_now(conn);
+        if let Some(cause) = over {
+            // It stood for a moment: an answer would promise what is over.
+            let turned = |conn| Output::Turned { conn, session, cause: cause::FAILED, stay_away: None };
+            out.extend(conn.map(turned));
+            self.counts.failed += 1;
+            self.answered.insert(now, session, ());
+            self.events.push_back(Event::Playing { id: RequestId(session), attempt });
+            return self.end(now, session, Life::ended_as(cause), Report::default());
+        }
+        if let Some(conn) = conn {
+            out.push(Output::Answer { conn, session, description });
+        }
+        self.counts.served += 1;
+        self.answered.insert(now, session, ());
+        if let Some(server) = self.servers.get_mut(&server) {
+            server.standing.insert(session);
+        }
+        self.events.push_back(Event::Playing { id: RequestId(session), attempt });
+    }
+
+    /// An attempt is withdrawn at its host, which may have answered it by now or never hear of this.
+    pub(super) fn say_withdrawn(
+        &mut self,
+        now: Micros,
+        server: ServerId,
+        session: u64,
+        attempt: AttemptId,
+        out: &mut Vec<Output>,
+    ) {
+        self.given_up.renew(now, (server.clone(), session), ());
+        self.unheard.renew(now, (server.clone(), session), ());
+        out.push(Output::Withdraw { server, session, attempt });
+    }
+}
--- /dev/null
+++ b/crates/elderpick-sessions/src/life/health.rs
@@ -0,0 +1,62 @@
+//! Hosts where sessions were set up are monitored, and lost ones are given up.
+
+use elderpick_core::api::{Micros, Report, ServerId, ServerState, Status};
+use elderpick_platform::viewer::cause;
+
+use super::{LOOK, Life, Output, Session, Stage};
+use crate::health::{HealthMonitor, Next};
+
+impl Life {
+    /// Looks at hosts where sessions stand.
+    pub(super) fn look(&mut self, now: Micros, out: &mut Vec<Output>) {
+        if now - self.looked < LOOK {
+            return;
+        }
+        self.looked = now;
+        let mut lost = Vec::new();
+        let mut watched: Vec<_> = self.servers.iter_mut().filter(|(_, s)| !s.standing.is_empty()).collect();
+        watched.sort_by_key(|(_, server)| server.health.last_heard());
+        for (id, server) in watched {
+            match server.health.next(now, server.listed.entry.state != ServerState::Gone) {
+                Next::Nothing => {}
+                Next::Test => out.push(Output::Test { server: id.clone() }),
+                Next::Open => out.push(Output::Open { server: id.clone() }),
+                Next::Lost => lost.push(id.clone()),
+            }
+        }
+        for server in lost {
+            self.lose(now, &server, out);
+            if let Some(server) = self.servers.get_mut(&server) {
+                server.health = HealthMonitor::new(now);
+            }
+        }
+    }
+
+    /// All that stands at a host is over: it died, or is out of reach for good.
+    pub(super) fn lose(&mut self, now: Micros, server: &ServerId, out: &mut Vec<Output>) {
+        let Some(at) = self.servers.get_mut(server) else { return };
+        self.counts.hosts_lost += 1;
+        let attempt_there = |(session, held): (&u64, &Session)| match &held.stage {
+            Stage::Out { server: at, attempt, .. } if at == server => Some((*session, *attempt)),
+            _ => None,
+        };
+        let out_there: Vec<_> = self.held.iter().filter_map(attempt_there).collect();
+        let standing = std::mem::take(&mut at.standing);
+        out.push(Output::Forget { server: server.clone() });
+        // If it was only out of reach, it has to hear what is over, also what waited for a connection that is dropped.
+        self.say_again(now, server, |_| true, out);
+        for (session, attempt) in out_there {
+            self.attempt_over(server, session, attempt, Status::Reset, Report::default());
+            self.say_release(now, server.clone(), session, cause::ENDED_BY_VIEWER, out);
+        }
+        for session in standing {
+            let Some(held) = self.held.get(&session) else { continue };
+            if let Stage::Stands { .. } = held.stage {
+                out.push(Output::Over { conn: held.conn, session, cause: cause::FAILED });
+            }
+            self.say_release(now, server.clone(), session, cause::ENDED_BY_VIEWER, out);
+            self.end(now, session, Status::Reset, Report::default());
+        }
+        self.drop_if_gone(server);
+    }
+}
--- a/crates/elderpick-sessions/src/pending.rs
+++ b/crates/elderpick-sessions/src/pending.rs
@@ -63,17 +63,17 @@
 /// What was of late, by key, bounded in number and in time. The oldest make room for new ones, and each look costs the same
 /// however much is held.
 #[derive(Debug)]
-pub struct Recent<K, V = ()> {
+pub struct ExpiringMap<K, V = ()> {
     values: BTreeMap<K, (Micros, V)>,
     order: BTreeSet<(Micros, K)>,
     most: usize,
     lasts: Micros,
 }
 
-impl<K: Ord + Clone, V> Recent<K, V> {
+impl<K: Ord + Clone, V> ExpiringMap<K, V> {
     /// Holds `most` at most, each for `lasts`.
-    pub fn new(most: usize, lasts: Micros) -> Recent<K, V> {
-        Recent { values: BTreeMap::new(), order: BTreeSet::new(), most, lasts }
+    pub fn new(most: usize, lasts: Micros) -> ExpiringMap<K, V> {
+        ExpiringMap { values: BTreeMap::new(), order: BTreeSet::new(), most, lasts }
     }
 
     /// Holds it unless it is held already; it stays as old and as it is then.
--- a/crates/elderpick-sessions/tests/common/mod.rs
+++ b/crates/elderpick-sessions/tests/common/mod.rs
@@ -11,8 +11,8 @@
 use elderpick_core::api::*;
 use elderpick_platform::journal::Listed;
 use elderpick_platform::viewer::{Figures, SetUp, cause};
+use elderpick_sessions::health::Opened;
 use elderpick_sessions::life::{AttemptId, Input, Life, Output};
-use elderpick_sessions::watch::Opened;
 
 pub const MS: Micros = 1_000;
 pub const HOSTS: usize = 3;
@@ -55,6 +55,8 @@
     MixesDescriptions,
     /// Tells no viewer that its session is over.
     TellsNoEnds,
+    /// Sends on for a viewer that has just left.
+    SendsOnBehindTheEnd,
 }
 
 /// A gateway to a host.
@@ -547,6 +549,15 @@
         }
     }
 
+    /// What the double sends for a viewer that has left.
+    fn send_on(&mut self, session: u64) {
+        let SetUp { class, title, description, .. } = self.set_up(session, 0, 1_000, None);
+        let (attempt, patience, rung) = (AttemptId::MAX, 0, 0);
+        let set_up =
+            Output::SetUp { server: name(0), session, attempt, class, title, patience, rung, description };
+        self.judge.see(self.now, &set_up);
+    }
+
     /// Which attempt a word counts for: its own, or for a double the one that is out, wherever that is.
     fn mixed(&self, session: u64, server: ServerId, own: Option<AttemptId>) -> (ServerId, Option<AttemptId>) {
         match self.judge.out.get(&session) {
@@ -682,6 +693,9 @@
                 if let Some(session) = self.any(&owed) {
                     self.judge.owed.remove(&session);
                     self.feed(Input::Release { conn: session % 4, session, cause: cause::GIVEN_UP });
+                    if self.wrong == Wrong::SendsOnBehindTheEnd {
+                        self.send_on(session);
+                    }
                 }
             }
             5 => {
--- a/crates/elderpick-sessions/tests/crossings.rs
+++ b/crates/elderpick-sessions/tests/crossings.rs
@@ -28,6 +28,7 @@
         Wrong::AnswersLate,
         Wrong::MixesDescriptions,
         Wrong::TellsNoEnds,
+        Wrong::SendsOnBehindTheEnd,
     ];
     for wrong in doubles {
         assert!((0..400).any(|seed| play(seed, wrong).is_some()), "{wrong:?} goes unseen");
--- a/crates/elderpick-sessions/tests/life.rs
+++ b/crates/elderpick-sessions/tests/life.rs
@@ -7,8 +7,8 @@
 use elderpick_core::api::*;
 use elderpick_platform::journal::Listed;
 use elderpick_platform::viewer::{Figures, SetUp, cause};
+use elderpick_sessions::health::Opened;
 use elderpick_sessions::life::{AttemptId, Input, Life, OUTAGE, Output};
-use elderpick_sessions::watch::Opened;
 use proptest::prelude::*;
 
 const MS: Micros = 1_000;
--- a/crates/elderpick-sessions/tests/pending.rs
+++ b/crates/elderpick-sessions/tests/pending.rs
@@ -1,6 +1,6 @@
 //! What waits for a connection, and what was of late.
 
-use elderpick_sessions::pending::{PendingQueue, Recent};
+use elderpick_sessions::pending::{ExpiringMap, PendingQueue};
 
 #[test]
 fn the_oldest_words_make_room_and_old_ones_are_not_said() {
@@ -15,7 +15,7 @@
 
 #[test]
 fn what_was_of_late_is_known_until_it_is_old_or_makes_room() {
-    let mut used = Recent::new(2, 100);
+    let mut used = ExpiringMap::new(2, 100);
     (0..3).for_each(|k| used.insert(k, k as u64, ()));
     assert_eq!([0, 1, 2].map(|k| used.contains(10, &k)), [false, true, true]);
     used.insert(3, 2, ());
@@ -26,7 +26,7 @@
 
 #[test]
 fn what_is_taken_out_is_known_no_more_and_the_others_stay_as_old_as_they_are() {
-    let mut recent = Recent::new(9, 100);
+    let mut recent = ExpiringMap::new(9, 100);
     recent.insert(60, ("a", 7), 1);
     recent.insert(60, ("a", 8), 2);
     recent.insert(70, ("b", 1), 3);
@@ -41,7 +41,7 @@
 
 #[test]
 fn what_is_renewed_is_as_old_as_that() {
-    let mut recent = Recent::new(9, 100);
+    let mut recent = ExpiringMap::new(9, 100);
     recent.insert(0, ("a", 7), 1);
     recent.renew(90, ("a", 7), 2);
     assert_eq!(recent.get(150, &("a", 7)), Some(&2));
--- a/crates/elderpick-sessions/tests/settings_sweep.rs
+++ b/crates/elderpick-sessions/tests/settings_sweep.rs
@@ -168,6 +168,7 @@
         Wrong::AnswersLate,
         Wrong::MixesDescriptions,
         Wrong::TellsNoEnds,
+        Wrong::SendsOnBehindTheEnd,
     ];
     for wrong in doubles {
         let seen = (0..600).find(|seed| play(*seed, wrong, conditions(*seed, &[]), STEPS).is_some());
--- a/crates/elderpick-sessions/tests/unit/watch.rs
+++ b/crates/elderpick-sessions/tests/unit/health.rs
@@ -1,9 +1,9 @@
-//! Whether a media host still runs. Compiled into `src/watch.rs`, whose figures it knows.
+//! Whether a media host still runs. Compiled into `src/health.rs`, whose figures it knows.
 
 use super::*;
 
-fn up(now: Micros) -> Watch {
-    let mut watch = Watch::new(now);
+fn up(now: Micros) -> HealthMonitor {
+    let mut watch = HealthMonitor::new(now);
     assert_eq!(watch.next(now, true), Next::Open);
     assert_eq!(watch.next(now, true), Next::Nothing, "one opening at a time");
     watch.opened(now, Opened::Up);
@@ -11,7 +11,7 @@
 }
 
 /// Asks every 10 ms until the host is lost; openings end as told.
-fn lost_after(watch: &mut Watch, from: Micros, how: Opened) -> Micros {
+fn lost_after(watch: &mut HealthMonitor, from: Micros, how: Opened) -> Micros {
     for now in (from..from + 60_000_000).step_by(10_000) {
         match watch.next(now, true) {
             Next::Lost => return now - from,
@@ -92,7 +92,7 @@
 
 /// Openings end after `connect`, unless they come up or the host is lost before; a call each 50 ms, as from the life of
 /// sessions.
-fn lost_by(mut watch: Watch, connect: Micros, how: Opened) -> Micros {
+fn lost_by(mut watch: HealthMonitor, connect: Micros, how: Opened) -> Micros {
     let mut openings = std::collections::VecDeque::new();
     for now in (0..60_000_000).step_by(50_000) {
         while openings.front().is_some_and(|at| at + connect <= now) {
