Root cause of the reported loss: an unreadable message ended a connection that carries others' set-ups

On the hosts' wire the same mistake was a CSeq over 32 bits, which the page allows ("any value"), and which ended the connection: it does not.

--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -18,7 +18,8 @@
 use crate::link::{Link, Look};
 use crate::node::Node;
 
-/// Messages that cannot be read, until nothing more is read on their connection.
+/// Messages that cannot be read, until nothing more is read on a connection on which nothing else ever came. One that has
+/// carried a set-up carries others' too: what can be told apart there costs nothing but its own answer.
 const MOST_UNREADABLE: u32 = 8;
 /// An answer crosses the end of its connection within this time, as the platform says of what crosses a close.
 const CROSSES_END: Duration = Duration::from_millis(50);
@@ -46,6 +47,8 @@
     pub link: Link,
     decoder: RefCell<Decoder>,
     pub standing: Cell<Standing>,
+    /// A set-up that could be read came on it.
+    has_asked: Cell<bool>,
     unreadable: Cell<u32>,
     /// What comes is not read any more; it is ended once all that is open on it is answered.
     deaf: Cell<bool>,
@@ -135,6 +138,7 @@
             link: Link::new(stream, MOST_OWED),
             decoder: RefCell::default(),
             standing: Cell::new(Standing::New),
+            has_asked: Cell::new(false),
             unreadable: Cell::new(0),
             deaf: Cell::new(false),
             refused,
@@ -273,7 +277,7 @@
         overdue.into_iter().for_each(|conn| self.close_client(conn));
     }
 
-    /// What cannot be read gets an error. Behind too many of them nothing more is read.
+    /// What cannot be read gets an error. Behind too many of them nothing more is read from who sends nothing else.
     fn bad(&self, client: &Client, session: u64, why: elderpick_platform::Bad) {
         self.unreadable.set(self.unreadable.get() + 1);
         tracing::debug!(%why, "a viewer sent what cannot be read");
@@ -282,7 +286,8 @@
         client.link.send(&text);
         client.standing.set(Standing::Bad);
         client.unreadable.set(client.unreadable.get() + 1);
-        client.deaf.set(client.deaf.get() || client.unreadable.get() >= MOST_UNREADABLE);
+        let nothing_else = !client.has_asked.get() && client.unreadable.get() >= MOST_UNREADABLE;
+        client.deaf.set(client.deaf.get() || nothing_else);
     }
 
     /// Takes one message.
@@ -296,6 +301,7 @@
                 }
                 Ok(set_up) => {
                     client.standing.set(client.standing.get().max(Standing::Asked));
+                    client.has_asked.set(true);
                     self.feed(Input::SetUp { conn, came: self.came(), set_up });
                 }
                 Err(why) => self.bad(client, session, why),
--- a/crates/elderpick-platform/src/rtsp.rs
+++ b/crates/elderpick-platform/src/rtsp.rs
@@ -172,7 +172,7 @@
             }
             let value = value.trim();
             let twice = match name.to_ascii_lowercase().as_str() {
-                "cseq" => cseq.replace(value.parse::<u32>().map_err(|_| Bad("CSeq is no number"))?).is_some(),
+                "cseq" => cseq.replace(sequence_number(value)?).is_some(),
                 "session" => {
                     session.replace(session_id(value).ok_or(Bad("Session is no session's name"))?).is_some()
                 }
@@ -198,6 +198,13 @@
     }
 }
 
+/// The number of a `CSeq` header, which may have any value: what is larger than a number that means anything is as large
+/// as any.
+fn sequence_number(value: &str) -> Result<u32, Bad> {
+    let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+    if digits { Ok(value.parse().unwrap_or(u32::MAX)) } else { Err(Bad("CSeq is no number")) }
+}
+
 fn first_line(line: &str) -> Result<Start, Bad> {
     let mut words = line.split(' ');
     let (first, second, third) = (words.next(), words.next(), words.next());
--- a/crates/elderpick-platform/tests/codecs.rs
+++ b/crates/elderpick-platform/tests/codecs.rs
@@ -148,6 +148,22 @@
     assert!(of(description.len() + 1).is_err());
 }
 
+/// `CSeq` may have any value but in three exchanges; a connection must not end by it.
+#[test]
+fn a_sequence_number_may_be_of_any_size() {
+    for (value, read) in [("0", 0), ("4294967295", u32::MAX), ("99999999999999999999999", u32::MAX)] {
+        let note = format!(
+            "ANNOUNCE rtsp://media/x RTSP/1.0\r\nCSeq: {value}\r\nSession: 00000000000000ff\r\nContent-Length: 0\r\n\r\n"
+        );
+        assert_eq!(read_all(note.as_bytes(), 7).unwrap()[0].cseq, read);
+    }
+    for value in ["", "-1", "1e3", "x"] {
+        let note =
+            format!("ANNOUNCE rtsp://media/x RTSP/1.0\r\nCSeq: {value}\r\nSession: 00000000000000ff\r\n\r\n");
+        assert!(read_all(note.as_bytes(), 7).is_err(), "{value:?}");
+    }
+}
+
 /// What a message that understates its length leaves behind is told before a head ends.
 #[test]
 fn what_can_begin_no_message_is_told_at_once() {
