An entry of the list that cannot be read hides neither the others nor the events behind it

Entries are read one by one now; an event with one that cannot be read is asked for once more and then taken without it, as before for an address. `born_ms` may be written with a point. Test: other_settings.rs an_entry_of_the_list_that_cannot_be_read_hides_no_other, which fails before.

--- a/crates/elderpick-lab/tests/other_settings.rs
+++ b/crates/elderpick-lab/tests/other_settings.rs
@@ -275,6 +275,28 @@
     });
 }
 
+// ---- The list ----
+
+/// A state that no page names, beside a host that is new: the list goes on without the one that cannot be read.
+#[test]
+fn an_entry_of_the_list_that_cannot_be_read_hides_no_other() {
+    run(async {
+        let world = one_host("entry", 256, unprobed).await;
+        let (odd, other) = (Host::start("s-1").await.unwrap(), Host::start("s-2").await.unwrap());
+        let all = [(&world.hosts[0], "Terminating"), (&odd, "Resting"), (&other, "Ready")];
+        world.journal.tell(false, &all);
+        let mut viewers = connect(&world).await;
+        for session in 1..4_000 {
+            asked(&mut viewers, session, "free").await;
+            if other.taken() > 0 {
+                break;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+        assert!(other.taken() > 0 && odd.taken() == 0);
+    });
+}
+
 // ---- A configuration ----
 
 #[test]
--- a/crates/elderpick-platform/src/journal.rs
+++ b/crates/elderpick-platform/src/journal.rs
@@ -4,6 +4,7 @@
 
 use elderpick_core::api::{Entry, Micros, ServerId, ServerState};
 use serde::Deserialize;
+use serde::de::IgnoredAny;
 
 /// Most hosts that one event may name.
 const MOST_HOSTS: usize = 10_000;
@@ -21,7 +22,25 @@
     #[serde(default)]
     pub whole: bool,
     #[serde(default)]
-    pub hosts: Vec<Host>,
+    pub hosts: Vec<HostEntry>,
+}
+
+/// An entry of an event, if it can be read: one that cannot must hide neither the others nor the events behind it.
+#[derive(Deserialize, Clone, Debug)]
+#[serde(untagged)]
+pub enum HostEntry {
+    Readable(Host),
+    Unreadable(IgnoredAny),
+}
+
+impl HostEntry {
+    /// The host as the list tells it; the error says why it cannot be read.
+    pub fn listed(&self, zones: &[String], kinds: &[String]) -> Result<Listed, String> {
+        match self {
+            HostEntry::Readable(host) => host.listed(zones, kinds),
+            HostEntry::Unreadable(_) => Err("an entry of the list has a field that cannot be read".into()),
+        }
+    }
 }
 
 #[derive(Deserialize, Clone, Debug)]
@@ -38,7 +57,7 @@
     #[serde(default = "one")]
     pub share: f64,
     #[serde(default)]
-    pub born_ms: i64,
+    pub born_ms: f64,
 }
 
 fn one() -> f64 {
@@ -86,7 +105,7 @@
                 Health::Gone => ServerState::Gone,
             },
             weight: if self.share.is_finite() { self.share } else { 0.0 },
-            started: (self.born_ms > 0).then(|| self.born_ms as Micros * 1_000),
+            started: (self.born_ms > 0.0).then(|| self.born_ms as Micros * 1_000),
         };
         Ok(Listed { address, entry })
     }
