--- a/crates/elderpick-lab/tests/other_settings.rs
+++ b/crates/elderpick-lab/tests/other_settings.rs
@@ -1,6 +1,7 @@
 //! Requests that were lost only under settings or loads that the lab had not had before: other class names, long
-//! descriptions, one set-up a connection, few descriptors beside many hosts. Each test failed before its fault was mended;
-//! `docs/design/settings.md` has the table of limits that they belong to.
+//! descriptions, one set-up a connection, few descriptors beside many hosts. Each test failed before its fault was mended,
+//! but for three: the helpers' own, the late reader's, whose system took all, and that of who sends nothing that can be read.
+//! `docs/design/limits.md` has the table of constants that they belong to.
 
 use elderpick_lab::platform::{Does, Host, Journal, Viewers, description, set_up, set_up_of, set_up_with};
 use elderpick_platform::MOST_MESSAGE;
