A scripted host told to go on answers every set-up it has seen

A signal sent before that task was first polled was missed (Notify::notify_waiters wakes only who waits already), although the host had reported the set-up as seen. The late reader's set-ups 7 to 16 stayed open until their deadline, and the next request was refused. The gateway was not at fault.

The other uses of Notify in the workspace use notify_one, which stores its permit, or wait with no other await after the condition was looked at.

--- a/crates/elderpick-lab/src/lib.rs
+++ b/crates/elderpick-lab/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod record;
 pub mod script;
 pub mod seats;
+pub mod signal;
 pub mod srt;
 pub mod srt_bench;
 pub mod viewers;
--- a/crates/elderpick-lab/src/platform.rs
+++ b/crates/elderpick-lab/src/platform.rs
@@ -15,9 +15,11 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::process::{Child, Command};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, spawn_local};
 
+use crate::signal::{Signal, Subscription};
+
 /// What is waited for at most, before a test counts as failed.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -73,7 +75,7 @@
     asked: RefCell<BTreeMap<u64, (String, u64)>>,
     standing: RefCell<BTreeMap<u64, Words>>,
     heard: RefCell<Vec<u64>>,
-    go_on: Notify,
+    go_on: Signal,
     lines: RefCell<Vec<Words>>,
     /// Connections that were taken, and what was done on all of them as they were told.
     taken: Cell<usize>,
@@ -260,7 +262,7 @@
     }
 
     pub fn go_on(&self) {
-        self.inside.go_on.notify_waiters();
+        self.inside.go_on.send();
     }
 
     /// Goes on, and answers what it holds with descriptions of so many bytes.
@@ -389,13 +391,15 @@
                     }
                     Does::Holds | Does::HoldsRefusal(_) => {
                         let (inside, line) = (self.clone(), line.clone());
+                        // Here and not in the task, which may be polled for the first time after the signal.
+                        let mut go_on = self.go_on.subscribe();
                         let then = match does {
                             Does::HoldsRefusal(status) => rtsp::response(status, 1, session),
                             _ => answer(session),
                         };
                         self.holds(session, connection);
                         spawn_local(async move {
-                            inside.go_on.notified().await;
+                            go_on.received().await;
                             inside.undecided.borrow_mut().remove(&session);
                             let long =
                                 inside.long.get().map(|bytes| answer_of(session, &vec![b'y'; bytes], bytes));
@@ -439,12 +443,12 @@
 pub struct Journal {
     pub address: SocketAddr,
     told: Rc<RefCell<Vec<Value>>>,
-    news: Rc<Notify>,
-    breaks: Rc<Notify>,
+    news: Signal,
+    breaks: Signal,
     /// How it answers calls from now on.
     pub speaks: Rc<Cell<Speaks>>,
     /// Streams that are open say nothing more, and stay open.
-    mute: Rc<Notify>,
+    mute: Signal,
     /// How many streams have fallen silent.
     pub silent: Rc<Cell<usize>>,
     /// The `Last-Event-ID` of each call.
@@ -462,22 +466,23 @@
         let journal = Journal {
             address,
             told: Rc::default(),
-            news: Rc::default(),
-            breaks: Rc::default(),
+            news: Signal::default(),
+            breaks: Signal::default(),
             speaks: Rc::new(Cell::new(speaks)),
-            mute: Rc::default(),
+            mute: Signal::default(),
             silent: Rc::default(),
             calls: Rc::default(),
         };
-        let (told, news, breaks, calls) =
-            (journal.told.clone(), journal.news.clone(), journal.breaks.clone(), journal.calls.clone());
-        let (speaks, mute, silent) = (journal.speaks.clone(), journal.mute.clone(), journal.silent.clone());
+        let (told, calls) = (journal.told.clone(), journal.calls.clone());
+        let (speaks, silent) = (journal.speaks.clone(), journal.silent.clone());
+        let (news, breaks, mute) = (journal.news.clone(), journal.breaks.clone(), journal.mute.clone());
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let (told, news, breaks, calls) = (told.clone(), news.clone(), breaks.clone(), calls.clone());
-                let (speaks, mute, silent) = (speaks.clone(), mute.clone(), silent.clone());
+                let (told, calls) = (told.clone(), calls.clone());
+                let (speaks, silent) = (speaks.clone(), silent.clone());
+                let signals = (news.subscribe(), breaks.subscribe(), mute.subscribe());
                 spawn_local(async move {
-                    let _ = tell(stream, &told, (&news, &breaks, &mute), &silent, &calls, &speaks).await;
+                    let _ = tell(stream, &told, signals, &silent, &calls, &speaks).await;
                 });
             }
         });
@@ -496,18 +501,18 @@
             .collect();
         let event = json!({"pos": number, "hosts": {"seq": number, "whole": whole, "hosts": hosts}});
         self.told.borrow_mut().push(event);
-        self.news.notify_waiters();
+        self.news.send();
         number
     }
 
     /// Breaks all streams off in the middle of an event that it has not told otherwise.
     pub fn break_off(&self) {
-        self.breaks.notify_waiters();
+        self.breaks.send();
     }
 
     /// Falls silent on all streams, which stay open; calls from now on are answered.
     pub fn fall_silent(&self) {
-        self.mute.notify_waiters();
+        self.mute.send();
     }
 
     /// Takes over what another one has told.
@@ -519,7 +524,7 @@
 async fn tell(
     mut stream: TcpStream,
     told: &RefCell<Vec<Value>>,
-    (news, breaks, mute): (&Notify, &Notify, &Notify),
+    (mut news, mut breaks, mut mute): (Subscription, Subscription, Subscription),
     silent: &Cell<usize>,
     calls: &RefCell<Vec<u64>>,
     speaks: &Cell<Speaks>,
@@ -572,11 +577,11 @@
             }
         }
         tokio::select! {
-            () = news.notified() => {}
-            () = breaks.notified() => {
+            () = news.received() => {}
+            () = breaks.received() => {
                 return writes.write_all(format!("id: {}\ndata: {{\"pos\":", last + 1).as_bytes()).await;
             }
-            () = mute.notified() => {
+            () = mute.received() => {
                 silent.set(silent.get() + 1);
                 while reads.read_line(&mut head).await? > 0 {}
                 return Ok(());
