The decision module in eleven files with one job each; names of the field

Freshness worked out from usual_length was left out: REPORT_PART * (HALF_LIFE / REPORT_PART) differs in the last bit, which the recorded sequences showed.

--- /dev/null
+++ b/crates/elderpick-core/src/policy/attempts.rs
@@ -0,0 +1,64 @@
+//! Attempts: seats, retry limits and budget, and the send itself.
+
+use super::state::Session;
+use super::{Controller, SHORTEST_ATTEMPT};
+use crate::api::{Action, Effect, Micros, RequestId, ServerId};
+
+impl Controller {
+    /// From its send, or from being handed over, to its outcome a session has a seat.
+    pub(super) fn seat_free(&self, session: &Session) -> bool {
+        let (class, title) = (session.wish.class, &session.viewing.title);
+        let held = self.sessions.values().filter(|s| s.server.is_some());
+        let seated = held.filter(|s| s.wish.class == class && s.viewing.title == *title).count();
+        self.settings.classes[class].seats.is_none_or(|seats| seated < seats)
+    }
+
+    /// Whether the rules let this session have a(nother) attempt now.
+    pub(super) fn may_attempt(&self, session: &Session) -> bool {
+        if session.attempted.is_empty() {
+            return true;
+        }
+        let class = &self.settings.classes[session.wish.class];
+        let ran_in_time =
+            |since: Micros| self.now < session.may_have_run.first().map_or(Micros::MAX, |r| r.1 + since);
+        let repeatable = match class.effect {
+            Effect::Free => true,
+            Effect::Guarded => ran_in_time(class.window),
+            Effect::SingleShot => session.may_have_run.is_empty(),
+        };
+        let within = self.settings.max_attempts.is_none_or(|most| session.attempted.len() < most);
+        repeatable && within && self.budget_left()
+    }
+
+    fn budget_left(&self) -> bool {
+        let Some(budget) = self.settings.budget else { return true };
+        let since = self.now - budget.window;
+        let extras = self.retry_times.iter().filter(|&&at| at >= since).count();
+        let taken = self.request_times.iter().filter(|&&at| at > since).count();
+        (extras + 1) as f64 <= budget.free + budget.share * taken as f64
+    }
+
+    pub(super) fn send(&mut self, id: RequestId, server: ServerId, rung: usize) {
+        let session = self.sessions.get_mut(&id).expect("placed sessions are held");
+        let class = &self.settings.classes[session.wish.class];
+        let left = session.deadline - self.now;
+        // A class that may be repeated leaves half of its wanted time to a second try.
+        let last = self.settings.max_attempts.is_some_and(|most| session.attempted.len() + 1 >= most);
+        let half = (session.aim_deadline - self.now) / 2;
+        let once = last || class.effect == Effect::SingleShot || half < SHORTEST_ATTEMPT;
+        let timeout = if once { left } else { half.min(left) };
+        if !session.attempted.is_empty() {
+            self.retry_times.push(self.now);
+        }
+        session.wish.rung = rung;
+        session.sent_at = self.now;
+        session.attempted.push(server.clone());
+        self.out.push(Action::Rate { id, rung });
+        self.out.push(Action::Send { id, server: server.clone(), timeout });
+        if let Some(turn) = self.settings.cold.map(|cold| self.cold_turn(&self.servers[&server], cold).0) {
+            let given = &mut self.servers.get_mut(&server).expect("drawn from the list").given;
+            *given = (turn, if given.0 == turn { given.1 + 1 } else { 1 });
+        }
+        self.occupy(id, server);
+    }
+}
--- /dev/null
+++ b/crates/elderpick-core/src/policy/health.rs
@@ -0,0 +1,89 @@
+//! Health of servers: back-off, trial sessions and reachability probes.
+
+use super::state::{LoadReport, Server, Session};
+use super::{Controller, SHORT, SHORT_LASTS};
+use crate::api::{Action, Effect, Micros, ServerId, ServerState, Status};
+
+/// First back-off from a server that failed; it doubles with each further failure.
+const BACK_OFF: Micros = 4_000_000;
+const BACK_OFF_DOUBLINGS: u32 = 3;
+/// Back-off from a server that cannot be reached, which the list will name soon.
+const UNREACHABLE_BACK_OFF: Micros = 1_000_000;
+
+fn back_off(first: Micros, failures: u32) -> Micros {
+    first << failures.min(BACK_OFF_DOUBLINGS)
+}
+
+impl Controller {
+    pub(super) fn record_success(&mut self, id: &ServerId) {
+        self.record_reachable(id);
+        self.failing_servers.remove(id);
+        if let Some(server) = self.servers.get_mut(id) {
+            server.failures = 0;
+            server.avoid_until = 0;
+        }
+    }
+
+    /// It runs and can be reached, which does not show that set-ups work.
+    pub(super) fn record_reachable(&mut self, id: &ServerId) {
+        let Some(server) = self.servers.get_mut(id) else { return };
+        server.unresponsive = false;
+        server.back = if server.lost { Some(self.now) } else { server.back };
+        server.lost = false;
+    }
+
+    pub(super) fn record_status(&mut self, id: &ServerId, status: Status) {
+        let now = self.now;
+        let Some(server) = self.servers.get_mut(id) else { return };
+        let first = match status {
+            Status::Ok => return self.record_success(id),
+            // It says nothing of other servers, so it does not count as a report.
+            Status::Full => return server.last_report = Some(LoadReport { at: now, asked: 1.0, own: 0.0 }),
+            Status::Cancelled | Status::Ignored => return,
+            Status::Failed => BACK_OFF,
+            Status::TimedOut | Status::ConnectError | Status::Reset => UNREACHABLE_BACK_OFF,
+        };
+        server.unresponsive |= status != Status::Failed;
+        if matches!(status, Status::ConnectError | Status::Reset) {
+            server.lost = true;
+        }
+        // What ends at one time is one piece of evidence.
+        if server.avoid_until <= now {
+            server.avoid_until = now + back_off(first, server.failures);
+            server.failures += 1;
+        }
+        self.failing_servers.insert(id.clone());
+    }
+
+    /// Probes servers that did not answer, each when its back-off ends. Guards against dead servers, cut
+    /// networks and hung processes: a probe finds out what otherwise costs a session its wanted time.
+    pub(super) fn probe_unresponsive(&mut self) {
+        for id in self.failing_servers.iter().filter(|_| self.settings.may_probe) {
+            let Some(server) = self.servers.get_mut(id) else { continue };
+            let due = server.unresponsive && server.avoid_until <= self.now;
+            if due && server.entry.state == ServerState::Up {
+                server.avoid_until = self.now + back_off(UNREACHABLE_BACK_OFF, server.failures);
+                self.out.push(Action::Probe { server: id.clone() });
+            }
+        }
+    }
+
+    pub(super) fn is_short(&self, server: &Server) -> bool {
+        server.share.is_some_and(|(share, at)| share < SHORT && self.now - at < SHORT_LASTS)
+    }
+
+    pub(super) fn healthy(&self, session: &Session, server: &Server, shared: bool) -> bool {
+        let unreached = server.unresponsive && self.settings.may_probe;
+        if unreached || self.is_short(server) || !self.cold_pace_allows(server) {
+            return false;
+        }
+        if !server.lost && (server.failures == 0 || shared) {
+            return true;
+        }
+        // After the back-off one session on trial, and none that may be set up only once while others serve.
+        let only_once = self.settings.classes[session.wish.class].effect == Effect::SingleShot;
+        let safe = !only_once || self.up.iter().all(|id| self.failing_servers.contains(id));
+        let on_trial = || server.sessions.iter().any(|id| !self.sessions[id].playing);
+        safe && self.now >= server.avoid_until && !on_trial()
+    }
+}
--- /dev/null
+++ b/crates/elderpick-core/src/policy/lifecycle.rs
@@ -0,0 +1,163 @@
+//! The events of a session, from its request or its hand-over to its end.
+
+use super::state::{Session, Wish};
+use super::{Controller, LEAST_PRICED, LIST_TOKEN, LOAD_PROBE_TOKEN};
+use crate::api::{Action, Effect, Group, Micros, Report, RequestId, ServerId, Status, Viewing};
+
+/// Spread of the price between sessions, so that a class does not change its rung all at once.
+const PRICE_SPREAD: f64 = 0.25;
+
+impl Controller {
+    pub(super) fn on_request(&mut self, id: RequestId, viewing: Viewing) {
+        self.request_times.push(self.now);
+        let since = self.now - self.settings.budget.map_or(0, |budget| budget.window);
+        self.request_times.retain(|&at| at >= since);
+        self.retry_times.retain(|&at| at >= since);
+        self.probe_unresponsive();
+        self.probe_unknown();
+        let Some(class) = self.settings.classes.get(viewing.class) else {
+            return self.out.push(Action::Fail { id });
+        };
+        let left = viewing.left.max(0);
+        let aim_deadline = self.now + class.aim.min(left);
+        let session = Session { deadline: self.now + left, aim_deadline, ..self.new_session(viewing) };
+        let deadline = session.deadline;
+        self.sessions.insert(id, session);
+        self.alarms.insert(self.next_token, id);
+        self.out.push(Action::Alarm { token: self.next_token, at: deadline });
+        self.next_token += 1;
+        self.place(id);
+    }
+
+    /// A session handed over at the start. It shows that the list is of now. Its
+    /// server is asked for its load, so that the rung can be settled and the fleet's load is known.
+    pub(super) fn on_handover(&mut self, id: RequestId, viewing: Viewing, server: ServerId) {
+        (self.list_may_be_old, self.has_handed_over) = (false, true);
+        if self.settings.classes.get(viewing.class).is_none() {
+            return;
+        }
+        if self.load_probe_rounds == 0 {
+            self.schedule_load_probes();
+        }
+        let (attempted, new) = (vec![server.clone()], self.new_session(viewing));
+        self.sessions.insert(id, Session { attempted, playing: true, rung_pending: true, ..new });
+        self.occupy(id, server);
+    }
+
+    fn new_session(&mut self, viewing: Viewing) -> Session {
+        let spread = 1.0 + PRICE_SPREAD * (2.0 * self.unit() - 1.0);
+        let class = &self.settings.classes[viewing.class];
+        let top = class.top.min(viewing.top).min(self.settings.rung_kb.len().saturating_sub(1));
+        Session {
+            wish: Wish { class: viewing.class, top, spread, rung: class.floor },
+            viewing,
+            deadline: Micros::MAX,
+            aim_deadline: Micros::MAX,
+            attempted: Vec::new(),
+            may_have_run: Vec::new(),
+            server: None,
+            sent_at: self.now,
+            playing: false,
+            closed: false,
+            rung_pending: false,
+        }
+    }
+
+    /// Whether this attempt is the session's last; what comes of an older one counts no more.
+    pub(super) fn is_last_attempt(&self, id: RequestId, attempt: usize) -> bool {
+        self.sessions.get(&id).is_some_and(|session| attempt + 1 == session.attempted.len())
+    }
+
+    pub(super) fn on_playing(&mut self, id: RequestId) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        session.playing = true;
+        if let Some(server) = session.server.clone() {
+            self.record_success(&server);
+        }
+    }
+
+    pub(super) fn on_outcome(&mut self, id: RequestId, status: Status, closed: bool, report: Report) {
+        let Some(session) = self.sessions.get(&id) else { return };
+        let over = closed || session.closed || session.playing;
+        let (sent_at, wish, played) = (session.sent_at, session.wish, session.playing);
+        let began_here = session.deadline < Micros::MAX;
+        let Some(server) = self.vacate(id) else { return };
+        let never_ran = matches!(status, Status::Full | Status::ConnectError | Status::Ignored);
+        self.record_status(&server, status);
+        self.record_report(&server, report.link, report.uplink);
+        if over {
+            self.sessions.remove(&id);
+            if played {
+                if began_here && status == Status::Ok {
+                    let (length, usual) = ((self.now - sent_at) as f64, self.usual_length());
+                    self.mean_length = Some(usual + (1.0 / LEAST_PRICED as f64) * (length - usual));
+                }
+                self.recently_ended.push_back(wish);
+                self.recently_ended.drain(..self.recently_ended.len().saturating_sub(LEAST_PRICED));
+            }
+        } else {
+            let session = self.sessions.get_mut(&id).expect("looked up above");
+            if !never_ran {
+                session.may_have_run.push((server, sent_at));
+            }
+            self.place(id);
+        }
+    }
+
+    pub(super) fn on_viewer_left(&mut self, id: RequestId) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        session.closed = true;
+        if session.server.is_none() {
+            self.sessions.remove(&id);
+        }
+    }
+
+    pub(super) fn on_alarm(&mut self, token: u64) {
+        match token {
+            LOAD_PROBE_TOKEN => self.probe_loads(),
+            LIST_TOKEN if self.settings.subscribe => self.out.push(Action::Subscribe),
+            LIST_TOKEN if self.list_may_be_old => self.out.push(Action::Fetch),
+            LIST_TOKEN => {}
+            _ => self.on_deadline(token),
+        }
+    }
+
+    /// The time-out of the last attempt normally answers first; this one holds whatever happens.
+    fn on_deadline(&mut self, token: u64) {
+        let Some(id) = self.alarms.remove(&token) else { return };
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        if !session.playing && !session.closed {
+            self.out.push(Action::Fail { id });
+            self.on_viewer_left(id);
+        }
+    }
+
+    pub(super) fn occupy(&mut self, id: RequestId, server: ServerId) {
+        if let Some(to) = self.servers.get_mut(&server) {
+            to.sessions.insert(id);
+        }
+        self.sessions.get_mut(&id).expect("held when it is sent").server = Some(server);
+    }
+
+    fn vacate(&mut self, id: RequestId) -> Option<ServerId> {
+        let server = self.sessions.get_mut(&id)?.server.take()?;
+        if let Some(from) = self.servers.get_mut(&server) {
+            from.sessions.remove(&id);
+        }
+        Some(server)
+    }
+
+    /// The final answer when no attempt is to follow: refused where it may be set up again, else failed.
+    pub(super) fn give_up(&mut self, id: RequestId) {
+        let Some(session) = self.sessions.remove(&id) else { return };
+        let class = &self.settings.classes[session.wish.class];
+        let harmless = match class.effect {
+            Effect::Free => true,
+            Effect::Guarded => session.may_have_run.is_empty() || class.group == Group::All,
+            Effect::SingleShot => session.may_have_run.is_empty(),
+        };
+        let refuse = Action::Refuse { id, retry_after: self.settings.max_retry_after };
+        let in_time = session.deadline > self.now;
+        self.out.push(if harmless && in_time { refuse } else { Action::Fail { id } });
+    }
+}
--- /dev/null
+++ b/crates/elderpick-core/src/policy/load.rs
@@ -0,0 +1,184 @@
+//! Estimated load of links and uplinks: reports, own sessions that are newer, and load probes.
+
+use std::collections::BTreeSet;
+
+use super::state::{Load, LoadReport, Server};
+use super::{CANDIDATES, Controller, LOAD_PROBE_TOKEN, SHORT};
+use crate::api::{Action, Micros, Report, Reporting, ServerId};
+
+/// Last reports that the fleet's load is worked out on.
+const MOST_REPORTS: usize = 32;
+/// What an own session tells of the fleet's load, where a report tells 1 and there is but this gateway; and
+/// what all of them tell at most: viewers are spread unevenly, which no number of own sessions shows.
+const OWN_SESSION_WEIGHT: f64 = 0.3;
+const MOST_OWN_WEIGHT: f64 = 6.0;
+/// What grows by chance alone, in sessions at the middle rate: own growth is damped by so many.
+const CHANCE_GROWTH: f64 = 2.0;
+/// A report of less than this part of what own sessions ask is older than they are.
+const LEAST_PLAUSIBLE: f64 = 0.5;
+/// A report tells half of what it told after this time, or after this part of a session's usual length.
+const REPORT_HALF_LIFE: f64 = 12e6;
+const REPORT_LENGTH_SHARE: f64 = 0.4;
+/// Rounds of load probes after a hand-over, at most, and the time within which servers measure their load.
+const MOST_LOAD_PROBE_ROUNDS: usize = 4;
+const LOAD_MEASURED_WITHIN: Micros = 1_000_000;
+
+impl Controller {
+    /// Length of a session in the mean; before any has ended, such that reports age as if by time alone.
+    pub(super) fn usual_length(&self) -> f64 {
+        self.mean_length.unwrap_or(REPORT_HALF_LIFE / REPORT_LENGTH_SHARE)
+    }
+
+    /// What a report still tells: 1 when it is new, half of it after its half-life.
+    fn freshness(&self, at: Micros) -> f64 {
+        let by_length = self.mean_length.map(|length| REPORT_LENGTH_SHARE * length);
+        let half_life = by_length.map_or(REPORT_HALF_LIFE, |share| REPORT_HALF_LIFE.min(share));
+        (-((self.now - at) as f64) / half_life).exp2()
+    }
+
+    /// Rates of own sessions on a server.
+    pub(super) fn own_demand_on(&self, server: &Server) -> f64 {
+        server.sessions.iter().map(|id| self.demand_of(&self.sessions[id].wish)).sum()
+    }
+
+    pub(super) fn own_demand_behind(&self, rack: usize) -> f64 {
+        self.racks[&rack].servers.iter().map(|id| self.own_demand_on(&self.servers[id])).sum()
+    }
+
+    pub(super) fn own_demand(&self) -> f64 {
+        self.sessions.values().filter(|s| s.server.is_some()).map(|s| self.demand_of(&s.wish)).sum()
+    }
+
+    /// What the other gateways ask of an average server, as a share of its size. A gateway sees few of the
+    /// sessions of a large fleet, so the last reports tell it, and own sessions times the number of gateways
+    /// the less the more gateways there are. Crowds come to all: what others ask is taken to have grown since
+    /// a report as own sessions have, but not to have fallen, since this gateway cuts its own rungs as well.
+    pub(super) fn load_of_others(&self) -> f64 {
+        let (own, gateways) = (self.own_demand(), self.settings.gateways.saturating_sub(1) as f64);
+        let middle = self.settings.rung_kb.get(self.settings.rung_kb.len() / 2).copied().unwrap_or(0.0);
+        let damp = middle * CHANCE_GROWTH + 1.0;
+        let usual = self.usual_length();
+        let filling = !self.has_handed_over && self.begun.is_some_and(|at| ((self.now - at) as f64) < usual);
+        let own_weight = self.sessions.len() as f64 * OWN_SESSION_WEIGHT / (gateways + 1.0);
+        let mut told = own_weight.min(MOST_OWN_WEIGHT);
+        let mut asked = told * own * gateways / self.capacity.max(1.0);
+        for (at, _, others, then) in &self.reports {
+            // While it fills up, own growth up to what each of the others asks is no growth of theirs.
+            let each = if filling { others * self.capacity / gateways.max(1.0) } else { 0.0 };
+            let grown = ((own.max(each) + damp) / (then.max(each) + damp)).max(1.0);
+            let weight = self.freshness(*at);
+            asked += weight * others * grown;
+            told += weight;
+        }
+        if told > 0.0 { asked / told } else { 0.0 }
+    }
+
+    /// What is asked of a link, as far as this gateway can tell: its last report as it ages into the average,
+    /// and own sessions.
+    pub(super) fn link_load(&self, server: &Server, others: f64) -> Load {
+        let (link, average) = (server.link, others * server.size);
+        let (told, weight) = server.last_report.as_ref().map_or((0.0, 0.0), |report| {
+            ((report.asked * link - report.own).max(0.0), self.freshness(report.at))
+        });
+        Load { link, asked: weight * told + (1.0 - weight) * average + self.own_demand_on(server) }
+    }
+
+    pub(super) fn uplink_load(&self, rack: usize, others: f64) -> Load {
+        let behind = &self.racks[&rack];
+        let loads = behind.servers.iter().map(|id| self.link_load(&self.servers[id], others));
+        let mut load = Load { link: behind.uplink, asked: loads.map(|load| load.asked).sum() };
+        if let Some(report) = &behind.last_report {
+            let told = (report.asked * load.link - report.own).max(0.0) + self.own_demand_behind(rack);
+            let weight = self.freshness(report.at);
+            load.asked = weight * told + (1.0 - weight) * load.asked;
+        }
+        load
+    }
+
+    /// Stores what a report tells of a link and its rack's uplink.
+    pub(super) fn record_report(&mut self, id: &ServerId, link: Option<f64>, uplink: Option<f64>) {
+        let Some(server) = self.servers.get(id) else { return };
+        let rack = self.rack_of(server);
+        // Less than own sessions ask was measured before they came.
+        let link = link.filter(|asked| asked * server.link >= LEAST_PLAUSIBLE * self.own_demand_on(server));
+        let told = |asked: f64, own| LoadReport { at: self.now, asked: asked.clamp(0.0, 10.0), own };
+        let link = link.filter(|x| x.is_finite()).map(|x| told(x, self.own_demand_on(server)));
+        let uplink = uplink.filter(|x| x.is_finite()).map(|x| told(x, self.own_demand_behind(rack)));
+        if let Some(report) = link {
+            let others = (report.asked * server.link - report.own).max(0.0) / server.size.max(1.0);
+            let own = self.own_demand();
+            self.reports.push_back((self.now, id.clone(), others, own));
+            self.reports.drain(..self.reports.len().saturating_sub(MOST_REPORTS));
+            self.servers.get_mut(id).expect("looked up above").last_report = link;
+        }
+        if uplink.is_some() {
+            self.uplinks_reported = true;
+            self.racks.entry(rack).or_default().last_report = uplink;
+        }
+    }
+
+    /// Exception: where nothing reports on uplinks, a share that falls short though the link bears what is
+    /// asked of it tells what is asked of the uplink, until a share there is full again. Guards against
+    /// uplinks that give less than they should. Harm: a moment's shortness closes the whole rack for a while.
+    pub(super) fn infer_uplink_load(&mut self, id: &ServerId, share: f64) {
+        let tells = !self.uplinks_reported && share > 0.0;
+        let Some(server) = self.servers.get(id).filter(|_| tells) else { return };
+        let rack = self.rack_of(server);
+        let report =
+            LoadReport { at: self.now, asked: share.recip().min(10.0), own: self.own_demand_behind(rack) };
+        let bears = || self.link_load(server, self.load_of_others()).share() < report.asked;
+        let short = share < SHORT && self.settings.racks.is_some() && bears();
+        if let Some(rack) = self.racks.get_mut(&rack).filter(|_| short || share >= SHORT) {
+            rack.last_report = short.then_some(report);
+        }
+    }
+
+    pub(super) fn is_known(&self, id: &ServerId) -> bool {
+        self.servers[id].last_report.is_some_and(|report| self.freshness(report.at) > 0.5)
+    }
+
+    /// A probe was answered: the server can be reached, and may tell its load.
+    pub(super) fn on_probe_answer(&mut self, id: &ServerId, report: Report) {
+        self.record_reachable(id);
+        self.record_report(id, report.link, report.uplink);
+        if self.servers.contains_key(id) && self.is_known(id) {
+            self.raise_handed_over(id);
+        }
+    }
+
+    fn may_probe_loads(&self) -> bool {
+        self.settings.may_probe && self.settings.reporting == Reporting::WhenProbed
+    }
+
+    /// With each session one server is asked for its load, of a few drawn the first that has not told it of
+    /// late: the loads keep in step with the traffic, at the price of one probe a session.
+    pub(super) fn probe_unknown(&mut self) {
+        if self.up.is_empty() || !self.may_probe_loads() {
+            return;
+        }
+        let drawn = [(); CANDIDATES].map(|()| self.below(self.up.len())).map(|k| self.up[k].clone());
+        let server = drawn.into_iter().find(|id| !self.servers[id].unresponsive && !self.is_known(id));
+        self.out.extend(server.map(|server| Action::Probe { server }));
+    }
+
+    /// Servers measure their load now and then, and right after a start some have not yet: they are asked a
+    /// little later, and each gateway at a time of its own, so that not all answer one load at once.
+    pub(super) fn schedule_load_probes(&mut self) {
+        if self.may_probe_loads() && self.load_probe_rounds < MOST_LOAD_PROBE_ROUNDS {
+            self.load_probe_rounds += 1;
+            let at = self.now + LOAD_MEASURED_WITHIN + (self.unit() * LOAD_MEASURED_WITHIN as f64) as Micros;
+            self.out.push(Action::Alarm { token: LOAD_PROBE_TOKEN, at });
+        }
+    }
+
+    /// Asks the servers of sessions that were handed over for the load that they have not told.
+    pub(super) fn probe_loads(&mut self) {
+        let held = self.sessions.values().filter(|s| s.rung_pending).filter_map(|s| s.server.as_ref());
+        let untold = |id: &&ServerId| self.servers.get(*id).is_some_and(|s| s.last_report.is_none());
+        let servers: BTreeSet<_> = held.filter(untold).cloned().collect();
+        if !servers.is_empty() {
+            self.schedule_load_probes();
+        }
+        self.out.extend(servers.into_iter().map(|server| Action::Probe { server }));
+    }
+}
--- /dev/null
+++ b/crates/elderpick-core/src/policy/placement.rs
@@ -0,0 +1,102 @@
+//! Candidates for a session: a few random holders, of which the least loaded is taken.
+
+use super::state::{Server, Session};
+use super::{CANDIDATES, Controller, SHORTEST_ATTEMPT};
+use crate::api::{Effect, Group, RequestId, ServerId, ServerState};
+
+/// Loads differ by as much before another zone is preferred.
+const ZONE_BIAS: f64 = 0.05;
+
+impl Controller {
+    /// Draws holders, picks the least loaded, sets the rung and sends; or gives up at once.
+    pub(super) fn place(&mut self, id: RequestId) {
+        let session = &self.sessions[&id];
+        let left = session.deadline - self.now;
+        if left < SHORTEST_ATTEMPT || !self.seat_free(session) || !self.may_attempt(session) {
+            return self.give_up(id);
+        }
+        let others = self.load_of_others();
+        let zone = self.settings.zone;
+        let weighed = self.draw(id).into_iter().map(|server| {
+            let to = &self.servers[&server];
+            let (link, uplink) = (self.link_load(to, others), self.uplink_load(self.rack_of(to), others));
+            let away = if to.entry.zone != zone { ZONE_BIAS } else { 0.0 };
+            (server, link.share().max(uplink.share()) + away, link.room().min(uplink.room()))
+        });
+        let Some((server, _, room)) = weighed.min_by(|a, b| a.1.total_cmp(&b.1)) else {
+            return self.give_up(id);
+        };
+        let wish = self.sessions[&id].wish;
+        let floor = self.settings.classes[wish.class].floor;
+        let fair = self.fair_rung(&wish, self.price(others));
+        match (floor..=fair).rev().find(|&rung| self.rate(&wish, rung) <= room) {
+            Some(rung) => self.send(id, server, rung),
+            None => self.give_up(id),
+        }
+    }
+
+    /// Draws usable holders at random, large ones as much more often as they are larger.
+    ///
+    /// Exception: in a large fleet few of those drawn have told this gateway their load, so that a pick among
+    /// them is blind. Then some of the servers that told theirs of late are drawn as well.
+    fn draw(&mut self, id: RequestId) -> Vec<ServerId> {
+        // Where most servers show the same trouble its cause is shared, and avoiding them helps nobody.
+        let failing = self.failing_servers.iter().filter(|id| !self.servers[*id].unresponsive).count();
+        let shared = 2 * failing > self.up.len();
+        let mut drawn = Vec::new();
+        for by_size in [true, false] {
+            for k in 0..self.up.len() {
+                if drawn.len() >= CANDIDATES {
+                    break;
+                }
+                let other = k + self.below(self.up.len() - k);
+                self.up.swap(k, other);
+                let (chance, server) = (self.unit(), &self.up[k]);
+                let passed = by_size && chance * self.largest > self.servers[server].size;
+                if !passed && !drawn.contains(server) && self.usable(id, server, shared) {
+                    drawn.push(server.clone());
+                }
+            }
+        }
+        // Few of many cold servers have a turn that is this gateway's: one that has joins the draw.
+        if self.settings.cold.is_some() && !drawn.iter().any(|id| self.is_cold(&self.servers[id])) {
+            let (up, from) = (self.up.len(), self.below(self.up.len()));
+            let mut others = (0..up).map(|k| &self.up[(from + k) % up]);
+            let open = others.find(|s| self.is_cold(&self.servers[*s]) && self.usable(id, s, shared));
+            drawn.extend(open.cloned());
+        }
+        let mut known = drawn.iter().filter(|id| self.is_known(id)).count();
+        let mut told: Vec<_> = (0..self.reports.len()).collect();
+        while known < CANDIDATES && !told.is_empty() {
+            let k = told.swap_remove(self.below(told.len()));
+            let server = &self.reports[k].1;
+            if !drawn.contains(server) && self.is_known(server) && self.usable(id, server, shared) {
+                known += 1;
+                drawn.push(server.clone());
+            }
+        }
+        drawn
+    }
+
+    fn usable(&self, id: RequestId, server: &ServerId, shared: bool) -> bool {
+        let (session, server) = (&self.sessions[&id], &self.servers[server]);
+        let cells = self.settings.cells.unwrap_or(1).max(1);
+        let from_home = (server.entry.cell % cells + cells - session.viewing.home % cells) % cells;
+        server.entry.state == ServerState::Up
+            && from_home < session.viewing.copies
+            && !session.attempted.contains(&server.entry.server)
+            && self.group_allows(session, server)
+            && self.healthy(session, server, shared)
+    }
+
+    fn group_allows(&self, session: &Session, server: &Server) -> bool {
+        let class = &self.settings.classes[session.wish.class];
+        let ran = session.may_have_run.iter().filter_map(|(id, _)| self.servers.get(id));
+        class.effect != Effect::Guarded
+            || ran.map(|ran| &ran.entry).all(|ran| match class.group {
+                Group::All => true,
+                Group::Zone => ran.zone == server.entry.zone,
+                Group::Cell => ran.cell == server.entry.cell,
+            })
+    }
+}
--- /dev/null
+++ b/crates/elderpick-core/src/policy/state.rs
@@ -0,0 +1,119 @@
+//! What the gateway holds of servers, racks and sessions, and the load of a link.
+
+use std::collections::BTreeSet;
+
+use crate::api::{Entry, Micros, RequestId, ServerId, Viewing};
+
+/// Part of a link that is left for the spread of true rates.
+const MARGIN: f64 = 0.1;
+
+/// What was last heard of the load of a link or uplink.
+#[derive(Clone, Copy)]
+pub(super) struct LoadReport {
+    pub(super) at: Micros,
+    /// What was asked over what it gives.
+    pub(super) asked: f64,
+    /// Rates of this gateway's own sessions there at the time.
+    pub(super) own: f64,
+}
+
+pub(super) struct Server {
+    pub(super) entry: Entry,
+    /// What its link gives, in kB a second, as far as the list tells.
+    pub(super) link: f64,
+    /// Its part of what its rack's links and uplink give together.
+    pub(super) size: f64,
+    /// Own sessions there: playing, or with an attempt out.
+    pub(super) sessions: BTreeSet<RequestId>,
+    pub(super) last_report: Option<LoadReport>,
+    /// Delivered share, and when it was heard.
+    pub(super) share: Option<(f64, Micros)>,
+    /// When own sessions there were last cut, and for which share.
+    pub(super) cut: Option<(Micros, f64)>,
+    pub(super) failures: u32,
+    pub(super) avoid_until: Micros,
+    /// Did not answer, and no probe has reached it since.
+    pub(super) unresponsive: bool,
+    /// Seen to die, and not yet to answer again.
+    pub(super) lost: bool,
+    /// First answer after it was seen to die.
+    pub(super) back: Option<Micros>,
+    /// Set-ups given while it was cold: the turn, and how many in it.
+    pub(super) given: (Micros, usize),
+}
+
+impl Server {
+    pub(super) fn new(entry: Entry) -> Self {
+        Server {
+            entry,
+            link: 0.0,
+            size: 0.0,
+            sessions: BTreeSet::new(),
+            last_report: None,
+            share: None,
+            cut: None,
+            failures: 0,
+            avoid_until: 0,
+            unresponsive: false,
+            lost: false,
+            back: None,
+            given: (0, 0),
+        }
+    }
+}
+
+/// Servers behind one uplink.
+#[derive(Default)]
+pub(super) struct Rack {
+    pub(super) servers: Vec<ServerId>,
+    /// What the uplink gives: as told, else what the links behind it do.
+    pub(super) uplink: f64,
+    /// By a report, or by delivered shares that fell short.
+    pub(super) last_report: Option<LoadReport>,
+}
+
+/// What a fair rung depends on.
+#[derive(Clone, Copy)]
+pub(super) struct Wish {
+    pub(super) class: usize,
+    pub(super) top: usize,
+    /// This session's own view of the price.
+    pub(super) spread: f64,
+    pub(super) rung: usize,
+}
+
+pub(super) struct Session {
+    pub(super) wish: Wish,
+    pub(super) viewing: Viewing,
+    pub(super) deadline: Micros,
+    pub(super) aim_deadline: Micros,
+    /// Where each attempt went.
+    pub(super) attempted: Vec<ServerId>,
+    /// Attempts that may have run: where, and when they were sent.
+    pub(super) may_have_run: Vec<(ServerId, Micros)>,
+    /// Where its attempt is out or it plays.
+    pub(super) server: Option<ServerId>,
+    pub(super) sent_at: Micros,
+    pub(super) playing: bool,
+    /// Answered or given up by the viewer while an attempt is out.
+    pub(super) closed: bool,
+    /// Handed over at the start, and its rung not yet this gateway's decision.
+    pub(super) rung_pending: bool,
+}
+
+/// Capacity of a link or uplink and what is asked of it, in kB a second.
+#[derive(Clone, Copy)]
+pub(super) struct Load {
+    pub(super) link: f64,
+    pub(super) asked: f64,
+}
+
+impl Load {
+    pub(super) fn room(self) -> f64 {
+        self.link * (1.0 - MARGIN) - self.asked
+    }
+
+    pub(super) fn share(self) -> f64 {
+        if self.link > 0.0 { self.asked / self.link } else { f64::INFINITY }
+    }
+}
