--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -12,7 +12,7 @@
 
 use elderpick_core::api::{Micros, ServerId};
 use elderpick_platform::rtsp;
-use elderpick_sessions::life::{self, AttemptId, Input};
+use elderpick_sessions::lifecycle::{self, AttemptId, Input};
 use elderpick_sessions::pending::PendingQueue;
 
 use crate::link::Link;
@@ -26,8 +26,8 @@
 const WAITING: usize = 64;
 /// Withdrawals and releases on one connection that are remembered until they are confirmed, and words that wait for one:
 /// all that may stand at a host may be over in one moment.
-const UNHEARD: usize = life::STANDING;
-const PENDING: usize = life::STANDING;
+const UNHEARD: usize = lifecycle::STANDING;
+const PENDING: usize = lifecycle::STANDING;
 /// A connection that is used no more is kept so long for what may still come on it.
 const RETIRED: Duration = Duration::from_secs(1);
 /// A withdrawal is confirmed by then where its line goes on. A set-up that arrives more than a tenth of a second behind
@@ -52,7 +52,7 @@
     up: Micros,
     read: Cell<Micros>,
     used: Cell<Micros>,
-    /// When the life of sessions was last told that the host says anything.
+    /// When the session lifecycle was last told that the host says anything.
     told: Cell<Micros>,
     /// Part of a message is held.
     partial: Cell<bool>,
@@ -135,7 +135,7 @@
         Ways {
             lines: Vec::new(),
             opening: 0,
-            pending: PendingQueue::new(PENDING, life::OUTAGE),
+            pending: PendingQueue::new(PENDING, lifecycle::OUTAGE),
             waiting: VecDeque::new(),
         }
     }
--- a/crates/elderpick-node/src/hosts/attempts.rs
+++ b/crates/elderpick-node/src/hosts/attempts.rs
@@ -5,7 +5,7 @@
 
 use elderpick_core::api::{Micros, ServerId};
 use elderpick_platform::rtsp;
-use elderpick_sessions::life::AttemptId;
+use elderpick_sessions::lifecycle::AttemptId;
 use tokio::task::spawn_local;
 
 use super::{Attempt, CONFIRMED, Call, LOOKS_APART, Line, MOST_LOOKS, RETIRED, WAITING};
@@ -14,13 +14,13 @@
 
 impl Node {
     /// Whether anything has come that is to be heard before an attempt is written: from the viewer that asked, or on
-    /// the line that it would go out on. It is told to the life of sessions by this.
+    /// the line that it would go out on. It is told to the session lifecycle by this.
     pub(crate) fn hears_before(self: &Rc<Self>, one: &mut Attempt) -> bool {
         if one.looks >= MOST_LOOKS {
             return false;
         }
         one.looks += 1;
-        let asked_on = self.life.borrow().asked_on(one.session);
+        let asked_on = self.lifecycle.borrow().asked_on(one.session);
         let mut look = asked_on.map_or(Look::Nothing, |conn| self.look_at_client(conn));
         if look == Look::Nothing
             && let Some(line) = self.line(&one.server)
@@ -64,7 +64,7 @@
     }
 
     pub(super) fn may_write(&self, one: &Attempt) -> bool {
-        self.life.borrow().may_write(&one.server, one.session, one.attempt, self.now())
+        self.lifecycle.borrow().may_write(&one.server, one.session, one.attempt, self.now())
     }
 
     /// Lets a set-up wait for an opening to end, if there is one and room.
--- a/crates/elderpick-node/src/hosts/messages.rs
+++ b/crates/elderpick-node/src/hosts/messages.rs
@@ -4,7 +4,7 @@
 
 use elderpick_core::api::{Report, ServerId, Status};
 use elderpick_platform::rtsp;
-use elderpick_sessions::life::Input;
+use elderpick_sessions::lifecycle::Input;
 use tokio::task::spawn_local;
 
 use super::{Call, Line, Message, Ways};
@@ -27,10 +27,10 @@
 
     /// Opens a line to each host for which words wait, whose last opening came to nothing.
     pub(crate) fn host_say_kept(self: &Rc<Self>) {
-        let (life, now) = (self.life.borrow(), self.now());
+        let (lifecycle, now) = (self.lifecycle.borrow(), self.now());
         let ways = self.hosts.ways.borrow();
         let waits = ways.iter().filter(|(server, ways)| {
-            let listed = life.is_listed(server);
+            let listed = lifecycle.is_listed(server);
             listed && ways.opening == 0 && ways.lines.is_empty() && ways.pending.iter(now).next().is_some()
         });
         waits.for_each(|(server, _)| self.open_later(server.clone()));
@@ -98,10 +98,10 @@
     /// Whether all that was said to hosts is written, as far as the list still has them.
     pub(crate) fn hosts_told(&self) -> bool {
         let ways = self.hosts.ways.borrow();
-        let life = self.life.borrow();
+        let lifecycle = self.lifecycle.borrow();
         ways.iter().all(|(server, w)| {
             let written = w.lines.iter().all(|line| line.link.written());
-            written && (w.pending.is_empty() || !life.is_listed(server))
+            written && (w.pending.is_empty() || !lifecycle.is_listed(server))
         })
     }
 }
--- a/crates/elderpick-node/src/hosts/pool.rs
+++ b/crates/elderpick-node/src/hosts/pool.rs
@@ -9,7 +9,7 @@
 use elderpick_core::api::{Report, ServerId, Status};
 use elderpick_platform::MOST_MESSAGE;
 use elderpick_sessions::health::Opened;
-use elderpick_sessions::life::Input;
+use elderpick_sessions::lifecycle::Input;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
@@ -24,7 +24,7 @@
     }
 
     pub(super) fn may_have_more(&self, server: &ServerId) -> bool {
-        let each = (self.hosts.most / (self.life.borrow().hosts() + 2).max(1)).clamp(2, 16);
+        let each = (self.hosts.most / (self.lifecycle.borrow().hosts() + 2).max(1)).clamp(2, 16);
         let ways = self.hosts.ways.borrow();
         let of_host = ways.get(server).map_or(0, |w| w.lines.len() + w.opening);
         of_host < each
@@ -33,10 +33,10 @@
     /// Ends the idle line that is missed least: one of several to its host, else one to a host where nothing stands, else
     /// one whose host had its turn; of those the one that was used longest ago.
     pub(super) fn make_room(&self) -> bool {
-        let (life, ways, now) = (self.life.borrow(), self.hosts.ways.borrow(), self.now());
+        let (lifecycle, ways, now) = (self.lifecycle.borrow(), self.hosts.ways.borrow(), self.now());
         let idle = ways.iter().flat_map(|(server, ways)| {
             let only = ways.lines.iter().filter(|line| line.free()).count() < 2;
-            let stands = life.stands_at(server);
+            let stands = lifecycle.stands_at(server);
             let may_go = move |line: &Rc<Line>| !(only && stands) || now - line.up >= TURN;
             let idle = ways.lines.iter().filter(move |line| may_go(line) && line.free() && line.idle());
             idle.map(move |line| ((only, only && stands, line.used.get()), stands, line))
@@ -66,7 +66,7 @@
     }
 
     pub(super) fn open(self: &Rc<Self>, server: ServerId, call: Call) {
-        let Some(to) = self.life.borrow().address(&server) else {
+        let Some(to) = self.lifecycle.borrow().address(&server) else {
             return self.never_up(server, call, Opened::Refused);
         };
         if !self.finds_room() {
@@ -80,7 +80,7 @@
                 ways.opening -= 1;
             }
             // The list may have told of another host at this address meanwhile.
-            let same = node.life.borrow().address(&server) == Some(to);
+            let same = node.lifecycle.borrow().address(&server) == Some(to);
             match up {
                 Ok(stream) if same => node.up(server, stream, call).await,
                 Ok(_) => node.never_up(server, call, Opened::Refused),
@@ -185,10 +185,10 @@
 
     /// Closes what is not needed: lines to hosts that are gone, and more than one that is idle.
     pub(crate) fn host_tidy(&self) {
-        let (life, now) = (self.life.borrow(), self.now());
+        let (lifecycle, now) = (self.lifecycle.borrow(), self.now());
         let mut all = self.hosts.ways.borrow_mut();
         all.retain(|server, ways| {
-            let (known, stands) = (life.address(server).is_some(), life.stands_at(server));
+            let (known, stands) = (lifecycle.address(server).is_some(), lifecycle.stands_at(server));
             let mut spare = ways.lines.iter().filter(|l| !l.retired.get()).count();
             for line in &ways.lines {
                 let stale = now - line.used.get().max(line.read.get()) > self.hosts.stale;
--- a/crates/elderpick-node/src/hosts/received.rs
+++ b/crates/elderpick-node/src/hosts/received.rs
@@ -4,7 +4,7 @@
 
 use elderpick_core::api::{Note, Report, ServerId, Status};
 use elderpick_platform::rtsp::{self, Start, cseq};
-use elderpick_sessions::life::Input;
+use elderpick_sessions::lifecycle::Input;
 
 use super::Line;
 use crate::node::Node;
--- a/crates/elderpick-node/src/journal.rs
+++ b/crates/elderpick-node/src/journal.rs
@@ -7,7 +7,7 @@
 use elderpick_gateway::host::{Events, Said};
 use elderpick_platform::journal;
 use elderpick_sessions::follow::Take;
-use elderpick_sessions::life::Input;
+use elderpick_sessions::lifecycle::Input;
 
 use crate::node::Node;
 
--- a/crates/elderpick-node/src/lib.rs
+++ b/crates/elderpick-node/src/lib.rs
@@ -1,7 +1,7 @@
 //! A gateway on the platform's wire: the sockets around [`elderpick_sessions::life`].
 //!
 //! One thread. `viewers` takes viewers' connections, `hosts` keeps those to media hosts, `journal` follows the list,
-//! `node` carries out what the life of sessions says. It writes nothing to disk.
+//! `node` carries out what the session lifecycle says. It writes nothing to disk.
 
 mod hosts;
 mod journal;
@@ -21,7 +21,7 @@
 use elderpick_platform::boot::{self, Boot};
 use elderpick_sessions::admission::Admission;
 use elderpick_sessions::follow::{Follow, Take};
-use elderpick_sessions::life::{self, Input, Life};
+use elderpick_sessions::lifecycle::{self, Input, Lifecycle};
 use elderpick_sessions::releases::Releases;
 use elderpick_sessions::shutdown::Shutdown;
 use tokio::net::TcpListener;
@@ -77,7 +77,7 @@
     let info = &boot.settings;
     let core = Controller::new(seed, boot::settings(info)?);
     let classes = info.profiles.iter().map(|p| p.name.clone()).collect();
-    let life = Life::new(core, classes, info.extra.cells);
+    let lifecycle = Lifecycle::new(core, classes, info.extra.cells);
     let for_hosts = boot.limits.sockets * 3 / 8;
     let reserve = RESERVE.min(boot.limits.sockets / 4);
     let for_viewers = boot.limits.sockets - for_hosts - reserve;
@@ -89,7 +89,7 @@
     let (ran, behind) = (clock.now(), None);
     let node = Rc::new(Node {
         awake: Cell::new(node::Awake { ran, due: ran, behind }),
-        life: RefCell::new(life),
+        lifecycle: RefCell::new(lifecycle),
         clock,
         name: boot.name.clone(),
         zones: info.zones.clone(),
@@ -110,7 +110,7 @@
         refusing: Cell::new(0),
         next_conn: Cell::new(0),
         buffer: RefCell::new(vec![0; link::CHUNK]),
-        releases: RefCell::new(Releases::new(life::STANDING)),
+        releases: RefCell::new(Releases::new(lifecycle::STANDING)),
         follow: RefCell::new(Follow::new(0)),
         journal: Cell::new(boot.journal),
         moved: Default::default(),
@@ -143,7 +143,7 @@
     }
     // Viewers go on coming until the front has heard; what stands is left standing, to be handed over.
     node.ending.set(true);
-    tracing::info!(open = node.life.borrow().open(), held = node.life.borrow().held(), "ending");
+    tracing::info!(open = node.lifecycle.borrow().open(), held = node.lifecycle.borrow().held(), "ending");
     // The list goes on being followed, wherever the journal moves: what is open may still be placed.
     pass(COMING, &mut hang_up, || reload(&node, &path)).await;
     node.stop_coming.notify_one();
@@ -152,7 +152,7 @@
     loop {
         node.close_overdue(true);
         pass(CROSSING, &mut hang_up, || reload(&node, &path)).await;
-        let (open, connections) = (node.life.borrow().open(), node.clients.borrow().len());
+        let (open, connections) = (node.lifecycle.borrow().open(), node.clients.borrow().len());
         if shutdown.may_end(open, connections) {
             break;
         }
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -1,4 +1,4 @@
-//! One gateway: what its tasks share, and how what the sessions' life says is carried out.
+//! One gateway: what its tasks share, and how what the session lifecycle says is carried out.
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -12,7 +12,7 @@
 use elderpick_platform::viewer::{self, cause};
 use elderpick_sessions::admission::{Admission, Connections};
 use elderpick_sessions::follow::Follow;
-use elderpick_sessions::life::{Conn, Input, Life, Output};
+use elderpick_sessions::lifecycle::{Conn, Input, Lifecycle, Output};
 use elderpick_sessions::releases::Releases;
 use tokio::sync::Notify;
 
@@ -32,7 +32,7 @@
 
 pub(crate) struct Node {
     pub awake: Cell<Awake>,
-    pub life: RefCell<Life>,
+    pub lifecycle: RefCell<Lifecycle>,
     pub clock: WallClock,
     pub name: String,
     pub zones: Vec<String>,
@@ -83,7 +83,7 @@
         }
     }
 
-    /// Tells the sessions' life what happens and carries out what it says. What happens meanwhile comes right behind.
+    /// Tells the session lifecycle what happens and carries out what it says. What happens meanwhile comes right behind.
     pub fn feed(self: &Rc<Self>, input: Input) {
         self.later.borrow_mut().push_back(input);
         if !self.feeding.get() {
@@ -104,7 +104,7 @@
 
     fn drain(self: &Rc<Self>) {
         self.feeding.set(true);
-        let before = self.life.borrow().next_timer();
+        let before = self.lifecycle.borrow().next_timer();
         let mut out = Vec::new();
         loop {
             let input = self.later.borrow_mut().pop_front();
@@ -120,7 +120,7 @@
             }
         }
         self.feeding.set(false);
-        if self.life.borrow().next_timer() != before {
+        if self.lifecycle.borrow().next_timer() != before {
             self.timer.notify_one();
         }
     }
@@ -129,7 +129,7 @@
         let asked = match &input {
             Input::SetUp { conn, .. } => Some(*conn),
             Input::Release { session, .. } | Input::Answer { session, .. } => {
-                self.life.borrow().asked_on(*session)
+                self.lifecycle.borrow().asked_on(*session)
             }
             _ => None,
         };
@@ -145,7 +145,7 @@
             self.later.borrow_mut().extend(behind);
         }
         let input = self.settled(input);
-        self.life.borrow_mut().handle(self.now(), input, out);
+        self.lifecycle.borrow_mut().handle(self.now(), input, out);
         let said = std::mem::take(out);
         said.into_iter().for_each(|output| self.carry_out(output));
         if let Some(conn) = asked {
@@ -171,7 +171,7 @@
 
     /// The number of set-ups that are open on a connection has changed.
     fn opened(&self, conn: Conn) {
-        let open = self.life.borrow().open_on(conn);
+        let open = self.lifecycle.borrow().open_on(conn);
         self.admission.borrow_mut().open(self.now(), conn, open);
     }
 
@@ -295,7 +295,7 @@
     /// What is due next happens at its time.
     pub async fn run_timers(self: Rc<Self>) {
         loop {
-            let (now, timer) = (self.now(), self.life.borrow().next_timer());
+            let (now, timer) = (self.now(), self.lifecycle.borrow().next_timer());
             let due = timer.map_or(now + BEAT, |timer| timer.min(now + BEAT));
             if due > now {
                 let behind = self.awake.get().behind;
@@ -348,12 +348,12 @@
     }
 
     pub fn log_state(&self) {
-        let life = self.life.borrow();
+        let lifecycle = self.lifecycle.borrow();
         let (clients, lines, unreadable) =
             (self.admission.borrow().held(), self.hosts.lines(), self.unreadable.get());
         let spoilt = self.hosts.unreadable.get();
         let (turned_away, spared, unsaid) = (self.turned_away.get(), self.spared.get(), self.unsaid.get());
-        let (held, counts) = (life.held(), life.counts);
+        let (held, counts) = (lifecycle.held(), lifecycle.counts);
         let releases = self.releases.borrow();
         let (unconfirmed, said_again, dropped) = (releases.len(), releases.repeated, releases.dropped);
         tracing::info!(
@@ -380,7 +380,7 @@
     }
 
     fn stands_on(&self, conn: Conn) -> bool {
-        self.life.borrow().stands_on(conn)
+        self.lifecycle.borrow().stands_on(conn)
     }
 }
 
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -10,7 +10,7 @@
 use elderpick_platform::MOST_MESSAGE;
 use elderpick_platform::viewer::{self, Decoder, Message, SetUp, cause, kind};
 use elderpick_sessions::admission::AdmissionDecision;
-use elderpick_sessions::life::{Conn, Input, OPEN_ON_ONE};
+use elderpick_sessions::lifecycle::{Conn, Input, OPEN_ON_ONE};
 use elderpick_sessions::pending::PendingQueue;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
@@ -177,7 +177,7 @@
             return;
         }
         for session in crossing {
-            if self.life.borrow().asked_on(session) != Some(client.conn) {
+            if self.lifecycle.borrow().asked_on(session) != Some(client.conn) {
                 continue;
             }
             self.unsaid.set(self.unsaid.get() + 1);
@@ -204,7 +204,7 @@
     /// only when all that has happened was told.
     fn end_if_done(&self, client: &Client) {
         let told = !self.feeding.get();
-        let answered = told && self.life.borrow().open_on(client.conn) == 0;
+        let answered = told && self.lifecycle.borrow().open_on(client.conn) == 0;
         if answered && client.deaf.get() && client.link.written() {
             client.link.end(false);
         }
@@ -242,7 +242,7 @@
     }
 
     /// Looks whether a viewer that waits for an answer has said anything, or has left, that its connection's task has
-    /// not come to: after a standstill of this gateway, or behind a line that came up late. The life of sessions is told
+    /// not come to: after a standstill of this gateway, or behind a line that came up late. The session lifecycle is told
     /// of it.
     pub(crate) fn look_at_client(self: &Rc<Self>, conn: Conn) -> Look {
         let client = self.clients.borrow().get(&conn).cloned();
--- a/crates/elderpick-sessions/src/admission.rs
+++ b/crates/elderpick-sessions/src/admission.rs
@@ -10,7 +10,7 @@
 
 use elderpick_core::api::Micros;
 
-use crate::life::Conn;
+use crate::lifecycle::Conn;
 
 /// A connection that has said nothing whole for so long is closed: set-ups come right after the connection.
 const SILENT: Micros = 2_000_000;
--- a/crates/elderpick-sessions/src/health.rs
+++ b/crates/elderpick-sessions/src/health.rs
@@ -45,7 +45,7 @@
     NoRoom,
 }
 
-/// What is known of a host's life.
+/// What is known of a host's lifecycle.
 #[derive(Clone, Debug)]
 pub struct HealthMonitor {
     heard: Micros,
--- a/crates/elderpick-sessions/src/life.rs
+++ b/crates/elderpick-sessions/src/lifecycle.rs
@@ -4,12 +4,12 @@
 //! carried out as it stands. What is settled here is what the wire leaves open: what an outcome proves, which of two
 //! words that cross counts, when a seat is free again, what a bound turns away.
 
+mod active;
 mod attempts;
 mod events;
 mod health;
 mod hosts;
 mod requests;
-mod standing;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
@@ -120,7 +120,7 @@
 }
 
 /// All sessions of one gateway.
-pub struct Life {
+pub struct Lifecycle {
     core: Controller,
     classes: Vec<String>,
     /// `None` where the settings tell of no cells: then any host holds any title.
@@ -146,10 +146,10 @@
     pub counts: Counts,
 }
 
-impl Life {
+impl Lifecycle {
     /// `classes` are the names of the module's classes in their order; `cells` how many there are, if that is told.
-    pub fn new(core: Controller, classes: Vec<String>, cells: Option<usize>) -> Life {
-        Life {
+    pub fn new(core: Controller, classes: Vec<String>, cells: Option<usize>) -> Lifecycle {
+        Lifecycle {
             core,
             classes,
             cells: cells.filter(|cells| *cells > 0),
--- a/crates/elderpick-sessions/src/life/standing.rs
+++ b/crates/elderpick-sessions/src/lifecycle/active.rs
@@ -3,9 +3,9 @@
 use elderpick_core::api::{Event, Micros, Report, RequestId, ServerId, Status};
 use elderpick_platform::viewer::cause;
 
-use super::{AttemptId, Conn, Life, Output, Stage};
+use super::{AttemptId, Conn, Lifecycle, Output, Stage};
 
-impl Life {
+impl Lifecycle {
     /// What a host's cause for an end means.
     pub(super) fn ended_as(cause: u8) -> Status {
         match cause {
@@ -34,7 +34,7 @@
             }
             return;
         };
-        let status = Life::ended_as(cause);
+        let status = Lifecycle::ended_as(cause);
         match held.stage {
             // Of an attempt before, unless it came where this one is out.
             Stage::Out { .. } => {
--- a/crates/elderpick-sessions/src/life/attempts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/attempts.rs
@@ -6,9 +6,9 @@
 use elderpick_core::api::{Event, Micros, Report, RequestId, ServerId, ServerState, Status};
 use elderpick_platform::viewer::cause;
 
-use super::{AttemptId, Life, Output, Stage, Timer};
+use super::{AttemptId, Lifecycle, Output, Stage, Timer};
 
-impl Life {
+impl Lifecycle {
     pub(super) fn send(
         &mut self,
         now: Micros,
@@ -92,7 +92,7 @@
             self.counts.failed += 1;
             self.answered.insert(now, session, ());
             self.events.push_back(Event::Playing { id: RequestId(session), attempt });
-            return self.end(now, session, Life::ended_as(cause), Report::default());
+            return self.end(now, session, Lifecycle::ended_as(cause), Report::default());
         }
         if let Some(conn) = conn {
             out.push(Output::Answer { conn, session, description });
--- a/crates/elderpick-sessions/src/life/events.rs
+++ b/crates/elderpick-sessions/src/lifecycle/events.rs
@@ -71,7 +71,7 @@
         attempt: AttemptId,
         begun: bool,
     },
-    /// The set-up was not written, since [`Life::may_write`] forbade it.
+    /// The set-up was not written, since [`Lifecycle::may_write`] forbade it.
     Kept {
         server: ServerId,
         session: u64,
@@ -135,7 +135,7 @@
         session: u64,
         cause: u8,
     },
-    /// To a host, once [`Life::may_write`] says so right before the first byte.
+    /// To a host, once [`Lifecycle::may_write`] says so right before the first byte.
     SetUp {
         server: ServerId,
         session: u64,
--- a/crates/elderpick-sessions/src/life/health.rs
+++ b/crates/elderpick-sessions/src/lifecycle/health.rs
@@ -3,10 +3,10 @@
 use elderpick_core::api::{Micros, Report, ServerId, ServerState, Status};
 use elderpick_platform::viewer::cause;
 
-use super::{LOOK, Life, Output, Session, Stage};
+use super::{LOOK, Lifecycle, Output, Session, Stage};
 use crate::health::{HealthMonitor, Next};
 
-impl Life {
+impl Lifecycle {
     /// Looks at hosts where sessions stand.
     pub(super) fn look(&mut self, now: Micros, out: &mut Vec<Output>) {
         if now - self.looked < LOOK {
--- a/crates/elderpick-sessions/src/life/hosts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/hosts.rs
@@ -5,10 +5,10 @@
 use elderpick_core::api::{Event, ListKind, Micros, ServerId, ServerState};
 use elderpick_platform::journal::Listed;
 
-use super::{Life, Output, Server};
+use super::{Lifecycle, Output, Server};
 use crate::health::HealthMonitor;
 
-impl Life {
+impl Lifecycle {
     pub(super) fn list(&mut self, now: Micros, kind: ListKind, hosts: Vec<Listed>, out: &mut Vec<Output>) {
         if matches!(kind, ListKind::Full | ListKind::Restored) {
             let named: BTreeSet<_> = hosts.iter().map(|h| &h.entry.server).collect();
--- a/crates/elderpick-sessions/src/life/requests.rs
+++ b/crates/elderpick-sessions/src/lifecycle/requests.rs
@@ -5,9 +5,9 @@
 use elderpick_core::api::{Event, Micros, Report, RequestId, ServerId, Status, Viewing};
 use elderpick_platform::viewer::{SetUp, cause};
 
-use super::{Conn, ENDING, Life, OPEN, OPEN_ON_ONE, Output, STANDING, Session, Stage, Timer};
+use super::{Conn, ENDING, Lifecycle, OPEN, OPEN_ON_ONE, Output, STANDING, Session, Stage, Timer};
 
-impl Life {
+impl Lifecycle {
     pub(super) fn set_up(
         &mut self,
         now: Micros,
--- a/crates/elderpick-sessions/src/releases.rs
+++ b/crates/elderpick-sessions/src/releases.rs
@@ -7,7 +7,7 @@
 
 use elderpick_core::api::Micros;
 
-use crate::life::Conn;
+use crate::lifecycle::Conn;
 
 /// A release that went out so long ago has arrived: confirming is free. One that found no connection yet is owed
 /// however long that takes.
--- a/crates/elderpick-sessions/tests/common/mod.rs
+++ b/crates/elderpick-sessions/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! The life of sessions in virtual time among hosts whose connections break, words that cross, viewers that leave and
+//! The session lifecycle in virtual time among hosts whose connections break, words that cross, viewers that leave and
 //! sessions that are handed over, in random orders by fixed seeds. A judge looks from the outside; doubles that break a
 //! rule on purpose prove that it sees.
 
@@ -12,7 +12,7 @@
 use elderpick_platform::journal::Listed;
 use elderpick_platform::viewer::{Figures, SetUp, cause};
 use elderpick_sessions::health::Opened;
-use elderpick_sessions::life::{AttemptId, Input, Life, Output};
+use elderpick_sessions::lifecycle::{AttemptId, Input, Lifecycle, Output};
 
 pub const MS: Micros = 1_000;
 pub const HOSTS: usize = 3;
@@ -31,7 +31,7 @@
     (0..HOSTS).find(|host| name(*host) == *server).expect("a host that was listed")
 }
 
-/// What a double of the life does wrong.
+/// What a double of the lifecycle does wrong.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Wrong {
     Nothing,
@@ -249,7 +249,7 @@
 }
 
 pub struct World {
-    pub life: Life,
+    pub lifecycle: Lifecycle,
     wrong: Wrong,
     under: Conditions,
     now: Micros,
@@ -301,9 +301,9 @@
     pub fn new(seed: u64, wrong: Wrong, under: Conditions) -> World {
         let names = (0..under.settings.classes.len()).map(class_name).collect();
         let cells = under.settings.cells;
-        let life = Life::new(Controller::new(seed, under.settings.clone()), names, cells);
+        let lifecycle = Lifecycle::new(Controller::new(seed, under.settings.clone()), names, cells);
         let mut world = World {
-            life,
+            lifecycle,
             wrong,
             under,
             now: 1_000_000 * MS,
@@ -357,7 +357,7 @@
             (_, input) => input,
         };
         let mut out = Vec::new();
-        self.life.handle(self.now, input, &mut out);
+        self.lifecycle.handle(self.now, input, &mut out);
         for output in out {
             let skip = match &output {
                 Output::Withdraw { .. } => self.wrong == Wrong::KeepsAttemptsOut,
@@ -449,7 +449,7 @@
 
     fn write(&mut self, line: usize, session: u64, attempt: AttemptId) {
         let server = name(self.lines[line].host);
-        if self.life.may_write(&server, session, attempt, self.now) {
+        if self.lifecycle.may_write(&server, session, attempt, self.now) {
             self.lines[line].out.insert(session, attempt);
             self.lines[line].to_host.push_back(Word::SetUp(session));
         } else {
@@ -813,9 +813,9 @@
         let (session, host) = self.before.swap_remove(k);
         let set_up = self.set_up(session, 0, 1_000, Some(host));
         // The gateway takes it at its word unless it has heard of its end, by its host or by its viewer.
-        let held = self.life.held();
+        let held = self.lifecycle.held();
         self.feed(Input::SetUp { conn: 9, came: self.now, set_up });
-        if self.life.held() > held {
+        if self.lifecycle.held() > held {
             self.judge.stands.insert(session, host);
         }
     }
@@ -855,7 +855,7 @@
             self.now = end;
             return self.feed(Input::Tick);
         }
-        while let Some(due) = self.life.next_timer().filter(|due| *due <= end) {
+        while let Some(due) = self.lifecycle.next_timer().filter(|due| *due <= end) {
             self.now = due.max(self.now);
             self.end_openings();
             // Attempts whose time is over are withdrawn: that proves nothing.
@@ -921,9 +921,9 @@
             let over: Vec<_> = known.difference(&there).copied().collect();
             self.judge.must(over.is_empty(), || format!("{over:?} are over at {host} and kept"));
         }
-        let (held, stands) = (self.life.held(), self.judge.stands.len());
+        let (held, stands) = (self.lifecycle.held(), self.judge.stands.len());
         self.judge.must(held == stands, || format!("{held} are held, {stands} stand"));
-        let open = self.life.open();
+        let open = self.lifecycle.open();
         self.judge.must(open == 0, || format!("{open} set-ups are open"));
         let over: Vec<_> = self.judge.over.keys().copied().collect();
         self.judge.must(over.is_empty(), || format!("{over:?} are over and their viewers were not told"));
--- a/crates/elderpick-sessions/tests/life.rs
+++ b/crates/elderpick-sessions/tests/lifecycle.rs
@@ -1,4 +1,4 @@
-//! The life of sessions in virtual time, with the real module behind it.
+//! The session lifecycle in virtual time, with the real module behind it.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -8,7 +8,7 @@
 use elderpick_platform::journal::Listed;
 use elderpick_platform::viewer::{Figures, SetUp, cause};
 use elderpick_sessions::health::Opened;
-use elderpick_sessions::life::{AttemptId, Input, Life, OUTAGE, Output};
+use elderpick_sessions::lifecycle::{AttemptId, Input, Lifecycle, OUTAGE, Output};
 use proptest::prelude::*;
 
 const MS: Micros = 1_000;
@@ -70,7 +70,7 @@
 }
 
 struct World {
-    life: Life,
+    lifecycle: Lifecycle,
     now: Micros,
     /// The last attempt of each session.
     attempts: BTreeMap<u64, AttemptId>,
@@ -79,8 +79,8 @@
 impl World {
     fn new(hosts: &[&str]) -> World {
         let classes = vec!["free".to_owned(), "paid".to_owned()];
-        let life = Life::new(Controller::new(1, settings()), classes, Some(4));
-        let mut world = World { life, now: 1_000_000 * MS, attempts: BTreeMap::new() };
+        let lifecycle = Lifecycle::new(Controller::new(1, settings()), classes, Some(4));
+        let mut world = World { lifecycle, now: 1_000_000 * MS, attempts: BTreeMap::new() };
         let hosts = hosts.iter().map(|name| listed(name, ServerState::Up, None)).collect();
         world.feed(Input::List { kind: ListKind::Full, hosts });
         world
@@ -89,7 +89,7 @@
     /// What is done about it, calls for load left out.
     fn feed(&mut self, input: Input) -> Vec<Output> {
         let mut out = Vec::new();
-        self.life.handle(self.now, input, &mut out);
+        self.lifecycle.handle(self.now, input, &mut out);
         out.retain(|o| !matches!(o, Output::Probe { .. }));
         for output in &out {
             if let Output::SetUp { session, attempt, .. } = output {
@@ -121,7 +121,7 @@
     /// Lets time pass, tick by tick.
     fn pass(&mut self, span: Micros) -> Vec<Output> {
         let (end, mut out) = (self.now + span, Vec::new());
-        while let Some(due) = self.life.next_timer().filter(|due| *due <= end) {
+        while let Some(due) = self.lifecycle.next_timer().filter(|due| *due <= end) {
             self.now = due.max(self.now);
             out.extend(self.feed(Input::Tick));
         }
@@ -203,7 +203,7 @@
     let mut world = World::new(&[]);
     let refused = Output::Turned { conn: 5, session: 1, cause: cause::REFUSED, stay_away: Some(400 * MS) };
     assert_eq!(world.ask(1, "paid"), [refused]);
-    assert_eq!((world.life.open(), world.life.held()), (0, 0));
+    assert_eq!((world.lifecycle.open(), world.lifecycle.held()), (0, 0));
 }
 
 #[test]
@@ -236,8 +236,8 @@
             let withdrawn = out.contains(&Output::Withdraw { server: at.clone(), session: 1, attempt: 1 });
             assert_eq!(withdrawn, !answered && !step);
         }
-        assert_eq!((finals, world.life.open()), (1, 0));
-        assert_eq!(world.life.counts.served, u64::from(answered));
+        assert_eq!((finals, world.lifecycle.open()), (1, 0));
+        assert_eq!(world.lifecycle.counts.served, u64::from(answered));
     }
 }
 
@@ -254,7 +254,7 @@
         } else {
             assert!(turned(&world.refuse(&at, 1, Status::Failed)).is_some());
         }
-        assert_eq!(world.life.held(), 0);
+        assert_eq!(world.lifecycle.held(), 0);
         let copied = SetUp { title: "another".into(), ..asks(1, "paid") };
         let out = world.feed(Input::SetUp { conn: 6, came: world.now, set_up: copied });
         let cause = cause::UNREADABLE;
@@ -280,7 +280,7 @@
     let at = world.play(1, "free");
     assert_eq!(world.answer(&at, 1), []);
     assert_eq!(world.answer(&at, 99), []);
-    assert_eq!(world.life.held(), 1);
+    assert_eq!(world.lifecycle.held(), 1);
 }
 
 #[test]
@@ -293,16 +293,19 @@
     for change in changes {
         let mut world = World::new(&["a"]);
         let at = sent(&world.ask(1, "paid")).unwrap();
-        assert!(world.life.may_write(&at, 1, world.attempt(1), world.now));
-        assert!(!world.life.may_write(&at, 1, world.attempt(1), world.now + PATIENCE), "its time is over");
+        assert!(world.lifecycle.may_write(&at, 1, world.attempt(1), world.now));
+        assert!(
+            !world.lifecycle.may_write(&at, 1, world.attempt(1), world.now + PATIENCE),
+            "its time is over"
+        );
         let out = world.list(change);
-        assert!(!world.life.may_write(&at, 1, world.attempt(1), world.now));
+        assert!(!world.lifecycle.may_write(&at, 1, world.attempt(1), world.now));
         assert!(sent(&out).is_none());
     }
     let mut world = World::new(&["a"]);
     let at = sent(&world.ask(1, "free")).unwrap();
     world.feed(Input::Release { conn: 5, session: 1, cause: cause::GIVEN_UP });
-    assert!(!world.life.may_write(&at, 1, world.attempt(1), world.now), "its viewer has left");
+    assert!(!world.lifecycle.may_write(&at, 1, world.attempt(1), world.now), "its viewer has left");
 }
 
 #[test]
@@ -326,7 +329,7 @@
         }
     }
     assert_eq!(over, [(Some(5), 1), (Some(5), 2)]);
-    assert_eq!((world.life.held(), world.life.counts.hosts_lost), (0, 1));
+    assert_eq!((world.lifecycle.held(), world.lifecycle.counts.hosts_lost), (0, 1));
     let back = listed("a", ServerState::Up, Some(world.now - 1));
     world.list(back);
     world.play(4, "paid");
@@ -391,7 +394,7 @@
     assert_eq!(said(world.feed(closed())), 1, "and nothing of session 2");
     world.feed(Input::ReleaseHeard { server: at.clone(), session: 1 });
     assert_eq!(said(world.feed(closed())), 0);
-    assert_eq!(world.life.held(), 1);
+    assert_eq!(world.lifecycle.held(), 1);
 }
 
 /// The gateway stood still from before its host became another process, which it hears of first.
@@ -405,7 +408,7 @@
         let mut handed = asks(session, "free");
         handed.figures.at = Some("a".into());
         let out = world.feed(Input::SetUp { conn: 5, came, set_up: handed });
-        (out, world.life.held())
+        (out, world.lifecycle.held())
     };
     let (out, held) = hand(came, 1);
     let over = Output::Over { conn: Some(5), session: 1, cause: cause::FAILED };
@@ -506,24 +509,24 @@
     handed.figures.at = Some("a".into());
     let out = world.feed(Input::SetUp { conn: 5, came: world.now, set_up: handed });
     assert_eq!(out, [Output::Over { conn: Some(5), session: 1, cause: cause::FAILED }]);
-    assert_eq!(world.life.held(), 0);
+    assert_eq!(world.lifecycle.held(), 0);
 }
 
 #[test]
 fn a_connection_is_known_to_have_sessions_until_the_last_is_over() {
     let mut world = World::new(&["a"]);
     let at = sent(&world.ask(1, "free")).unwrap();
-    assert!(!world.life.stands_on(5), "it is only asked for");
+    assert!(!world.lifecycle.stands_on(5), "it is only asked for");
     world.answer(&at, 1);
     let mut handed = asks(2, "free");
     handed.figures.at = Some("a".into());
     world.feed(Input::SetUp { conn: 5, came: world.now, set_up: handed });
     world.released(&at, 1, cause::FAILED);
-    assert!(world.life.stands_on(5) && !world.life.stands_on(6));
+    assert!(world.lifecycle.stands_on(5) && !world.lifecycle.stands_on(6));
     world.feed(Input::Release { conn: 6, session: 2, cause: cause::ENDED_BY_VIEWER });
-    assert!(world.life.stands_on(5), "its host has not said so");
+    assert!(world.lifecycle.stands_on(5), "its host has not said so");
     world.feed(Input::ReleaseHeard { server: at, session: 2 });
-    assert!(!world.life.stands_on(5));
+    assert!(!world.lifecycle.stands_on(5));
 }
 
 /// Where the settings tell of no cells any host holds any title, and any cell that a viewer names will do.
@@ -532,7 +535,7 @@
     let classes = vec!["free".to_owned(), "paid".to_owned()];
     let settings = Settings { cells: None, racks: None, ..settings() };
     let mut world = World::new(&[]);
-    world.life = Life::new(Controller::new(1, settings), classes, None);
+    world.lifecycle = Lifecycle::new(Controller::new(1, settings), classes, None);
     world.feed(Input::List { kind: ListKind::Full, hosts: vec![listed("a", ServerState::Up, None)] });
     let mut set_up = asks(1, "free");
     (set_up.figures.home, set_up.figures.copies) = (4, 3);
@@ -556,7 +559,7 @@
                 .any(|o| matches!(o, Output::Answer { .. } | Output::Turned { .. } | Output::SetUp { .. }))
         );
     }
-    assert_eq!((world.life.held(), world.life.counts.handed, world.life.open()), (1, 1, 0));
+    assert_eq!((world.lifecycle.held(), world.lifecycle.counts.handed, world.lifecycle.open()), (1, 1, 0));
     let over = Output::Over { conn: Some(5), session: 1, cause: 16 };
     assert_eq!(world.released(&server("a"), 1, 16), [over]);
     assert_eq!(world.released(&server("a"), 1, 16), [], "hosts say it again on the next connection");
@@ -575,7 +578,7 @@
         world.feed(Input::Closed { conn: 5 }),
         [Output::Withdraw { server: at, session: 2, attempt: 2 }]
     );
-    assert_eq!((world.life.held(), world.life.open(), world.life.open_on(5)), (1, 0, 0));
+    assert_eq!((world.lifecycle.held(), world.lifecycle.open(), world.lifecycle.open_on(5)), (1, 0, 0));
 }
 
 #[test]
@@ -595,7 +598,7 @@
     assert_eq!(answers.iter().flatten().count(), 90 - 63, "64 set-ups are open on one connection at most");
     assert!(answers.iter().flatten().all(|c| *c == cause::REFUSED));
     world.feed(Input::Closed { conn: 5 });
-    assert_eq!((world.life.held(), world.life.open()), (0, 0));
+    assert_eq!((world.lifecycle.held(), world.lifecycle.open()), (0, 0));
 }
 
 /// What must hold, judged from the outside.
@@ -720,6 +723,6 @@
             judge.see(world.now, &step);
         }
         prop_assert!(judge.owed.is_empty(), "no request is left without an answer");
-        prop_assert_eq!(world.life.open(), 0);
+        prop_assert_eq!(world.lifecycle.open(), 0);
     }
 }
--- a/crates/elderpick-sessions/tests/settings_sweep.rs
+++ b/crates/elderpick-sessions/tests/settings_sweep.rs
@@ -1,4 +1,4 @@
-//! The life of sessions under settings that no deployment at hand has: each field at its least, its most, missing, or
+//! The session lifecycle under settings that no deployment at hand has: each field at its least, its most, missing, or
 //! random by fixed seeds, among hosts that hang, are cut off, vanish and come back for longer than anything is waited for.
 //! `common` has the world and its judge. What breaks a rule is made smaller: fewer steps, then the ordinary settings field
 //! by field, so that the message names what it takes.
--- a/crates/elderpick-sessions/tests/unit/health.rs
+++ b/crates/elderpick-sessions/tests/unit/health.rs
@@ -90,7 +90,7 @@
     assert!((QUIET + TESTED..8_000_000).contains(&after), "{after}");
 }
 
-/// Openings end after `connect`, unless they come up or the host is lost before; a call each 50 ms, as from the life of
+/// Openings end after `connect`, unless they come up or the host is lost before; a call each 50 ms, as from the lifecycle of
 /// sessions.
 fn lost_by(mut watch: HealthMonitor, connect: Micros, how: Opened) -> Micros {
     let mut openings = std::collections::VecDeque::new();
