--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -75,12 +75,17 @@
 
 impl Attempt {
     /// It was not written, and never will be.
-    fn kept(self) -> Input {
-        Input::Kept { server: self.server, session: self.session, attempt: self.attempt }
+    fn not_sent(self) -> Input {
+        Input::NotSent { server: self.server, session: self.session, attempt: self.attempt }
     }
 
     fn never_up(self) -> Input {
-        Input::Cut { server: self.server, session: self.session, attempt: self.attempt, begun: false }
+        Input::ConnectionLost {
+            server: self.server,
+            session: self.session,
+            attempt: self.attempt,
+            begun: false,
+        }
     }
 }
 
--- a/crates/elderpick-node/src/hosts/attempts.rs
+++ b/crates/elderpick-node/src/hosts/attempts.rs
@@ -35,7 +35,7 @@
     /// nothing of the host: what it leaves no room for was never sent.
     pub(crate) fn host_set_up(self: &Rc<Self>, one: Attempt) {
         if !self.may_write(&one) {
-            return self.feed(one.kept());
+            return self.feed(one.not_sent());
         }
         if one.unread {
             return self.look_later(one);
@@ -75,7 +75,7 @@
             Some(ways) => ways.waiting.push_back(one),
             None => {
                 drop(all);
-                self.feed(one.kept());
+                self.feed(one.not_sent());
             }
         }
     }
--- a/crates/elderpick-node/src/hosts/pool.rs
+++ b/crates/elderpick-node/src/hosts/pool.rs
@@ -98,7 +98,7 @@
         self.feed(Input::Opened { server: server.clone(), how });
         let ended = |one: Attempt| match how {
             // It was never sent, and nothing is held against the host.
-            Opened::NoRoom => one.kept(),
+            Opened::NoRoom => one.not_sent(),
             _ => one.never_up(),
         };
         let others = self.hosts.ways.borrow().get(&server).map_or(0, |ways| ways.opening);
@@ -159,9 +159,9 @@
         let made_room = line.made_room.get();
         drop(line);
         tracing::trace!(server = %server, whole, "a line has ended");
-        self.feed(Input::HostClosed { server: server.clone(), whole, unheard, made_room });
+        self.feed(Input::HostDisconnected { server: server.clone(), whole, unheard, made_room });
         for (session, (attempt, _)) in out {
-            self.feed(Input::Cut { server: server.clone(), session, attempt, begun: true });
+            self.feed(Input::ConnectionLost { server: server.clone(), session, attempt, begun: true });
         }
         for _ in asked {
             let (status, report) = (Status::Reset, Report::default());
--- a/crates/elderpick-node/src/hosts/received.rs
+++ b/crates/elderpick-node/src/hosts/received.rs
@@ -41,8 +41,12 @@
     pub(super) fn distrust_answers(&self, from: usize) {
         for input in self.later.borrow_mut().iter_mut().skip(from) {
             if let Input::Answer { server, session, attempt: Some(attempt), .. } = input {
-                *input =
-                    Input::Cut { server: server.clone(), session: *session, attempt: *attempt, begun: true };
+                *input = Input::ConnectionLost {
+                    server: server.clone(),
+                    session: *session,
+                    attempt: *attempt,
+                    begun: true,
+                };
             }
         }
     }
@@ -90,7 +94,7 @@
                 }
                 cseq::TEARDOWN if *status == 200 => {
                     line.unheard.borrow_mut().remove(&session);
-                    self.feed(Input::ReleaseHeard { server, session });
+                    self.feed(Input::ReleaseConfirmed { server, session });
                 }
                 cseq::OPTIONS if line.asked.borrow_mut().remove(&session) => {
                     let status = if *status == 200 { Status::Ok } else { Status::Failed };
@@ -107,7 +111,7 @@
                 }
                 "ANNOUNCE" => {
                     if let Some(note) = note(message) {
-                        self.feed(Input::Noted { server, session, note });
+                        self.feed(Input::Note { server, session, note });
                     }
                 }
                 "OPTIONS" => line.link.send(&rtsp::response(200, message.cseq, session)),
--- a/crates/elderpick-node/src/lib.rs
+++ b/crates/elderpick-node/src/lib.rs
@@ -116,7 +116,7 @@
         moved: Default::default(),
         caught_up: Cell::new(false),
         ending: Cell::new(false),
-        stop_coming: Default::default(),
+        stop_accepting: Default::default(),
         timer: Default::default(),
         later: RefCell::default(),
         attempts: RefCell::default(),
@@ -146,7 +146,7 @@
     tracing::info!(open = node.lifecycle.borrow().open(), held = node.lifecycle.borrow().held(), "ending");
     // The list goes on being followed, wherever the journal moves: what is open may still be placed.
     pass(COMING, &mut hang_up, || reload(&node, &path)).await;
-    node.stop_coming.notify_one();
+    node.stop_accepting.notify_one();
     let _ = accepting.await;
     let mut shutdown = Shutdown::default();
     loop {
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -54,7 +54,7 @@
     pub caught_up: Cell<bool>,
     pub ending: Cell<bool>,
     /// No further connection of viewers is taken.
-    pub stop_coming: Notify,
+    pub stop_accepting: Notify,
     pub timer: Notify,
     pub later: RefCell<VecDeque<Input>>,
     /// Attempts to be written once all that has happened was told; bounded by the set-ups that may be open.
@@ -172,7 +172,7 @@
     /// The number of set-ups that are open on a connection has changed.
     fn opened(&self, conn: Conn) {
         let open = self.lifecycle.borrow().open_on(conn);
-        self.admission.borrow_mut().open(self.now(), conn, open);
+        self.admission.borrow_mut().set_open(self.now(), conn, open);
     }
 
     /// Says a final answer on the connection of its set-up. One that goes down with its connection is counted and told;
@@ -222,12 +222,12 @@
                 }
                 self.say_releases();
             }
-            Output::Turned { conn, session, cause, stay_away } => {
-                let away = stay_away.filter(|at| *at > 0).map(|at| (at / 1_000) as u64);
+            Output::Rejected { conn, session, cause, retry_after } => {
+                let away = retry_after.filter(|at| *at > 0).map(|at| (at / 1_000) as u64);
                 viewer::release(&mut text, session, cause, away);
                 self.answer(conn, session, &text);
             }
-            Output::Over { conn, session, cause } => {
+            Output::SessionEnded { conn, session, cause } => {
                 self.releases.borrow_mut().owe(self.now(), session, cause);
                 if let Some(client) = self.client_for(conn) {
                     self.say_release(&client, session, cause);
@@ -285,8 +285,8 @@
     }
 
     /// The earliest time at which what is read now may have come. While the gateway stands still nothing is read, and
-    /// who waits counts from when its last byte came: where it stood still, that may be since it last ran.
-    pub fn came(&self) -> Micros {
+    /// who waits counts from when its last byte received_at: where it stood still, that may be since it last ran.
+    pub fn arrival_time(&self) -> Micros {
         let (now, awake) = (self.now(), self.awake.get());
         let stood_still = now - awake.due > STALL;
         awake.behind.unwrap_or(if stood_still { awake.ran } else { now })
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -68,14 +68,14 @@
 /// with the listener is reset, also with a whole set-up on it.
 pub(crate) async fn accept(listener: TcpListener, node: Rc<Node>) {
     loop {
-        let came = tokio::select! {
+        let accepted = tokio::select! {
             biased;
-            () = node.stop_coming.notified() => break,
-            came = accept_one(&listener, &node) => came,
+            () = node.stop_accepting.notified() => break,
+            accepted = accept_one(&listener, &node) => accepted,
         };
-        match came {
+        match accepted {
             Ok((stream, _)) => {
-                if node.come(stream) {
+                if node.accept_client(stream) {
                     // The one that made room has its descriptor still, until its task has run.
                     tokio::task::yield_now().await;
                 }
@@ -95,7 +95,7 @@
         let Ok((stream, _)) = listener.accept() else { return };
         let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
         let Ok(stream) = stream else { return };
-        node.come(stream);
+        node.accept_client(stream);
     }
 }
 
@@ -117,11 +117,11 @@
     }
 
     /// Takes a connection; `true` if another is closed for it.
-    fn come(self: &Rc<Self>, stream: TcpStream) -> bool {
+    fn accept_client(self: &Rc<Self>, stream: TcpStream) -> bool {
         let conn = self.next_conn.replace(self.next_conn.get() + 1);
-        let welcome = self.admission.borrow_mut().come(self.now(), conn, &**self);
+        let decision = self.admission.borrow_mut().accept(self.now(), conn, &**self);
         let mut refused = None;
-        match welcome {
+        match decision {
             AdmissionDecision::Admitted => {}
             AdmissionDecision::InsteadOf(other) => self.close_client(other),
             AdmissionDecision::Full => {
@@ -150,20 +150,20 @@
             tracing::trace!(conn, "a viewers' connection comes");
             let whole = client.link.run(&node.buffer, |chunk| node.viewer_heard(conn, &client, chunk)).await;
             tracing::trace!(conn, whole, "a viewers' connection has ended");
-            node.viewer_left(&client);
+            node.client_disconnected(&client);
             node.release_unheard(&client, whole).await;
         });
-        matches!(welcome, AdmissionDecision::InsteadOf(_))
+        matches!(decision, AdmissionDecision::InsteadOf(_))
     }
 
     /// A viewers' connection has ended.
-    fn viewer_left(self: &Rc<Self>, client: &Client) {
+    fn client_disconnected(self: &Rc<Self>, client: &Client) {
         let conn = client.conn;
         self.clients.borrow_mut().remove(&conn);
-        self.admission.borrow_mut().left(conn);
+        self.admission.borrow_mut().remove(conn);
         self.refusing.set(self.refusing.get() - usize::from(client.refused.is_some()));
         self.releases.borrow_mut().ended(self.now(), conn);
-        self.feed(Input::Closed { conn });
+        self.feed(Input::ClientDisconnected { conn });
         self.say_releases();
     }
 
@@ -171,7 +171,7 @@
     /// that it took nothing more: their viewers have not heard, and nobody would ever end them. `whole` tells that the
     /// connection ended in order.
     async fn release_unheard(self: &Rc<Self>, client: &Client, whole: bool) {
-        let crossing: Vec<_> = client.answers.borrow_mut().take(self.came()).collect();
+        let crossing: Vec<_> = client.answers.borrow_mut().take(self.arrival_time()).collect();
         let ended_by_peer = client.link.goes_on();
         if crossing.is_empty() || !ended_by_peer || (whole && !client.link.breaks_within(CROSSES_END).await) {
             return;
@@ -222,7 +222,7 @@
             while !client.deaf.get() {
                 match decoder.message() {
                     Ok(Some(message)) => {
-                        self.admission.borrow_mut().said(self.now(), conn);
+                        self.admission.borrow_mut().message_received(self.now(), conn);
                         self.viewer_said(conn, client, &message);
                     }
                     Ok(None) => break,
@@ -233,7 +233,7 @@
                 }
             }
             let partial = !client.deaf.get() && decoder.partial();
-            self.admission.borrow_mut().read(self.now(), conn, partial);
+            self.admission.borrow_mut().read_finished(self.now(), conn, partial);
             // Who was not admitted has been told so by now.
             client.deaf.set(client.deaf.get() || (client.refused.is_some() && !partial));
         });
@@ -253,7 +253,7 @@
         if there {
             return look;
         }
-        self.feed(Input::Closed { conn });
+        self.feed(Input::ClientDisconnected { conn });
         Look::All
     }
 
@@ -302,7 +302,7 @@
                 Ok(set_up) => {
                     client.standing.set(client.standing.get().max(Standing::Asked));
                     client.has_asked.set(true);
-                    self.feed(Input::SetUp { conn, came: self.came(), set_up });
+                    self.feed(Input::SetUp { conn, received_at: self.arrival_time(), set_up });
                 }
                 Err(why) => self.bad(client, session, why),
             },
--- a/crates/elderpick-sessions/src/admission.rs
+++ b/crates/elderpick-sessions/src/admission.rs
@@ -12,7 +12,7 @@
 
 use crate::lifecycle::Conn;
 
-/// A connection that has said nothing whole for so long is closed: set-ups come right after the connection.
+/// A connection on which no whole message has come for so long is closed: set-ups come right after the connection.
 const SILENT: Micros = 2_000_000;
 /// Part of a message is waited for so long.
 const PARTIAL: Micros = 1_500_000;
@@ -21,16 +21,16 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Client {
-    came: Micros,
-    /// When it last said something whole.
-    said: Option<Micros>,
+    accepted_at: Micros,
+    /// When its last whole message came.
+    last_message: Option<Micros>,
     /// Since when part of a message is held.
     partial: Option<Micros>,
     /// Set-ups open on it.
     open: usize,
 }
 
-/// What is to be done with a connection that came.
+/// What is to be done with a connection that was accepted by the system.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum AdmissionDecision {
     Admitted,
@@ -70,14 +70,18 @@
         self.clients.len() < self.most || self.clients.iter().any(may_go)
     }
 
-    /// A connection came.
-    pub fn come(&mut self, now: Micros, conn: Conn, known: &impl Connections) -> AdmissionDecision {
-        let mut welcome = AdmissionDecision::Admitted;
+    /// A connection was accepted by the system.
+    pub fn accept(&mut self, now: Micros, conn: Conn, known: &impl Connections) -> AdmissionDecision {
+        let mut decision = AdmissionDecision::Admitted;
         if self.clients.len() >= self.most {
             let idle = self.clients.iter().filter(|(_, client)| client.open == 0);
             let order = |(conn, client): (&Conn, &Client)| {
-                let said = client.said.is_some();
-                ((said, known.stands_on(*conn)), client.said.unwrap_or(client.came), *conn)
+                let has_asked = client.last_message.is_some();
+                (
+                    (has_asked, known.stands_on(*conn)),
+                    client.last_message.unwrap_or(client.accepted_at),
+                    *conn,
+                )
             };
             let mut idle: Vec<_> = idle.map(order).collect();
             idle.sort_unstable();
@@ -85,45 +89,45 @@
                 return AdmissionDecision::Full;
             };
             self.clients.remove(&first);
-            welcome = AdmissionDecision::InsteadOf(first);
+            decision = AdmissionDecision::InsteadOf(first);
         }
-        self.clients.insert(conn, Client { came: now, said: None, partial: None, open: 0 });
-        welcome
+        self.clients.insert(conn, Client { accepted_at: now, last_message: None, partial: None, open: 0 });
+        decision
     }
 
     /// A whole message came.
-    pub fn said(&mut self, now: Micros, conn: Conn) {
+    pub fn message_received(&mut self, now: Micros, conn: Conn) {
         if let Some(client) = self.clients.get_mut(&conn) {
-            client.said = Some(now);
+            client.last_message = Some(now);
             client.partial = None;
         }
     }
 
     /// All that came was read; `partial` tells whether part of a message is left.
-    pub fn read(&mut self, now: Micros, conn: Conn, partial: bool) {
+    pub fn read_finished(&mut self, now: Micros, conn: Conn, partial: bool) {
         if let Some(client) = self.clients.get_mut(&conn) {
             client.partial = partial.then(|| client.partial.unwrap_or(now));
         }
     }
 
     /// So many set-ups are open on it now.
-    pub fn open(&mut self, now: Micros, conn: Conn, open: usize) {
+    pub fn set_open(&mut self, now: Micros, conn: Conn, open: usize) {
         if let Some(client) = self.clients.get_mut(&conn) {
             client.open = open;
-            client.said = client.said.map(|_| now);
+            client.last_message = client.last_message.map(|_| now);
         }
     }
 
-    pub fn left(&mut self, conn: Conn) {
+    pub fn remove(&mut self, conn: Conn) {
         self.clients.remove(&conn);
     }
 
     /// Connections to close now. `all_idle` closes all on which nothing is open, at the end.
     pub fn overdue(&mut self, now: Micros, all_idle: bool, known: &impl Connections) -> Vec<Conn> {
         let over = |conn: Conn, client: &Client| {
-            let silent = client.said.is_none() && now - client.came >= SILENT;
+            let silent = client.last_message.is_none() && now - client.accepted_at >= SILENT;
             let partial = client.partial.is_some_and(|since| now - since >= PARTIAL);
-            let idle = client.said.is_some_and(|at| now - at >= IDLE) && !known.stands_on(conn);
+            let idle = client.last_message.is_some_and(|at| now - at >= IDLE) && !known.stands_on(conn);
             // What is open is still owed its answer, whatever else the connection does.
             client.open == 0 && (partial || silent || idle || all_idle) && known.quiet(conn)
         };
@@ -134,7 +138,7 @@
             .map(|(conn, _)| *conn)
             .collect();
         over.sort_unstable();
-        over.iter().for_each(|conn| self.left(*conn));
+        over.iter().for_each(|conn| self.remove(*conn));
         over
     }
 }
--- a/crates/elderpick-sessions/src/lifecycle.rs
+++ b/crates/elderpick-sessions/src/lifecycle.rs
@@ -238,9 +238,9 @@
     /// Takes one thing that happens at the time `now` and appends what is to be done.
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
         match input {
-            Input::SetUp { conn, came, set_up } => self.set_up(now, conn, came, set_up, out),
+            Input::SetUp { conn, received_at, set_up } => self.set_up(now, conn, received_at, set_up, out),
             Input::Release { conn, session, cause } => self.release(now, conn, session, cause, out),
-            Input::Closed { conn } => {
+            Input::ClientDisconnected { conn } => {
                 for session in self.open.get(&conn).cloned().unwrap_or_default() {
                     self.release(now, conn, session, cause::GIVEN_UP, out);
                 }
@@ -254,14 +254,14 @@
             Input::Released { server, session, attempt, cause, report } => {
                 self.released(now, server, session, attempt, cause, report, out);
             }
-            Input::ReleaseHeard { server, session } => {
+            Input::ReleaseConfirmed { server, session } => {
                 self.unheard.remove(now, &(server.clone(), session));
                 let ending = |h: &Session| matches!(&h.stage, Stage::Ending { server: at } if *at == server);
                 if self.held.get(&session).is_some_and(ending) {
                     self.end(now, session, Status::Cancelled, Report::default());
                 }
             }
-            Input::Noted { server, session, note } => {
+            Input::Note { server, session, note } => {
                 let there = |h: &Session| matches!(&h.stage, Stage::Stands { server: at } if *at == server);
                 if let Some(held) = self.held.get_mut(&session).filter(|h| there(h)) {
                     if let Note::Rung(rung) = note {
@@ -270,7 +270,7 @@
                     self.events.push_back(Event::Noted { id: RequestId(session), server, note });
                 }
             }
-            Input::Cut { server, session, attempt, begun } => {
+            Input::ConnectionLost { server, session, attempt, begun } => {
                 let status = if begun { Status::Reset } else { Status::ConnectError };
                 if begun && self.held.get(&session).is_some_and(|h| h.is_out_as(&server, attempt)) {
                     // Its answer may have gone down with the connection: then it stands there.
@@ -278,7 +278,7 @@
                 }
                 self.attempt_over(&server, session, attempt, status, Report::default());
             }
-            Input::Kept { server, session, attempt } => {
+            Input::NotSent { server, session, attempt } => {
                 self.attempt_over(&server, session, attempt, Status::Ignored, Report::default());
             }
             Input::Probed { server, status, report } => {
@@ -291,7 +291,7 @@
                     server.health.opened(now, how);
                 }
             }
-            Input::HostClosed { server, whole, unheard, made_room } => {
+            Input::HostDisconnected { server, whole, unheard, made_room } => {
                 self.looked = Micros::MIN / 2;
                 if let Some(at) = self.servers.get_mut(&server) {
                     at.health.closed(whole);
@@ -351,11 +351,11 @@
             Action::Send { id, server, timeout } => self.send(now, id.0, server, timeout, out),
             Action::Refuse { id, retry_after } => {
                 self.counts.refused += 1;
-                self.turn(now, id.0, cause::REFUSED, retry_after, out);
+                self.reject(now, id.0, cause::REFUSED, retry_after, out);
             }
             Action::Fail { id } => {
                 self.counts.failed += 1;
-                self.turn(now, id.0, cause::FAILED, None, out);
+                self.reject(now, id.0, cause::FAILED, None, out);
             }
             Action::Probe { server } => out.push(Output::Probe { server }),
             Action::Subscribe | Action::Fetch => {
--- a/crates/elderpick-sessions/src/lifecycle/active.rs
+++ b/crates/elderpick-sessions/src/lifecycle/active.rs
@@ -44,7 +44,7 @@
             }
             Stage::Stands { .. } => {
                 if cause != cause::ENDED_BY_VIEWER {
-                    out.push(Output::Over { conn: held.conn, session, cause });
+                    out.push(Output::SessionEnded { conn: held.conn, session, cause });
                 }
                 self.end(now, session, status, report);
             }
--- a/crates/elderpick-sessions/src/lifecycle/attempts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/attempts.rs
@@ -87,8 +87,8 @@
         self.stands_now(conn);
         if let Some(cause) = over {
             // It stood for a moment: an answer would promise what is over.
-            let turned = |conn| Output::Turned { conn, session, cause: cause::FAILED, stay_away: None };
-            out.extend(conn.map(turned));
+            let rejected = |conn| Output::Rejected { conn, session, cause: cause::FAILED, retry_after: None };
+            out.extend(conn.map(rejected));
             self.counts.failed += 1;
             self.answered.insert(now, session, ());
             self.events.push_back(Event::Playing { id: RequestId(session), attempt });
--- a/crates/elderpick-sessions/src/lifecycle/events.rs
+++ b/crates/elderpick-sessions/src/lifecycle/events.rs
@@ -11,10 +11,10 @@
 /// What happens.
 #[derive(Clone, Debug)]
 pub enum Input {
-    /// A viewer asks, over a connection; `came` is when the last byte did.
+    /// A viewer asks, over a connection; `received_at` is when its last byte arrived.
     SetUp {
         conn: Conn,
-        came: Micros,
+        received_at: Micros,
         set_up: SetUp,
     },
     /// A viewer gives a set-up up, on the connection that it was asked on, or ends a session, on any.
@@ -24,7 +24,7 @@
         cause: u8,
     },
     /// A viewer's connection is gone.
-    Closed {
+    ClientDisconnected {
         conn: Conn,
     },
     /// A host has set a session up.
@@ -55,24 +55,24 @@
         report: Report,
     },
     /// A host has heard a release.
-    ReleaseHeard {
+    ReleaseConfirmed {
         server: ServerId,
         session: u64,
     },
-    Noted {
+    Note {
         server: ServerId,
         session: u64,
         note: Note,
     },
     /// The connection of a set-up is gone, or never came up. What was not begun to be written never ran.
-    Cut {
+    ConnectionLost {
         server: ServerId,
         session: u64,
         attempt: AttemptId,
         begun: bool,
     },
     /// The set-up was not written, since [`Lifecycle::may_write`] forbade it.
-    Kept {
+    NotSent {
         server: ServerId,
         session: u64,
         attempt: AttemptId,
@@ -88,7 +88,7 @@
         how: Opened,
     },
     /// A host's connection ended.
-    HostClosed {
+    HostDisconnected {
         server: ServerId,
         /// The host ended it, or it was read to its end: nothing that the host said on it is missing.
         whole: bool,
@@ -123,14 +123,14 @@
         description: Bytes,
     },
     /// The final answer: it does not. The cause tells whether asking again is harmless.
-    Turned {
+    Rejected {
         conn: Conn,
         session: u64,
         cause: u8,
-        stay_away: Option<Micros>,
+        retry_after: Option<Micros>,
     },
     /// A session that stood is over; `conn` is where it was asked for.
-    Over {
+    SessionEnded {
         conn: Option<Conn>,
         session: u64,
         cause: u8,
@@ -186,13 +186,13 @@
 /// Counts since the start.
 #[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
 pub struct Counts {
-    pub taken: u64,
+    pub accepted: u64,
     pub served: u64,
     pub refused: u64,
     pub failed: u64,
-    pub given_up: u64,
-    pub handed: u64,
+    pub withdrawn: u64,
+    pub handed_over: u64,
     /// Turned away at a bound of this file, or since they named what does not exist.
-    pub turned: u64,
+    pub rejected: u64,
     pub hosts_lost: u64,
 }
--- a/crates/elderpick-sessions/src/lifecycle/health.rs
+++ b/crates/elderpick-sessions/src/lifecycle/health.rs
@@ -52,7 +52,7 @@
         for session in standing {
             let Some(held) = self.held.get(&session) else { continue };
             if let Stage::Stands { .. } = held.stage {
-                out.push(Output::Over { conn: held.conn, session, cause: cause::FAILED });
+                out.push(Output::SessionEnded { conn: held.conn, session, cause: cause::FAILED });
             }
             self.say_release(now, server.clone(), session, cause::ENDED_BY_VIEWER, out);
             self.end(now, session, Status::Reset, Report::default());
--- a/crates/elderpick-sessions/src/lifecycle/requests.rs
+++ b/crates/elderpick-sessions/src/lifecycle/requests.rs
@@ -12,7 +12,7 @@
         &mut self,
         now: Micros,
         conn: Conn,
-        came: Micros,
+        received_at: Micros,
         set_up: SetUp,
         out: &mut Vec<Output>,
     ) {
@@ -32,17 +32,17 @@
             // Its end came here before it did: from its host, of which its viewer is told now, or from its viewer.
             return match by_host {
                 true if cause == cause::ENDED_BY_VIEWER => {}
-                true => out.push(Output::Over { conn: Some(conn), session, cause }),
+                true => out.push(Output::SessionEnded { conn: Some(conn), session, cause }),
                 false => self.say_release(now, server, session, cause, out),
             };
         }
-        let turned = |cause| Output::Turned { conn, session, cause, stay_away: None };
+        let rejected = |cause| Output::Rejected { conn, session, cause, retry_after: None };
         let used = held || self.answered.contains(now, &session);
         let Some(class) = class.filter(|_| fits && (!used || at.is_some())) else {
-            self.counts.turned += 1;
-            return out.push(turned(cause::UNREADABLE));
+            self.counts.rejected += 1;
+            return out.push(rejected(cause::UNREADABLE));
         };
-        let left = (came + set_up.patience_ms as Micros * 1_000 - now).max(0);
+        let left = (received_at + set_up.patience_ms as Micros * 1_000 - now).max(0);
         let viewing = Viewing {
             class,
             title: set_up.title.clone(),
@@ -59,27 +59,27 @@
         if let Some(server) = at {
             let Some(to) = self.servers.get_mut(&server).filter(|_| self.held.len() < STANDING) else {
                 // It plays nowhere that is known: its viewer is to come again.
-                self.counts.turned += 1;
-                return out.push(Output::Over { conn: Some(conn), session, cause: cause::FAILED });
+                self.counts.rejected += 1;
+                return out.push(Output::SessionEnded { conn: Some(conn), session, cause: cause::FAILED });
             };
-            if to.renewed.is_some_and(|heard| came < heard) {
+            if to.renewed.is_some_and(|heard| received_at < heard) {
                 // It may have lain unread since before its host became another process, and played at the one before.
-                self.counts.turned += 1;
+                self.counts.rejected += 1;
                 self.say_release(now, server, session, cause::ENDED_BY_VIEWER, out);
-                return out.push(Output::Over { conn: Some(conn), session, cause: cause::FAILED });
+                return out.push(Output::SessionEnded { conn: Some(conn), session, cause: cause::FAILED });
             }
             to.standing.insert(session);
             self.stands_now(Some(conn));
-            self.counts.handed += 1;
+            self.counts.handed_over += 1;
             self.held.insert(session, new(Stage::Stands { server: server.clone() }, None));
             self.events.push_back(Event::Open { id: RequestId(session), viewing, server });
             return;
         }
         if self.open_on(conn) >= OPEN_ON_ONE || self.opened >= OPEN || self.held.len() >= STANDING {
-            self.counts.turned += 1;
-            return out.push(turned(cause::REFUSED));
+            self.counts.rejected += 1;
+            return out.push(rejected(cause::REFUSED));
         }
-        self.counts.taken += 1;
+        self.counts.accepted += 1;
         self.opened += 1;
         self.open.entry(conn).or_default().insert(session);
         self.held.insert(session, new(Stage::Waiting, Some(Box::new(set_up))));
@@ -129,9 +129,9 @@
         };
         match &held.stage {
             // Who did not ask has nothing to give up: the answer is still owed.
-            Stage::Waiting | Stage::Out { .. } if held.conn != Some(conn) => self.counts.turned += 1,
+            Stage::Waiting | Stage::Out { .. } if held.conn != Some(conn) => self.counts.rejected += 1,
             Stage::Waiting | Stage::Out { .. } => {
-                self.counts.given_up += 1;
+                self.counts.withdrawn += 1;
                 self.answered.insert(now, session, ());
                 self.events.push_back(Event::Gone { id: RequestId(session) });
                 self.withdraw(now, session, out);
@@ -147,17 +147,17 @@
     }
 
     /// The final answer when it does not stand.
-    pub(super) fn turn(
+    pub(super) fn reject(
         &mut self,
         now: Micros,
         session: u64,
         cause: u8,
-        stay_away: Option<Micros>,
+        retry_after: Option<Micros>,
         out: &mut Vec<Output>,
     ) {
         let Some(held) = self.held.get(&session).filter(|h| h.set_up.is_some()) else { return };
         if let Some(conn) = held.conn {
-            out.push(Output::Turned { conn, session, cause, stay_away });
+            out.push(Output::Rejected { conn, session, cause, retry_after });
         }
         self.answered.insert(now, session, ());
         self.withdraw(now, session, out);
--- a/crates/elderpick-sessions/tests/common/mod.rs
+++ b/crates/elderpick-sessions/tests/common/mod.rs
@@ -163,7 +163,7 @@
                 self.must(own, || format!("{session} is answered with another's description"));
                 self.out.remove(session);
             }
-            Output::Turned { session, cause, .. } => {
+            Output::Rejected { session, cause, .. } => {
                 let owed = self.owed.remove(session);
                 self.must(owed.is_some(), || format!("{session} answered twice, or though nobody waits"));
                 let paid = owed.is_some_and(|(_, paid)| paid);
@@ -191,7 +191,7 @@
                 let host = number(server);
                 self.out.retain(|_, (_, at)| *at != host);
             }
-            Output::Over { session, .. } => {
+            Output::SessionEnded { session, .. } => {
                 self.stands.remove(session);
                 self.over.remove(session);
             }
@@ -350,8 +350,8 @@
 
     fn feed(&mut self, input: Input) {
         let input = match (self.wrong, input) {
-            (Wrong::ProvesByBreaks, Input::Cut { server, session, attempt, .. }) => {
-                Input::Cut { server, session, attempt, begun: false }
+            (Wrong::ProvesByBreaks, Input::ConnectionLost { server, session, attempt, .. }) => {
+                Input::ConnectionLost { server, session, attempt, begun: false }
             }
             (Wrong::KeepsWhatIsOver, Input::Released { .. }) => return,
             (_, input) => input,
@@ -362,8 +362,8 @@
             let skip = match &output {
                 Output::Withdraw { .. } => self.wrong == Wrong::KeepsAttemptsOut,
                 Output::Release { .. } => self.wrong == Wrong::ReleasesNothing,
-                Output::Turned { .. } => self.wrong == Wrong::AnswersNothing,
-                Output::Over { .. } => self.wrong == Wrong::TellsNoEnds,
+                Output::Rejected { .. } => self.wrong == Wrong::AnswersNothing,
+                Output::SessionEnded { .. } => self.wrong == Wrong::TellsNoEnds,
                 _ => false,
             };
             if skip {
@@ -454,7 +454,7 @@
             self.lines[line].to_host.push_back(Word::SetUp(session));
         } else {
             self.end_attempt(session, attempt, true);
-            self.feed(Input::Kept { server, session, attempt });
+            self.feed(Input::NotSent { server, session, attempt });
         }
     }
 
@@ -476,7 +476,7 @@
             self.feed(Input::Opened { server: server.clone(), how });
             if let Some((session, attempt)) = wanted {
                 self.end_attempt(session, attempt, true);
-                self.feed(Input::Cut { server, session, attempt, begun: false });
+                self.feed(Input::ConnectionLost { server, session, attempt, begun: false });
             }
             return;
         }
@@ -494,7 +494,7 @@
             // It was closed at once: nothing of it was written.
             Some((session, attempt)) => {
                 self.end_attempt(session, attempt, true);
-                self.feed(Input::Kept { server: name(host), session, attempt });
+                self.feed(Input::NotSent { server: name(host), session, attempt });
             }
             None => {}
         }
@@ -544,7 +544,7 @@
             }
             Say::Heard(session) => {
                 self.lines[line].unheard.remove(&session);
-                self.feed(Input::ReleaseHeard { server, session });
+                self.feed(Input::ReleaseConfirmed { server, session });
             }
         }
     }
@@ -646,10 +646,10 @@
         self.lines[line].to_gate.clear();
         let out = std::mem::take(&mut self.lines[line].out);
         let unheard = std::mem::take(&mut self.lines[line].unheard).into_iter().collect();
-        self.feed(Input::HostClosed { server: name(host), whole: false, unheard, made_room: false });
+        self.feed(Input::HostDisconnected { server: name(host), whole: false, unheard, made_room: false });
         for (session, attempt) in out {
             self.end_attempt(session, attempt, false);
-            self.feed(Input::Cut { server: name(host), session, attempt, begun: true });
+            self.feed(Input::ConnectionLost { server: name(host), session, attempt, begun: true });
         }
     }
 
@@ -677,7 +677,7 @@
         let paid = self.under.settings.classes[class].effect == Effect::SingleShot;
         self.judge.owed.insert(session, (self.now + patience as Micros * MS, paid));
         let (conn, set_up) = (session % 4, self.set_up(session, class, patience, None));
-        self.feed(Input::SetUp { conn, came: self.now, set_up });
+        self.feed(Input::SetUp { conn, received_at: self.now, set_up });
     }
 
     pub fn step(&mut self) {
@@ -701,7 +701,7 @@
             5 => {
                 let conn = self.below(4) as u64;
                 self.judge.owed.retain(|session, _| session % 4 != conn);
-                self.feed(Input::Closed { conn });
+                self.feed(Input::ClientDisconnected { conn });
             }
             6 | 7 => {
                 let stands: Vec<_> = self.judge.stands.keys().copied().collect();
@@ -814,7 +814,7 @@
         let set_up = self.set_up(session, 0, 1_000, Some(host));
         // The gateway takes it at its word unless it has heard of its end, by its host or by its viewer.
         let held = self.lifecycle.held();
-        self.feed(Input::SetUp { conn: 9, came: self.now, set_up });
+        self.feed(Input::SetUp { conn: 9, received_at: self.now, set_up });
         if self.lifecycle.held() > held {
             self.judge.stands.insert(session, host);
         }
--- a/crates/elderpick-sessions/tests/lifecycle.rs
+++ b/crates/elderpick-sessions/tests/lifecycle.rs
@@ -115,7 +115,7 @@
     }
 
     fn ask(&mut self, session: u64, class: &str) -> Vec<Output> {
-        self.feed(Input::SetUp { conn: 5, came: self.now, set_up: asks(session, class) })
+        self.feed(Input::SetUp { conn: 5, received_at: self.now, set_up: asks(session, class) })
     }
 
     /// Lets time pass, tick by tick.
@@ -157,7 +157,7 @@
 /// The cause of the final answer that it does not stand.
 fn turned(out: &[Output]) -> Option<u8> {
     out.iter().find_map(|o| match o {
-        Output::Turned { cause, .. } => Some(*cause),
+        Output::Rejected { cause, .. } => Some(*cause),
         _ => None,
     })
 }
@@ -179,9 +179,9 @@
         assert_ne!(second, Some(first));
     }
     let ends: [(End, bool); 4] = [
-        (|server, attempt| Input::Cut { server, session: 1, attempt, begun: false }, true),
-        (|server, attempt| Input::Kept { server, session: 1, attempt }, true),
-        (|server, attempt| Input::Cut { server, session: 1, attempt, begun: true }, false),
+        (|server, attempt| Input::ConnectionLost { server, session: 1, attempt, begun: false }, true),
+        (|server, attempt| Input::NotSent { server, session: 1, attempt }, true),
+        (|server, attempt| Input::ConnectionLost { server, session: 1, attempt, begun: true }, false),
         (
             |server, attempt| {
                 let (attempt, report) = (Some(attempt), Report::default());
@@ -201,7 +201,8 @@
 #[test]
 fn what_is_given_up_is_answered_at_once_and_told_when_to_come_back() {
     let mut world = World::new(&[]);
-    let refused = Output::Turned { conn: 5, session: 1, cause: cause::REFUSED, stay_away: Some(400 * MS) };
+    let refused =
+        Output::Rejected { conn: 5, session: 1, cause: cause::REFUSED, retry_after: Some(400 * MS) };
     assert_eq!(world.ask(1, "paid"), [refused]);
     assert_eq!((world.lifecycle.open(), world.lifecycle.held()), (0, 0));
 }
@@ -232,7 +233,7 @@
         for step in [answered, !answered] {
             let out = if step { world.answer(&at, 1) } else { world.feed(Input::Tick) };
             finals +=
-                out.iter().filter(|o| matches!(o, Output::Answer { .. } | Output::Turned { .. })).count();
+                out.iter().filter(|o| matches!(o, Output::Answer { .. } | Output::Rejected { .. })).count();
             let withdrawn = out.contains(&Output::Withdraw { server: at.clone(), session: 1, attempt: 1 });
             assert_eq!(withdrawn, !answered && !step);
         }
@@ -256,9 +257,9 @@
         }
         assert_eq!(world.lifecycle.held(), 0);
         let copied = SetUp { title: "another".into(), ..asks(1, "paid") };
-        let out = world.feed(Input::SetUp { conn: 6, came: world.now, set_up: copied });
+        let out = world.feed(Input::SetUp { conn: 6, received_at: world.now, set_up: copied });
         let cause = cause::UNREADABLE;
-        assert_eq!(out, [Output::Turned { conn: 6, session: 1, cause, stay_away: None }]);
+        assert_eq!(out, [Output::Rejected { conn: 6, session: 1, cause, retry_after: None }]);
         assert!(sent(&world.ask(2, "paid")).is_some());
     }
 }
@@ -315,7 +316,12 @@
     world.play(2, "paid");
     assert_eq!(turned(&world.ask(3, "paid")), Some(cause::REFUSED), "both seats are taken");
     world.feed(Input::Opened { server: at.clone(), how: Opened::Up });
-    world.feed(Input::HostClosed { server: at.clone(), whole: false, unheard: Vec::new(), made_room: false });
+    world.feed(Input::HostDisconnected {
+        server: at.clone(),
+        whole: false,
+        unheard: Vec::new(),
+        made_room: false,
+    });
     let mut over = Vec::new();
     for _ in 0..40 {
         for output in world.pass(50 * MS) {
@@ -323,7 +329,7 @@
                 Output::Open { server } => {
                     world.feed(Input::Opened { server, how: Opened::Refused });
                 }
-                Output::Over { conn, session, .. } => over.push((conn, session)),
+                Output::SessionEnded { conn, session, .. } => over.push((conn, session)),
                 _ => {}
             }
         }
@@ -347,7 +353,7 @@
             world.now += 250 * MS;
             out = world.feed(Input::Opened { server: at.clone(), how: Opened::Silent });
         }
-        let told = out.iter().any(|o| matches!(o, Output::Over { session: 1, .. }));
+        let told = out.iter().any(|o| matches!(o, Output::SessionEnded { session: 1, .. }));
         over = told.then_some(world.now - start);
     }
     assert!(over.unwrap() < 6_000 * MS, "{over:?}");
@@ -358,7 +364,7 @@
     let mut world = World::new(&["a"]);
     let at = world.play(1, "free");
     let out = world.list(listed("a", ServerState::Up, Some(world.now)));
-    assert!(out.contains(&Output::Over { conn: Some(5), session: 1, cause: cause::FAILED }));
+    assert!(out.contains(&Output::SessionEnded { conn: Some(5), session: 1, cause: cause::FAILED }));
     assert!(out.contains(&Output::Forget { server: at }));
 }
 
@@ -374,7 +380,7 @@
         if says {
             assert_eq!(world.released(&at, 1, cause::ENDED_BY_VIEWER), []);
         } else {
-            assert!(world.pass(1_000 * MS).iter().all(|o| !matches!(o, Output::Over { .. })));
+            assert!(world.pass(1_000 * MS).iter().all(|o| !matches!(o, Output::SessionEnded { .. })));
         }
         assert!(sent(&world.ask(4, "paid")).is_some());
     }
@@ -389,10 +395,14 @@
     let release = Output::Release { server: at.clone(), session: 1, cause: cause::ENDED_BY_VIEWER };
     let said = |out: Vec<Output>| out.into_iter().filter(|o| *o == release).count();
     assert_eq!(said(world.feed(Input::Release { conn: 5, session: 1, cause: cause::ENDED_BY_VIEWER })), 1);
-    let closed =
-        || Input::HostClosed { server: at.clone(), whole: false, unheard: vec![1, 2], made_room: false };
+    let closed = || Input::HostDisconnected {
+        server: at.clone(),
+        whole: false,
+        unheard: vec![1, 2],
+        made_room: false,
+    };
     assert_eq!(said(world.feed(closed())), 1, "and nothing of session 2");
-    world.feed(Input::ReleaseHeard { server: at.clone(), session: 1 });
+    world.feed(Input::ReleaseConfirmed { server: at.clone(), session: 1 });
     assert_eq!(said(world.feed(closed())), 0);
     assert_eq!(world.lifecycle.held(), 1);
 }
@@ -401,20 +411,20 @@
 #[test]
 fn a_hand_over_that_lay_unread_since_before_its_host_was_another_process_does_not_stand() {
     let mut world = World::new(&["a"]);
-    let came = world.now;
+    let received_at = world.now;
     world.pass(1_500 * MS);
-    world.list(listed("a", ServerState::Up, Some(came + 500 * MS)));
-    let mut hand = |came, session| {
+    world.list(listed("a", ServerState::Up, Some(received_at + 500 * MS)));
+    let mut hand = |received_at, session| {
         let mut handed = asks(session, "free");
         handed.figures.at = Some("a".into());
-        let out = world.feed(Input::SetUp { conn: 5, came, set_up: handed });
+        let out = world.feed(Input::SetUp { conn: 5, received_at, set_up: handed });
         (out, world.lifecycle.held())
     };
-    let (out, held) = hand(came, 1);
-    let over = Output::Over { conn: Some(5), session: 1, cause: cause::FAILED };
+    let (out, held) = hand(received_at, 1);
+    let over = Output::SessionEnded { conn: Some(5), session: 1, cause: cause::FAILED };
     let release = |o: &Output| matches!(o, Output::Release { session: 1, .. });
     assert!(held == 0 && out.contains(&over) && out.iter().any(release), "{out:?}");
-    let (out, held) = hand(came + 1_500 * MS, 2);
+    let (out, held) = hand(received_at + 1_500 * MS, 2);
     assert_eq!((out, held), (vec![], 1), "what came since plays at the new one");
 }
 
@@ -426,13 +436,13 @@
     for session in crowd.clone() {
         let mut handed = asks(session, "free");
         handed.figures.at = Some("a".into());
-        world.feed(Input::SetUp { conn: 5, came: world.now, set_up: handed });
+        world.feed(Input::SetUp { conn: 5, received_at: world.now, set_up: handed });
     }
     for session in crowd.clone() {
         world.feed(Input::Release { conn: 5, session, cause: cause::ENDED_BY_VIEWER });
     }
     let at = ServerId("a".into());
-    let closed = || Input::HostClosed {
+    let closed = || Input::HostDisconnected {
         server: at.clone(),
         whole: false,
         unheard: crowd.clone().collect(),
@@ -441,7 +451,7 @@
     let released = |out: Vec<Output>| out.iter().filter(|o| matches!(o, Output::Release { .. })).count();
     assert_eq!(released(world.feed(closed())), 5_000);
     for session in crowd.clone().filter(|session| session % 5 > 0) {
-        world.feed(Input::ReleaseHeard { server: at.clone(), session });
+        world.feed(Input::ReleaseConfirmed { server: at.clone(), session });
     }
     assert_eq!(released(world.feed(closed())), 1_000);
 }
@@ -475,7 +485,7 @@
         world.answer(&at, 2);
         world.feed(Input::Release { conn: 5, session: 2, cause: cause::ENDED_BY_VIEWER });
         world.pass(seconds * 1_000 * MS);
-        let out = world.feed(Input::HostClosed {
+        let out = world.feed(Input::HostDisconnected {
             server: at.clone(),
             whole: false,
             unheard: vec![1, 2],
@@ -495,7 +505,8 @@
     world.pass(OUTAGE - 1_000 * MS);
     assert_eq!(world.answer(&at, 1).len(), 1, "a late answer is released");
     world.pass(2_000 * MS);
-    let out = world.feed(Input::HostClosed { server: at, whole: false, unheard: vec![1], made_room: false });
+    let out =
+        world.feed(Input::HostDisconnected { server: at, whole: false, unheard: vec![1], made_room: false });
     assert_eq!(out.len(), 1, "the release is two seconds old, whatever the withdrawal is");
 }
 
@@ -507,8 +518,8 @@
     world.pass(30_000 * MS);
     let mut handed = asks(1, "free");
     handed.figures.at = Some("a".into());
-    let out = world.feed(Input::SetUp { conn: 5, came: world.now, set_up: handed });
-    assert_eq!(out, [Output::Over { conn: Some(5), session: 1, cause: cause::FAILED }]);
+    let out = world.feed(Input::SetUp { conn: 5, received_at: world.now, set_up: handed });
+    assert_eq!(out, [Output::SessionEnded { conn: Some(5), session: 1, cause: cause::FAILED }]);
     assert_eq!(world.lifecycle.held(), 0);
 }
 
@@ -520,12 +531,12 @@
     world.answer(&at, 1);
     let mut handed = asks(2, "free");
     handed.figures.at = Some("a".into());
-    world.feed(Input::SetUp { conn: 5, came: world.now, set_up: handed });
+    world.feed(Input::SetUp { conn: 5, received_at: world.now, set_up: handed });
     world.released(&at, 1, cause::FAILED);
     assert!(world.lifecycle.stands_on(5) && !world.lifecycle.stands_on(6));
     world.feed(Input::Release { conn: 6, session: 2, cause: cause::ENDED_BY_VIEWER });
     assert!(world.lifecycle.stands_on(5), "its host has not said so");
-    world.feed(Input::ReleaseHeard { server: at, session: 2 });
+    world.feed(Input::ReleaseConfirmed { server: at, session: 2 });
     assert!(!world.lifecycle.stands_on(5));
 }
 
@@ -539,9 +550,11 @@
     world.feed(Input::List { kind: ListKind::Full, hosts: vec![listed("a", ServerState::Up, None)] });
     let mut set_up = asks(1, "free");
     (set_up.figures.home, set_up.figures.copies) = (4, 3);
-    assert!(sent(&world.feed(Input::SetUp { conn: 5, came: world.now, set_up: set_up.clone() })).is_some());
+    assert!(
+        sent(&world.feed(Input::SetUp { conn: 5, received_at: world.now, set_up: set_up.clone() })).is_some()
+    );
     (set_up.session, set_up.figures.copies) = (2, 0);
-    let out = world.feed(Input::SetUp { conn: 5, came: world.now, set_up });
+    let out = world.feed(Input::SetUp { conn: 5, received_at: world.now, set_up });
     assert_eq!(turned(&out), Some(cause::UNREADABLE), "no copies are out of range all the same");
 }
 
@@ -552,20 +565,23 @@
     handed.figures.at = Some("a".into());
     handed.patience_ms = 4_294_967;
     for _ in 0..2 {
-        let hand = Input::SetUp { conn: 5, came: world.now, set_up: handed.clone() };
+        let hand = Input::SetUp { conn: 5, received_at: world.now, set_up: handed.clone() };
         let out = world.feed(hand);
         assert!(
             !out.iter()
-                .any(|o| matches!(o, Output::Answer { .. } | Output::Turned { .. } | Output::SetUp { .. }))
+                .any(|o| matches!(o, Output::Answer { .. } | Output::Rejected { .. } | Output::SetUp { .. }))
         );
     }
-    assert_eq!((world.lifecycle.held(), world.lifecycle.counts.handed, world.lifecycle.open()), (1, 1, 0));
-    let over = Output::Over { conn: Some(5), session: 1, cause: 16 };
+    assert_eq!(
+        (world.lifecycle.held(), world.lifecycle.counts.handed_over, world.lifecycle.open()),
+        (1, 1, 0)
+    );
+    let over = Output::SessionEnded { conn: Some(5), session: 1, cause: 16 };
     assert_eq!(world.released(&server("a"), 1, 16), [over]);
     assert_eq!(world.released(&server("a"), 1, 16), [], "hosts say it again on the next connection");
     handed.figures.at = Some("nowhere".into());
-    let hand = Input::SetUp { conn: 5, came: world.now, set_up: handed };
-    let lost = Output::Over { conn: Some(5), session: 1, cause: cause::FAILED };
+    let hand = Input::SetUp { conn: 5, received_at: world.now, set_up: handed };
+    let lost = Output::SessionEnded { conn: Some(5), session: 1, cause: cause::FAILED };
     assert_eq!(world.feed(hand), [lost]);
 }
 
@@ -575,7 +591,7 @@
     world.play(1, "free");
     let at = sent(&world.ask(2, "free")).unwrap();
     assert_eq!(
-        world.feed(Input::Closed { conn: 5 }),
+        world.feed(Input::ClientDisconnected { conn: 5 }),
         [Output::Withdraw { server: at, session: 2, attempt: 2 }]
     );
     assert_eq!((world.lifecycle.held(), world.lifecycle.open(), world.lifecycle.open_on(5)), (1, 0, 0));
@@ -591,13 +607,13 @@
     let mut far = asks(2, "free");
     far.figures.home = 4;
     assert_eq!(
-        turned(&world.feed(Input::SetUp { conn: 5, came: world.now, set_up: far })),
+        turned(&world.feed(Input::SetUp { conn: 5, received_at: world.now, set_up: far })),
         Some(cause::UNREADABLE)
     );
     let answers: Vec<_> = (10..100).map(|id| turned(&world.ask(id, "free"))).collect();
     assert_eq!(answers.iter().flatten().count(), 90 - 63, "64 set-ups are open on one connection at most");
     assert!(answers.iter().flatten().all(|c| *c == cause::REFUSED));
-    world.feed(Input::Closed { conn: 5 });
+    world.feed(Input::ClientDisconnected { conn: 5 });
     assert_eq!((world.lifecycle.held(), world.lifecycle.open()), (0, 0));
 }
 
@@ -621,7 +637,7 @@
                     assert!(self.owed.remove(session).is_some(), "answered twice");
                     self.out.remove(session);
                 }
-                Output::Turned { session, cause, .. } => {
+                Output::Rejected { session, cause, .. } => {
                     let (_, paid) = self.owed.remove(session).expect("answered twice");
                     assert!(
                         !paid || *cause != cause::REFUSED || !self.ran.contains(session),
@@ -689,7 +705,7 @@
                         judge.ran.insert(session);
                     }
                     let attempt = world.attempt(session);
-                    world.feed(Input::Cut { server: at, session, attempt, begun })
+                    world.feed(Input::ConnectionLost { server: at, session, attempt, begun })
                 }
                 7 => {
                     let session = nth(judge.owed.keys().copied().collect());
--- a/crates/elderpick-sessions/tests/unit/admission.rs
+++ b/crates/elderpick-sessions/tests/unit/admission.rs
@@ -26,25 +26,25 @@
 fn silent_guests_make_room_before_idle_ones_and_busy_ones_stay() {
     let mut admission = Admission::new(3);
     (1..=3).for_each(|conn| {
-        assert_eq!(admission.come(conn as Micros, conn, &with(|_| true)), AdmissionDecision::Admitted)
+        assert_eq!(admission.accept(conn as Micros, conn, &with(|_| true)), AdmissionDecision::Admitted)
     });
-    admission.said(10, 1);
-    admission.said(11, 2);
-    admission.open(11, 2, 1);
+    admission.message_received(10, 1);
+    admission.message_received(11, 2);
+    admission.set_open(11, 2, 1);
     assert_eq!(
-        admission.come(12, 4, &with(|_| true)),
+        admission.accept(12, 4, &with(|_| true)),
         AdmissionDecision::InsteadOf(3),
         "never said anything"
     );
-    admission.said(13, 4);
-    admission.open(13, 4, 2);
-    assert_eq!(admission.come(14, 5, &with(|_| true)), AdmissionDecision::InsteadOf(1), "idle longest");
-    admission.said(15, 5);
+    admission.message_received(13, 4);
+    admission.set_open(13, 4, 2);
+    assert_eq!(admission.accept(14, 5, &with(|_| true)), AdmissionDecision::InsteadOf(1), "idle longest");
+    admission.message_received(15, 5);
     assert!(admission.has_room(&with(|_| true)) && !admission.has_room(&with(|_| false)));
-    admission.open(15, 5, 1);
+    admission.set_open(15, 5, 1);
     assert!(!admission.has_room(&with(|_| true)));
     assert_eq!(
-        (admission.come(16, 6, &with(|_| true)), admission.held()),
+        (admission.accept(16, 6, &with(|_| true)), admission.held()),
         (AdmissionDecision::Full, 3),
         "all have set-ups open"
     );
@@ -54,14 +54,14 @@
 fn the_silent_and_the_half_said_are_closed_in_time() {
     let mut admission = Admission::new(9);
     (1..=3)
-        .for_each(|conn| assert_eq!(admission.come(0, conn, &with(|_| true)), AdmissionDecision::Admitted));
-    admission.said(0, 2);
-    admission.said(0, 3);
-    admission.open(0, 3, 1);
-    admission.read(100, 3, true);
+        .for_each(|conn| assert_eq!(admission.accept(0, conn, &with(|_| true)), AdmissionDecision::Admitted));
+    admission.message_received(0, 2);
+    admission.message_received(0, 3);
+    admission.set_open(0, 3, 1);
+    admission.read_finished(100, 3, true);
     assert!(admission.overdue(PARTIAL, false, &with(|_| true)).is_empty());
     assert_eq!(admission.overdue(SILENT, false, &with(|_| true)), [1], "an answer is owed on the third");
-    admission.open(SILENT, 3, 0);
+    admission.set_open(SILENT, 3, 0);
     assert_eq!(admission.overdue(SILENT, false, &with(|_| true)), [3], "half a message for too long");
     assert_eq!(admission.overdue(IDLE, false, &with(|_| true)), [2]);
     assert_eq!(admission.held(), 0);
@@ -71,11 +71,11 @@
 fn what_was_sent_and_not_read_yet_is_not_idle() {
     let mut admission = Admission::new(2);
     for conn in [1, 2] {
-        assert_eq!(admission.come(0, conn, &with(|_| true)), AdmissionDecision::Admitted);
-        admission.said(1, conn);
+        assert_eq!(admission.accept(0, conn, &with(|_| true)), AdmissionDecision::Admitted);
+        admission.message_received(1, conn);
     }
-    assert_eq!(admission.come(2, 3, &with(|conn| conn != 1)), AdmissionDecision::InsteadOf(2));
-    assert_eq!(admission.come(2, 4, &with(|_| false)), AdmissionDecision::Full);
+    assert_eq!(admission.accept(2, 3, &with(|conn| conn != 1)), AdmissionDecision::InsteadOf(2));
+    assert_eq!(admission.accept(2, 4, &with(|_| false)), AdmissionDecision::Full);
     assert!(admission.overdue(IDLE * 2, true, &with(|_| false)).is_empty());
     assert_eq!(admission.overdue(IDLE * 2, true, &with(|conn| conn == 1)), [1]);
 }
@@ -86,20 +86,24 @@
     let known = Known { quiet: |_| true, standing: &[1] };
     let mut admission = Admission::new(2);
     for conn in [1, 2] {
-        assert_eq!(admission.come(0, conn, &known), AdmissionDecision::Admitted);
-        admission.said(conn as Micros, conn);
+        assert_eq!(admission.accept(0, conn, &known), AdmissionDecision::Admitted);
+        admission.message_received(conn as Micros, conn);
     }
     assert_eq!(
-        admission.come(3, 3, &known),
+        admission.accept(3, 3, &known),
         AdmissionDecision::InsteadOf(2),
         "though the first is idle longer"
     );
-    admission.said(4, 3);
+    admission.message_received(4, 3);
     assert_eq!(admission.overdue(3_600_000_000, false, &known), [3]);
     assert_eq!(admission.held(), 1);
-    admission.come(3_600_000_000, 4, &known);
-    admission.said(3_600_000_000, 4);
-    admission.open(3_600_000_000, 4, 1);
-    assert_eq!(admission.come(3_600_000_001, 5, &known), AdmissionDecision::InsteadOf(1), "there is no room");
+    admission.accept(3_600_000_000, 4, &known);
+    admission.message_received(3_600_000_000, 4);
+    admission.set_open(3_600_000_000, 4, 1);
+    assert_eq!(
+        admission.accept(3_600_000_001, 5, &known),
+        AdmissionDecision::InsteadOf(1),
+        "there is no room"
+    );
     assert_eq!(admission.overdue(3_600_000_002, true, &known), [5], "at the end all go that may");
 }
