Lifecycle: usual names of fields, short functions, hand-over and request apart

Stage::Stands is Active, what is held is sessions, and so on (docs/architecture.md, Names). handle was 90 lines and set_up 80: each input has a function of its own now, set_up is viewing, hand_over, request and settle_early_end, and an early end is a type in place of a tuple with a boolean. No behaviour changes: 58 tests of elderpick-sessions (among them 600 generated cases with a judge) and 8 of elderpick-node pass as before.

--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -26,8 +26,8 @@
 const WAITING: usize = 64;
 /// Withdrawals and releases on one connection that are remembered until they are confirmed, and words that wait for one:
 /// all that may stand at a host may be over in one moment.
-const UNHEARD: usize = lifecycle::STANDING;
-const PENDING: usize = lifecycle::STANDING;
+const UNHEARD: usize = lifecycle::MOST_SESSIONS;
+const PENDING: usize = lifecycle::MOST_SESSIONS;
 /// A connection that is used no more is kept so long for what may still come on it.
 const RETIRED: Duration = Duration::from_secs(1);
 /// A withdrawal is confirmed by then where its line goes on. A set-up that arrives more than a tenth of a second behind
@@ -140,7 +140,7 @@
         Ways {
             lines: Vec::new(),
             opening: 0,
-            pending: PendingQueue::new(PENDING, lifecycle::OUTAGE),
+            pending: PendingQueue::new(PENDING, lifecycle::LONGEST_OUTAGE),
             waiting: VecDeque::new(),
         }
     }
--- a/crates/elderpick-node/src/hosts/pool.rs
+++ b/crates/elderpick-node/src/hosts/pool.rs
@@ -36,7 +36,7 @@
         let (lifecycle, ways, now) = (self.lifecycle.borrow(), self.hosts.ways.borrow(), self.now());
         let idle = ways.iter().flat_map(|(server, ways)| {
             let only = ways.lines.iter().filter(|line| line.free()).count() < 2;
-            let stands = lifecycle.stands_at(server);
+            let stands = lifecycle.has_sessions_at(server);
             let may_go = move |line: &Rc<Line>| !(only && stands) || now - line.up >= TURN;
             let idle = ways.lines.iter().filter(move |line| may_go(line) && line.free() && line.idle());
             idle.map(move |line| ((only, only && stands, line.used.get()), stands, line))
@@ -188,7 +188,7 @@
         let (lifecycle, now) = (self.lifecycle.borrow(), self.now());
         let mut all = self.hosts.ways.borrow_mut();
         all.retain(|server, ways| {
-            let (known, stands) = (lifecycle.address(server).is_some(), lifecycle.stands_at(server));
+            let (known, stands) = (lifecycle.address(server).is_some(), lifecycle.has_sessions_at(server));
             let mut spare = ways.lines.iter().filter(|l| !l.retired.get()).count();
             for line in &ways.lines {
                 let stale = now - line.used.get().max(line.read.get()) > self.hosts.stale;
--- a/crates/elderpick-node/src/journal.rs
+++ b/crates/elderpick-node/src/journal.rs
@@ -12,8 +12,8 @@
 use crate::node::Node;
 
 /// A stream that says nothing whole for so long has stopped: a comment comes each second.
-const MUTE: Duration = Duration::from_millis(2_200);
-const OPEN: Duration = Duration::from_millis(1_000);
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_200);
+const OPEN_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Follows the journal for good: again after each break, at the new address after a change.
 pub(crate) async fn follow(node: Rc<Node>) {
@@ -39,10 +39,11 @@
 
 async fn follow_once(node: &Rc<Node>) {
     let (to, place) = (node.journal.get(), node.follow.borrow().place());
-    let Ok(mut events) = Events::open_behind(to, "/journal", &node.name, Some(place), OPEN).await else {
+    let Ok(mut events) = Events::open_behind(to, "/journal", &node.name, Some(place), OPEN_TIMEOUT).await
+    else {
         return;
     };
-    while let Some(said) = events.said(MUTE).await {
+    while let Some(said) = events.said(SILENCE_TIMEOUT).await {
         let message = match said {
             Said::Event(message) => message,
             Said::Comment => {
--- a/crates/elderpick-node/src/lib.rs
+++ b/crates/elderpick-node/src/lib.rs
@@ -32,20 +32,20 @@
 
 /// Descriptors that are neither viewers' nor hosts': those of the process, and some for connections that are on their way
 /// out. A quarter of all is the most that is set aside.
-const RESERVE: usize = 32;
+const RESERVED_DESCRIPTORS: usize = 32;
 /// Of these the process has the listener, the journal, three standard streams and the runtime's own.
-const OF_THE_PROCESS: usize = 12;
+const PROCESS_DESCRIPTORS: usize = 12;
 /// A connection to a host that is not up by then is given up, where the settings tell no other time.
-const CONNECT: Micros = 250_000;
+const DEFAULT_CONNECT_TIMEOUT: Micros = 250_000;
 /// After SIGTERM viewers go on coming for a while; then no new connection is taken.
-const COMING: Duration = Duration::from_millis(900);
+const ACCEPT_AFTER_SIGTERM: Duration = Duration::from_millis(900);
 /// Then what is idle is closed, with such pauses, until nothing is left.
-const CROSSING: Duration = Duration::from_millis(150);
+const SHUTDOWN_POLL: Duration = Duration::from_millis(150);
 /// What was said to hosts is written before the end: how often that is looked for, with such pauses. Words that found no
 /// connection are tried again meanwhile.
-const MOST_LAST_WORDS: usize = 100;
-const LAST_WORDS: Duration = Duration::from_millis(20);
-const RETRIES_APART: usize = 10;
+const MOST_FLUSH_POLLS: usize = 100;
+const FLUSH_POLL: Duration = Duration::from_millis(20);
+const POLLS_PER_RETRY: usize = 10;
 
 /// Reads a configuration file.
 fn read(path: &Path) -> Result<Boot, String> {
@@ -79,11 +79,12 @@
     let classes = info.profiles.iter().map(|p| p.name.clone()).collect();
     let lifecycle = Lifecycle::new(core, classes, info.extra.cells);
     let for_hosts = boot.limits.sockets * 3 / 8;
-    let reserve = RESERVE.min(boot.limits.sockets / 4);
+    let reserve = RESERVED_DESCRIPTORS.min(boot.limits.sockets / 4);
     let for_viewers = boot.limits.sockets - for_hosts - reserve;
     // One half for lines to hosts that are being closed, the other for viewers that are told that there is no room.
-    let spare = reserve.saturating_sub(OF_THE_PROCESS) / 2;
-    let connect = Some(info.limits.connect_timeout_us).filter(|us| *us > 0).unwrap_or(CONNECT);
+    let spare = reserve.saturating_sub(PROCESS_DESCRIPTORS) / 2;
+    let connect =
+        Some(info.limits.connect_timeout_us).filter(|us| *us > 0).unwrap_or(DEFAULT_CONNECT_TIMEOUT);
     let connect = Duration::from_micros(connect as u64);
     let clock = WallClock::start();
     let (ran, behind) = (clock.now(), None);
@@ -110,7 +111,7 @@
         refusing: Cell::new(0),
         next_conn: Cell::new(0),
         buffer: RefCell::new(vec![0; link::CHUNK]),
-        releases: RefCell::new(Releases::new(lifecycle::STANDING)),
+        releases: RefCell::new(Releases::new(lifecycle::MOST_SESSIONS)),
         follow: RefCell::new(Follow::new(0)),
         journal: Cell::new(boot.journal),
         moved: Default::default(),
@@ -145,26 +146,26 @@
     node.ending.set(true);
     tracing::info!(open = node.lifecycle.borrow().open(), held = node.lifecycle.borrow().held(), "ending");
     // The list goes on being followed, wherever the journal moves: what is open may still be placed.
-    pass(COMING, &mut hang_up, || reload(&node, &path)).await;
+    pass(ACCEPT_AFTER_SIGTERM, &mut hang_up, || reload(&node, &path)).await;
     node.stop_accepting.notify_one();
     let _ = accepting.await;
     let mut shutdown = Shutdown::default();
     loop {
         node.close_overdue(true);
-        pass(CROSSING, &mut hang_up, || reload(&node, &path)).await;
+        pass(SHUTDOWN_POLL, &mut hang_up, || reload(&node, &path)).await;
         let (open, connections) = (node.lifecycle.borrow().open(), node.clients.borrow().len());
         if shutdown.may_end(open, connections) {
             break;
         }
     }
-    for round in 0..MOST_LAST_WORDS {
+    for round in 0..MOST_FLUSH_POLLS {
         if node.hosts_told() {
             break;
         }
-        if round % RETRIES_APART == 0 {
+        if round % POLLS_PER_RETRY == 0 {
             node.host_say_kept();
         }
-        pass(LAST_WORDS, &mut hang_up, || {}).await;
+        pass(FLUSH_POLL, &mut hang_up, || {}).await;
     }
     node.log_state();
     tracing::info!("ended");
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -379,8 +379,8 @@
         Node::quiet(self, conn)
     }
 
-    fn stands_on(&self, conn: Conn) -> bool {
-        self.lifecycle.borrow().stands_on(conn)
+    fn has_sessions_on(&self, conn: Conn) -> bool {
+        self.lifecycle.borrow().has_sessions_on(conn)
     }
 }
 
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -10,7 +10,7 @@
 use elderpick_platform::MOST_MESSAGE;
 use elderpick_platform::viewer::{self, Decoder, Message, SetUp, cause, kind};
 use elderpick_sessions::admission::AdmissionDecision;
-use elderpick_sessions::lifecycle::{Conn, Input, OPEN_ON_ONE};
+use elderpick_sessions::lifecycle::{Conn, Input, MOST_OPEN_PER_CONNECTION};
 use elderpick_sessions::pending::PendingQueue;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
@@ -59,7 +59,7 @@
 }
 
 /// Most that may be owed to one connection's viewers: an answer for each set-up that is open.
-const MOST_OWED: usize = OPEN_ON_ONE * MOST_MESSAGE;
+const MOST_OWED: usize = MOST_OPEN_PER_CONNECTION * MOST_MESSAGE;
 
 /// All viewers' connections.
 pub(crate) type Clients = BTreeMap<Conn, Rc<Client>>;
--- a/crates/elderpick-sessions/src/admission.rs
+++ b/crates/elderpick-sessions/src/admission.rs
@@ -45,7 +45,7 @@
     /// Whether nothing has come on it that was not read yet.
     fn quiet(&self, conn: Conn) -> bool;
     /// Whether sessions stand that were asked for on it.
-    fn stands_on(&self, conn: Conn) -> bool;
+    fn has_sessions_on(&self, conn: Conn) -> bool;
 }
 
 /// The connections of viewers.
@@ -78,7 +78,7 @@
             let order = |(conn, client): (&Conn, &Client)| {
                 let has_asked = client.last_message.is_some();
                 (
-                    (has_asked, known.stands_on(*conn)),
+                    (has_asked, known.has_sessions_on(*conn)),
                     client.last_message.unwrap_or(client.accepted_at),
                     *conn,
                 )
@@ -127,7 +127,7 @@
         let over = |conn: Conn, client: &Client| {
             let silent = client.last_message.is_none() && now - client.accepted_at >= SILENT;
             let partial = client.partial.is_some_and(|since| now - since >= PARTIAL);
-            let idle = client.last_message.is_some_and(|at| now - at >= IDLE) && !known.stands_on(conn);
+            let idle = client.last_message.is_some_and(|at| now - at >= IDLE) && !known.has_sessions_on(conn);
             // What is open is still owed its answer, whatever else the connection does.
             client.open == 0 && (partial || silent || idle || all_idle) && known.quiet(conn)
         };
--- a/crates/elderpick-sessions/src/lifecycle.rs
+++ b/crates/elderpick-sessions/src/lifecycle.rs
@@ -16,9 +16,7 @@
 use std::net::SocketAddr;
 
 use elderpick_core::Controller;
-use elderpick_core::api::{
-    Action, Event, ListKind, Micros, Note, Report, RequestId, ServerId, ServerState, Status,
-};
+use elderpick_core::api::{Action, Event, Micros, Report, ServerId, ServerState, Status};
 use elderpick_platform::journal::Listed;
 use elderpick_platform::viewer::{SetUp, cause};
 
@@ -34,26 +32,26 @@
 pub type AttemptId = u64;
 
 /// Set-ups open on one connection, and in all; one more is refused.
-pub const OPEN_ON_ONE: usize = 64;
-const OPEN: usize = 1_024;
+pub const MOST_OPEN_PER_CONNECTION: usize = 64;
+const MOST_OPEN: usize = 1_024;
 /// Sessions that stand; one more is refused.
-pub const STANDING: usize = 50_000;
+pub const MOST_SESSIONS: usize = 50_000;
 /// A host's word that a session is over is waited for so long, then its seat is taken to be free.
-const ENDING: Micros = 1_000_000;
+const SEAT_RELEASED_AFTER: Micros = 1_000_000;
 /// What may still cross is remembered for all that may be held, since a cut or a host's death ends them in one moment.
-const CROSSING: usize = STANDING + OPEN;
+const MOST_REMEMBERED: usize = MOST_SESSIONS + MOST_OPEN;
 /// How long a host may be out of reach and still be told what it missed: withdrawals and releases that it has not
 /// confirmed, and the answers to what was withdrawn. It must exceed every outage after which the host goes on as the
 /// same process, which no setting tells, so that their number is the bound that counts.
-pub const OUTAGE: Micros = 600_000_000;
+pub const LONGEST_OUTAGE: Micros = 600_000_000;
 /// Set-ups that were answered or given up: a further one under the number of one is not its viewer's, as each gets a
 /// new number. It delays nothing.
-const ANSWERED_LASTS: Micros = 30_000_000;
+const ANSWERS_KEPT_FOR: Micros = 30_000_000;
 /// Ends of sessions that are not held here: one that is handed over only then is over already. Hand-overs come right
 /// after the first test is passed, and a start may take 30 s.
-const ENDED_LASTS: Micros = 60_000_000;
+const ENDS_KEPT_FOR: Micros = 60_000_000;
 /// How often hosts are looked at.
-const LOOK: Micros = 50_000;
+const HEALTH_POLL: Micros = 50_000;
 
 #[derive(Clone, Debug)]
 enum Stage {
@@ -66,7 +64,7 @@
         /// The host's last start, as it was known when this was decided.
         started: Option<Micros>,
     },
-    Stands {
+    Active {
         server: ServerId,
     },
     /// Released by its viewer; its host has not said so.
@@ -86,10 +84,14 @@
 }
 
 impl Session {
+    fn new(conn: Conn, deadline: Micros, set_up: Option<Box<SetUp>>, stage: Stage) -> Session {
+        Session { conn: Some(conn), deadline, set_up, rung: 0, sends: 0, stage }
+    }
+
     fn server(&self) -> Option<&ServerId> {
         match &self.stage {
             Stage::Waiting => None,
-            Stage::Out { server, .. } | Stage::Stands { server } | Stage::Ending { server } => Some(server),
+            Stage::Out { server, .. } | Stage::Active { server } | Stage::Ending { server } => Some(server),
         }
     }
 
@@ -105,10 +107,10 @@
 struct Server {
     listed: Listed,
     /// Sessions that stand there or are ending.
-    standing: BTreeSet<u64>,
+    sessions: BTreeSet<u64>,
     health: HealthMonitor,
     /// When it was heard to be another process than before.
-    renewed: Option<Micros>,
+    replaced_at: Option<Micros>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
@@ -126,22 +128,22 @@
     /// `None` where the settings tell of no cells: then any host holds any title.
     cells: Option<usize>,
     servers: BTreeMap<ServerId, Server>,
-    held: BTreeMap<u64, Session>,
+    sessions: BTreeMap<u64, Session>,
     /// Set-ups that are open, by connection.
     open: BTreeMap<Conn, BTreeSet<u64>>,
-    opened: usize,
+    open_count: usize,
     /// How many sessions stand or are ending, by the connection that they were asked for on.
-    standing_on: BTreeMap<Conn, usize>,
-    given_up: ExpiringMap<(ServerId, u64)>,
-    unheard: ExpiringMap<(ServerId, u64)>,
-    answered: ExpiringMap<u64>,
+    active_on: BTreeMap<Conn, usize>,
+    withdrawn: ExpiringMap<(ServerId, u64)>,
+    unconfirmed: ExpiringMap<(ServerId, u64)>,
+    recent_answers: ExpiringMap<u64>,
     /// What ended before it was held here, with its host where that said so, and the cause.
-    ended: ExpiringMap<(u64, Option<ServerId>), u8>,
+    recent_ends: ExpiringMap<(u64, Option<ServerId>), u8>,
     attempts: AttemptId,
     timers: BinaryHeap<Reverse<(Micros, Timer)>>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
-    looked: Micros,
+    polled_at: Micros,
     fetching: bool,
     pub counts: Counts,
 }
@@ -154,19 +156,19 @@
             classes,
             cells: cells.filter(|cells| *cells > 0),
             servers: BTreeMap::new(),
-            held: BTreeMap::new(),
+            sessions: BTreeMap::new(),
             open: BTreeMap::new(),
-            opened: 0,
-            standing_on: BTreeMap::new(),
-            given_up: ExpiringMap::new(CROSSING, OUTAGE),
-            unheard: ExpiringMap::new(CROSSING, OUTAGE),
-            answered: ExpiringMap::new(CROSSING, ANSWERED_LASTS),
-            ended: ExpiringMap::new(CROSSING, ENDED_LASTS),
+            open_count: 0,
+            active_on: BTreeMap::new(),
+            withdrawn: ExpiringMap::new(MOST_REMEMBERED, LONGEST_OUTAGE),
+            unconfirmed: ExpiringMap::new(MOST_REMEMBERED, LONGEST_OUTAGE),
+            recent_answers: ExpiringMap::new(MOST_REMEMBERED, ANSWERS_KEPT_FOR),
+            recent_ends: ExpiringMap::new(MOST_REMEMBERED, ENDS_KEPT_FOR),
             attempts: 0,
             timers: BinaryHeap::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
-            looked: 0,
+            polled_at: 0,
             fetching: false,
             counts: Counts::default(),
         }
@@ -188,13 +190,13 @@
     }
 
     /// Whether sessions stand at a host, so that a connection to it is wanted.
-    pub fn stands_at(&self, server: &ServerId) -> bool {
-        self.servers.get(server).is_some_and(|s| !s.standing.is_empty())
+    pub fn has_sessions_at(&self, server: &ServerId) -> bool {
+        self.servers.get(server).is_some_and(|s| !s.sessions.is_empty())
     }
 
     /// Set-ups that have no final answer yet.
     pub fn open(&self) -> usize {
-        self.opened
+        self.open_count
     }
 
     /// Set-ups open on a connection.
@@ -203,24 +205,24 @@
     }
 
     /// Whether sessions stand that were asked for on a connection: their viewers are told of their ends on it.
-    pub fn stands_on(&self, conn: Conn) -> bool {
-        self.standing_on.contains_key(&conn)
+    pub fn has_sessions_on(&self, conn: Conn) -> bool {
+        self.active_on.contains_key(&conn)
     }
 
     /// The connection that a session was asked for on.
     pub fn asked_on(&self, session: u64) -> Option<Conn> {
-        self.held.get(&session)?.conn
+        self.sessions.get(&session)?.conn
     }
 
     /// Sessions that are held, in whatever stage.
     pub fn held(&self) -> usize {
-        self.held.len()
+        self.sessions.len()
     }
 
     /// Whether a set-up may be written to a host now: it is still wanted, its host still takes new ones, and is the
     /// process that it was decided for.
     pub fn may_write(&self, server: &ServerId, session: u64, attempt: AttemptId, now: Micros) -> bool {
-        let held = self.held.get(&session).filter(|h| h.is_out_as(server, attempt));
+        let held = self.sessions.get(&session).filter(|h| h.is_out_as(server, attempt));
         let Some(Session { stage: Stage::Out { until, started, .. }, .. }) = held else {
             return false;
         };
@@ -231,99 +233,59 @@
     /// When [`Input::Tick`] is due.
     pub fn next_timer(&self) -> Option<Micros> {
         let timer = self.timers.peek().map(|Reverse((at, _))| *at);
-        let look = self.servers.values().any(|s| !s.standing.is_empty()).then_some(self.looked + LOOK);
+        let look =
+            self.servers.values().any(|s| !s.sessions.is_empty()).then_some(self.polled_at + HEALTH_POLL);
         timer.into_iter().chain(look).min()
     }
 
-    /// Takes one thing that happens at the time `now` and appends what is to be done.
+    /// Takes one input at the time `now` and appends what is to be done.
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
         match input {
             Input::SetUp { conn, received_at, set_up } => self.set_up(now, conn, received_at, set_up, out),
             Input::Release { conn, session, cause } => self.release(now, conn, session, cause, out),
-            Input::ClientDisconnected { conn } => {
-                for session in self.open.get(&conn).cloned().unwrap_or_default() {
-                    self.release(now, conn, session, cause::GIVEN_UP, out);
-                }
-            }
+            Input::ClientDisconnected { conn } => self.client_disconnected(now, conn, out),
             Input::Answer { server, session, attempt, description, over } => {
                 self.answered(now, server, session, attempt, (description, over), out);
             }
             Input::Refused { server, session, attempt, status, report } => {
-                self.attempt_over(&server, session, attempt, status, report);
+                self.end_attempt(&server, session, attempt, status, report);
             }
             Input::Released { server, session, attempt, cause, report } => {
                 self.released(now, server, session, attempt, cause, report, out);
             }
-            Input::ReleaseConfirmed { server, session } => {
-                self.unheard.remove(now, &(server.clone(), session));
-                let ending = |h: &Session| matches!(&h.stage, Stage::Ending { server: at } if *at == server);
-                if self.held.get(&session).is_some_and(ending) {
-                    self.end(now, session, Status::Cancelled, Report::default());
-                }
-            }
-            Input::Note { server, session, note } => {
-                let there = |h: &Session| matches!(&h.stage, Stage::Stands { server: at } if *at == server);
-                if let Some(held) = self.held.get_mut(&session).filter(|h| there(h)) {
-                    if let Note::Rung(rung) = note {
-                        held.rung = rung;
-                    }
-                    self.events.push_back(Event::Noted { id: RequestId(session), server, note });
-                }
-            }
+            Input::ReleaseConfirmed { server, session } => self.release_confirmed(now, server, session),
+            Input::Note { server, session, note } => self.note(server, session, note),
             Input::ConnectionLost { server, session, attempt, begun } => {
-                let status = if begun { Status::Reset } else { Status::ConnectError };
-                if begun && self.held.get(&session).is_some_and(|h| h.is_out_as(&server, attempt)) {
-                    // Its answer may have gone down with the connection: then it stands there.
-                    self.say_release(now, server.clone(), session, cause::ENDED_BY_VIEWER, out);
-                }
-                self.attempt_over(&server, session, attempt, status, Report::default());
+                self.connection_lost(now, server, session, attempt, begun, out);
             }
             Input::NotSent { server, session, attempt } => {
-                self.attempt_over(&server, session, attempt, Status::Ignored, Report::default());
+                self.end_attempt(&server, session, attempt, Status::Ignored, Report::default());
             }
             Input::Probed { server, status, report } => {
                 if self.servers.contains_key(&server) {
                     self.events.push_back(Event::Probed { server, status, report });
                 }
             }
-            Input::Opened { server, how } => {
-                if let Some(server) = self.servers.get_mut(&server) {
-                    server.health.opened(now, how);
-                }
-            }
+            Input::Opened { server, how } => self.monitor(&server, |health| health.opened(now, how)),
             Input::HostDisconnected { server, whole, unheard, made_room } => {
-                self.looked = Micros::MIN / 2;
-                if let Some(at) = self.servers.get_mut(&server) {
-                    at.health.closed(whole);
+                self.polled_at = Micros::MIN / 2;
+                self.monitor(&server, |health| {
+                    health.closed(whole);
                     if made_room {
-                        at.health.made_room(now);
+                        health.made_room(now);
                     }
-                }
+                });
                 // Releases may have gone down with the connection, and a set-up that was withdrawn on it may stand.
                 let unheard: BTreeSet<_> = unheard.into_iter().collect();
-                self.say_again(now, &server, |session| unheard.contains(&session), out);
-            }
-            Input::Heard { server } => {
-                if let Some(server) = self.servers.get_mut(&server) {
-                    server.health.heard(now);
-                }
+                self.resend_releases(now, &server, |session| unheard.contains(&session), out);
             }
+            Input::Heard { server } => self.monitor(&server, |health| health.heard(now)),
             Input::List { kind, hosts } => self.list(now, kind, hosts, out),
-            Input::CaughtUp => {
-                if std::mem::take(&mut self.fetching) {
-                    let entries = self.servers.values().map(|s| s.listed.entry.clone());
-                    let entries = entries.filter(|e| e.state != ServerState::Gone).collect();
-                    self.events.push_back(Event::List { kind: ListKind::Full, entries });
-                }
-            }
-            Input::ListFailed => {
-                if std::mem::take(&mut self.fetching) {
-                    self.events.push_back(Event::List { kind: ListKind::Failed, entries: Vec::new() });
-                }
-            }
+            Input::CaughtUp => self.list_caught_up(),
+            Input::ListFailed => self.list_failed(),
             Input::Tick => self.tick(now, out),
         }
-        self.look(now, out);
+        self.poll_health(now, out);
         self.decide(now, out);
     }
 
@@ -342,9 +304,9 @@
     fn carry_out(&mut self, now: Micros, action: Action, out: &mut Vec<Output>) {
         match action {
             Action::Rate { id, rung } => {
-                let Some(held) = self.held.get_mut(&id.0) else { return };
+                let Some(held) = self.sessions.get_mut(&id.0) else { return };
                 held.rung = rung;
-                if let Stage::Stands { server } = &held.stage {
+                if let Stage::Active { server } = &held.stage {
                     out.push(Output::Rung { server: server.clone(), session: id.0, rung });
                 }
             }
@@ -374,21 +336,8 @@
             self.timers.pop();
             match timer {
                 Timer::Alarm(token) => self.events.push_back(Event::Alarm { token }),
-                Timer::Ending(session) => {
-                    if self.held.get(&session).is_some_and(|h| matches!(h.stage, Stage::Ending { .. })) {
-                        self.end(now, session, Status::Cancelled, Report::default());
-                    }
-                }
-                Timer::Attempt(session, named) => {
-                    let Some(held) = self.held.get(&session) else { continue };
-                    if let Stage::Out { server, attempt, .. } = &held.stage
-                        && *attempt == named
-                    {
-                        let (server, attempt) = (server.clone(), *attempt);
-                        self.say_withdrawn(now, server.clone(), session, attempt, out);
-                        self.attempt_over(&server, session, attempt, Status::TimedOut, Report::default());
-                    }
-                }
+                Timer::Ending(session) => self.release_timed_out(now, session),
+                Timer::Attempt(session, attempt) => self.attempt_timed_out(now, session, attempt, out),
             }
             // Each in its turn: what a time-out leads to is decided before the next alarm.
             self.decide(now, out);
--- a/crates/elderpick-sessions/src/lifecycle/attempts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/attempts.rs
@@ -6,7 +6,7 @@
 use elderpick_core::api::{Event, Micros, Report, RequestId, ServerId, ServerState, Status};
 use elderpick_platform::viewer::cause;
 
-use super::{AttemptId, Lifecycle, Output, Stage, Timer};
+use super::{AttemptId, Lifecycle, Output, Session, Stage, Timer};
 
 impl Lifecycle {
     pub(super) fn send(
@@ -17,7 +17,7 @@
         timeout: Micros,
         out: &mut Vec<Output>,
     ) {
-        let Some(held) = self.held.get_mut(&session) else { return };
+        let Some(held) = self.sessions.get_mut(&session) else { return };
         let (Some(set_up), Stage::Waiting) = (&held.set_up, &held.stage) else { return };
         held.sends += 1;
         let entry = self.servers.get(&server).map(|s| &s.listed.entry);
@@ -44,7 +44,7 @@
     }
 
     /// The attempt at a host has ended without a session.
-    pub(super) fn attempt_over(
+    pub(super) fn end_attempt(
         &mut self,
         server: &ServerId,
         session: u64,
@@ -52,7 +52,7 @@
         status: Status,
         report: Report,
     ) {
-        let held = self.held.get_mut(&session).filter(|h| h.is_out_as(server, attempt));
+        let held = self.sessions.get_mut(&session).filter(|h| h.is_out_as(server, attempt));
         let Some(held) = held else { return };
         held.stage = Stage::Waiting;
         let (id, attempt) = (RequestId(session), held.sends - 1);
@@ -68,45 +68,82 @@
         (description, over): (Bytes, Option<u8>),
         out: &mut Vec<Output>,
     ) {
-        let held = self.held.get(&session);
+        let held = self.sessions.get(&session);
         if !held.is_some_and(|h| attempt.is_some_and(|attempt| h.is_out_as(&server, attempt))) {
             // A second copy, an answer that nobody asked for, or one that crossed a withdrawal: only the last stands.
             // A host knows a session by its number alone: where a further attempt is out or stands there, a release of
             // the one before would end that.
             let another = held.is_some_and(|h| h.server() == Some(&server));
-            if !another && self.given_up.remove(now, &(server.clone(), session)).is_some() {
-                self.say_release(now, server, session, cause::ENDED_BY_VIEWER, out);
+            if !another && self.withdrawn.remove(now, &(server.clone(), session)).is_some() {
+                self.send_release(now, server, session, cause::ENDED_BY_VIEWER, out);
             }
             return;
         }
         self.close(session);
-        let Some(held) = self.held.get_mut(&session) else { return };
-        held.stage = Stage::Stands { server: server.clone() };
+        let Some(held) = self.sessions.get_mut(&session) else { return };
+        held.stage = Stage::Active { server: server.clone() };
         held.set_up = None;
         let (conn, attempt) = (held.conn, held.sends - 1);
-        self.stands_now(conn);
+        self.add_active(conn);
         if let Some(cause) = over {
             // It stood for a moment: an answer would promise what is over.
             let rejected = |conn| Output::Rejected { conn, session, cause: cause::FAILED, retry_after: None };
             out.extend(conn.map(rejected));
             self.counts.failed += 1;
-            self.answered.insert(now, session, ());
+            self.recent_answers.insert(now, session, ());
             self.events.push_back(Event::Playing { id: RequestId(session), attempt });
-            return self.end(now, session, Lifecycle::ended_as(cause), Report::default());
+            return self.end(now, session, Lifecycle::status_of_end(cause), Report::default());
         }
         if let Some(conn) = conn {
             out.push(Output::Answer { conn, session, description });
         }
         self.counts.served += 1;
-        self.answered.insert(now, session, ());
+        self.recent_answers.insert(now, session, ());
         if let Some(server) = self.servers.get_mut(&server) {
-            server.standing.insert(session);
+            server.sessions.insert(session);
         }
         self.events.push_back(Event::Playing { id: RequestId(session), attempt });
     }
 
+    /// The time of an attempt is up: it is withdrawn, if it is still out.
+    pub(super) fn attempt_timed_out(
+        &mut self,
+        now: Micros,
+        session: u64,
+        timed_out: AttemptId,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(Session { stage: Stage::Out { server, attempt, .. }, .. }) = self.sessions.get(&session)
+        else {
+            return;
+        };
+        if *attempt == timed_out {
+            let server = server.clone();
+            self.send_withdrawal(now, server.clone(), session, timed_out, out);
+            self.end_attempt(&server, session, timed_out, Status::TimedOut, Report::default());
+        }
+    }
+
+    /// The connection of an attempt is gone. What was not begun to be written never ran.
+    pub(super) fn connection_lost(
+        &mut self,
+        now: Micros,
+        server: ServerId,
+        session: u64,
+        attempt: AttemptId,
+        begun: bool,
+        out: &mut Vec<Output>,
+    ) {
+        let status = if begun { Status::Reset } else { Status::ConnectError };
+        if begun && self.sessions.get(&session).is_some_and(|held| held.is_out_as(&server, attempt)) {
+            // Its answer may have gone down with the connection: then it stands there.
+            self.send_release(now, server.clone(), session, cause::ENDED_BY_VIEWER, out);
+        }
+        self.end_attempt(&server, session, attempt, status, Report::default());
+    }
+
     /// An attempt is withdrawn at its host, which may have answered it by now or never hear of this.
-    pub(super) fn say_withdrawn(
+    pub(super) fn send_withdrawal(
         &mut self,
         now: Micros,
         server: ServerId,
@@ -114,8 +151,8 @@
         attempt: AttemptId,
         out: &mut Vec<Output>,
     ) {
-        self.given_up.renew(now, (server.clone(), session), ());
-        self.unheard.renew(now, (server.clone(), session), ());
+        self.withdrawn.renew(now, (server.clone(), session), ());
+        self.unconfirmed.renew(now, (server.clone(), session), ());
         out.push(Output::Withdraw { server, session, attempt });
     }
 }
--- a/crates/elderpick-sessions/src/lifecycle/health.rs
+++ b/crates/elderpick-sessions/src/lifecycle/health.rs
@@ -3,18 +3,25 @@
 use elderpick_core::api::{Micros, Report, ServerId, ServerState, Status};
 use elderpick_platform::viewer::cause;
 
-use super::{LOOK, Lifecycle, Output, Session, Stage};
+use super::{HEALTH_POLL, Lifecycle, Output, Session, Stage};
 use crate::health::{HealthMonitor, Next};
 
 impl Lifecycle {
+    /// Tells the monitor of a host, if the list has the host.
+    pub(super) fn monitor(&mut self, server: &ServerId, tell: impl FnOnce(&mut HealthMonitor)) {
+        if let Some(server) = self.servers.get_mut(server) {
+            tell(&mut server.health);
+        }
+    }
+
     /// Looks at hosts where sessions stand.
-    pub(super) fn look(&mut self, now: Micros, out: &mut Vec<Output>) {
-        if now - self.looked < LOOK {
+    pub(super) fn poll_health(&mut self, now: Micros, out: &mut Vec<Output>) {
+        if now - self.polled_at < HEALTH_POLL {
             return;
         }
-        self.looked = now;
+        self.polled_at = now;
         let mut lost = Vec::new();
-        let mut watched: Vec<_> = self.servers.iter_mut().filter(|(_, s)| !s.standing.is_empty()).collect();
+        let mut watched: Vec<_> = self.servers.iter_mut().filter(|(_, s)| !s.sessions.is_empty()).collect();
         watched.sort_by_key(|(_, server)| server.health.last_heard());
         for (id, server) in watched {
             match server.health.next(now, server.listed.entry.state != ServerState::Gone) {
@@ -25,7 +32,7 @@
             }
         }
         for server in lost {
-            self.lose(now, &server, out);
+            self.lose_host(now, &server, out);
             if let Some(server) = self.servers.get_mut(&server) {
                 server.health = HealthMonitor::new(now);
             }
@@ -33,30 +40,30 @@
     }
 
     /// All that stands at a host is over: it died, or is out of reach for good.
-    pub(super) fn lose(&mut self, now: Micros, server: &ServerId, out: &mut Vec<Output>) {
+    pub(super) fn lose_host(&mut self, now: Micros, server: &ServerId, out: &mut Vec<Output>) {
         let Some(at) = self.servers.get_mut(server) else { return };
         self.counts.hosts_lost += 1;
         let attempt_there = |(session, held): (&u64, &Session)| match &held.stage {
             Stage::Out { server: at, attempt, .. } if at == server => Some((*session, *attempt)),
             _ => None,
         };
-        let out_there: Vec<_> = self.held.iter().filter_map(attempt_there).collect();
-        let standing = std::mem::take(&mut at.standing);
+        let out_there: Vec<_> = self.sessions.iter().filter_map(attempt_there).collect();
+        let standing = std::mem::take(&mut at.sessions);
         out.push(Output::Forget { server: server.clone() });
         // If it was only out of reach, it has to hear what is over, also what waited for a connection that is dropped.
-        self.say_again(now, server, |_| true, out);
+        self.resend_releases(now, server, |_| true, out);
         for (session, attempt) in out_there {
-            self.attempt_over(server, session, attempt, Status::Reset, Report::default());
-            self.say_release(now, server.clone(), session, cause::ENDED_BY_VIEWER, out);
+            self.end_attempt(server, session, attempt, Status::Reset, Report::default());
+            self.send_release(now, server.clone(), session, cause::ENDED_BY_VIEWER, out);
         }
         for session in standing {
-            let Some(held) = self.held.get(&session) else { continue };
-            if let Stage::Stands { .. } = held.stage {
+            let Some(held) = self.sessions.get(&session) else { continue };
+            if let Stage::Active { .. } = held.stage {
                 out.push(Output::SessionEnded { conn: held.conn, session, cause: cause::FAILED });
             }
-            self.say_release(now, server.clone(), session, cause::ENDED_BY_VIEWER, out);
+            self.send_release(now, server.clone(), session, cause::ENDED_BY_VIEWER, out);
             self.end(now, session, Status::Reset, Report::default());
         }
-        self.drop_if_gone(server);
+        self.remove_if_gone(server);
     }
 }
--- a/crates/elderpick-sessions/src/lifecycle/hosts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/hosts.rs
@@ -26,30 +26,46 @@
                     another
                 }
                 None => {
-                    let (listed, standing, health) = (host.clone(), BTreeSet::new(), HealthMonitor::new(now));
-                    let server = Server { listed, standing, health, renewed: None };
+                    let (listed, sessions, health) = (host.clone(), BTreeSet::new(), HealthMonitor::new(now));
+                    let server = Server { listed, sessions, health, replaced_at: None };
                     self.servers.insert(id.clone(), server);
                     false
                 }
             };
             if another {
-                self.lose(now, &id, out);
+                self.lose_host(now, &id, out);
                 if let Some(server) = self.servers.get_mut(&id) {
                     server.health = HealthMonitor::new(now);
-                    server.renewed = Some(now);
+                    server.replaced_at = Some(now);
                 }
             }
         }
         let entries = hosts.into_iter().map(|h| h.entry).collect();
         self.events.push_back(Event::List { kind, entries });
         let gone: Vec<_> = self.servers.keys().cloned().collect();
-        gone.iter().for_each(|id| self.drop_if_gone(id));
+        gone.iter().for_each(|id| self.remove_if_gone(id));
+    }
+
+    /// All that the journal has is known: the module gets the whole list if it has asked for it.
+    pub(super) fn list_caught_up(&mut self) {
+        if std::mem::take(&mut self.fetching) {
+            let entries = self.servers.values().map(|s| s.listed.entry.clone());
+            let entries = entries.filter(|e| e.state != ServerState::Gone).collect();
+            self.events.push_back(Event::List { kind: ListKind::Full, entries });
+        }
+    }
+
+    /// The journal cannot be reached, which the module is told if it waits for the whole list.
+    pub(super) fn list_failed(&mut self) {
+        if std::mem::take(&mut self.fetching) {
+            self.events.push_back(Event::List { kind: ListKind::Failed, entries: Vec::new() });
+        }
     }
 
     /// A host that the list has no more and where nothing stands is forgotten.
-    pub(super) fn drop_if_gone(&mut self, id: &ServerId) {
-        let gone = |s: &Server| s.listed.entry.state == ServerState::Gone && s.standing.is_empty();
-        if self.servers.get(id).is_some_and(gone) && !self.held.values().any(|h| h.is_out_at(id)) {
+    pub(super) fn remove_if_gone(&mut self, id: &ServerId) {
+        let gone = |s: &Server| s.listed.entry.state == ServerState::Gone && s.sessions.is_empty();
+        if self.servers.get(id).is_some_and(gone) && !self.sessions.values().any(|h| h.is_out_at(id)) {
             self.servers.remove(id);
         }
     }
--- a/crates/elderpick-sessions/src/lifecycle/requests.rs
+++ b/crates/elderpick-sessions/src/lifecycle/requests.rs
@@ -5,9 +5,37 @@
 use elderpick_core::api::{Event, Micros, Report, RequestId, ServerId, Status, Viewing};
 use elderpick_platform::viewer::{SetUp, cause};
 
-use super::{Conn, ENDING, Lifecycle, OPEN, OPEN_ON_ONE, Output, STANDING, Session, Stage, Timer};
+use super::{
+    Conn, Lifecycle, MOST_OPEN, MOST_OPEN_PER_CONNECTION, MOST_SESSIONS, Output, SEAT_RELEASED_AFTER,
+    Session, Stage, Timer,
+};
+
+/// Highest rung of a viewer that a set-up may name.
+const HIGHEST_TOP: usize = 255;
+
+/// An end of a session that was told before the session was handed over.
+pub(super) struct EarlyEnd {
+    by: EndedBy,
+    cause: u8,
+}
+
+/// Who ended a session.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum EndedBy {
+    Viewer,
+    Host,
+}
+
+/// A set-up in terms of the module.
+struct Asked {
+    session: u64,
+    conn: Conn,
+    received_at: Micros,
+    viewing: Viewing,
+}
 
 impl Lifecycle {
+    /// Takes a set-up: a request, or with a host in it the hand-over of a session that plays there.
     pub(super) fn set_up(
         &mut self,
         now: Micros,
@@ -17,93 +45,131 @@
         out: &mut Vec<Output>,
     ) {
         let session = set_up.session;
-        let figures = &set_up.figures;
-        let class = self.classes.iter().position(|name| *name == set_up.class);
-        let at = figures.at.as_ref().map(|at| ServerId(at.as_str().into()));
-        let in_cells = |cells: usize| figures.home < cells && figures.copies <= cells;
-        let holders = figures.copies > 0 && self.cells.is_none_or(in_cells);
-        let fits = holders && figures.top.is_none_or(|top| top <= 255);
-        let held = self.held.contains_key(&session);
+        let at = set_up.figures.at.as_ref().map(|at| ServerId(at.as_str().into()));
+        let held = self.sessions.contains_key(&session);
         if held && at.is_some() {
             return;
         }
-        if let Some((server, by_host, cause)) = at.as_ref().and_then(|at| self.ended_before(now, session, at))
+        if let Some(server) = &at
+            && let Some(end) = self.find_early_end(now, session, server)
         {
-            // Its end came here before it did: from its host, of which its viewer is told now, or from its viewer.
-            return match by_host {
-                true if cause == cause::ENDED_BY_VIEWER => {}
-                true => out.push(Output::SessionEnded { conn: Some(conn), session, cause }),
-                false => self.say_release(now, server, session, cause, out),
-            };
+            return self.settle_early_end(now, conn, session, server.clone(), end, out);
         }
-        let rejected = |cause| Output::Rejected { conn, session, cause, retry_after: None };
-        let used = held || self.answered.contains(now, &session);
-        let Some(class) = class.filter(|_| fits && (!used || at.is_some())) else {
+        let used = held || self.recent_answers.contains(now, &session);
+        let viewing = self.viewing(now, received_at, &set_up).filter(|_| !used || at.is_some());
+        let Some(viewing) = viewing else {
             self.counts.rejected += 1;
-            return out.push(rejected(cause::UNREADABLE));
+            let cause = cause::UNREADABLE;
+            return out.push(Output::Rejected { conn, session, cause, retry_after: None });
         };
-        let left = (received_at + set_up.patience_ms as Micros * 1_000 - now).max(0);
-        let viewing = Viewing {
+        let asked = Asked { session, conn, received_at, viewing };
+        match at {
+            Some(server) => self.hand_over(now, asked, server, out),
+            None => self.request(now, asked, set_up, out),
+        }
+    }
+
+    /// What a set-up asks for; `None` if it names what the settings do not have.
+    fn viewing(&self, now: Micros, received_at: Micros, set_up: &SetUp) -> Option<Viewing> {
+        let figures = &set_up.figures;
+        let class = self.classes.iter().position(|name| *name == set_up.class)?;
+        let in_cells = |cells: usize| figures.home < cells && figures.copies <= cells;
+        let holders = figures.copies > 0 && self.cells.is_none_or(in_cells);
+        if !holders || figures.top.is_some_and(|top| top > HIGHEST_TOP) {
+            return None;
+        }
+        Some(Viewing {
             class,
             title: set_up.title.clone(),
-            left,
+            left: (received_at + set_up.patience_ms as Micros * 1_000 - now).max(0),
             hint: None,
             home: figures.home,
             copies: figures.copies,
             top: figures.top.unwrap_or(usize::MAX),
+        })
+    }
+
+    /// A session that plays at a host comes under this gateway.
+    fn hand_over(&mut self, now: Micros, asked: Asked, server: ServerId, out: &mut Vec<Output>) {
+        let Asked { session, conn, received_at, viewing } = asked;
+        let ended = Output::SessionEnded { conn: Some(conn), session, cause: cause::FAILED };
+        let Some(to) = self.servers.get_mut(&server).filter(|_| self.sessions.len() < MOST_SESSIONS) else {
+            // It plays nowhere that is known: its viewer is to come again.
+            self.counts.rejected += 1;
+            return out.push(ended);
         };
-        let new = |stage, set_up| {
-            let (conn, deadline) = (Some(conn), now + left);
-            Session { conn, deadline, set_up, rung: 0, sends: 0, stage }
-        };
-        if let Some(server) = at {
-            let Some(to) = self.servers.get_mut(&server).filter(|_| self.held.len() < STANDING) else {
-                // It plays nowhere that is known: its viewer is to come again.
-                self.counts.rejected += 1;
-                return out.push(Output::SessionEnded { conn: Some(conn), session, cause: cause::FAILED });
-            };
-            if to.renewed.is_some_and(|heard| received_at < heard) {
-                // It may have lain unread since before its host became another process, and played at the one before.
-                self.counts.rejected += 1;
-                self.say_release(now, server, session, cause::ENDED_BY_VIEWER, out);
-                return out.push(Output::SessionEnded { conn: Some(conn), session, cause: cause::FAILED });
-            }
-            to.standing.insert(session);
-            self.stands_now(Some(conn));
-            self.counts.handed_over += 1;
-            self.held.insert(session, new(Stage::Stands { server: server.clone() }, None));
-            self.events.push_back(Event::Open { id: RequestId(session), viewing, server });
-            return;
+        if to.replaced_at.is_some_and(|replaced| received_at < replaced) {
+            // It may have lain unread since before its host became another process, and played at the one before.
+            self.counts.rejected += 1;
+            self.send_release(now, server, session, cause::ENDED_BY_VIEWER, out);
+            return out.push(ended);
         }
-        if self.open_on(conn) >= OPEN_ON_ONE || self.opened >= OPEN || self.held.len() >= STANDING {
+        to.sessions.insert(session);
+        self.add_active(Some(conn));
+        self.counts.handed_over += 1;
+        let stage = Stage::Active { server: server.clone() };
+        self.sessions.insert(session, Session::new(conn, now + viewing.left, None, stage));
+        self.events.push_back(Event::Open { id: RequestId(session), viewing, server });
+    }
+
+    /// A viewer asks for a session.
+    fn request(&mut self, now: Micros, asked: Asked, set_up: SetUp, out: &mut Vec<Output>) {
+        let Asked { session, conn, viewing, .. } = asked;
+        let full = self.open_on(conn) >= MOST_OPEN_PER_CONNECTION
+            || self.open_count >= MOST_OPEN
+            || self.sessions.len() >= MOST_SESSIONS;
+        if full {
             self.counts.rejected += 1;
-            return out.push(rejected(cause::REFUSED));
+            return out.push(Output::Rejected { conn, session, cause: cause::REFUSED, retry_after: None });
         }
         self.counts.accepted += 1;
-        self.opened += 1;
+        self.open_count += 1;
         self.open.entry(conn).or_default().insert(session);
-        self.held.insert(session, new(Stage::Waiting, Some(Box::new(set_up))));
+        let deadline = now + viewing.left;
+        self.sessions.insert(session, Session::new(conn, deadline, Some(Box::new(set_up)), Stage::Waiting));
         self.events.push_back(Event::Request { id: RequestId(session), viewing });
     }
 
-    /// The end of a session that is handed over only now: its host, whether that ended it, and the cause.
-    pub(super) fn ended_before(
-        &self,
+    /// The end of a session at this host that came before the session was handed over.
+    fn find_early_end(&self, now: Micros, session: u64, server: &ServerId) -> Option<EarlyEnd> {
+        let by_viewer = self.recent_ends.get(now, &(session, None));
+        let by_viewer = by_viewer.map(|cause| EarlyEnd { by: EndedBy::Viewer, cause: *cause });
+        let by_host = || self.recent_ends.get(now, &(session, Some(server.clone())));
+        by_viewer.or_else(|| by_host().map(|cause| EarlyEnd { by: EndedBy::Host, cause: *cause }))
+    }
+
+    /// Tells whoever has not heard of it that a session ended which is handed over only now.
+    fn settle_early_end(
+        &mut self,
         now: Micros,
+        conn: Conn,
         session: u64,
-        at: &ServerId,
-    ) -> Option<(ServerId, bool, u8)> {
-        let by_viewer = self.ended.get(now, &(session, None)).map(|cause| (at.clone(), false, *cause));
-        let by_host = || self.ended.get(now, &(session, Some(at.clone())));
-        by_viewer.or_else(|| by_host().map(|cause| (at.clone(), true, *cause)))
+        server: ServerId,
+        end: EarlyEnd,
+        out: &mut Vec<Output>,
+    ) {
+        let EarlyEnd { by, cause } = end;
+        match by {
+            EndedBy::Host if cause == cause::ENDED_BY_VIEWER => {}
+            EndedBy::Host => out.push(Output::SessionEnded { conn: Some(conn), session, cause }),
+            EndedBy::Viewer => self.send_release(now, server, session, cause, out),
+        }
+    }
+
+    /// A viewers' connection is gone: what is open on it is given up.
+    pub(super) fn client_disconnected(&mut self, now: Micros, conn: Conn, out: &mut Vec<Output>) {
+        for session in self.open.get(&conn).cloned().unwrap_or_default() {
+            self.release(now, conn, session, cause::GIVEN_UP, out);
+        }
     }
 
     /// The set-up of a session is open no longer.
     pub(super) fn close(&mut self, session: u64) {
-        let Some(conn) = self.held.get(&session).filter(|h| h.set_up.is_some()).and_then(|h| h.conn) else {
+        let Some(conn) = self.sessions.get(&session).filter(|h| h.set_up.is_some()).and_then(|h| h.conn)
+        else {
             return;
         };
-        self.opened -= 1;
+        self.open_count -= 1;
         if let Some(open) = self.open.get_mut(&conn) {
             open.remove(&session);
             if open.is_empty() {
@@ -121,9 +187,9 @@
         cause: u8,
         out: &mut Vec<Output>,
     ) {
-        let Some(held) = self.held.get_mut(&session) else {
-            if !self.answered.contains(now, &session) {
-                self.ended.insert(now, (session, None), cause);
+        let Some(held) = self.sessions.get_mut(&session) else {
+            if !self.recent_answers.contains(now, &session) {
+                self.recent_ends.insert(now, (session, None), cause);
             }
             return;
         };
@@ -132,15 +198,15 @@
             Stage::Waiting | Stage::Out { .. } if held.conn != Some(conn) => self.counts.rejected += 1,
             Stage::Waiting | Stage::Out { .. } => {
                 self.counts.withdrawn += 1;
-                self.answered.insert(now, session, ());
+                self.recent_answers.insert(now, session, ());
                 self.events.push_back(Event::Gone { id: RequestId(session) });
                 self.withdraw(now, session, out);
             }
-            Stage::Stands { server } => {
+            Stage::Active { server } => {
                 let server = server.clone();
                 held.stage = Stage::Ending { server: server.clone() };
-                self.timers.push(Reverse((now + ENDING, Timer::Ending(session))));
-                self.say_release(now, server, session, cause, out);
+                self.timers.push(Reverse((now + SEAT_RELEASED_AFTER, Timer::Ending(session))));
+                self.send_release(now, server, session, cause, out);
             }
             Stage::Ending { .. } => {}
         }
@@ -155,20 +221,20 @@
         retry_after: Option<Micros>,
         out: &mut Vec<Output>,
     ) {
-        let Some(held) = self.held.get(&session).filter(|h| h.set_up.is_some()) else { return };
+        let Some(held) = self.sessions.get(&session).filter(|h| h.set_up.is_some()) else { return };
         if let Some(conn) = held.conn {
             out.push(Output::Rejected { conn, session, cause, retry_after });
         }
-        self.answered.insert(now, session, ());
+        self.recent_answers.insert(now, session, ());
         self.withdraw(now, session, out);
     }
 
     /// Forgets a set-up that is answered or given up, and withdraws its attempt.
     pub(super) fn withdraw(&mut self, now: Micros, session: u64, out: &mut Vec<Output>) {
         self.close(session);
-        let Some(held) = self.held.remove(&session) else { return };
+        let Some(held) = self.sessions.remove(&session) else { return };
         if let Stage::Out { server, attempt, .. } = held.stage {
-            self.say_withdrawn(now, server, session, attempt, out);
+            self.send_withdrawal(now, server, session, attempt, out);
             let (id, attempt, status, closed) = (RequestId(session), held.sends - 1, Status::Cancelled, true);
             self.events.push_back(Event::Outcome { id, attempt, status, closed, report: Report::default() });
         }
--- a/crates/elderpick-sessions/tests/lifecycle.rs
+++ b/crates/elderpick-sessions/tests/lifecycle.rs
@@ -8,7 +8,7 @@
 use elderpick_platform::journal::Listed;
 use elderpick_platform::viewer::{Figures, SetUp, cause};
 use elderpick_sessions::health::Opened;
-use elderpick_sessions::lifecycle::{AttemptId, Input, Lifecycle, OUTAGE, Output};
+use elderpick_sessions::lifecycle::{AttemptId, Input, LONGEST_OUTAGE, Lifecycle, Output};
 use proptest::prelude::*;
 
 const MS: Micros = 1_000;
@@ -469,7 +469,7 @@
             assert_eq!(world.answer(&at, 99), []);
         }
         let released = Output::Release { server: at.clone(), session: 1, cause: cause::ENDED_BY_VIEWER };
-        let expected = if seconds * 1_000 * MS <= OUTAGE { vec![released] } else { vec![] };
+        let expected = if seconds * 1_000 * MS <= LONGEST_OUTAGE { vec![released] } else { vec![] };
         assert_eq!(world.answer(&at, 1), expected, "after {seconds} s");
     }
 }
@@ -502,7 +502,7 @@
     let mut world = World::new(&["a"]);
     let at = sent(&world.ask(1, "free")).unwrap();
     world.feed(Input::Release { conn: 5, session: 1, cause: cause::GIVEN_UP });
-    world.pass(OUTAGE - 1_000 * MS);
+    world.pass(LONGEST_OUTAGE - 1_000 * MS);
     assert_eq!(world.answer(&at, 1).len(), 1, "a late answer is released");
     world.pass(2_000 * MS);
     let out =
@@ -527,17 +527,17 @@
 fn a_connection_is_known_to_have_sessions_until_the_last_is_over() {
     let mut world = World::new(&["a"]);
     let at = sent(&world.ask(1, "free")).unwrap();
-    assert!(!world.lifecycle.stands_on(5), "it is only asked for");
+    assert!(!world.lifecycle.has_sessions_on(5), "it is only asked for");
     world.answer(&at, 1);
     let mut handed = asks(2, "free");
     handed.figures.at = Some("a".into());
     world.feed(Input::SetUp { conn: 5, received_at: world.now, set_up: handed });
     world.released(&at, 1, cause::FAILED);
-    assert!(world.lifecycle.stands_on(5) && !world.lifecycle.stands_on(6));
+    assert!(world.lifecycle.has_sessions_on(5) && !world.lifecycle.has_sessions_on(6));
     world.feed(Input::Release { conn: 6, session: 2, cause: cause::ENDED_BY_VIEWER });
-    assert!(world.lifecycle.stands_on(5), "its host has not said so");
+    assert!(world.lifecycle.has_sessions_on(5), "its host has not said so");
     world.feed(Input::ReleaseConfirmed { server: at, session: 2 });
-    assert!(!world.lifecycle.stands_on(5));
+    assert!(!world.lifecycle.has_sessions_on(5));
 }
 
 /// Where the settings tell of no cells any host holds any title, and any cell that a viewer names will do.
--- a/crates/elderpick-sessions/tests/unit/admission.rs
+++ b/crates/elderpick-sessions/tests/unit/admission.rs
@@ -13,7 +13,7 @@
         (self.quiet)(conn)
     }
 
-    fn stands_on(&self, conn: Conn) -> bool {
+    fn has_sessions_on(&self, conn: Conn) -> bool {
         self.standing.contains(&conn)
     }
 }
