--- a/crates/elderpick-node/src/link.rs
+++ b/crates/elderpick-node/src/buffered_stream.rs
@@ -13,19 +13,20 @@
 pub(crate) const READS_UP_TO: usize = 64 << 10;
 /// What is read at a time.
 pub(crate) const CHUNK: usize = 16 << 10;
-/// The last words are given so long to be written: they may be answers that are owed, to a peer that reads slowly.
-const LAST_WORDS: Duration = Duration::from_secs(2);
-/// A peer that was told that nothing more comes has so long to say its last words and to end the connection.
-const LEAVES: Duration = Duration::from_millis(500);
+/// What still waits at the end is given so long to be written: they may be answers that are owed, to a peer that
+/// reads slowly.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
+/// A peer that was told that nothing more comes has so long to send the last of what it has and to end the connection.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// How often it is looked whether a connection breaks behind its end.
-const BREAK_LOOKS: u32 = 10;
+const BREAK_POLLS: u32 = 10;
 /// Most that one look takes of what has come.
-const LOOK: usize = 4 << 10;
-const LOOKS: usize = 16;
+const POLL_CHUNK: usize = 4 << 10;
+const MOST_POLL_CHUNKS: usize = 16;
 
 /// What a look at a connection found.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub(crate) enum Look {
+pub(crate) enum PollResult {
     Nothing,
     /// All that had come was taken.
     All,
@@ -34,7 +35,7 @@
 }
 
 /// One connection. Its task reads and writes what waits; anyone may send.
-pub(crate) struct Link {
+pub(crate) struct BufferedStream {
     stream: TcpStream,
     waiting: RefCell<VecDeque<u8>>,
     /// Most bytes that may wait; a peer that reads so little is cut off.
@@ -53,11 +54,11 @@
     Now,
 }
 
-impl Link {
+impl BufferedStream {
     /// `most_owed` is what may be owed to the peer by the time that nothing more is read from it.
-    pub fn new(stream: TcpStream, most_owed: usize) -> Link {
+    pub fn new(stream: TcpStream, most_owed: usize) -> BufferedStream {
         let _ = stream.set_nodelay(true);
-        Link {
+        BufferedStream {
             stream,
             waiting: RefCell::default(),
             most_waiting: READS_UP_TO + most_owed,
@@ -118,12 +119,12 @@
         }
     }
 
-    /// Whether it goes on: what was said on it goes out.
+    /// Whether it goes on: what was sent on it goes out.
     pub fn goes_on(&self) -> bool {
         self.ending.get() == Ending::No
     }
 
-    /// Whether all that was said on it is written, or never will be.
+    /// Whether all that was sent on it is written, or never will be.
     pub fn written(&self) -> bool {
         self.ending.get() == Ending::Now || self.waiting.borrow().is_empty()
     }
@@ -133,23 +134,23 @@
         self.ending.get() == Ending::No && self.waiting.borrow().is_empty()
     }
 
-    /// Reads at once what has come, whatever the runtime knows of it. The connection's own task sees how it ends. More than
-    /// a bound is left to that.
-    pub fn look(&self, mut heard: impl FnMut(&[u8]) -> bool) -> Look {
-        let mut found = Look::Nothing;
-        for _ in 0..LOOKS {
-            let mut chunk = [0; LOOK];
+    /// Reads at once what has come, whatever the runtime knows of it. The connection's own task sees how it ends.
+    /// More than a bound is left to that.
+    pub fn poll_input(&self, mut heard: impl FnMut(&[u8]) -> bool) -> PollResult {
+        let mut found = PollResult::Nothing;
+        for _ in 0..MOST_POLL_CHUNKS {
+            let mut chunk = [0; POLL_CHUNK];
             let read = match self.ending.get() {
                 Ending::No => (&*socket2::SockRef::from(&self.stream)).read(&mut chunk),
                 _ => return found,
             };
             let Ok(read @ 1..) = read else { return found };
-            found = Look::All;
+            found = PollResult::All;
             if !heard(&chunk[..read]) {
                 self.end(false);
             }
         }
-        Look::More
+        PollResult::More
     }
 
     /// Ends it without losing what the peer may be saying: nothing more is written, and what comes is read until the
@@ -176,8 +177,8 @@
         self.wake.notify_one();
     }
 
-    /// Ends it so that what the peer's system has not confirmed never arrives: a network that is cut would carry it, and
-    /// the end behind it, once it is whole again. The system drops it when the connection's task does.
+    /// Ends it so that what the peer's system has not confirmed never arrives: a network that is cut would carry it,
+    /// and the end behind it, once it is whole again. The system drops it when the connection's task does.
     pub fn abort(&self) {
         let _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
         self.end(true);
@@ -185,11 +186,11 @@
 
     /// Whether the peer's system tells within this time, behind an end in order, that it does not take what was sent.
     pub async fn breaks_within(&self, time: Duration) -> bool {
-        for _ in 0..BREAK_LOOKS {
+        for _ in 0..BREAK_POLLS {
             if !matches!(self.stream.take_error(), Ok(None)) {
                 return true;
             }
-            tokio::time::sleep(time / BREAK_LOOKS).await;
+            tokio::time::sleep(time / BREAK_POLLS).await;
         }
         false
     }
@@ -243,7 +244,7 @@
                             }
                         }
                     };
-                    return tokio::time::timeout(LEAVES, last).await.unwrap_or(false);
+                    return tokio::time::timeout(CLOSE_TIMEOUT, last).await.unwrap_or(false);
                 }
                 Ending::Flushed if !wants_write => return false,
                 Ending::Flushed => {
@@ -254,7 +255,7 @@
                             }
                         }
                     };
-                    let _ = tokio::time::timeout(LAST_WORDS, last).await;
+                    let _ = tokio::time::timeout(FLUSH_TIMEOUT, last).await;
                     return false;
                 }
                 Ending::No => {}
@@ -284,5 +285,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/unit/link.rs"]
+#[path = "../tests/unit/buffered_stream.rs"]
 mod tests;
--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -1,4 +1,5 @@
-//! Connections to media hosts: a few for each, each with few set-ups on it, since one spoilt answer takes them all along.
+//! Connections to media hosts: a few for each, each with few set-ups on it, since one spoilt answer takes them all
+//! along.
 
 mod attempts;
 mod messages;
@@ -15,37 +16,37 @@
 use elderpick_sessions::lifecycle::{self, AttemptId, Input};
 use elderpick_sessions::pending::PendingQueue;
 
-use crate::link::Link;
+use crate::buffered_stream::BufferedStream;
 
 /// Set-ups that one connection carries where no further one may be opened, unless the settings allow fewer.
-const SHARED: usize = 8;
-/// A connection to a host where sessions stand is not closed for another sooner than this: with few descriptors all hosts
-/// are reached in turn, and the pace bounds what the turns cost.
-const TURN: Micros = 1_000_000;
+const SET_UPS_PER_CONNECTION: usize = 8;
+/// A connection to a host where sessions stand is not closed for another sooner than this: with few descriptors all
+/// hosts are reached in turn, and the pace bounds what the turns cost.
+const ROTATION: Micros = 1_000_000;
 /// Set-ups that wait for a connection that is being opened, where no further one may be; one more is not sent.
-const WAITING: usize = 64;
-/// Withdrawals and releases on one connection that are remembered until they are confirmed, and words that wait for one:
-/// all that may stand at a host may be over in one moment.
-const UNHEARD: usize = lifecycle::MOST_SESSIONS;
-const PENDING: usize = lifecycle::MOST_SESSIONS;
+const MOST_WAITING: usize = 64;
+/// Withdrawals and releases on one connection that are remembered until they are confirmed, and messages that wait
+/// for one: all that may stand at a host may be over in one moment.
+const MOST_UNCONFIRMED: usize = lifecycle::MOST_SESSIONS;
+const MOST_PENDING: usize = lifecycle::MOST_SESSIONS;
 /// A connection that is used no more is kept so long for what may still come on it.
-const RETIRED: Duration = Duration::from_secs(1);
-/// A withdrawal is confirmed by then where its line goes on. A set-up that arrives more than a tenth of a second behind
-/// its viewer's end is one too many, and what is written takes time.
-const CONFIRMED: Duration = Duration::from_millis(50);
+const RETIRED_FOR: Duration = Duration::from_secs(1);
+/// A withdrawal is confirmed by then where its connection goes on. A set-up that arrives more than a tenth of a
+/// second behind its viewer's end is one too many, and what is written takes time.
+const CONFIRM_WITHIN: Duration = Duration::from_millis(50);
 /// How often what comes may hold an attempt up at a time. Where the last look left something unread, who floods us may
 /// have left: it is looked at again after a pause.
-const MOST_LOOKS: u32 = 9;
-const LOOKS_APART: Duration = Duration::from_millis(1);
+const MOST_POLLS: u32 = 9;
+const POLL_PAUSE: Duration = Duration::from_millis(1);
 
 /// One connection to a host.
-pub(crate) struct Line {
-    link: Link,
+pub(crate) struct HostConnection {
+    stream: BufferedStream,
     decoder: RefCell<rtsp::Decoder>,
     /// Set-ups that are out on it: which attempts they are, and when they were written.
     out: RefCell<BTreeMap<u64, (AttemptId, Micros)>>,
     /// Sessions whose withdrawal or release was said on it and not confirmed on it.
-    unheard: RefCell<BTreeSet<u64>>,
+    unconfirmed: RefCell<BTreeSet<u64>>,
     /// Calls for load that are out on it.
     asked: RefCell<BTreeSet<u64>>,
     /// When it came up, was last read from and last written to.
@@ -53,7 +54,7 @@
     read: Cell<Micros>,
     used: Cell<Micros>,
     /// When the session lifecycle was last told that the host says anything.
-    told: Cell<Micros>,
+    reported_at: Cell<Micros>,
     /// Part of a message is held.
     partial: Cell<bool>,
     retired: Cell<bool>,
@@ -68,7 +69,7 @@
     pub attempt: AttemptId,
     pub bytes: Vec<u8>,
     /// How often it was held up by what was there to be read before it.
-    pub looks: u32,
+    pub polls: u32,
     /// The last look left something unread.
     pub unread: bool,
 }
@@ -89,20 +90,20 @@
     }
 }
 
-impl Line {
+impl HostConnection {
     fn free(&self) -> bool {
-        !self.retired.get() && self.link.free()
+        !self.retired.get() && self.stream.free()
     }
 
     fn idle(&self) -> bool {
         self.out.borrow().is_empty() && self.asked.borrow().is_empty()
     }
 
-    fn say(&self, (over, bytes): Message) {
-        let mut unheard = self.unheard.borrow_mut();
-        let room = unheard.len() < UNHEARD;
+    fn send(&self, (over, bytes): Message) {
+        let mut unheard = self.unconfirmed.borrow_mut();
+        let room = unheard.len() < MOST_UNCONFIRMED;
         unheard.extend(over.filter(|_| room));
-        self.link.send(&bytes);
+        self.stream.send(&bytes);
     }
 
     /// Takes out what is out under a session's number, if it is that attempt.
@@ -119,28 +120,28 @@
     /// heard to the end, since it would say so again on a new connection only.
     fn leave(&self, stands: bool) {
         self.retired.set(true);
-        if stands { self.link.leave() } else { self.link.end(true) }
+        if stands { self.stream.leave() } else { self.stream.end(true) }
     }
 }
 
-/// A word that wants no answer, and the session that it withdraws or releases, if it does.
+/// A message that wants no answer, and the session that it withdraws or releases, if it does.
 type Message = (Option<u64>, Vec<u8>);
 
 /// What leads to one host.
-struct Ways {
-    lines: Vec<Rc<Line>>,
+struct HostConnections {
+    connections: Vec<Rc<HostConnection>>,
     opening: usize,
     pending: PendingQueue<Message>,
     /// Set-ups that wait for an opening to end.
     waiting: VecDeque<Attempt>,
 }
 
-impl Default for Ways {
+impl Default for HostConnections {
     fn default() -> Self {
-        Ways {
-            lines: Vec::new(),
+        HostConnections {
+            connections: Vec::new(),
             opening: 0,
-            pending: PendingQueue::new(PENDING, lifecycle::LONGEST_OUTAGE),
+            pending: PendingQueue::new(MOST_PENDING, lifecycle::LONGEST_OUTAGE),
             waiting: VecDeque::new(),
         }
     }
@@ -168,14 +169,14 @@
 }
 
 pub(crate) struct Hosts {
-    ways: RefCell<BTreeMap<ServerId, Ways>>,
+    by_server: RefCell<BTreeMap<ServerId, HostConnections>>,
     /// Descriptors for all hosts, and beside these for what is being closed.
     most: usize,
     ending: usize,
     /// Set-ups that one connection carries at a time.
     shared: usize,
     connect: Duration,
-    /// A line that was idle so long is not written a set-up to: its host may be closing it.
+    /// A connection that was idle so long is not written a set-up to: its host may be closing it.
     stale: Micros,
     next_call: Cell<u64>,
     pub unreadable: Cell<u64>,
@@ -184,10 +185,12 @@
 impl Hosts {
     pub fn new(limits: Limits, first_call: u64) -> Hosts {
         Hosts {
-            ways: RefCell::default(),
+            by_server: RefCell::default(),
             most: limits.connections,
             ending: limits.ending,
-            shared: limits.set_ups_on_one.map_or(SHARED, |most| most.clamp(1, SHARED)),
+            shared: limits
+                .set_ups_on_one
+                .map_or(SET_UPS_PER_CONNECTION, |most| most.clamp(1, SET_UPS_PER_CONNECTION)),
             connect: limits.connect,
             stale: if limits.idle > 0 { limits.idle / 3 * 2 } else { Micros::MAX },
             next_call: Cell::new(first_call),
@@ -195,16 +198,17 @@
         }
     }
 
-    /// Lines that are up and not being closed, and openings.
+    /// Connections that are up and not being closed, and openings.
     fn in_use(&self) -> usize {
-        let ways = self.ways.borrow();
-        let in_use =
-            |ways: &Ways| ways.lines.iter().filter(|line| line.link.goes_on()).count() + ways.opening;
-        ways.values().map(in_use).sum()
+        let hosts = self.by_server.borrow();
+        let in_use = |host: &HostConnections| {
+            host.connections.iter().filter(|connection| connection.stream.goes_on()).count() + host.opening
+        };
+        hosts.values().map(in_use).sum()
     }
 
-    pub fn lines(&self) -> usize {
-        self.ways.borrow().values().map(|w| w.lines.len() + w.opening).sum()
+    pub fn connection_count(&self) -> usize {
+        self.by_server.borrow().values().map(|w| w.connections.len() + w.opening).sum()
     }
 
     fn new_call(&self) -> u64 {
--- a/crates/elderpick-node/src/hosts/attempts.rs
+++ b/crates/elderpick-node/src/hosts/attempts.rs
@@ -8,58 +8,58 @@
 use elderpick_sessions::lifecycle::AttemptId;
 use tokio::task::spawn_local;
 
-use super::{Attempt, CONFIRMED, Call, LOOKS_APART, Line, MOST_LOOKS, RETIRED, WAITING};
-use crate::link::Look;
+use super::{
+    Attempt, CONFIRM_WITHIN, Call, HostConnection, MOST_POLLS, MOST_WAITING, POLL_PAUSE, RETIRED_FOR,
+};
+use crate::buffered_stream::PollResult;
 use crate::node::Node;
 
 impl Node {
     /// Whether anything has come that is to be heard before an attempt is written: from the viewer that asked, or on
-    /// the line that it would go out on. It is told to the session lifecycle by this.
-    pub(crate) fn hears_before(self: &Rc<Self>, one: &mut Attempt) -> bool {
-        if one.looks >= MOST_LOOKS {
+    /// the connection that it would go out on. It is told to the session lifecycle by this.
+    pub(crate) fn poll_before_write(self: &Rc<Self>, one: &mut Attempt) -> bool {
+        if one.polls >= MOST_POLLS {
             return false;
         }
-        one.looks += 1;
+        one.polls += 1;
         let asked_on = self.lifecycle.borrow().asked_on(one.session);
-        let mut look = asked_on.map_or(Look::Nothing, |conn| self.look_at_client(conn));
-        if look == Look::Nothing
-            && let Some(line) = self.line(&one.server)
+        let mut found = asked_on.map_or(PollResult::Nothing, |conn| self.poll_client(conn));
+        if found == PollResult::Nothing
+            && let Some(connection) = self.pick_connection(&one.server)
         {
-            look = line.link.look(|chunk| self.host_heard(&one.server, &line, chunk));
+            found = connection.stream.poll_input(|chunk| self.host_bytes(&one.server, &connection, chunk));
         }
-        one.unread = look == Look::More;
-        look != Look::Nothing
+        one.unread = found == PollResult::More;
+        found != PollResult::Nothing
     }
 
-    /// Writes a set-up on an idle line, on a new one, or with others if there may be no further. A bound of ours says
-    /// nothing of the host: what it leaves no room for was never sent.
+    /// Writes a set-up on an idle connection, on a new one, or with others if there may be no further. A bound of
+    /// ours says nothing of the host: what it leaves no room for was never sent.
     pub(crate) fn host_set_up(self: &Rc<Self>, one: Attempt) {
         if !self.may_write(&one) {
             return self.feed(one.not_sent());
         }
         if one.unread {
-            return self.look_later(one);
+            return self.poll_later(one);
         }
         let server = one.server.clone();
-        let line = self.line(&server);
-        let load = line.as_ref().map_or(usize::MAX, |line| line.out.borrow().len());
-        match line {
-            Some(line) if load == 0 => self.write_set_up(&line, one),
+        let connection = self.pick_connection(&server);
+        let load = connection.as_ref().map_or(usize::MAX, |connection| connection.out.borrow().len());
+        match connection {
+            Some(connection) if load == 0 => self.write_set_up(&connection, one),
             _ if self.may_open(&server) => self.open(server, Call::SetUp(one)),
-            Some(line) if load < self.hosts.shared => self.write_set_up(&line, one),
+            Some(connection) if load < self.hosts.shared => self.write_set_up(&connection, one),
             _ if self.may_have_more(&server) && self.make_room() => self.open(server, Call::SetUp(one)),
             _ => self.wait(one),
         }
     }
 
     /// Looks again once others had their turn; the attempt's time bounds how often.
-    pub(super) fn look_later(self: &Rc<Self>, one: Attempt) {
+    pub(super) fn poll_later(self: &Rc<Self>, one: Attempt) {
         let node = self.clone();
         spawn_local(async move {
-            tokio::time::sleep(LOOKS_APART).await;
-            node.together(|| {
-                node.attempts.borrow_mut().push_back(Attempt { looks: 0, unread: false, ..one })
-            });
+            tokio::time::sleep(POLL_PAUSE).await;
+            node.batch(|| node.attempts.borrow_mut().push_back(Attempt { polls: 0, unread: false, ..one }));
         });
     }
 
@@ -69,12 +69,13 @@
 
     /// Lets a set-up wait for an opening to end, if there is one and room.
     pub(super) fn wait(self: &Rc<Self>, one: Attempt) {
-        let mut all = self.hosts.ways.borrow_mut();
-        let ways = all.get_mut(&one.server).filter(|ways| ways.opening > 0 && ways.waiting.len() < WAITING);
-        match ways {
-            Some(ways) => ways.waiting.push_back(one),
+        let mut hosts = self.hosts.by_server.borrow_mut();
+        let host =
+            hosts.get_mut(&one.server).filter(|host| host.opening > 0 && host.waiting.len() < MOST_WAITING);
+        match host {
+            Some(host) => host.waiting.push_back(one),
             None => {
-                drop(all);
+                drop(hosts);
                 self.feed(one.not_sent());
             }
         }
@@ -82,67 +83,69 @@
 
     /// Takes all that wait.
     pub(super) fn waiting(&self, server: &ServerId) -> VecDeque<Attempt> {
-        let mut ways = self.hosts.ways.borrow_mut();
-        ways.get_mut(server).map(|ways| std::mem::take(&mut ways.waiting)).unwrap_or_default()
+        let mut hosts = self.hosts.by_server.borrow_mut();
+        hosts.get_mut(server).map(|host| std::mem::take(&mut host.waiting)).unwrap_or_default()
     }
 
-    /// Writes what was looked at right before. A line that does not take the first byte is used no more, and nothing
-    /// of the set-up has left: it goes another way.
-    pub(super) fn write_set_up(self: &Rc<Self>, line: &Rc<Line>, one: Attempt) {
+    /// Writes what was looked at right before. A connection that does not take the first byte is used no more, and
+    /// nothing of the set-up has left: it goes another way.
+    pub(super) fn write_set_up(self: &Rc<Self>, connection: &Rc<HostConnection>, one: Attempt) {
         let now = self.now();
-        if line.link.send_now(&one.bytes) {
-            line.out.borrow_mut().insert(one.session, (one.attempt, now));
-            line.used.set(now);
+        if connection.stream.send_now(&one.bytes) {
+            connection.out.borrow_mut().insert(one.session, (one.attempt, now));
+            connection.used.set(now);
         } else {
-            self.retire(line);
+            self.retire(connection);
             self.host_set_up(one);
         }
     }
 
     pub(crate) fn host_withdraw(self: &Rc<Self>, server: &ServerId, session: u64, attempt: AttemptId) {
-        let mut ways = self.hosts.ways.borrow_mut();
-        let Some(ways) = ways.get_mut(server) else { return };
-        ways.waiting.retain(|one| one.attempt != attempt);
-        for line in &ways.lines {
-            let Some(written) = line.take_out(session, Some(attempt)) else { continue };
-            line.say((Some(session), rtsp::teardown(session, None)));
-            // What hangs in the middle of a message, has said nothing since, or has not taken all, is trusted with no other.
-            if line.partial.get() || line.read.get() < written.1 || !line.link.free() {
-                self.retire(line);
-                self.doubt(line);
+        let mut hosts = self.hosts.by_server.borrow_mut();
+        let Some(host) = hosts.get_mut(server) else { return };
+        host.waiting.retain(|one| one.attempt != attempt);
+        for connection in &host.connections {
+            let Some(written) = connection.take_out(session, Some(attempt)) else { continue };
+            connection.send((Some(session), rtsp::teardown(session, None)));
+            // What hangs in the middle of a message, has said nothing since, or has not taken all, is trusted with no
+            // other.
+            if connection.partial.get() || connection.read.get() < written.1 || !connection.stream.free() {
+                self.retire(connection);
+                self.abort_unless_heard(connection);
             }
         }
     }
 
-    /// A line that has said nothing since a set-up was written may have to carry that still. It is tested: unless its
-    /// host says anything soon, what is on its way to it is taken back, whatever else is out on it: the end of its viewer
-    /// bounds when a set-up may arrive.
-    pub(super) fn doubt(self: &Rc<Self>, line: &Rc<Line>) {
-        line.link.send(&rtsp::options(self.hosts.new_call(), false));
-        let (read, line) = (line.read.get(), Rc::downgrade(line));
+    /// A connection that has said nothing since a set-up was written may have to carry that still. It is tested:
+    /// unless its host says anything soon, what is on its way to it is taken back, whatever else is out on it: the
+    /// end of its viewer bounds when a set-up may arrive.
+    pub(super) fn abort_unless_heard(self: &Rc<Self>, connection: &Rc<HostConnection>) {
+        connection.stream.send(&rtsp::options(self.hosts.new_call(), false));
+        let (read, connection) = (connection.read.get(), Rc::downgrade(connection));
         spawn_local(async move {
-            tokio::time::sleep(CONFIRMED).await;
-            if let Some(line) = line.upgrade()
-                && (line.read.get() == read || !line.link.written())
+            tokio::time::sleep(CONFIRM_WITHIN).await;
+            if let Some(connection) = connection.upgrade()
+                && (connection.read.get() == read || !connection.stream.written())
             {
-                line.link.abort();
+                connection.stream.abort();
             }
         });
     }
 
-    /// Uses a line no more, and ends it after a while. What else is out on it keeps its chance, whose time-outs bound
-    /// the wait, unless the line hangs in the middle of a message: then nothing can be read on it any more.
-    pub(super) fn retire(self: &Rc<Self>, line: &Rc<Line>) {
-        if !line.retired.replace(true) {
-            let (line, node) = (Rc::downgrade(line), self.clone());
+    /// Uses a connection no more, and ends it after a while. What else is out on it keeps its chance, whose time-outs
+    /// bound the wait, unless the connection hangs in the middle of a message: then nothing can be read on it any
+    /// more.
+    pub(super) fn retire(self: &Rc<Self>, connection: &Rc<HostConnection>) {
+        if !connection.retired.replace(true) {
+            let (connection, node) = (Rc::downgrade(connection), self.clone());
             spawn_local(async move {
                 loop {
-                    tokio::time::sleep(RETIRED).await;
-                    let Some(line) = line.upgrade() else { return };
-                    let hangs =
-                        line.partial.get() && node.now() - line.read.get() >= RETIRED.as_micros() as Micros;
-                    if line.out.borrow().is_empty() || hangs {
-                        return line.link.abort();
+                    tokio::time::sleep(RETIRED_FOR).await;
+                    let Some(connection) = connection.upgrade() else { return };
+                    let hangs = connection.partial.get()
+                        && node.now() - connection.read.get() >= RETIRED_FOR.as_micros() as Micros;
+                    if connection.out.borrow().is_empty() || hangs {
+                        return connection.stream.abort();
                     }
                 }
             });
--- a/crates/elderpick-node/src/hosts/pool.rs
+++ b/crates/elderpick-node/src/hosts/pool.rs
@@ -13,55 +13,62 @@
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
-use super::{Attempt, Call, Line, SHARED, TURN};
-use crate::link::Link;
+use super::{Attempt, Call, HostConnection, ROTATION, SET_UPS_PER_CONNECTION};
+use crate::buffered_stream::BufferedStream;
 use crate::node::Node;
 
 impl Node {
-    /// Whether another line to a host may be opened, though no other is closed for it.
+    /// Whether another connection to a host may be opened, though no other is closed for it.
     pub(super) fn may_open(&self, server: &ServerId) -> bool {
-        self.may_have_more(server) && self.hosts.lines() < self.hosts.most
+        self.may_have_more(server) && self.hosts.connection_count() < self.hosts.most
     }
 
     pub(super) fn may_have_more(&self, server: &ServerId) -> bool {
         let each = (self.hosts.most / (self.lifecycle.borrow().hosts() + 2).max(1)).clamp(2, 16);
-        let ways = self.hosts.ways.borrow();
-        let of_host = ways.get(server).map_or(0, |w| w.lines.len() + w.opening);
+        let hosts = self.hosts.by_server.borrow();
+        let of_host = hosts.get(server).map_or(0, |w| w.connections.len() + w.opening);
         of_host < each
     }
 
-    /// Ends the idle line that is missed least: one of several to its host, else one to a host where nothing stands, else
-    /// one whose host had its turn; of those the one that was used longest ago.
+    /// Ends the idle connection that is missed least: one of several to its host, else one to a host where nothing
+    /// stands, else one whose host had its turn; of those the one that was used longest ago.
     pub(super) fn make_room(&self) -> bool {
-        let (lifecycle, ways, now) = (self.lifecycle.borrow(), self.hosts.ways.borrow(), self.now());
-        let idle = ways.iter().flat_map(|(server, ways)| {
-            let only = ways.lines.iter().filter(|line| line.free()).count() < 2;
+        let (lifecycle, hosts, now) = (self.lifecycle.borrow(), self.hosts.by_server.borrow(), self.now());
+        let idle = hosts.iter().flat_map(|(server, host)| {
+            let only = host.connections.iter().filter(|connection| connection.free()).count() < 2;
             let stands = lifecycle.has_sessions_at(server);
-            let may_go = move |line: &Rc<Line>| !(only && stands) || now - line.up >= TURN;
-            let idle = ways.lines.iter().filter(move |line| may_go(line) && line.free() && line.idle());
-            idle.map(move |line| ((only, only && stands, line.used.get()), stands, line))
+            let may_go =
+                move |connection: &Rc<HostConnection>| !(only && stands) || now - connection.up >= ROTATION;
+            let idle = host
+                .connections
+                .iter()
+                .filter(move |connection| may_go(connection) && connection.free() && connection.idle());
+            idle.map(move |connection| ((only, only && stands, connection.used.get()), stands, connection))
         });
-        let Some((_, stands, line)) = idle.min_by_key(|(missed, ..)| *missed) else { return false };
-        line.made_room.set(true);
-        line.leave(stands);
+        let Some((_, stands, connection)) = idle.min_by_key(|(missed, ..)| *missed) else { return false };
+        connection.made_room.set(true);
+        connection.leave(stands);
         true
     }
 
-    /// The line with the fewest set-ups and calls on it. What its host has ended is none, though its task may not have
-    /// seen it yet.
-    pub(super) fn line(&self, server: &ServerId) -> Option<Rc<Line>> {
-        let ways = self.hosts.ways.borrow();
-        let fresh = |line: &&Rc<Line>| line.free() && self.now() - line.read.get() < self.hosts.stale;
-        let lines = ways.get(server)?.lines.iter().filter(fresh);
-        let mut lines: Vec<_> = lines.collect();
-        lines.sort_by_key(|line| (line.out.borrow().len(), line.asked.borrow().len()));
-        lines.into_iter().find(|line| !line.link.ended()).cloned()
+    /// The connection with the fewest set-ups and calls on it. What its host has ended is none, though its task may
+    /// not have seen it yet.
+    pub(super) fn pick_connection(&self, server: &ServerId) -> Option<Rc<HostConnection>> {
+        let hosts = self.hosts.by_server.borrow();
+        let fresh = |connection: &&Rc<HostConnection>| {
+            connection.free() && self.now() - connection.read.get() < self.hosts.stale
+        };
+        let connections = hosts.get(server)?.connections.iter().filter(fresh);
+        let mut connections: Vec<_> = connections.collect();
+        connections
+            .sort_by_key(|connection| (connection.out.borrow().len(), connection.asked.borrow().len()));
+        connections.into_iter().find(|connection| !connection.stream.ended()).cloned()
     }
 
-    /// Whether a line may be opened, another closed for it if need be. Lines that are being closed hold their descriptors
-    /// for a moment longer, for which some are set aside.
+    /// Whether a connection may be opened, another closed for it if need be. Connections that are being closed hold
+    /// their descriptors for a moment longer, for which some are set aside.
     pub(super) fn finds_room(&self) -> bool {
-        let beside = self.hosts.lines() < self.hosts.most + self.hosts.ending;
+        let beside = self.hosts.connection_count() < self.hosts.most + self.hosts.ending;
         beside && (self.hosts.in_use() < self.hosts.most || self.make_room())
     }
 
@@ -72,12 +79,12 @@
         if !self.finds_room() {
             return self.never_up(server, call, Opened::NoRoom);
         }
-        self.hosts.ways.borrow_mut().entry(server.clone()).or_default().opening += 1;
+        self.hosts.by_server.borrow_mut().entry(server.clone()).or_default().opening += 1;
         let node = self.clone();
         spawn_local(async move {
             let up = connect(to, node.hosts.connect).await;
-            if let Some(ways) = node.hosts.ways.borrow_mut().get_mut(&server) {
-                ways.opening -= 1;
+            if let Some(host) = node.hosts.by_server.borrow_mut().get_mut(&server) {
+                host.opening -= 1;
             }
             // The list may have told of another host at this address meanwhile.
             let same = node.lifecycle.borrow().address(&server) == Some(to);
@@ -101,7 +108,7 @@
             Opened::NoRoom => one.not_sent(),
             _ => one.never_up(),
         };
-        let others = self.hosts.ways.borrow().get(&server).map_or(0, |ways| ways.opening);
+        let others = self.hosts.by_server.borrow().get(&server).map_or(0, |host| host.opening);
         if how != Opened::NoRoom || others == 0 {
             self.waiting(&server).into_iter().for_each(|one| self.feed(ended(one)));
         }
@@ -116,49 +123,56 @@
         }
     }
 
-    /// A line came up: says what waits for it and reads until it ends.
+    /// A connection came up: says what waits for it and reads until it ends.
     pub(super) async fn up(self: Rc<Self>, server: ServerId, stream: TcpStream, call: Call) {
         let now = self.now();
-        tracing::trace!(server = %server, "a line is up");
-        let line = Rc::new(Line {
-            link: Link::new(stream, SHARED * MOST_MESSAGE),
+        tracing::trace!(server = %server, "host connection up");
+        let connection = Rc::new(HostConnection {
+            stream: BufferedStream::new(stream, SET_UPS_PER_CONNECTION * MOST_MESSAGE),
             decoder: RefCell::default(),
             out: RefCell::default(),
-            unheard: RefCell::default(),
+            unconfirmed: RefCell::default(),
             asked: RefCell::default(),
             up: now,
             read: Cell::new(now),
             used: Cell::new(now),
-            told: Cell::new(now),
+            reported_at: Cell::new(now),
             partial: Cell::new(false),
             retired: Cell::new(false),
             made_room: Cell::new(false),
         });
-        self.hosts.ways.borrow_mut().entry(server.clone()).or_default().lines.push(line.clone());
+        self.hosts
+            .by_server
+            .borrow_mut()
+            .entry(server.clone())
+            .or_default()
+            .connections
+            .push(connection.clone());
         self.feed(Input::Opened { server: server.clone(), how: Opened::Up });
-        self.say_pending(&server, &line);
-        self.together(|| {
+        self.send_pending(&server, &connection);
+        self.batch(|| {
             match call {
                 Call::SetUp(one) => {
-                    self.attempts.borrow_mut().push_back(Attempt { looks: 0, unread: false, ..one })
+                    self.attempts.borrow_mut().push_back(Attempt { polls: 0, unread: false, ..one })
                 }
-                Call::Load { session } => self.write_probe(&server, &line, session),
+                Call::Load { session } => self.write_probe(&server, &connection, session),
                 Call::Nothing => {}
             }
             let waiting =
-                self.waiting(&server).into_iter().map(|one| Attempt { looks: 0, unread: false, ..one });
+                self.waiting(&server).into_iter().map(|one| Attempt { polls: 0, unread: false, ..one });
             self.attempts.borrow_mut().extend(waiting);
         });
-        let whole = line.link.run(&self.buffer, |chunk| self.host_heard(&server, &line, chunk)).await;
-        line.link.end(true);
-        if let Some(ways) = self.hosts.ways.borrow_mut().get_mut(&server) {
-            ways.lines.retain(|other| !Rc::ptr_eq(other, &line));
+        let whole =
+            connection.stream.run(&self.buffer, |chunk| self.host_bytes(&server, &connection, chunk)).await;
+        connection.stream.end(true);
+        if let Some(host) = self.hosts.by_server.borrow_mut().get_mut(&server) {
+            host.connections.retain(|other| !Rc::ptr_eq(other, &connection));
         }
-        let (out, asked) = (line.out.take(), line.asked.take());
-        let unheard = line.unheard.take().into_iter().collect();
-        let made_room = line.made_room.get();
-        drop(line);
-        tracing::trace!(server = %server, whole, "a line has ended");
+        let (out, asked) = (connection.out.take(), connection.asked.take());
+        let unheard = connection.unconfirmed.take().into_iter().collect();
+        let made_room = connection.made_room.get();
+        drop(connection);
+        tracing::trace!(server = %server, whole, "host connection ended");
         self.feed(Input::HostDisconnected { server: server.clone(), whole, unheard, made_room });
         for (session, (attempt, _)) in out {
             self.feed(Input::ConnectionLost { server: server.clone(), session, attempt, begun: true });
@@ -175,30 +189,30 @@
 
     /// Closes all that leads to a host, and drops what waits for a connection to what it was.
     pub(crate) fn host_forget(&self, server: &ServerId) {
-        let mut ways = self.hosts.ways.borrow_mut();
-        let Some(ways) = ways.get_mut(server) else { return };
-        ways.lines.iter().for_each(|line| line.link.abort());
+        let mut hosts = self.hosts.by_server.borrow_mut();
+        let Some(host) = hosts.get_mut(server) else { return };
+        host.connections.iter().for_each(|connection| connection.stream.abort());
         // The attempts that wait are over by now, and may not be written.
-        ways.waiting.clear();
-        ways.pending.take(self.now()).for_each(drop);
+        host.waiting.clear();
+        host.pending.take(self.now()).for_each(drop);
     }
 
-    /// Closes what is not needed: lines to hosts that are gone, and more than one that is idle.
+    /// Closes what is not needed: connections to hosts that are gone, and more than one that is idle.
     pub(crate) fn host_tidy(&self) {
         let (lifecycle, now) = (self.lifecycle.borrow(), self.now());
-        let mut all = self.hosts.ways.borrow_mut();
-        all.retain(|server, ways| {
+        let mut hosts = self.hosts.by_server.borrow_mut();
+        hosts.retain(|server, host| {
             let (known, stands) = (lifecycle.address(server).is_some(), lifecycle.has_sessions_at(server));
-            let mut spare = ways.lines.iter().filter(|l| !l.retired.get()).count();
-            for line in &ways.lines {
-                let stale = now - line.used.get().max(line.read.get()) > self.hosts.stale;
-                let surplus = spare > 1 && now - line.used.get() > 10_000_000;
-                if line.idle() && line.link.goes_on() && (!known || stale || surplus) {
+            let mut spare = host.connections.iter().filter(|l| !l.retired.get()).count();
+            for connection in &host.connections {
+                let stale = now - connection.used.get().max(connection.read.get()) > self.hosts.stale;
+                let surplus = spare > 1 && now - connection.used.get() > 10_000_000;
+                if connection.idle() && connection.stream.goes_on() && (!known || stale || surplus) {
                     spare = spare.saturating_sub(1);
-                    line.leave(stands);
+                    connection.leave(stands);
                 }
             }
-            known || !ways.lines.is_empty() || ways.opening > 0
+            known || !host.connections.is_empty() || host.opening > 0
         });
     }
 }
--- a/crates/elderpick-node/src/hosts/received.rs
+++ b/crates/elderpick-node/src/hosts/received.rs
@@ -6,26 +6,31 @@
 use elderpick_platform::rtsp::{self, Start, cseq};
 use elderpick_sessions::lifecycle::Input;
 
-use super::Line;
+use super::HostConnection;
 use crate::node::Node;
 
 impl Node {
-    /// Takes what came on a line; `false` if it cannot be read. All that came is told before anything is said.
-    pub(super) fn host_heard(self: &Rc<Self>, server: &ServerId, line: &Rc<Line>, chunk: &[u8]) -> bool {
+    /// Takes what came on a connection; `false` if it cannot be read. All that came is told before anything is sent.
+    pub(super) fn host_bytes(
+        self: &Rc<Self>,
+        server: &ServerId,
+        connection: &Rc<HostConnection>,
+        chunk: &[u8],
+    ) -> bool {
         let now = self.now();
-        line.read.set(now);
-        self.together(|| {
-            if now - line.told.get() > 100_000 {
-                line.told.set(now);
+        connection.read.set(now);
+        self.batch(|| {
+            if now - connection.reported_at.get() > 100_000 {
+                connection.reported_at.set(now);
                 self.feed(Input::Heard { server: server.clone() });
             }
-            let before = self.later.borrow().len();
-            let mut goes_on = self.host_read(server, line, chunk);
+            let before = self.inputs.borrow().len();
+            let mut goes_on = self.decode_host_bytes(server, connection, chunk);
             let answers = |input: &Input| matches!(input, Input::Answer { .. });
-            if goes_on && self.later.borrow().iter().skip(before).any(answers) {
+            if goes_on && self.inputs.borrow().iter().skip(before).any(answers) {
                 // Whether it still stands: its host may have said more by now.
-                line.link.look(|chunk| {
-                    goes_on = self.host_read(server, line, chunk);
+                connection.stream.poll_input(|chunk| {
+                    goes_on = self.decode_host_bytes(server, connection, chunk);
                     goes_on
                 });
             }
@@ -39,7 +44,7 @@
     /// Takes answers that came right before what cannot be read for spoilt ones: a head that understates its length
     /// leaves the end of its description behind as noise.
     pub(super) fn distrust_answers(&self, from: usize) {
-        for input in self.later.borrow_mut().iter_mut().skip(from) {
+        for input in self.inputs.borrow_mut().iter_mut().skip(from) {
             if let Input::Answer { server, session, attempt: Some(attempt), .. } = input {
                 *input = Input::ConnectionLost {
                     server: server.clone(),
@@ -51,33 +56,43 @@
         }
     }
 
-    pub(super) fn host_read(self: &Rc<Self>, server: &ServerId, line: &Rc<Line>, chunk: &[u8]) -> bool {
-        let mut decoder = line.decoder.borrow_mut();
+    pub(super) fn decode_host_bytes(
+        self: &Rc<Self>,
+        server: &ServerId,
+        connection: &Rc<HostConnection>,
+        chunk: &[u8],
+    ) -> bool {
+        let mut decoder = connection.decoder.borrow_mut();
         decoder.push(chunk);
         loop {
             match decoder.message() {
-                Ok(Some(message)) => self.host_said(server, line, &message),
+                Ok(Some(message)) => self.host_message(server, connection, &message),
                 Ok(None) => break,
                 Err(why) => {
                     self.hosts.unreadable.set(self.hosts.unreadable.get() + 1);
                     tracing::debug!(server = %server, %why, "a host sent what cannot be read");
-                    line.link.end(true);
+                    connection.stream.end(true);
                     return false;
                 }
             }
         }
-        line.partial.set(decoder.partial());
+        connection.partial.set(decoder.partial());
         true
     }
 
-    pub(super) fn host_said(self: &Rc<Self>, server: &ServerId, line: &Rc<Line>, message: &rtsp::Message) {
+    pub(super) fn host_message(
+        self: &Rc<Self>,
+        server: &ServerId,
+        connection: &Rc<HostConnection>,
+        message: &rtsp::Message,
+    ) {
         let (session, server) = (message.session, server.clone());
-        tracing::trace!(server = %server, ?message, "a host says");
+        tracing::trace!(server = %server, ?message, "message from a host");
         match &message.start {
             Start::Response { status: 100..=199 } => {}
             Start::Response { status } => match message.cseq {
                 cseq::SET_UP => {
-                    let attempt = line.take_out(session, None).map(|(attempt, _)| attempt);
+                    let attempt = connection.take_out(session, None).map(|(attempt, _)| attempt);
                     match (set_up_status(*status), attempt) {
                         (Status::Ok, attempt) => {
                             let description = message.body.clone();
@@ -93,10 +108,10 @@
                     }
                 }
                 cseq::TEARDOWN if *status == 200 => {
-                    line.unheard.borrow_mut().remove(&session);
+                    connection.unconfirmed.borrow_mut().remove(&session);
                     self.feed(Input::ReleaseConfirmed { server, session });
                 }
-                cseq::OPTIONS if line.asked.borrow_mut().remove(&session) => {
+                cseq::OPTIONS if connection.asked.borrow_mut().remove(&session) => {
                     let status = if *status == 200 { Status::Ok } else { Status::Failed };
                     self.feed(Input::Probed { server, status, report: self.report(message) });
                 }
@@ -104,8 +119,8 @@
             },
             Start::Request { method } => match method.as_str() {
                 "TEARDOWN" => {
-                    let attempt = line.take_out(session, None).map(|(attempt, _)| attempt);
-                    line.link.send(&rtsp::response(200, message.cseq, session));
+                    let attempt = connection.take_out(session, None).map(|(attempt, _)| attempt);
+                    connection.stream.send(&rtsp::response(200, message.cseq, session));
                     let (cause, report) = (message.cause().unwrap_or(0), self.report(message));
                     self.feed(Input::Released { server, session, attempt, cause, report });
                 }
@@ -114,7 +129,7 @@
                         self.feed(Input::Note { server, session, note });
                     }
                 }
-                "OPTIONS" => line.link.send(&rtsp::response(200, message.cseq, session)),
+                "OPTIONS" => connection.stream.send(&rtsp::response(200, message.cseq, session)),
                 _ => {}
             },
         }
--- a/crates/elderpick-node/src/journal.rs
+++ b/crates/elderpick-node/src/journal.rs
@@ -57,7 +57,7 @@
         };
         match journal::parse(&message.data) {
             Ok(event) => {
-                if !node.journal_said(event) {
+                if !node.journal_event(event) {
                     return;
                 }
             }
@@ -71,7 +71,7 @@
 
 impl Node {
     /// Takes an event of the journal; `false` asks for the stream again.
-    pub(crate) fn journal_said(self: &Rc<Self>, event: journal::Event) -> bool {
+    pub(crate) fn journal_event(self: &Rc<Self>, event: journal::Event) -> bool {
         let hosts = self.listed(&event);
         let read = hosts.len() == event.hosts.hosts.len();
         match self.follow.borrow_mut().take(event.pos, event.hosts.whole, read) {
--- a/crates/elderpick-node/src/lib.rs
+++ b/crates/elderpick-node/src/lib.rs
@@ -3,9 +3,9 @@
 //! One thread. `viewers` takes viewers' connections, `hosts` keeps those to media hosts, `journal` follows the list,
 //! `node` carries out what the session lifecycle says. It writes nothing to disk.
 
+mod buffered_stream;
 mod hosts;
 mod journal;
-mod link;
 mod node;
 mod viewers;
 
@@ -30,8 +30,8 @@
 
 use crate::node::Node;
 
-/// Descriptors that are neither viewers' nor hosts': those of the process, and some for connections that are on their way
-/// out. A quarter of all is the most that is set aside.
+/// Descriptors that are neither viewers' nor hosts': those of the process, and some for connections that are on their
+/// way out. A quarter of all is the most that is set aside.
 const RESERVED_DESCRIPTORS: usize = 32;
 /// Of these the process has the listener, the journal, three standard streams and the runtime's own.
 const PROCESS_DESCRIPTORS: usize = 12;
@@ -41,8 +41,8 @@
 const ACCEPT_AFTER_SIGTERM: Duration = Duration::from_millis(900);
 /// Then what is idle is closed, with such pauses, until nothing is left.
 const SHUTDOWN_POLL: Duration = Duration::from_millis(150);
-/// What was said to hosts is written before the end: how often that is looked for, with such pauses. Words that found no
-/// connection are tried again meanwhile.
+/// What was sent to hosts is written before the end: how often that is looked for, with such pauses. Messages that
+/// found no connection are tried again meanwhile.
 const MOST_FLUSH_POLLS: usize = 100;
 const FLUSH_POLL: Duration = Duration::from_millis(20);
 const POLLS_PER_RETRY: usize = 10;
@@ -110,21 +110,21 @@
         most_refusing: spare.max(1),
         refusing: Cell::new(0),
         next_conn: Cell::new(0),
-        buffer: RefCell::new(vec![0; link::CHUNK]),
+        buffer: RefCell::new(vec![0; buffered_stream::CHUNK]),
         releases: RefCell::new(Releases::new(lifecycle::MOST_SESSIONS)),
         follow: RefCell::new(Follow::new(0)),
         journal: Cell::new(boot.journal),
         moved: Default::default(),
         caught_up: Cell::new(false),
-        ending: Cell::new(false),
+        shutting_down: Cell::new(false),
         stop_accepting: Default::default(),
         timer: Default::default(),
-        later: RefCell::default(),
+        inputs: RefCell::default(),
         attempts: RefCell::default(),
         feeding: Cell::new(false),
         unreadable: Cell::new(0),
         turned_away: Cell::new(0),
-        unsaid: Cell::new(0),
+        undelivered: Cell::new(0),
         spared: Cell::new(0),
         warned: Cell::new(0),
     });
@@ -143,7 +143,7 @@
         }
     }
     // Viewers go on coming until the front has heard; what stands is left standing, to be handed over.
-    node.ending.set(true);
+    node.shutting_down.set(true);
     tracing::info!(open = node.lifecycle.borrow().open(), held = node.lifecycle.borrow().held(), "ending");
     // The list goes on being followed, wherever the journal moves: what is open may still be placed.
     pass(ACCEPT_AFTER_SIGTERM, &mut hang_up, || reload(&node, &path)).await;
@@ -159,11 +159,11 @@
         }
     }
     for round in 0..MOST_FLUSH_POLLS {
-        if node.hosts_told() {
+        if node.all_sent() {
             break;
         }
         if round % POLLS_PER_RETRY == 0 {
-            node.host_say_kept();
+            node.connect_for_pending();
         }
         pass(FLUSH_POLL, &mut hang_up, || {}).await;
     }
@@ -206,7 +206,7 @@
     match read(path) {
         Ok(boot) => {
             for event in boot.known.entries {
-                node.journal_said(event);
+                node.journal_event(event);
             }
             if node.journal.replace(boot.journal) != boot.journal {
                 node.moved.notify_one();
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -52,18 +52,18 @@
     pub journal: Cell<SocketAddr>,
     pub moved: Notify,
     pub caught_up: Cell<bool>,
-    pub ending: Cell<bool>,
+    pub shutting_down: Cell<bool>,
     /// No further connection of viewers is taken.
     pub stop_accepting: Notify,
     pub timer: Notify,
-    pub later: RefCell<VecDeque<Input>>,
+    pub inputs: RefCell<VecDeque<Input>>,
     /// Attempts to be written once all that has happened was told; bounded by the set-ups that may be open.
     pub attempts: RefCell<VecDeque<Attempt>>,
     pub feeding: Cell<bool>,
     pub unreadable: Cell<u64>,
     pub turned_away: Cell<u64>,
     /// Answers that went down with their connection.
-    pub unsaid: Cell<u64>,
+    pub undelivered: Cell<u64>,
     /// Connections that would have been closed as idle, with something on them that was not read yet.
     pub spared: Cell<u64>,
     pub warned: Cell<Micros>,
@@ -83,16 +83,17 @@
         }
     }
 
-    /// Tells the session lifecycle what happens and carries out what it says. What happens meanwhile comes right behind.
+    /// Tells the session lifecycle what happens and carries out what it says. What happens meanwhile comes right
+    /// behind.
     pub fn feed(self: &Rc<Self>, input: Input) {
-        self.later.borrow_mut().push_back(input);
+        self.inputs.borrow_mut().push_back(input);
         if !self.feeding.get() {
             self.drain();
         }
     }
 
     /// Takes all that `say` tells as one: nothing is carried out before the last of it is told.
-    pub fn together<T>(self: &Rc<Self>, say: impl FnOnce() -> T) -> T {
+    pub fn batch<T>(self: &Rc<Self>, say: impl FnOnce() -> T) -> T {
         let within = self.feeding.replace(true);
         let said = say();
         self.feeding.set(within);
@@ -107,13 +108,13 @@
         let before = self.lifecycle.borrow().next_timer();
         let mut out = Vec::new();
         loop {
-            let input = self.later.borrow_mut().pop_front();
+            let input = self.inputs.borrow_mut().pop_front();
             if let Some(input) = input {
-                self.take(input, &mut out);
+                self.process(input, &mut out);
                 continue;
             }
             let Some(mut one) = self.attempts.borrow_mut().pop_front() else { break };
-            if self.hears_before(&mut one) {
+            if self.poll_before_write(&mut one) {
                 self.attempts.borrow_mut().push_front(one);
             } else {
                 self.host_set_up(one);
@@ -125,7 +126,7 @@
         }
     }
 
-    fn take(self: &Rc<Self>, input: Input, out: &mut Vec<Output>) {
+    fn process(self: &Rc<Self>, input: Input, out: &mut Vec<Output>) {
         let asked = match &input {
             Input::SetUp { conn, .. } => Some(*conn),
             Input::Release { session, .. } | Input::Answer { session, .. } => {
@@ -135,16 +136,16 @@
         };
         if let (Input::Answer { .. }, Some(conn)) = (&input, asked) {
             // What its viewer said before it is answered goes first: it may have given up, or be gone.
-            let behind = std::mem::take(&mut *self.later.borrow_mut());
-            self.look_at_client(conn);
+            let behind = std::mem::take(&mut *self.inputs.borrow_mut());
+            self.poll_client(conn);
             loop {
-                let before = self.later.borrow_mut().pop_front();
+                let before = self.inputs.borrow_mut().pop_front();
                 let Some(before) = before else { break };
-                self.take(before, out);
+                self.process(before, out);
             }
-            self.later.borrow_mut().extend(behind);
+            self.inputs.borrow_mut().extend(behind);
         }
-        let input = self.settled(input);
+        let input = self.with_known_end(input);
         self.lifecycle.borrow_mut().handle(self.now(), input, out);
         let said = std::mem::take(out);
         said.into_iter().for_each(|output| self.carry_out(output));
@@ -153,9 +154,10 @@
         }
     }
 
-    /// Tells with an answer that its host has ended the session since, where that was read behind it: it would promise what
-    /// is over. It is told at once: an end may be on its way at any time, and the less time passes, the fewer are.
-    fn settled(&self, input: Input) -> Input {
+    /// Tells with an answer that its host has ended the session since, where that was read behind it: it would
+    /// promise what is over. It is told at once: an end may be on its way at any time, and the less time passes, the
+    /// fewer are.
+    fn with_known_end(&self, input: Input) -> Input {
         let Input::Answer { server, session, attempt, description, over: None } = input else { return input };
         let ended = |input: &Input| match input {
             Input::Released { server: at, session: of, cause, .. } if *at == server && *of == session => {
@@ -163,7 +165,7 @@
             }
             _ => None,
         };
-        let mut later = self.later.borrow_mut();
+        let mut later = self.inputs.borrow_mut();
         let over = later.iter().find_map(ended);
         later.retain(|input| ended(input).is_none());
         Input::Answer { server, session, attempt, description, over }
@@ -175,16 +177,16 @@
         self.admission.borrow_mut().set_open(self.now(), conn, open);
     }
 
-    /// Says a final answer on the connection of its set-up. One that goes down with its connection is counted and told;
-    /// `false` then.
+    /// Sends a final answer on the connection of its set-up. One that goes down with its connection is counted and
+    /// told; `false` then.
     fn answer(&self, conn: Conn, session: u64, bytes: &[u8]) -> bool {
         let said = self.clients.borrow().get(&conn).is_some_and(|client| {
-            let went_on = client.link.goes_on();
-            client.link.send(bytes);
-            went_on && client.link.goes_on()
+            let went_on = client.stream.goes_on();
+            client.stream.send(bytes);
+            went_on && client.stream.goes_on()
         });
         if !said {
-            self.unsaid.set(self.unsaid.get() + 1);
+            self.undelivered.set(self.undelivered.get() + 1);
             self.warn_seldom(&format!("the answer to {session:016x} has no connection ({conn}) any more"));
         }
         self.opened(conn);
@@ -200,7 +202,7 @@
 
     fn carry_out(self: &Rc<Self>, output: Output) {
         let mut text = Vec::new();
-        tracing::trace!(?output, "to do");
+        tracing::trace!(?output, "output");
         match output {
             Output::Answer { conn, session, description } => {
                 if let Err(why) = viewer::answer(&mut text, session, &description) {
@@ -220,7 +222,7 @@
                     let cause = cause::ENDED_BY_VIEWER;
                     self.feed(Input::Release { conn, session, cause });
                 }
-                self.say_releases();
+                self.send_releases();
             }
             Output::Rejected { conn, session, cause, retry_after } => {
                 let away = retry_after.filter(|at| *at > 0).map(|at| (at / 1_000) as u64);
@@ -228,9 +230,9 @@
                 self.answer(conn, session, &text);
             }
             Output::SessionEnded { conn, session, cause } => {
-                self.releases.borrow_mut().owe(self.now(), session, cause);
+                self.releases.borrow_mut().add(self.now(), session, cause);
                 if let Some(client) = self.client_for(conn) {
-                    self.say_release(&client, session, cause);
+                    self.send_release(&client, session, cause);
                 }
             }
             Output::SetUp { server, session, attempt, class, title, patience, rung, description } => {
@@ -243,16 +245,16 @@
                     session,
                     attempt,
                     bytes,
-                    looks: 0,
+                    polls: 0,
                     unread: false,
                 });
             }
             Output::Withdraw { server, session, attempt } => self.host_withdraw(&server, session, attempt),
             Output::Release { server, session, cause } => {
-                self.host_tell(server, (Some(session), rtsp::teardown(session, Some(cause))));
+                self.host_send(server, (Some(session), rtsp::teardown(session, Some(cause))));
             }
             Output::Rung { server, session, rung } => {
-                self.host_tell(server, (None, rtsp::rung(session, rung)))
+                self.host_send(server, (None, rtsp::rung(session, rung)))
             }
             Output::Probe { server } => self.host_probe(server),
             Output::Test { server } => self.host_test(&server),
@@ -266,21 +268,21 @@
         }
     }
 
-    fn say_release(&self, client: &Client, session: u64, cause: u8) {
+    fn send_release(&self, client: &Client, session: u64, cause: u8) {
         let mut text = Vec::new();
         viewer::release(&mut text, session, cause, None);
-        tracing::trace!(session, on = client.conn, "a release goes out");
-        client.link.send(&text);
-        self.releases.borrow_mut().said(self.now(), session, client.conn);
+        tracing::trace!(session, on = client.conn, "release sent");
+        client.stream.send(&text);
+        self.releases.borrow_mut().sent(self.now(), session, client.conn);
     }
 
-    /// Says what waited for a viewers' connection, on each as much as it takes at once: what is more would end it.
-    pub fn say_releases(&self) {
+    /// Sends what waited for a viewers' connection, on each as much as it takes at once: what is more would end it.
+    pub fn send_releases(&self) {
         loop {
             let next = self.releases.borrow_mut().next(self.now());
             let Some((session, cause)) = next else { return };
             let Some(client) = self.client_for(None) else { return };
-            self.say_release(&client, session, cause);
+            self.send_release(&client, session, cause);
         }
     }
 
@@ -332,14 +334,14 @@
             tokio::time::sleep(CHORES).await;
             self.close_overdue(false);
             self.end_done();
-            self.say_releases();
-            self.hosts_say_pending();
+            self.send_releases();
+            self.send_all_pending();
             rounds += 1;
             if rounds.is_multiple_of(5) {
                 self.host_tidy();
             }
             if rounds.is_multiple_of(25) {
-                self.host_say_kept();
+                self.connect_for_pending();
             }
             if rounds.is_multiple_of(50) {
                 self.log_state();
@@ -347,28 +349,22 @@
         }
     }
 
+    /// Logs how many sessions and connections there are, and the counts since the start.
     pub fn log_state(&self) {
-        let lifecycle = self.lifecycle.borrow();
-        let (clients, lines, unreadable) =
-            (self.admission.borrow().held(), self.hosts.lines(), self.unreadable.get());
-        let spoilt = self.hosts.unreadable.get();
-        let (turned_away, spared, unsaid) = (self.turned_away.get(), self.spared.get(), self.unsaid.get());
-        let (held, counts) = (lifecycle.held(), lifecycle.counts);
-        let releases = self.releases.borrow();
-        let (unconfirmed, said_again, dropped) = (releases.len(), releases.repeated, releases.dropped);
+        let (lifecycle, releases) = (self.lifecycle.borrow(), self.releases.borrow());
         tracing::info!(
-            held,
-            clients,
-            lines,
-            unreadable,
-            spoilt,
-            turned_away,
-            spared,
-            unsaid,
-            unconfirmed,
-            said_again,
-            dropped,
-            ?counts,
+            held = lifecycle.held(),
+            clients = self.admission.borrow().held(),
+            host_connections = self.hosts.connection_count(),
+            unreadable = self.unreadable.get(),
+            unreadable_from_hosts = self.hosts.unreadable.get(),
+            turned_away = self.turned_away.get(),
+            spared = self.spared.get(),
+            undelivered = self.undelivered.get(),
+            unconfirmed = releases.len(),
+            resent = releases.resent,
+            dropped = releases.dropped,
+            counts = ?lifecycle.counts,
             "state"
         );
     }
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -15,11 +15,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
-use crate::link::{Link, Look};
+use crate::buffered_stream::{BufferedStream, PollResult};
 use crate::node::Node;
 
-/// Messages that cannot be read, until nothing more is read on a connection on which nothing else ever came. One that has
-/// carried a set-up carries others' too: what can be told apart there costs nothing but its own answer.
+/// Messages that cannot be read, until nothing more is read on a connection on which nothing else ever came. One that
+/// has carried a set-up carries others' too: what can be told apart there costs nothing but its own answer.
 const MOST_UNREADABLE: u32 = 8;
 /// An answer crosses the end of its connection within this time, as the platform says of what crosses a close.
 const CROSSES_END: Duration = Duration::from_millis(50);
@@ -44,14 +44,14 @@
 /// One viewers' connection.
 pub(crate) struct Client {
     pub conn: Conn,
-    pub link: Link,
+    pub stream: BufferedStream,
     decoder: RefCell<Decoder>,
     pub standing: Cell<Standing>,
     /// A set-up that could be read came on it.
     has_asked: Cell<bool>,
     unreadable: Cell<u32>,
     /// What comes is not read any more; it is ended once all that is open on it is answered.
-    deaf: Cell<bool>,
+    reading_stopped: Cell<bool>,
     /// It was not admitted at this time: its set-ups are refused.
     refused: Option<Micros>,
     /// Sessions that were answered on it of late.
@@ -135,21 +135,22 @@
         }
         let client = Rc::new(Client {
             conn,
-            link: Link::new(stream, MOST_OWED),
+            stream: BufferedStream::new(stream, MOST_OWED),
             decoder: RefCell::default(),
             standing: Cell::new(Standing::New),
             has_asked: Cell::new(false),
             unreadable: Cell::new(0),
-            deaf: Cell::new(false),
+            reading_stopped: Cell::new(false),
             refused,
             answers: RefCell::new(PendingQueue::new(MOST_CROSSING, CROSSES_END.as_micros() as Micros)),
         });
         self.clients.borrow_mut().insert(conn, client.clone());
         let node = self.clone();
         spawn_local(async move {
-            tracing::trace!(conn, "a viewers' connection comes");
-            let whole = client.link.run(&node.buffer, |chunk| node.viewer_heard(conn, &client, chunk)).await;
-            tracing::trace!(conn, whole, "a viewers' connection has ended");
+            tracing::trace!(conn, "client connected");
+            let whole =
+                client.stream.run(&node.buffer, |chunk| node.client_bytes(conn, &client, chunk)).await;
+            tracing::trace!(conn, whole, "client disconnected");
             node.client_disconnected(&client);
             node.release_unheard(&client, whole).await;
         });
@@ -162,30 +163,31 @@
         self.clients.borrow_mut().remove(&conn);
         self.admission.borrow_mut().remove(conn);
         self.refusing.set(self.refusing.get() - usize::from(client.refused.is_some()));
-        self.releases.borrow_mut().ended(self.now(), conn);
+        self.releases.borrow_mut().connection_ended(self.now(), conn);
         self.feed(Input::ClientDisconnected { conn });
-        self.say_releases();
+        self.send_releases();
     }
 
-    /// Ends the sessions whose answers crossed the end of their connection, which was reset, or whose peer's system says
-    /// that it took nothing more: their viewers have not heard, and nobody would ever end them. `whole` tells that the
-    /// connection ended in order.
+    /// Ends the sessions whose answers crossed the end of their connection, which was reset, or whose peer's system
+    /// says that it took nothing more: their viewers have not heard, and nobody would ever end them. `whole` tells
+    /// that the connection ended in order.
     async fn release_unheard(self: &Rc<Self>, client: &Client, whole: bool) {
         let crossing: Vec<_> = client.answers.borrow_mut().take(self.arrival_time()).collect();
-        let ended_by_peer = client.link.goes_on();
-        if crossing.is_empty() || !ended_by_peer || (whole && !client.link.breaks_within(CROSSES_END).await) {
+        let ended_by_peer = client.stream.goes_on();
+        if crossing.is_empty() || !ended_by_peer || (whole && !client.stream.breaks_within(CROSSES_END).await)
+        {
             return;
         }
         for session in crossing {
             if self.lifecycle.borrow().asked_on(session) != Some(client.conn) {
                 continue;
             }
-            self.unsaid.set(self.unsaid.get() + 1);
+            self.undelivered.set(self.undelivered.get() + 1);
             self.feed(Input::Release { conn: client.conn, session, cause: cause::ENDED_BY_VIEWER });
             // Whoever has heard the answer after all hears of its end.
-            self.releases.borrow_mut().owe(self.now(), session, cause::FAILED);
+            self.releases.borrow_mut().add(self.now(), session, cause::FAILED);
         }
-        self.say_releases();
+        self.send_releases();
     }
 
     /// Ends connections on which nothing more is read, and those that were not admitted and have not asked in time.
@@ -195,7 +197,7 @@
         for client in clients {
             self.end_if_done(&client);
             if client.refused.is_some_and(|at| now - at >= REFUSES_FOR) {
-                client.link.end(false);
+                client.stream.end(false);
             }
         }
     }
@@ -205,68 +207,70 @@
     fn end_if_done(&self, client: &Client) {
         let told = !self.feeding.get();
         let answered = told && self.lifecycle.borrow().open_on(client.conn) == 0;
-        if answered && client.deaf.get() && client.link.written() {
-            client.link.end(false);
+        if answered && client.reading_stopped.get() && client.stream.written() {
+            client.stream.end(false);
         }
     }
 
     /// Takes what came on a connection. All that came is told before anything is sent on: who gives up right behind a
     /// set-up has asked for nothing. What cannot be read ends the connection, once what is open on it is answered.
-    fn viewer_heard(self: &Rc<Self>, conn: Conn, client: &Rc<Client>, chunk: &[u8]) -> bool {
-        if client.deaf.get() {
+    fn client_bytes(self: &Rc<Self>, conn: Conn, client: &Rc<Client>, chunk: &[u8]) -> bool {
+        if client.reading_stopped.get() {
             return true;
         }
-        self.together(|| {
+        self.batch(|| {
             let mut decoder = client.decoder.borrow_mut();
             decoder.push(chunk);
-            while !client.deaf.get() {
+            while !client.reading_stopped.get() {
                 match decoder.message() {
                     Ok(Some(message)) => {
                         self.admission.borrow_mut().message_received(self.now(), conn);
-                        self.viewer_said(conn, client, &message);
+                        self.client_message(conn, client, &message);
                     }
                     Ok(None) => break,
                     Err(why) => {
                         self.bad(client, 0, why);
-                        client.deaf.set(true);
+                        client.reading_stopped.set(true);
                     }
                 }
             }
-            let partial = !client.deaf.get() && decoder.partial();
+            let partial = !client.reading_stopped.get() && decoder.partial();
             self.admission.borrow_mut().read_finished(self.now(), conn, partial);
             // Who was not admitted has been told so by now.
-            client.deaf.set(client.deaf.get() || (client.refused.is_some() && !partial));
+            client
+                .reading_stopped
+                .set(client.reading_stopped.get() || (client.refused.is_some() && !partial));
         });
         self.end_if_done(client);
         true
     }
 
     /// Looks whether a viewer that waits for an answer has said anything, or has left, that its connection's task has
-    /// not come to: after a standstill of this gateway, or behind a line that came up late. The session lifecycle is told
-    /// of it.
-    pub(crate) fn look_at_client(self: &Rc<Self>, conn: Conn) -> Look {
+    /// not come to: after a standstill of this gateway, or behind a line that came up late. The session lifecycle is
+    /// told of it.
+    pub(crate) fn poll_client(self: &Rc<Self>, conn: Conn) -> PollResult {
         let client = self.clients.borrow().get(&conn).cloned();
-        let look = client
-            .as_ref()
-            .map_or(Look::Nothing, |client| client.link.look(|chunk| self.viewer_heard(conn, client, chunk)));
-        let there = client.is_some_and(|client| client.link.goes_on() && !client.link.ended());
+        let found = client.as_ref().map_or(PollResult::Nothing, |client| {
+            client.stream.poll_input(|chunk| self.client_bytes(conn, client, chunk))
+        });
+        let there = client.is_some_and(|client| client.stream.goes_on() && !client.stream.ended());
         if there {
-            return look;
+            return found;
         }
         self.feed(Input::ClientDisconnected { conn });
-        Look::All
+        PollResult::All
     }
 
     pub(crate) fn close_client(&self, conn: Conn) {
         if let Some(client) = self.clients.borrow().get(&conn) {
             // At once if nothing waits to be written: what comes after that is seen by its sender to be too late.
-            client.link.end(client.link.free());
+            client.stream.end(client.stream.free());
         }
     }
 
     /// Whether nothing has come on a connection that was not read yet.
     pub(crate) fn quiet(&self, conn: Conn) -> bool {
-        let quiet = self.clients.borrow().get(&conn).is_none_or(|client| client.link.quiet());
+        let quiet = self.clients.borrow().get(&conn).is_none_or(|client| client.stream.quiet());
         self.spared.set(self.spared.get() + u64::from(!quiet));
         quiet
     }
@@ -283,17 +287,17 @@
         tracing::debug!(%why, "a viewer sent what cannot be read");
         let mut text = Vec::new();
         viewer::release(&mut text, session, cause::UNREADABLE, None);
-        client.link.send(&text);
+        client.stream.send(&text);
         client.standing.set(Standing::Bad);
         client.unreadable.set(client.unreadable.get() + 1);
         let nothing_else = !client.has_asked.get() && client.unreadable.get() >= MOST_UNREADABLE;
-        client.deaf.set(client.deaf.get() || nothing_else);
+        client.reading_stopped.set(client.reading_stopped.get() || nothing_else);
     }
 
     /// Takes one message.
-    fn viewer_said(self: &Rc<Self>, conn: Conn, client: &Rc<Client>, message: &Message) {
+    fn client_message(self: &Rc<Self>, conn: Conn, client: &Rc<Client>, message: &Message) {
         let session = message.session;
-        tracing::trace!(conn, ?message, "a viewer says");
+        tracing::trace!(conn, ?message, "message from a viewer");
         match message.kind {
             kind::SET_UP => match SetUp::parse(message) {
                 Ok(set_up) if client.refused.is_some() && set_up.figures.at.is_none() => {
@@ -311,14 +315,14 @@
                     self.feed(Input::Release { conn, session, cause });
                     let mut text = Vec::new();
                     let _ = viewer::encode(&mut text, kind::RELEASE_HEARD, session, &[]);
-                    client.link.send(&text);
+                    client.stream.send(&text);
                 }
                 Err(why) => self.bad(client, session, why),
             },
             kind::TEST => {
                 let mut text = Vec::new();
-                viewer::tested(&mut text, session, !self.ending.get());
-                client.link.send(&text);
+                viewer::tested(&mut text, session, !self.shutting_down.get());
+                client.stream.send(&text);
             }
             kind::RELEASE_HEARD => self.releases.borrow_mut().confirmed(session, conn),
             kind::PROGRESS => {}
@@ -330,13 +334,13 @@
     fn refuse(&self, client: &Client, session: u64) {
         let mut text = Vec::new();
         viewer::release(&mut text, session, cause::REFUSED, None);
-        client.link.send(&text);
+        client.stream.send(&text);
     }
 
     /// The connection to say that a session is over on: its own, else the one that is most surely a viewer's.
     pub(crate) fn client_for(&self, conn: Option<Conn>) -> Option<Rc<Client>> {
         let clients = self.clients.borrow();
-        let hears = |client: &&Rc<Client>| client.link.free() && !client.link.ended();
+        let hears = |client: &&Rc<Client>| client.stream.free() && !client.stream.ended();
         let own = conn.and_then(|conn| clients.get(&conn)).filter(hears);
         let best = |standing| clients.values().filter(|g| g.standing.get() == standing).find(hears);
         own.or_else(|| best(Standing::Served)).or_else(|| best(Standing::Asked)).cloned()
--- a/crates/elderpick-node/tests/unit/link.rs
+++ b/crates/elderpick-node/tests/unit/buffered_stream.rs
@@ -13,7 +13,7 @@
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     let stream = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("up");
     let (mut peer, _) = listener.accept().expect("a connection");
-    let link = Link::new(stream, MOST_OWED);
+    let link = BufferedStream::new(stream, MOST_OWED);
     assert!(link.quiet());
     peer.write_all(b"x").expect("written");
     // Over loopback it has come when the write returns.
@@ -30,7 +30,7 @@
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     let stream = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("up");
     let (mut peer, _) = listener.accept().expect("a connection");
-    let held = std::rc::Rc::new(Link::new(stream, MOST_OWED));
+    let held = std::rc::Rc::new(BufferedStream::new(stream, MOST_OWED));
     assert!(held.clone().send_now(b"all"));
     held.end(true);
     let mut all = Vec::new();
@@ -38,10 +38,10 @@
 }
 
 /// A connection, and its other end.
-async fn pair() -> (Link, std::net::TcpStream) {
+async fn pair() -> (BufferedStream, std::net::TcpStream) {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     let stream = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("up");
-    (Link::new(stream, MOST_OWED), listener.accept().expect("a connection").0)
+    (BufferedStream::new(stream, MOST_OWED), listener.accept().expect("a connection").0)
 }
 
 /// Both have happened when its task comes to run; the runtime picks by chance which it sees first, so many times.
@@ -90,15 +90,15 @@
     use std::io::Write;
     let (link, mut peer) = pair().await;
     let mut heard = Vec::new();
-    assert_eq!(link.look(|_| true), Look::Nothing);
+    assert_eq!(link.poll_input(|_| true), PollResult::Nothing);
     peer.write_all(b"x").expect("written");
     drop(peer);
-    let look = link.look(|chunk| {
+    let look = link.poll_input(|chunk| {
         heard.extend_from_slice(chunk);
         true
     });
-    assert!(look == Look::All && heard == b"x" && link.ended());
-    assert_eq!(link.look(|_| true), Look::Nothing);
+    assert!(look == PollResult::All && heard == b"x" && link.ended());
+    assert_eq!(link.poll_input(|_| true), PollResult::Nothing);
 }
 
 /// Polls once.
--- a/crates/elderpick-sessions/src/admission.rs
+++ b/crates/elderpick-sessions/src/admission.rs
@@ -1,10 +1,10 @@
 //! Who may stay connected: connections of viewers within the descriptors that are planned for them.
 //!
 //! A connection may be closed while no set-up is open on it. One that never said anything whole goes first, then the
-//! one that has been idle longest, first of those on which no session stands; only when all have set-ups open is a new
-//! one turned away. Those on which sessions stand stay open while there is room: the ends of sessions are told on them,
-//! and viewers may have no other. One that has sent what was not read yet is not idle, whatever is known of it here: the
-//! caller looks.
+//! one that has been idle longest, first of those on which no session stands; only when all have set-ups open is a
+//! new one turned away. Those on which sessions stand stay open while there is room: the ends of sessions are told on
+//! them, and viewers may have no other. One that has sent what was not read yet is not idle, whatever is known of it
+//! here: the caller looks.
 
 use std::collections::HashMap;
 
--- a/crates/elderpick-sessions/src/follow.rs
+++ b/crates/elderpick-sessions/src/follow.rs
@@ -52,8 +52,8 @@
         Take::Apply
     }
 
-    /// News or a comment was read: the journal is there, and the next break is a first one. An opening alone, or what is
-    /// known, is no such sign: a service that breaks off behind it each time would be called without a pause.
+    /// News or a comment was read: the journal is there, and the next break is a first one. An opening alone, or what
+    /// is known, is no such sign: a service that breaks off behind it each time would be called without a pause.
     pub fn heard(&mut self) {
         self.failed = 0;
     }
--- a/crates/elderpick-sessions/src/health.rs
+++ b/crates/elderpick-sessions/src/health.rs
@@ -10,8 +10,8 @@
 const QUIET: Micros = 2_000_000;
 /// The test's answer is waited for so long, then a new connection must show that the host is there.
 const TESTED: Micros = 1_000_000;
-/// A test that is not answered by then tells that the host is lost, also where no new connection can be tried: its viewers
-/// have to hear within 8 s of an end.
+/// A test that is not answered by then tells that the host is lost, also where no new connection can be tried: its
+/// viewers have to hear within 8 s of an end.
 const UNANSWERED: Micros = 4_000_000;
 /// An opening that has not ended by then holds up the next one no longer, however long the settings let it take:
 /// connections that come up late do so within a second.
--- a/crates/elderpick-sessions/src/lib.rs
+++ b/crates/elderpick-sessions/src/lib.rs
@@ -1,9 +1,9 @@
 //! The session lifecycle on the platform's wire, without sockets and without a clock.
 //!
-//! [`lifecycle`] stands between the decision module and the sockets: it tells the module what happens, carries out what the
-//! module decides and adds no choice of its own. [`health`] judges whether a media host still runs, [`follow`] keeps the
-//! place in the journal, [`pending`] what could not be said yet, [`releases`] what viewers have not confirmed, [`admission`] who
-//! may stay connected, [`shutdown`] when a gateway that was told to end may end.
+//! [`lifecycle`] stands between the decision module and the sockets: it tells the module what happens, carries out
+//! what the module decides and adds no choice of its own. [`health`] judges whether a media host still runs,
+//! [`follow`] keeps the place in the journal, [`pending`] what could not be said yet, [`releases`] what viewers have
+//! not confirmed, [`admission`] who may stay connected, [`shutdown`] when a gateway that was told to end may end.
 
 pub mod admission;
 pub mod follow;
--- a/crates/elderpick-sessions/src/lifecycle.rs
+++ b/crates/elderpick-sessions/src/lifecycle.rs
@@ -1,8 +1,8 @@
-//! One gateway's sessions: time and events in, words to viewers and hosts out.
+//! One gateway's sessions: time and events in, messages to viewers and hosts out.
 //!
 //! Each thing that the simulator would tell the decision module becomes one event for it, and each of its actions is
 //! carried out as it stands. What is settled here is what the wire leaves open: what an outcome proves, which of two
-//! words that cross counts, when a seat is free again, what a bound turns away.
+//! messages that cross counts, when a seat is free again, what a bound turns away.
 
 mod active;
 mod attempts;
@@ -27,8 +27,8 @@
 /// The number that the runtime gives a viewer's connection.
 pub type Conn = u64;
 
-/// The number of an attempt, of which no other has the same: a word of a host counts for the attempt that it answers,
-/// whatever else goes by the same session.
+/// The number of an attempt, of which no other has the same: a message of a host counts for the attempt that it
+/// answers, whatever else goes by the same session.
 pub type AttemptId = u64;
 
 /// Set-ups open on one connection, and in all; one more is refused.
@@ -36,7 +36,7 @@
 const MOST_OPEN: usize = 1_024;
 /// Sessions that stand; one more is refused.
 pub const MOST_SESSIONS: usize = 50_000;
-/// A host's word that a session is over is waited for so long, then its seat is taken to be free.
+/// A host tells that a session is over is waited for so long, then its seat is taken to be free.
 const SEAT_RELEASED_AFTER: Micros = 1_000_000;
 /// What may still cross is remembered for all that may be held, since a cut or a host's death ends them in one moment.
 const MOST_REMEMBERED: usize = MOST_SESSIONS + MOST_OPEN;
--- a/crates/elderpick-sessions/src/lifecycle/active.rs
+++ b/crates/elderpick-sessions/src/lifecycle/active.rs
@@ -15,7 +15,7 @@
         }
     }
 
-    /// A host's word that a session is over.
+    /// A host tells that a session is over.
     #[allow(clippy::too_many_arguments)]
     pub(super) fn released(
         &mut self,
--- a/crates/elderpick-sessions/src/lifecycle/events.rs
+++ b/crates/elderpick-sessions/src/lifecycle/events.rs
@@ -113,7 +113,7 @@
     Tick,
 }
 
-/// What is to be said and done.
+/// What is to be sent and done.
 #[derive(Clone, PartialEq, Debug)]
 pub enum Output {
     /// The final answer: it stands.
@@ -167,7 +167,7 @@
     Probe {
         server: ServerId,
     },
-    /// Test a host on a connection that is up; any word from it is an answer.
+    /// Test a host on a connection that is up; anything that it sends is an answer.
     Test {
         server: ServerId,
     },
--- a/crates/elderpick-sessions/src/lifecycle/health.rs
+++ b/crates/elderpick-sessions/src/lifecycle/health.rs
@@ -14,7 +14,7 @@
         }
     }
 
-    /// Looks at hosts where sessions stand.
+    /// Polls the monitors of hosts where sessions play.
     pub(super) fn poll_health(&mut self, now: Micros, out: &mut Vec<Output>) {
         if now - self.polled_at < HEALTH_POLL {
             return;
--- a/crates/elderpick-sessions/src/pending.rs
+++ b/crates/elderpick-sessions/src/pending.rs
@@ -1,4 +1,4 @@
-//! Words that wait for a connection, bounded in number and in time.
+//! Messages that wait for a connection, bounded in number and in time.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::RangeBounds;
@@ -60,8 +60,8 @@
     }
 }
 
-/// What was of late, by key, bounded in number and in time. The oldest make room for new ones, and each look costs the same
-/// however much is held.
+/// What was of late, by key, bounded in number and in time. The oldest make room for new ones, and each look costs
+/// the same however much is held.
 #[derive(Debug)]
 pub struct ExpiringMap<K, V = ()> {
     values: BTreeMap<K, (Micros, V)>,
--- a/crates/elderpick-sessions/src/releases.rs
+++ b/crates/elderpick-sessions/src/releases.rs
@@ -1,7 +1,7 @@
 //! Releases towards viewers: what is over is owed to its viewer until that has confirmed it.
 //!
 //! Any connection of viewers carries any release, and a viewer closes a connection that it needs no longer at a time of
-//! its own. A release that is on its way then goes down with the connection, and nobody would ever say it again.
+//! its own. A release that is on its way then goes down with the connection, and nobody would ever send it again.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -9,37 +9,37 @@
 
 use crate::lifecycle::Conn;
 
-/// A release that went out so long ago has arrived: confirming is free. One that found no connection yet is owed
+/// A release that went out so long ago has arrived: confirming is free. One that found no connection yet is pending
 /// however long that takes.
-const CONFIRMED_BY: Micros = 10_000_000;
+const CONFIRMED_AFTER: Micros = 10_000_000;
 /// What went out longer before its connection's end than this has arrived: confirming is free.
-const CROSSES: Micros = 1_000_000;
+const MAY_CROSS_FOR: Micros = 1_000_000;
 
 #[derive(Clone, Copy, Debug)]
-struct Owed {
+struct PendingRelease {
     cause: u8,
     since: Micros,
-    /// The connection that it was said on, and when; `None` while it waits for one.
-    said: Option<(Conn, Micros)>,
+    /// The connection that it was sent on, and when; `None` while it waits for one.
+    sent: Option<(Conn, Micros)>,
 }
 
-/// Releases that are owed, the oldest first. Each is said on one connection at a time.
+/// Releases that are not confirmed, the oldest first. Each is sent on one connection at a time.
 #[derive(Debug)]
 pub struct Releases {
     most: usize,
-    owed: BTreeMap<u64, Owed>,
+    pending: BTreeMap<u64, PendingRelease>,
     /// The same by age.
     order: BTreeSet<(Micros, u64)>,
     /// Those that wait for a connection.
     waiting: BTreeSet<(Micros, u64)>,
-    /// Those that were said, by when.
-    said_at: BTreeSet<(Micros, u64)>,
-    /// Those that were said on a connection and are not confirmed.
-    said_on: BTreeMap<Conn, BTreeSet<u64>>,
-    /// Releases that were dropped at the bound unsaid.
+    /// Those that were sent, by when.
+    by_send_time: BTreeSet<(Micros, u64)>,
+    /// Those that were sent on a connection and are not confirmed.
+    by_connection: BTreeMap<Conn, BTreeSet<u64>>,
+    /// Releases that were dropped at the bound before they were sent.
     pub dropped: u64,
-    /// Releases that were said again, since their connection ended behind them.
-    pub repeated: u64,
+    /// Releases that were sent again, since their connection ended behind them.
+    pub resent: u64,
 }
 
 impl Releases {
@@ -47,26 +47,27 @@
     pub fn new(most: usize) -> Releases {
         Releases {
             most,
-            owed: BTreeMap::new(),
+            pending: BTreeMap::new(),
             order: BTreeSet::new(),
             waiting: BTreeSet::new(),
-            said_at: BTreeSet::new(),
-            said_on: BTreeMap::new(),
+            by_send_time: BTreeSet::new(),
+            by_connection: BTreeMap::new(),
             dropped: 0,
-            repeated: 0,
+            resent: 0,
         }
     }
 
-    /// A session is over.
-    pub fn owe(&mut self, now: Micros, session: u64, cause: u8) {
+    /// A session is over: its release is to be sent until it is confirmed.
+    pub fn add(&mut self, now: Micros, session: u64, cause: u8) {
         self.expire(now);
         self.forget(session);
-        while self.owed.len() >= self.most {
+        while self.pending.len() >= self.most {
             let Some(&(_, oldest)) = self.order.first() else { break };
-            self.dropped += u64::from(self.owed.get(&oldest).is_some_and(|owed| owed.said.is_none()));
+            self.dropped +=
+                u64::from(self.pending.get(&oldest).is_some_and(|release| release.sent.is_none()));
             self.forget(oldest);
         }
-        self.owed.insert(session, Owed { cause, since: now, said: None });
+        self.pending.insert(session, PendingRelease { cause, since: now, sent: None });
         self.order.insert((now, session));
         self.waiting.insert((now, session));
     }
@@ -75,66 +76,67 @@
     pub fn next(&mut self, now: Micros) -> Option<(u64, u8)> {
         self.expire(now);
         let (_, session) = self.waiting.first()?;
-        Some((*session, self.owed.get(session)?.cause))
+        Some((*session, self.pending.get(session)?.cause))
     }
 
     /// It went out on a connection.
-    pub fn said(&mut self, now: Micros, session: u64, conn: Conn) {
-        let Some(owed) = self.owed.get_mut(&session) else { return };
-        self.waiting.remove(&(owed.since, session));
-        self.said_at.insert((now, session));
-        owed.said = Some((conn, now));
-        self.said_on.entry(conn).or_default().insert(session);
+    pub fn sent(&mut self, now: Micros, session: u64, conn: Conn) {
+        let Some(release) = self.pending.get_mut(&session) else { return };
+        self.waiting.remove(&(release.since, session));
+        self.by_send_time.insert((now, session));
+        release.sent = Some((conn, now));
+        self.by_connection.entry(conn).or_default().insert(session);
     }
 
-    /// Its viewer has confirmed it, on the connection that it was said on: what is confirmed elsewhere was not heard.
+    /// Its viewer has confirmed it, on the connection that it was sent on: what is confirmed elsewhere was not heard.
     pub fn confirmed(&mut self, session: u64, conn: Conn) {
-        let said_on = self.owed.get(&session).and_then(|owed| owed.said).map(|(conn, _)| conn);
-        if said_on == Some(conn) {
+        let by_connection = self.pending.get(&session).and_then(|release| release.sent).map(|(conn, _)| conn);
+        if by_connection == Some(conn) {
             self.forget(session);
         }
     }
 
-    /// A connection ended: what was on its way on it is owed anew.
-    pub fn ended(&mut self, now: Micros, conn: Conn) {
-        for session in self.said_on.remove(&conn).unwrap_or_default() {
-            let Some(owed) = self.owed.get_mut(&session) else { continue };
-            let Some((_, said)) = owed.said.take() else { continue };
-            self.said_at.remove(&(said, session));
-            if now - said <= CROSSES {
-                self.repeated += 1;
-                self.waiting.insert((owed.since, session));
+    /// A connection ended: what was on its way on it is pending anew.
+    pub fn connection_ended(&mut self, now: Micros, conn: Conn) {
+        for session in self.by_connection.remove(&conn).unwrap_or_default() {
+            let Some(release) = self.pending.get_mut(&session) else { continue };
+            let Some((_, sent_at)) = release.sent.take() else { continue };
+            self.by_send_time.remove(&(sent_at, session));
+            if now - sent_at <= MAY_CROSS_FOR {
+                self.resent += 1;
+                self.waiting.insert((release.since, session));
             } else {
                 self.forget(session);
             }
         }
     }
 
-    /// How many are owed.
+    /// How many are pending.
     pub fn len(&self) -> usize {
-        self.owed.len()
+        self.pending.len()
     }
 
     pub fn is_empty(&self) -> bool {
-        self.owed.is_empty()
+        self.pending.is_empty()
     }
 
     fn forget(&mut self, session: u64) {
-        let Some(owed) = self.owed.remove(&session) else { return };
-        self.order.remove(&(owed.since, session));
-        self.waiting.remove(&(owed.since, session));
-        let Some((conn, at)) = owed.said else { return };
-        self.said_at.remove(&(at, session));
-        if let Some(said) = self.said_on.get_mut(&conn) {
-            said.remove(&session);
-            if said.is_empty() {
-                self.said_on.remove(&conn);
+        let Some(release) = self.pending.remove(&session) else { return };
+        self.order.remove(&(release.since, session));
+        self.waiting.remove(&(release.since, session));
+        let Some((conn, at)) = release.sent else { return };
+        self.by_send_time.remove(&(at, session));
+        if let Some(sent) = self.by_connection.get_mut(&conn) {
+            sent.remove(&session);
+            if sent.is_empty() {
+                self.by_connection.remove(&conn);
             }
         }
     }
 
     fn expire(&mut self, now: Micros) {
-        while let Some(&(_, session)) = self.said_at.first().filter(|(at, _)| now - at > CONFIRMED_BY) {
+        while let Some(&(_, session)) = self.by_send_time.first().filter(|(at, _)| now - at > CONFIRMED_AFTER)
+        {
             self.forget(session);
         }
     }
--- a/crates/elderpick-sessions/tests/releases.rs
+++ b/crates/elderpick-sessions/tests/releases.rs
@@ -8,7 +8,7 @@
 fn say(releases: &mut Releases, now: i64, conn: u64) -> Vec<(u64, u8)> {
     let mut said = Vec::new();
     while let Some((session, cause)) = releases.next(now) {
-        releases.said(now, session, conn);
+        releases.sent(now, session, conn);
         said.push((session, cause));
     }
     said
@@ -17,35 +17,35 @@
 #[test]
 fn what_goes_down_with_its_connection_is_said_again_and_what_was_confirmed_is_not() {
     let mut releases = Releases::new(9);
-    (1..=3).for_each(|session| releases.owe(session as i64, session, 16));
+    (1..=3).for_each(|session| releases.add(session as i64, session, 16));
     assert_eq!(say(&mut releases, 10, 7), [(1, 16), (2, 16), (3, 16)], "the oldest first");
     assert_eq!(releases.next(10), None);
     releases.confirmed(2, 7);
-    releases.ended(20, 8);
+    releases.connection_ended(20, 8);
     assert_eq!(releases.next(20), None, "another connection's end");
-    releases.ended(20, 7);
-    assert_eq!((say(&mut releases, 30, 9), releases.repeated), (vec![(1, 16), (3, 16)], 2));
+    releases.connection_ended(20, 7);
+    assert_eq!((say(&mut releases, 30, 9), releases.resent), (vec![(1, 16), (3, 16)], 2));
     releases.confirmed(1, 9);
     releases.confirmed(3, 9);
-    releases.ended(40, 9);
+    releases.connection_ended(40, 9);
     assert!(releases.is_empty() && releases.next(40).is_none());
 }
 
 #[test]
 fn what_went_out_long_before_its_connections_end_has_arrived() {
     let mut releases = Releases::new(9);
-    releases.owe(0, 1, 16);
+    releases.add(0, 1, 16);
     say(&mut releases, 0, 7);
-    releases.ended(SECOND + 1, 7);
+    releases.connection_ended(SECOND + 1, 7);
     assert!(releases.next(SECOND + 1).is_none() && releases.is_empty());
 }
 
 #[test]
 fn the_oldest_make_room_and_what_was_said_long_ago_has_arrived() {
     let mut releases = Releases::new(2);
-    (1..=3).for_each(|session| releases.owe(session as i64, session, 16));
+    (1..=3).for_each(|session| releases.add(session as i64, session, 16));
     assert_eq!((releases.next(4), releases.dropped, releases.len()), (Some((2, 16)), 1, 2));
-    releases.owe(5, 2, 31);
+    releases.add(5, 2, 31);
     assert_eq!(say(&mut releases, 6, 7), [(3, 16), (2, 31)], "owed anew, once");
     assert_eq!((releases.next(12 * SECOND), releases.is_empty()), (None, true));
 }
@@ -54,10 +54,10 @@
 #[test]
 fn a_release_that_finds_no_connection_is_owed_until_there_is_one() {
     let mut releases = Releases::new(9);
-    releases.owe(0, 1, 16);
+    releases.add(0, 1, 16);
     assert_eq!(releases.next(3_600 * SECOND), Some((1, 16)));
-    releases.said(3_600 * SECOND, 1, 7);
-    releases.ended(3_600 * SECOND + 1, 7);
+    releases.sent(3_600 * SECOND, 1, 7);
+    releases.connection_ended(3_600 * SECOND + 1, 7);
     assert_eq!((say(&mut releases, 3_601 * SECOND, 8), releases.dropped), (vec![(1, 16)], 0));
     releases.confirmed(1, 8);
     assert!(releases.is_empty());
@@ -66,11 +66,11 @@
 #[test]
 fn only_who_was_told_can_confirm() {
     let mut releases = Releases::new(9);
-    releases.owe(0, 1, 16);
+    releases.add(0, 1, 16);
     releases.confirmed(1, 7);
     assert_eq!(say(&mut releases, 1, 7), [(1, 16)], "it was said to nobody before");
     releases.confirmed(1, 8);
-    releases.ended(2, 7);
+    releases.connection_ended(2, 7);
     assert_eq!(say(&mut releases, 3, 8), [(1, 16)], "another connection's word confirms nothing");
     releases.confirmed(1, 8);
     assert!(releases.is_empty());
@@ -82,17 +82,17 @@
 fn a_crowd_that_is_over_at_once_is_owed_until_the_last_has_confirmed() {
     let all = 50_000;
     let mut releases = Releases::new(all as usize);
-    (0..all).for_each(|session| releases.owe(0, session, 41));
+    (0..all).for_each(|session| releases.add(0, session, 41));
     for conn in 0..100 {
         for _ in 0..1_000 {
             let Some((session, _)) = releases.next(1) else { break };
-            releases.said(1, session, conn);
+            releases.sent(1, session, conn);
             // Every second one is confirmed before the connection ends.
             if session % 2 == conn % 2 {
                 releases.confirmed(session, conn);
             }
         }
-        releases.ended(1, conn);
+        releases.connection_ended(1, conn);
     }
     let left = releases.len();
     assert!(left <= all as usize / 2, "{left}");
