--- a/crates/elderpick-core/src/lib.rs
+++ b/crates/elderpick-core/src/lib.rs
@@ -1,5 +1,7 @@
 //! elderpick's decision core: feed it events, carry out the actions it returns. No I/O, no clock of its own.
 
+#![deny(missing_docs)]
+
 pub mod api;
 pub mod policy;
 
--- a/crates/elderpick-node/src/hosts/received.rs
+++ b/crates/elderpick-node/src/hosts/received.rs
@@ -96,8 +96,8 @@
                     match (set_up_status(*status), attempt) {
                         (Status::Ok, attempt) => {
                             let description = message.body.clone();
-                            let over = None;
-                            self.feed(Input::Answer { server, session, attempt, description, over });
+                            let ended = None;
+                            self.feed(Input::Answer { server, session, attempt, description, ended });
                         }
                         (status, Some(attempt)) => {
                             let report = self.report(message);
--- a/crates/elderpick-node/src/lib.rs
+++ b/crates/elderpick-node/src/lib.rs
@@ -3,6 +3,8 @@
 //! One thread. `viewers` takes viewers' connections, `hosts` keeps those to media hosts, `journal` follows the list,
 //! `node` carries out what the session lifecycle says. It writes nothing to disk.
 
+#![deny(missing_docs)]
+
 mod buffered_stream;
 mod hosts;
 mod journal;
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -158,17 +158,19 @@
     /// promise what is over. It is told at once: an end may be on its way at any time, and the less time passes, the
     /// fewer are.
     fn with_known_end(&self, input: Input) -> Input {
-        let Input::Answer { server, session, attempt, description, over: None } = input else { return input };
-        let ended = |input: &Input| match input {
+        let Input::Answer { server, session, attempt, description, ended: None } = input else {
+            return input;
+        };
+        let cause_of_end = |input: &Input| match input {
             Input::Released { server: at, session: of, cause, .. } if *at == server && *of == session => {
                 Some(*cause)
             }
             _ => None,
         };
-        let mut later = self.inputs.borrow_mut();
-        let over = later.iter().find_map(ended);
-        later.retain(|input| ended(input).is_none());
-        Input::Answer { server, session, attempt, description, over }
+        let mut inputs = self.inputs.borrow_mut();
+        let ended = inputs.iter().find_map(cause_of_end);
+        inputs.retain(|input| cause_of_end(input).is_none());
+        Input::Answer { server, session, attempt, description, ended }
     }
 
     /// The number of set-ups that are open on a connection has changed.
--- a/crates/elderpick-platform/src/boot.rs
+++ b/crates/elderpick-platform/src/boot.rs
@@ -15,21 +15,29 @@
 /// The platform's configuration, as `NODE_CONFIG` names it.
 #[derive(Deserialize, Clone, Debug)]
 pub struct Boot {
+    /// The gateway's name, for logs and the journal service.
     pub name: String,
+    /// Where viewers connect to.
     pub listen: SocketAddr,
     /// For random numbers: hexadecimal.
     pub seed: String,
+    /// The machine that it has.
     pub limits: Machine,
+    /// Where the journal service listens.
     pub journal: SocketAddr,
+    /// What the journal service has told up to the start.
     #[serde(default)]
     pub known: Known,
+    /// The settings of the deployment.
     pub settings: BootInfo,
 }
 
 /// The machine that a gateway has.
 #[derive(Deserialize, Clone, Copy, Debug)]
 pub struct Machine {
+    /// Share of processor cores.
     pub cores: f64,
+    /// Memory, in MB.
     pub memory_mb: u64,
     /// Descriptors.
     pub sockets: usize,
@@ -38,6 +46,7 @@
 /// Events of the journal service up to the start.
 #[derive(Deserialize, Clone, Default, Debug)]
 pub struct Known {
+    /// The events, the oldest first.
     #[serde(default)]
     pub entries: Vec<journal::Event>,
 }
@@ -118,80 +127,121 @@
     }
 }
 
+/// The settings of a deployment. What is missing has its default, as in the simulator.
 #[derive(Deserialize, Clone, Debug)]
 pub struct BootInfo {
+    /// This gateway's number.
     #[serde(default)]
     pub me: usize,
+    /// How many gateways there are.
     #[serde(default)]
     pub balancers: usize,
+    /// This gateway's zone, as its place in `zones`.
     #[serde(default)]
     pub az: usize,
+    /// The classes of sessions.
     #[serde(default)]
     pub profiles: Vec<Profile>,
+    /// The ladder of rungs, and what servers and uplinks give.
     #[serde(default)]
     pub extra: Extra,
+    /// The rules on further attempts and on cold servers.
     #[serde(default)]
     pub guarantees: Guarantees,
+    /// Limits on connections and attempts.
     #[serde(default)]
     pub limits: Limits,
+    /// How hosts report their load.
     #[serde(default)]
     pub reporting: Reporting,
+    /// How the list is followed: `subscribe`, or by asking for it.
     pub registry_mode: Option<String>,
+    /// What weights in the list mean: `none` if nothing.
     pub weight_kind: Option<String>,
     /// Names of zones and of kinds of hosts.
     #[serde(default)]
     pub zones: Vec<String>,
+    /// Names of kinds of hosts.
     #[serde(default)]
     pub flavors: Vec<String>,
 }
 
+/// A class of sessions.
 #[derive(Deserialize, Clone, Debug)]
 pub struct Profile {
     /// The class's name on the viewers' wire.
     #[serde(default)]
     pub name: String,
+    /// What repeating a set-up does: `free`, `guarded` or `single_shot`.
     #[serde(default)]
     pub effect: Option<String>,
+    /// Where a guarded class may be repeated: `zone`, `cell`, or anywhere.
     #[serde(default)]
     pub group: Option<String>,
+    /// How long a guarded class may be repeated, in microseconds.
     #[serde(default)]
     pub window_us: i64,
+    /// The wanted time to the first picture, in microseconds.
     #[serde(default)]
     pub on_time_us: i64,
+    /// What a session earns, over those of other classes.
     #[serde(default)]
     pub worth: f64,
 }
 
+/// What the ladder of rungs, links and uplinks give. Lists by class are in the order of the classes.
 #[derive(Deserialize, Clone, Default, Debug)]
 #[serde(default)]
 pub struct Extra {
+    /// What all links give together, in kB a second.
     pub all_links_kb: Option<f64>,
+    /// How many racks there are.
     pub cabinets: Option<usize>,
+    /// How many cells there are.
     pub cells: Option<usize>,
+    /// The lowest rung, by class.
     pub class_floor: Vec<usize>,
+    /// Rates over those of the ladder, by class.
     pub class_scale: Vec<f64>,
+    /// Sessions of one title that a gateway may hold, by class; 0 for any number.
     pub class_seats: Vec<f64>,
+    /// The highest rung, by class.
     pub class_top: Vec<usize>,
+    /// What a link gives for each unit of weight, in kB a second.
     pub kb_per_weight: Option<f64>,
+    /// Streams that a host runs at most, by kind.
     pub places_by_kind: Vec<f64>,
+    /// What an uplink gives, in kB a second.
     pub rack_kb: Option<f64>,
+    /// The rate of each rung, in kB a second.
     pub rung_kb: Vec<f64>,
+    /// How late delivered shares are, in microseconds.
     pub see_us: i64,
+    /// What each rung earns.
     pub worth_by_rung: Vec<f64>,
 }
 
+/// The rules on further attempts and on cold servers.
 #[derive(Deserialize, Clone, Default, Debug)]
 #[serde(default)]
 pub struct Guarantees {
+    /// Further attempts that are always allowed.
     pub extra_floor: Option<f64>,
+    /// Further attempts for each request.
     pub further_ratio: Option<f64>,
+    /// Time within which these are counted, in microseconds.
     pub look_back_us: Option<i64>,
+    /// What a host bears at its start, as a share of what it bears when it is warm.
     pub start_capacity: Option<f64>,
+    /// How long a host counts as cold, in microseconds.
     pub ramp_time_us: Option<i64>,
+    /// How many times its share a cold host bears.
     pub tip_multiple: Option<f64>,
+    /// Time within which that is counted, in microseconds.
     pub overload_for_us: Option<i64>,
 }
 
+/// Limits on connections and attempts.
 #[derive(Deserialize, Clone, Default, Debug)]
 #[serde(default)]
 pub struct Limits {
@@ -201,16 +251,23 @@
     pub conn_idle_us: i64,
     /// Attempts that one connection to a media host carries at a time.
     pub streams_per_conn: Option<usize>,
+    /// Attempts for one session at most.
     pub max_attempts: Option<usize>,
+    /// The longest time that a refusal may ask a viewer to wait, in microseconds.
     pub max_retry_after_us: i64,
+    /// Whether hosts may be probed.
     pub may_probe: bool,
+    /// Whether refusals may tell when to come back.
     pub retry_after: bool,
 }
 
+/// How hosts report their load.
 #[derive(Deserialize, Clone, Default, Debug)]
 #[serde(default)]
 pub struct Reporting {
+    /// `probe`, `answers`, or not at all.
     pub how: Option<String>,
+    /// Names of the figures.
     pub names: Vec<String>,
 }
 
--- a/crates/elderpick-platform/src/journal.rs
+++ b/crates/elderpick-platform/src/journal.rs
@@ -40,15 +40,19 @@
 /// One numbered event.
 #[derive(Deserialize, Clone, Debug)]
 pub struct Event {
+    /// Its number.
     pub pos: u64,
+    /// What it tells of hosts.
     pub hosts: Hosts,
 }
 
+/// The part of an event that tells of hosts.
 #[derive(Deserialize, Clone, Debug)]
 pub struct Hosts {
     /// The whole list, or what has changed.
     #[serde(default)]
     pub whole: bool,
+    /// The hosts that it names.
     #[serde(default)]
     pub hosts: Vec<HostEntry>,
 }
@@ -57,7 +61,9 @@
 #[derive(Deserialize, Clone, Debug)]
 #[serde(untagged)]
 pub enum HostEntry {
+    /// It can be read.
     Readable(Host),
+    /// It cannot.
     Unreadable(IgnoredAny),
 }
 
@@ -71,19 +77,28 @@
     }
 }
 
+/// A media host, as an event names it.
 #[derive(Deserialize, Clone, Debug)]
 pub struct Host {
+    /// Its name.
     pub host: String,
+    /// Where it listens.
     pub dial: String,
+    /// The name of its zone.
     #[serde(default)]
     pub site: String,
+    /// The name of its kind.
     #[serde(default)]
     pub class: String,
+    /// Its cell.
     #[serde(default)]
     pub block: usize,
+    /// Whether it may be used.
     pub health: Health,
+    /// Its weight.
     #[serde(default = "one")]
     pub share: f64,
+    /// When it started, in Unix milliseconds, if that was late; else 0.
     #[serde(default)]
     pub born_ms: f64,
 }
@@ -92,17 +107,23 @@
     1.0
 }
 
+/// Whether a host may be used.
 #[derive(Deserialize, Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Health {
+    /// It takes new sessions.
     Ready,
+    /// It takes no new sessions.
     Terminating,
+    /// It has left the list.
     Gone,
 }
 
 /// A media host as the list tells it.
 #[derive(Clone, PartialEq, Debug)]
 pub struct Listed {
+    /// Where it listens.
     pub address: SocketAddr,
+    /// What the decision module is told of it.
     pub entry: Entry,
 }
 
--- a/crates/elderpick-platform/src/lib.rs
+++ b/crates/elderpick-platform/src/lib.rs
@@ -4,6 +4,8 @@
 //! journal service, [`boot`] what a gateway is told at its start. The decoders take bytes as they come, check each
 //! length before they keep a byte for it, and hold no more than one message.
 
+#![deny(missing_docs)]
+
 pub mod boot;
 pub mod journal;
 pub mod rtsp;
--- a/crates/elderpick-platform/src/rtsp.rs
+++ b/crates/elderpick-platform/src/rtsp.rs
@@ -12,8 +12,11 @@
 
 /// `CSeq` of each exchange.
 pub mod cseq {
+    /// Of a set-up.
     pub const SET_UP: u32 = 1;
+    /// Of a withdrawal or a release.
     pub const TEARDOWN: u32 = 2;
+    /// Of a call for load or a test.
     pub const OPTIONS: u32 = 3;
     /// Any other may have any value.
     pub const OTHER: u32 = 4;
@@ -22,16 +25,28 @@
 /// The first line.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Start {
-    Request { method: String },
-    Response { status: u16 },
+    /// A message that wants an answer.
+    Request {
+        /// What it wants.
+        method: String,
+    },
+    /// An answer.
+    Response {
+        /// What it says of the request.
+        status: u16,
+    },
 }
 
 /// One message as it came.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Message {
+    /// The first line.
     pub start: Start,
+    /// The sequence number, which tells what is answered.
     pub cseq: u32,
+    /// The session's number.
     pub session: u64,
+    /// What follows the head.
     pub body: Bytes,
     head: Bytes,
     headers: Vec<(Range<usize>, Range<usize>)>,
@@ -79,6 +94,7 @@
 }
 
 impl Decoder {
+    /// Adds bytes that were read.
     pub fn push(&mut self, bytes: &[u8]) {
         self.held.extend_from_slice(bytes);
     }
@@ -228,11 +244,17 @@
 /// A set-up as it goes to a media host.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct SetUp<'a> {
+    /// The session's number.
     pub session: u64,
+    /// The name of its class.
     pub class: &'a str,
+    /// The title.
     pub title: &'a str,
+    /// How long its viewer waits at most, in milliseconds.
     pub patience_ms: u64,
+    /// The rung to serve it at.
     pub rung: usize,
+    /// The viewer's description of what it can play.
     pub description: &'a [u8],
 }
 
--- a/crates/elderpick-platform/src/viewer.rs
+++ b/crates/elderpick-platform/src/viewer.rs
@@ -6,31 +6,49 @@
 
 /// Types of messages, as the platform numbers them.
 pub mod kind {
+    /// A viewer asks for a session, or hands one over that plays.
     pub const SET_UP: u8 = 1;
+    /// Progress of a session; nothing depends on it.
     pub const PROGRESS: u8 = 6;
+    /// The final answer to a set-up: it plays.
     pub const ANSWER: u8 = 9;
+    /// A set-up is given up, a session is over, or the final answer that there is none.
     pub const RELEASE: u8 = 12;
+    /// A release was received.
     pub const RELEASE_HEARD: u8 = 16;
+    /// A viewer asks whether the gateway takes new viewers.
     pub const TEST: u8 = 52;
+    /// The answer to that.
     pub const TESTED: u8 = 53;
 }
 
 /// Codes of parameters.
 pub mod code {
+    /// The name of the class.
     pub const CLASS: u8 = 180;
+    /// How long the viewer waits, in milliseconds.
     pub const PATIENCE: u8 = 183;
+    /// The title.
     pub const TITLE: u8 = 192;
+    /// What the deployment knows of title and viewer, as `name:value` pairs.
     pub const FIGURES: u8 = 195;
+    /// When to come back, in milliseconds.
     pub const STAY_AWAY: u8 = 198;
+    /// The cause of a release or of a test's answer.
     pub const CAUSE: u8 = 222;
+    /// A description, the viewer's or the host's.
     pub const DESCRIPTION: u8 = 225;
 }
 
 /// Causes of releases, as the platform numbers them.
 pub mod cause {
+    /// The viewer has given up, or the session came to its usual end.
     pub const GIVEN_UP: u8 = 16;
+    /// The viewer ended the session, or was moved.
     pub const ENDED_BY_VIEWER: u8 = 31;
+    /// It failed, or was cut.
     pub const FAILED: u8 = 41;
+    /// Refused: nothing ran, and asking again is harmless.
     pub const REFUSED: u8 = 42;
     /// What was asked cannot be read.
     pub const UNREADABLE: u8 = 111;
@@ -42,8 +60,11 @@
 /// One message as it came; its parameters are read by [`Message::parameters`].
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Message {
+    /// Its type, one of [`kind`].
     pub kind: u8,
+    /// The session's number.
     pub session: u64,
+    /// The parameters as they came.
     pub body: Bytes,
 }
 
@@ -87,6 +108,7 @@
 }
 
 impl Decoder {
+    /// Adds bytes that were read.
     pub fn push(&mut self, bytes: &[u8]) {
         self.held.extend_from_slice(bytes);
     }
@@ -142,19 +164,26 @@
 /// A set-up, as far as its form tells.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct SetUp {
+    /// The session's number.
     pub session: u64,
+    /// The name of the class.
     pub class: String,
     /// How long the viewer waits, in milliseconds.
     pub patience_ms: u64,
+    /// The title.
     pub title: String,
+    /// What the deployment knows of title and viewer.
     pub figures: Figures,
+    /// The viewer's description of what it can play.
     pub description: Bytes,
 }
 
 /// The figures of parameter 195.
 #[derive(Clone, PartialEq, Eq, Default, Debug)]
 pub struct Figures {
+    /// First cell that holds the title.
     pub home: usize,
+    /// How many cells hold it, from `home` on.
     pub copies: usize,
     /// The viewer's best rung.
     pub top: Option<usize>,
--- a/crates/elderpick-sessions/src/admission.rs
+++ b/crates/elderpick-sessions/src/admission.rs
@@ -33,6 +33,7 @@
 /// What is to be done with a connection that was accepted by the system.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum AdmissionDecision {
+    /// It may stay.
     Admitted,
     /// Admitted, and this one is to be closed for it.
     InsteadOf(Conn),
@@ -56,10 +57,12 @@
 }
 
 impl Admission {
+    /// At most so many connections are admitted at a time.
     pub fn new(most: usize) -> Admission {
         Admission { most, clients: HashMap::new() }
     }
 
+    /// How many connections are admitted.
     pub fn held(&self) -> usize {
         self.clients.len()
     }
@@ -118,6 +121,7 @@
         }
     }
 
+    /// A connection has ended or is being closed.
     pub fn remove(&mut self, conn: Conn) {
         self.clients.remove(&conn);
     }
--- a/crates/elderpick-sessions/src/follow.rs
+++ b/crates/elderpick-sessions/src/follow.rs
@@ -27,6 +27,7 @@
 }
 
 impl Follow {
+    /// Follows the journal from behind this event.
     pub fn new(place: u64) -> Follow {
         Follow { place, ..Follow::default() }
     }
--- a/crates/elderpick-sessions/src/health.rs
+++ b/crates/elderpick-sessions/src/health.rs
@@ -25,6 +25,7 @@
 /// What to do for a host.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Next {
+    /// Nothing is due.
     Nothing,
     /// Send a test on a connection that is up.
     Test,
@@ -37,7 +38,9 @@
 /// How an opening ended.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Opened {
+    /// It came up.
     Up,
+    /// It was refused.
     Refused,
     /// It did not come up in time.
     Silent,
@@ -63,6 +66,7 @@
 }
 
 impl HealthMonitor {
+    /// A monitor of a host that was heard at this time.
     pub fn new(now: Micros) -> HealthMonitor {
         let (refused, silent, not_before) = (0, 0, now);
         HealthMonitor {
@@ -116,6 +120,7 @@
         self.not_before = now + PAUSE;
     }
 
+    /// Whether any connection to the host is up.
     pub fn connected(&self) -> bool {
         self.connections > 0
     }
--- a/crates/elderpick-sessions/src/lib.rs
+++ b/crates/elderpick-sessions/src/lib.rs
@@ -5,6 +5,8 @@
 //! [`follow`] keeps the place in the journal, [`pending`] what could not be said yet, [`releases`] what viewers have
 //! not confirmed, [`admission`] who may stay connected, [`shutdown`] when a gateway that was told to end may end.
 
+#![deny(missing_docs)]
+
 pub mod admission;
 pub mod follow;
 pub mod health;
--- a/crates/elderpick-sessions/src/lifecycle.rs
+++ b/crates/elderpick-sessions/src/lifecycle.rs
@@ -20,6 +20,8 @@
 use elderpick_platform::journal::Listed;
 use elderpick_platform::viewer::{SetUp, cause};
 
+use self::active::HostRelease;
+use self::attempts::HostAnswer;
 pub use self::events::{Counts, Input, Output};
 use crate::health::HealthMonitor;
 use crate::pending::ExpiringMap;
@@ -145,6 +147,7 @@
     actions: Vec<Action>,
     polled_at: Micros,
     fetching: bool,
+    /// What has happened since the start.
     pub counts: Counts,
 }
 
@@ -244,14 +247,14 @@
             Input::SetUp { conn, received_at, set_up } => self.set_up(now, conn, received_at, set_up, out),
             Input::Release { conn, session, cause } => self.release(now, conn, session, cause, out),
             Input::ClientDisconnected { conn } => self.client_disconnected(now, conn, out),
-            Input::Answer { server, session, attempt, description, over } => {
-                self.answered(now, server, session, attempt, (description, over), out);
+            Input::Answer { server, session, attempt, description, ended } => {
+                self.answered(now, HostAnswer { server, session, attempt, description, ended }, out);
             }
             Input::Refused { server, session, attempt, status, report } => {
                 self.end_attempt(&server, session, attempt, status, report);
             }
             Input::Released { server, session, attempt, cause, report } => {
-                self.released(now, server, session, attempt, cause, report, out);
+                self.released(now, HostRelease { server, session, attempt, cause, report }, out);
             }
             Input::ReleaseConfirmed { server, session } => self.release_confirmed(now, server, session),
             Input::Note { server, session, note } => self.note(server, session, note),
--- a/crates/elderpick-sessions/src/lifecycle/active.rs
+++ b/crates/elderpick-sessions/src/lifecycle/active.rs
@@ -5,6 +5,16 @@
 
 use super::{AttemptId, Conn, Lifecycle, Output, Session, Stage};
 
+/// A host ends a session.
+pub(super) struct HostRelease {
+    pub(super) server: ServerId,
+    pub(super) session: u64,
+    /// The attempt that is out on the connection that this came on.
+    pub(super) attempt: Option<AttemptId>,
+    pub(super) cause: u8,
+    pub(super) report: Report,
+}
+
 impl Lifecycle {
     /// What a host's cause for an end means.
     pub(super) fn status_of_end(cause: u8) -> Status {
@@ -16,17 +26,8 @@
     }
 
     /// A host tells that a session is over.
-    #[allow(clippy::too_many_arguments)]
-    pub(super) fn released(
-        &mut self,
-        now: Micros,
-        server: ServerId,
-        session: u64,
-        attempt: Option<AttemptId>,
-        cause: u8,
-        report: Report,
-        out: &mut Vec<Output>,
-    ) {
+    pub(super) fn released(&mut self, now: Micros, release: HostRelease, out: &mut Vec<Output>) {
+        let HostRelease { server, session, attempt, cause, report } = release;
         self.unconfirmed.remove(now, &(server.clone(), session));
         let Some(held) = self.sessions.get(&session).filter(|h| h.server() == Some(&server)) else {
             if !self.sessions.contains_key(&session) && !self.recent_answers.contains(now, &session) {
--- a/crates/elderpick-sessions/src/lifecycle/attempts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/attempts.rs
@@ -8,7 +8,19 @@
 
 use super::{AttemptId, Lifecycle, Output, Session, Stage, Timer};
 
+/// A host has set a session up.
+pub(super) struct HostAnswer {
+    pub(super) server: ServerId,
+    pub(super) session: u64,
+    /// The attempt that is out on the connection that this came on.
+    pub(super) attempt: Option<AttemptId>,
+    pub(super) description: Bytes,
+    /// Its host has ended it since, for this cause.
+    pub(super) ended: Option<u8>,
+}
+
 impl Lifecycle {
+    /// Makes an attempt at a host, if the list still has it.
     pub(super) fn send(
         &mut self,
         now: Micros,
@@ -59,15 +71,9 @@
         self.events.push_back(Event::Outcome { id, attempt, status, closed: false, report });
     }
 
-    pub(super) fn answered(
-        &mut self,
-        now: Micros,
-        server: ServerId,
-        session: u64,
-        attempt: Option<AttemptId>,
-        (description, over): (Bytes, Option<u8>),
-        out: &mut Vec<Output>,
-    ) {
+    /// A host has answered an attempt: the session plays, unless nobody waits for it any more.
+    pub(super) fn answered(&mut self, now: Micros, answer: HostAnswer, out: &mut Vec<Output>) {
+        let HostAnswer { server, session, attempt, description, ended } = answer;
         let held = self.sessions.get(&session);
         if !held.is_some_and(|h| attempt.is_some_and(|attempt| h.is_out_as(&server, attempt))) {
             // A second copy, an answer that nobody asked for, or one that crossed a withdrawal: only the last stands.
@@ -85,7 +91,7 @@
         held.set_up = None;
         let (conn, attempt) = (held.conn, held.sends - 1);
         self.add_active(conn);
-        if let Some(cause) = over {
+        if let Some(cause) = ended {
             // It stood for a moment: an answer would promise what is over.
             let rejected = |conn| Output::Rejected { conn, session, cause: cause::FAILED, retry_after: None };
             out.extend(conn.map(rejected));
--- a/crates/elderpick-sessions/src/lifecycle/events.rs
+++ b/crates/elderpick-sessions/src/lifecycle/events.rs
@@ -13,82 +13,121 @@
 pub enum Input {
     /// A viewer asks, over a connection; `received_at` is when its last byte arrived.
     SetUp {
+        /// The connection.
         conn: Conn,
+        /// When the last byte of the set-up arrived.
         received_at: Micros,
+        /// What is asked for.
         set_up: SetUp,
     },
     /// A viewer gives a set-up up, on the connection that it was asked on, or ends a session, on any.
     Release {
+        /// The connection.
         conn: Conn,
+        /// The session's number.
         session: u64,
+        /// The cause, as the platform numbers it.
         cause: u8,
     },
     /// A viewer's connection is gone.
     ClientDisconnected {
+        /// The connection.
         conn: Conn,
     },
     /// A host has set a session up.
     Answer {
+        /// The host.
         server: ServerId,
+        /// The session's number.
         session: u64,
         /// The attempt that is out on the connection that this came on; `None` where none of the session's is.
         attempt: Option<AttemptId>,
+        /// The description that the host answered with.
         description: Bytes,
         /// Its host has ended it since, for this cause, and nothing was answered yet.
-        over: Option<u8>,
+        ended: Option<u8>,
     },
     /// A host has not.
     Refused {
+        /// The host.
         server: ServerId,
+        /// The session's number.
         session: u64,
+        /// The attempt.
         attempt: AttemptId,
+        /// How it ended.
         status: Status,
+        /// The load that the host reported.
         report: Report,
     },
     /// A host ends a session.
     Released {
+        /// The host.
         server: ServerId,
+        /// The session's number.
         session: u64,
         /// As in [`Input::Answer`].
         attempt: Option<AttemptId>,
+        /// The cause, as the platform numbers it.
         cause: u8,
+        /// The load that the host reported.
         report: Report,
     },
     /// A host has heard a release.
     ReleaseConfirmed {
+        /// The host.
         server: ServerId,
+        /// The session's number.
         session: u64,
     },
+    /// News on the delivery or the rung of a session.
     Note {
+        /// The host.
         server: ServerId,
+        /// The session's number.
         session: u64,
+        /// The news.
         note: Note,
     },
     /// The connection of a set-up is gone, or never came up. What was not begun to be written never ran.
     ConnectionLost {
+        /// The host.
         server: ServerId,
+        /// The session's number.
         session: u64,
+        /// The attempt.
         attempt: AttemptId,
+        /// Its first byte was written.
         begun: bool,
     },
-    /// The set-up was not written, since [`Lifecycle::may_write`] forbade it.
+    /// The set-up was not written, since [`may_write`](super::Lifecycle::may_write) forbade it.
     NotSent {
+        /// The host.
         server: ServerId,
+        /// The session's number.
         session: u64,
+        /// The attempt.
         attempt: AttemptId,
     },
+    /// A call for load has ended.
     Probed {
+        /// The host.
         server: ServerId,
+        /// How it ended.
         status: Status,
+        /// The load that the host reported.
         report: Report,
     },
     /// A connection to a host came up or did not.
     Opened {
+        /// The host.
         server: ServerId,
+        /// How that ended.
         how: Opened,
     },
     /// A host's connection ended.
     HostDisconnected {
+        /// The host.
         server: ServerId,
         /// The host ended it, or it was read to its end: nothing that the host said on it is missing.
         whole: bool,
@@ -99,10 +138,14 @@
     },
     /// Anything was read from a host.
     Heard {
+        /// The host.
         server: ServerId,
     },
+    /// The list of hosts, or changes to it.
     List {
+        /// What the list holds.
         kind: ListKind,
+        /// The hosts that it names.
         hosts: Vec<Listed>,
     },
     /// All that the journal has is known now.
@@ -118,65 +161,97 @@
 pub enum Output {
     /// The final answer: it stands.
     Answer {
+        /// The connection.
         conn: Conn,
+        /// The session's number.
         session: u64,
+        /// The description that the host answered with.
         description: Bytes,
     },
     /// The final answer: it does not. The cause tells whether asking again is harmless.
     Rejected {
+        /// The connection.
         conn: Conn,
+        /// The session's number.
         session: u64,
+        /// The cause, as the platform numbers it.
         cause: u8,
+        /// When to come back, where that is told.
         retry_after: Option<Micros>,
     },
     /// A session that stood is over; `conn` is where it was asked for.
     SessionEnded {
+        /// The connection.
         conn: Option<Conn>,
+        /// The session's number.
         session: u64,
+        /// The cause, as the platform numbers it.
         cause: u8,
     },
-    /// To a host, once [`Lifecycle::may_write`] says so right before the first byte.
+    /// To a host, once [`may_write`](super::Lifecycle::may_write) says so right before the first byte.
     SetUp {
+        /// The host.
         server: ServerId,
+        /// The session's number.
         session: u64,
+        /// The attempt.
         attempt: AttemptId,
+        /// The name of the class.
         class: String,
+        /// The title.
         title: String,
+        /// How long the viewer waits at most.
         patience: Micros,
+        /// The rung.
         rung: usize,
+        /// The viewer's description of what it can play.
         description: Bytes,
     },
     /// A set-up is given up.
     Withdraw {
+        /// The host.
         server: ServerId,
+        /// The session's number.
         session: u64,
+        /// The attempt.
         attempt: AttemptId,
     },
     /// A session is released at its host.
     Release {
+        /// The host.
         server: ServerId,
+        /// The session's number.
         session: u64,
+        /// The cause, as the platform numbers it.
         cause: u8,
     },
+    /// Serve a session at another rung.
     Rung {
+        /// The host.
         server: ServerId,
+        /// The session's number.
         session: u64,
+        /// The rung.
         rung: usize,
     },
     /// Ask a host for its load.
     Probe {
+        /// The host.
         server: ServerId,
     },
     /// Test a host on a connection that is up; anything that it sends is an answer.
     Test {
+        /// The host.
         server: ServerId,
     },
     /// Open a connection to a host.
     Open {
+        /// The host.
         server: ServerId,
     },
     /// A host is lost or another process: close what leads to it.
     Forget {
+        /// The host.
         server: ServerId,
     },
     /// Ask the journal whether all is known, and say [`Input::CaughtUp`].
@@ -186,13 +261,20 @@
 /// Counts since the start.
 #[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
 pub struct Counts {
+    /// Set-ups that were accepted.
     pub accepted: u64,
+    /// Set-ups that led to a session.
     pub served: u64,
+    /// Set-ups that the decision module refused.
     pub refused: u64,
+    /// Set-ups that failed.
     pub failed: u64,
+    /// Set-ups that their viewers gave up.
     pub withdrawn: u64,
+    /// Sessions that were handed over.
     pub handed_over: u64,
     /// Turned away at a bound of this file, or since they named what does not exist.
     pub rejected: u64,
+    /// Hosts with sessions that were given up.
     pub hosts_lost: u64,
 }
--- a/crates/elderpick-sessions/src/pending.rs
+++ b/crates/elderpick-sessions/src/pending.rs
@@ -5,56 +5,58 @@
 
 use elderpick_core::api::Micros;
 
-/// Keeps words in order until they can be said. The oldest make room for new ones.
+/// Keeps messages in order until they can be sent. The oldest make room for new ones.
 #[derive(Debug)]
 pub struct PendingQueue<T> {
-    words: VecDeque<(Micros, T)>,
+    items: VecDeque<(Micros, T)>,
     most: usize,
     lasts: Micros,
-    /// Words that were dropped at the bound or had become too old.
+    /// Messages that were dropped at the bound or had become too old.
     pub dropped: u64,
 }
 
 impl<T> PendingQueue<T> {
-    /// Keeps `most` words at most, each for `lasts`.
+    /// Keeps `most` messages at most, each for `lasts`.
     pub fn new(most: usize, lasts: Micros) -> PendingQueue<T> {
-        PendingQueue { words: VecDeque::new(), most, lasts, dropped: 0 }
+        PendingQueue { items: VecDeque::new(), most, lasts, dropped: 0 }
     }
 
-    pub fn push(&mut self, now: Micros, word: T) {
+    /// Adds a message behind the others; the oldest makes room where there is none.
+    pub fn push(&mut self, now: Micros, item: T) {
         self.expire(now);
-        if self.words.len() >= self.most {
-            self.words.pop_front();
+        if self.items.len() >= self.most {
+            self.items.pop_front();
             self.dropped += 1;
         }
-        self.words.push_back((now, word));
+        self.items.push_back((now, item));
     }
 
-    /// The oldest word that is still worth saying.
+    /// The oldest message that is not too old.
     pub fn pop(&mut self, now: Micros) -> Option<T> {
         self.expire(now);
-        self.words.pop_front().map(|(_, word)| word)
+        self.items.pop_front().map(|(_, item)| item)
     }
 
-    /// All that is still worth saying.
+    /// All that is not too old, the oldest first.
     pub fn take(&mut self, now: Micros) -> impl Iterator<Item = T> {
         self.expire(now);
-        std::mem::take(&mut self.words).into_iter().map(|(_, word)| word)
+        std::mem::take(&mut self.items).into_iter().map(|(_, item)| item)
     }
 
     /// All that is kept and not too old, the oldest first.
     pub fn iter(&self, now: Micros) -> impl Iterator<Item = &T> {
         let fresh = move |at: &Micros| now - at <= self.lasts;
-        self.words.iter().filter(move |(at, _)| fresh(at)).map(|(_, word)| word)
+        self.items.iter().filter(move |(at, _)| fresh(at)).map(|(_, item)| item)
     }
 
+    /// Whether nothing waits.
     pub fn is_empty(&self) -> bool {
-        self.words.is_empty()
+        self.items.is_empty()
     }
 
     fn expire(&mut self, now: Micros) {
-        while self.words.front().is_some_and(|(at, _)| now - at > self.lasts) {
-            self.words.pop_front();
+        while self.items.front().is_some_and(|(at, _)| now - at > self.lasts) {
+            self.items.pop_front();
             self.dropped += 1;
         }
     }
@@ -97,10 +99,12 @@
         self.insert(now, key, value);
     }
 
+    /// What is held for a key, if it is not too old.
     pub fn get(&self, now: Micros, key: &K) -> Option<&V> {
         self.values.get(key).filter(|(at, _)| now - at <= self.lasts).map(|(_, value)| value)
     }
 
+    /// Whether anything is held for a key that is not too old.
     pub fn contains(&self, now: Micros, key: &K) -> bool {
         self.get(now, key).is_some()
     }
--- a/crates/elderpick-sessions/src/releases.rs
+++ b/crates/elderpick-sessions/src/releases.rs
@@ -116,6 +116,7 @@
         self.pending.len()
     }
 
+    /// Whether none is pending.
     pub fn is_empty(&self) -> bool {
         self.pending.is_empty()
     }
--- a/crates/elderpick-sessions/tests/common/mod.rs
+++ b/crates/elderpick-sessions/tests/common/mod.rs
@@ -517,7 +517,7 @@
                 }
                 let description = described(session);
                 let (server, attempt) = self.mixed(session, server, attempt);
-                self.feed(Input::Answer { server, session, attempt, description, over: None });
+                self.feed(Input::Answer { server, session, attempt, description, ended: None });
             }
             Say::Refused(session, status) => {
                 let own = self.lines[line].out.remove(&session);
--- a/crates/elderpick-sessions/tests/lifecycle.rs
+++ b/crates/elderpick-sessions/tests/lifecycle.rs
@@ -135,7 +135,7 @@
 
     fn answer(&mut self, at: &ServerId, session: u64) -> Vec<Output> {
         let (attempt, description) = (Some(self.attempt(session)), Bytes::from_static(b"answer"));
-        self.feed(Input::Answer { server: at.clone(), session, attempt, description, over: None })
+        self.feed(Input::Answer { server: at.clone(), session, attempt, description, ended: None })
     }
 
     /// Sets a session up, and where it plays then.
