--- a/crates/elderpick-entitle/src/lib.rs
+++ b/crates/elderpick-entitle/src/lib.rs
@@ -5,17 +5,17 @@
 //! - [`token`] reads and writes entitlement tokens: JWS in compact form (RFC 7515) with JWT claims (RFC 7519).
 //! - [`keys`] holds the keys that sign and verify them, as a JWK set (RFC 7517).
 //! - [`sheet`] says what licences there are, and which gateway counts which seats in which term.
-//! - [`desk`] is one gateway's count of seats: leases that are granted, renewed, ended, and free exactly once.
+//! - [`registry`] is one gateway's registry of seats: leases that are granted, renewed, ended, and free exactly once.
 //! - [`log`] is the form in which leases outlive the gateway's process, [`keeper`] says what is written when.
 //!
 //! Seats are safe by construction: in each term of the sheet each seat has one gateway that counts it, and a lease
 //! never outlasts the term in which its seat is that gateway's. Gateways need not speak to each other for that.
 
-pub mod desk;
 mod json;
 pub mod keeper;
 pub mod keys;
 pub mod log;
+pub mod registry;
 pub mod sheet;
 pub mod token;
 
--- a/crates/elderpick-entitle/src/desk.rs
+++ b/crates/elderpick-entitle/src/registry.rs
@@ -1,6 +1,6 @@
 //! One gateway's count of seats.
 //!
-//! A seat is taken by [`Desk::admit`] for a holder, a viewer whom a token names, and is free again exactly once: when
+//! A seat is taken by [`SeatRegistry::admit`] for a holder, a viewer whom a token names, and is free again exactly once: when
 //! its session is over, when the right to it ends, or, if the gateway was killed meanwhile, when the hold after the
 //! restart is over. All calls for one moment have one outcome whatever their order, but for who came first: what has
 //! ended by then is ended before anything else is looked at.
@@ -21,13 +21,13 @@
 pub use self::revoked::Revoked;
 pub use self::types::{Counts, Denied, Held, Rules, Seat, SeatId, Use};
 use crate::log::Record;
-use crate::sheet::Sheet;
+use crate::sheet::LicenceSheet;
 use crate::{Micros, Times};
 
 #[derive(Clone, PartialEq, Eq, Hash, Debug)]
-pub struct Desk {
+pub struct SeatRegistry {
     pub rules: Rules,
-    sheet: Sheet,
+    sheet: LicenceSheet,
     revoked: Revoked,
     /// The term by which parts are counted; `None` before the first count and after a change.
     term: Option<Option<usize>>,
@@ -47,10 +47,10 @@
     lapsed: Vec<SeatId>,
 }
 
-impl Desk {
-    /// A desk that knows of no seat taken. After a restart [`Desk::find`] and [`Desk::close`] tell it more.
-    pub fn new(rules: Rules, sheet: Sheet) -> Desk {
-        Desk {
+impl SeatRegistry {
+    /// A registry in which no seat is taken. After a restart [`SeatRegistry::find`] and [`SeatRegistry::close`] tell it more.
+    pub fn new(rules: Rules, sheet: LicenceSheet) -> SeatRegistry {
+        SeatRegistry {
             rules,
             sheet,
             revoked: Revoked::default(),
--- a/crates/elderpick-entitle/src/desk/admission.rs
+++ b/crates/elderpick-entitle/src/registry/admission.rs
@@ -1,12 +1,12 @@
 //! Who gets a seat, and for how long.
 
-use super::{Denied, Desk, Held, Lease, SeatId};
+use super::{Denied, Held, Lease, SeatId, SeatRegistry};
 use crate::log::Record;
 use crate::sheet::Devices;
 use crate::token::Claims;
 use crate::{Micros, Times};
 
-impl Desk {
+impl SeatRegistry {
     fn allowed(
         &self,
         t: Times,
@@ -52,7 +52,7 @@
     }
 
     /// A viewer asks for a session with a token that was verified. `device` stands for what it asks from: the same for
-    /// all tries of one player. A seat that is held is to be followed by [`Desk::answered`].
+    /// all tries of one player. A seat that is held is to be followed by [`SeatRegistry::answered`].
     pub fn admit(
         &mut self,
         t: Times,
--- a/crates/elderpick-entitle/src/desk/terms.rs
+++ b/crates/elderpick-entitle/src/registry/terms.rs
@@ -1,13 +1,13 @@
 //! Terms begin and end, the clock moves, and rights lapse.
 
-use super::{Desk, Lease, Revoked, SeatId};
+use super::{Lease, Revoked, SeatId, SeatRegistry};
 use crate::log::Record;
-use crate::sheet::Sheet;
+use crate::sheet::LicenceSheet;
 use crate::{Micros, Times};
 
-impl Desk {
+impl SeatRegistry {
     /// Puts another sheet in force, or tells why it cannot be.
-    pub fn sheet(&mut self, t: Times, sheet: Sheet) -> Result<(), String> {
+    pub fn sheet(&mut self, t: Times, sheet: LicenceSheet) -> Result<(), String> {
         self.sheet.may_become(&sheet, t.wall, self.rules.skew)?;
         self.sheet = sheet;
         self.term = None;
--- a/crates/elderpick-entitle/src/desk/views.rs
+++ b/crates/elderpick-entitle/src/registry/views.rs
@@ -1,16 +1,16 @@
 //! What others may know of seats.
 
-use super::{Desk, Lease, Seat, SeatId, Use};
+use super::{Lease, Seat, SeatId, SeatRegistry, Use};
 use crate::log::Record;
 use crate::{Micros, Times};
 
-impl Desk {
+impl SeatRegistry {
     /// Whether the right to a seat lasts.
     pub fn lasts(&self, seat: SeatId) -> bool {
         self.leases.get(&seat).is_some_and(|l| !l.ending)
     }
 
-    /// When [`Desk::advance`] is next due, on the monotonic clock.
+    /// When [`SeatRegistry::advance`] is next due, on the monotonic clock.
     pub fn next_end(&self) -> Option<Micros> {
         self.ends.first().map(|(at, _)| *at)
     }
--- a/crates/elderpick-entitle/src/sheet.rs
+++ b/crates/elderpick-entitle/src/sheet.rs
@@ -43,7 +43,7 @@
 }
 
 #[derive(Clone, PartialEq, Eq, Default, Hash, Debug)]
-pub struct Sheet {
+pub struct LicenceSheet {
     /// In order of time, without overlap.
     pub terms: Vec<Term>,
     pub at: BTreeMap<u32, String>,
@@ -89,9 +89,9 @@
     }
 }
 
-impl Sheet {
+impl LicenceSheet {
     /// Reads a sheet whole, or tells all that is wrong with it; `file` names it in messages.
-    pub fn read(file: &str, text: &str) -> Result<Sheet, String> {
+    pub fn read(file: &str, text: &str) -> Result<LicenceSheet, String> {
         #[derive(Deserialize)]
         struct RawTerm {
             from: String,
@@ -111,8 +111,8 @@
             terms: Vec<RawTerm>,
         }
         let schema = Schema::new("sheet.cue", SCHEMA).map_err(|p| p.to_string())?;
-        let raw: Raw = schema.load("#Sheet", file, text).map_err(|p| p.to_string())?;
-        let (mut wrong, mut sheet) = (Vec::new(), Sheet::default());
+        let raw: Raw = schema.load("#LicenceSheet", file, text).map_err(|p| p.to_string())?;
+        let (mut wrong, mut sheet) = (Vec::new(), LicenceSheet::default());
         let mut must = |holds: bool, field: String, rule: &str, found: String| {
             if !holds {
                 wrong.push(format!("{file}: {field}: {rule}, found {found}"));
@@ -220,7 +220,7 @@
 
     /// Whether `new` may stand in for this sheet at a moment: a term that has begun and is not over must stay as it is,
     /// since other gateways count by it.
-    pub fn may_become(&self, new: &Sheet, wall: Micros, skew: Micros) -> Result<(), String> {
+    pub fn may_become(&self, new: &LicenceSheet, wall: Micros, skew: Micros) -> Result<(), String> {
         // What begins within the skew may have begun elsewhere.
         let begun = |t: &&Term| t.from <= wall + skew && wall < t.until + skew;
         for (k, term) in self.terms.iter().enumerate().filter(|(_, t)| begun(t)) {
--- a/crates/elderpick-entitle/tests/search.rs
+++ b/crates/elderpick-entitle/tests/search.rs
@@ -1,14 +1,14 @@
 //! All that can happen in a small world: two gateways, three seats, three viewers, up to a number of steps.
 //!
-//! The world is what the gateway's runtime does with the desk, without sockets: it keeps records, uses a seat when its
+//! The world is what the gateway's runtime does with the registry, without sockets: it keeps records, uses a seat when its
 //! record is kept, and after a kill begins anew from the log. Of every state that is reached it is asked whether more
 //! viewers play than there are seats, whether one holds two, and whether any seat would stay taken if all went home.
 
 use std::collections::{BTreeMap, HashSet, VecDeque};
 
-use elderpick_entitle::desk::{Counts, Desk, Rules, SeatId};
 use elderpick_entitle::log::{self, Record};
-use elderpick_entitle::sheet::{Devices, Licence, Sheet, Term};
+use elderpick_entitle::registry::{Counts, Rules, SeatId, SeatRegistry};
+use elderpick_entitle::sheet::{Devices, Licence, LicenceSheet, Term};
 use elderpick_entitle::token::Claims;
 use elderpick_entitle::{Micros, Times};
 
@@ -34,7 +34,7 @@
 
 #[derive(Clone, PartialEq, Eq, Hash)]
 struct Gateway {
-    desk: Option<Desk>,
+    registry: Option<SeatRegistry>,
     kept: Vec<Record>,
     /// Not kept yet.
     written: Vec<Record>,
@@ -69,7 +69,7 @@
 /// When the terms turn, in the world where they do: from then on all seats are the second gateway's.
 const TURN: Micros = 12;
 
-fn sheet(turns: bool) -> Sheet {
+fn sheet(turns: bool) -> LicenceSheet {
     let of = |name: String| {
         let licence = Licence {
             name: name.clone(),
@@ -93,15 +93,15 @@
         first.until = TURN;
     }
     terms.insert(0, first);
-    Sheet { terms, at: BTreeMap::new() }
+    LicenceSheet { terms, at: BTreeMap::new() }
 }
 
-fn licence(sheet: &Sheet) -> String {
+fn licence(sheet: &LicenceSheet) -> String {
     sheet.terms[0].licences.keys().next().unwrap().clone()
 }
 
 /// Viewers so that two want the part of one seat.
-fn names(sheet: &Sheet) -> [String; 3] {
+fn names(sheet: &LicenceSheet) -> [String; 3] {
     let part = |name: &String| sheet.place(&licence(sheet), name, 10, 0, HOLD).map(|p| p.part);
     let mut all = (0..).map(|k| format!("v{k}"));
     let mut next = |wanted| all.find(|name| part(name) == Some(wanted)).unwrap();
@@ -111,13 +111,13 @@
 struct Rule {
     fault: Fault,
     names: [String; 3],
-    sheet: Sheet,
+    sheet: LicenceSheet,
 }
 
 impl Rule {
     fn start(&self) -> World {
         let gateway = |me| Gateway {
-            desk: Some(self.desk(me)),
+            registry: Some(self.registry(me)),
             kept: Vec::new(),
             written: Vec::new(),
             waiting: Vec::new(),
@@ -127,14 +127,14 @@
         World { now: 10, gateways: [gateway(0), gateway(1)], orphans: BTreeMap::new() }
     }
 
-    fn desk(&self, me: u32) -> Desk {
+    fn registry(&self, me: u32) -> SeatRegistry {
         let hold = match self.fault {
             Fault::ShortHold => 1,
             Fault::TurnsAtOnce => 0,
             _ => HOLD,
         };
         let rules = Rules { me, grace: 0, skew: 0, linger: 1, hold, most: 9 };
-        Desk::new(rules, self.sheet.clone())
+        SeatRegistry::new(rules, self.sheet.clone())
     }
 
     fn token(&self, viewer: usize, now: Micros) -> Claims {
@@ -160,7 +160,7 @@
         match step {
             Step::Ask { viewer, gateway } => {
                 let g = &mut world.gateways[gateway];
-                let held = g.desk.as_mut()?.admit(t, &self.token(viewer, t.wall), 1, "c", "title");
+                let held = g.registry.as_mut()?.admit(t, &self.token(viewer, t.wall), 1, "c", "title");
                 world.settle(gateway, self.fault);
                 let held = held.ok()?;
                 let g = &mut world.gateways[gateway];
@@ -171,7 +171,7 @@
             }
             Step::Keep { gateway } => {
                 let g = &mut world.gateways[gateway];
-                if g.desk.is_none() || g.written.is_empty() {
+                if g.registry.is_none() || g.written.is_empty() {
                     return None;
                 }
                 let written = std::mem::take(&mut g.written);
@@ -181,23 +181,23 @@
             Step::Renew { viewer, gateway } => {
                 let g = &mut world.gateways[gateway];
                 let seat = at(g, viewer)?;
-                let _ = g.desk.as_mut()?.renew(t, seat, &self.token(viewer, t.wall), "c", "title");
+                let _ = g.registry.as_mut()?.renew(t, seat, &self.token(viewer, t.wall), "c", "title");
             }
             Step::Leave { viewer, gateway } | Step::Break { viewer, gateway } => {
                 let g = &mut world.gateways[gateway];
                 let seat = at(g, viewer)?;
                 g.plays.remove(&seat);
-                g.desk.as_mut()?.over(t, seat, false, matches!(step, Step::Leave { .. }));
+                g.registry.as_mut()?.over(t, seat, false, matches!(step, Step::Leave { .. }));
             }
             Step::Ended { gateway } => {
                 let g = &mut world.gateways[gateway];
                 let (&seat, _) = g.ending.iter().next()?;
                 g.ending.remove(&seat);
-                g.desk.as_mut()?.over(t, seat, false, true);
+                g.registry.as_mut()?.over(t, seat, false, true);
             }
             Step::Kill { gateway } => {
                 let g = &mut world.gateways[gateway];
-                g.desk.take()?;
+                g.registry.take()?;
                 // What was written and not kept is lost; hosts play on until they hear nothing for the hold.
                 g.written.clear();
                 g.waiting.clear();
@@ -208,20 +208,20 @@
             }
             Step::Restart { gateway } => {
                 let g = &mut world.gateways[gateway];
-                if g.desk.is_some() {
+                if g.registry.is_some() {
                     return None;
                 }
-                let mut desk = self.desk(gateway as u32);
+                let mut registry = self.registry(gateway as u32);
                 let mut log = log::begin("b");
                 g.kept.iter().for_each(|r| log::append(&mut log, 0, r));
                 let read = log::replay(&log);
-                desk.after(read.last);
+                registry.after(read.last);
                 if self.fault != Fault::ForgetsTaken {
                     for (seat, licence, holder) in read.taken {
-                        desk.find(t, SeatId(seat), &licence, &holder);
+                        registry.find(t, SeatId(seat), &licence, &holder);
                     }
                 }
-                g.desk = Some(desk);
+                g.registry = Some(registry);
             }
             Step::Tick => {
                 // A host is told within a bounded time that a session is over.
@@ -232,7 +232,7 @@
                 let now = world.now;
                 world.orphans.retain(|_, until| *until > now);
                 let t = Times { mono: now, wall: now };
-                world.gateways.iter_mut().filter_map(|g| g.desk.as_mut()).for_each(|d| d.advance(t));
+                world.gateways.iter_mut().filter_map(|g| g.registry.as_mut()).for_each(|d| d.advance(t));
             }
         }
         for gateway in 0..2 {
@@ -243,34 +243,34 @@
 }
 
 impl World {
-    /// Takes out what the desk wants kept and ended.
+    /// Takes out what the registry wants kept and ended.
     fn settle(&mut self, gateway: usize, fault: Fault) {
         let t = Times { mono: self.now, wall: self.now };
         let g = &mut self.gateways[gateway];
-        let Some(desk) = &mut g.desk else { return };
-        for seat in desk.take_lapsed() {
+        let Some(registry) = &mut g.registry else { return };
+        for seat in registry.take_lapsed() {
             if let Some(viewer) = g.plays.remove(&seat) {
                 g.ending.insert(seat, viewer);
                 if fault == Fault::FreesEarly {
-                    desk.over(t, seat, false, true);
+                    registry.over(t, seat, false, true);
                 }
             }
         }
-        g.written.extend(desk.take_records());
-        desk.counts = Counts::default();
+        g.written.extend(registry.take_records());
+        registry.counts = Counts::default();
     }
 
     /// Requests whose records are kept get their sessions.
     fn answer(&mut self, gateway: usize) {
         let t = Times { mono: self.now, wall: self.now };
         let g = &mut self.gateways[gateway];
-        let Some(desk) = &mut g.desk else { return };
+        let Some(registry) = &mut g.registry else { return };
         for (viewer, seat) in std::mem::take(&mut g.waiting) {
-            if desk.lasts(seat) {
+            if registry.lasts(seat) {
                 g.plays.insert(seat, viewer);
             }
             let plays = g.plays.contains_key(&seat) || g.ending.contains_key(&seat);
-            desk.answered(t, seat, plays);
+            registry.answered(t, seat, plays);
         }
     }
 
@@ -288,8 +288,8 @@
             return Some(format!("{viewers:?} play, and their part has one seat"));
         }
         for g in &self.gateways {
-            if let Some(desk) = &g.desk {
-                let more = g.plays.len() + g.ending.len() > desk.taken();
+            if let Some(registry) = &g.registry {
+                let more = g.plays.len() + g.ending.len() > registry.taken();
                 if more {
                     return Some("more plays than is counted".into());
                 }
@@ -312,7 +312,8 @@
         for _ in 0..LIFE.max(HOLD) + 1 {
             home = rule.step(&home, Step::Tick)?;
         }
-        let left: usize = home.gateways.iter().filter_map(|g| g.desk.as_ref()).map(Desk::taken).sum();
+        let left: usize =
+            home.gateways.iter().filter_map(|g| g.registry.as_ref()).map(SeatRegistry::taken).sum();
         (left > 0).then(|| format!("{left} seats stay taken"))
     }
 }
--- a/crates/elderpick-entitle/tests/unit/sheet.rs
+++ b/crates/elderpick-entitle/tests/unit/sheet.rs
@@ -44,32 +44,32 @@
 
 #[test]
 fn a_sheet_is_read_whole_or_refused_with_all_that_is_wrong() {
-    let sheet = Sheet::read("s.cue", SHEET).unwrap();
+    let sheet = LicenceSheet::read("s.cue", SHEET).unwrap();
     assert_eq!((sheet.terms.len(), &*sheet.at[&0]), (2, "http://127.0.0.1:80"));
     let bad = SHEET.replace("T09:00:00Z\", until", "T08:59:00Z\", until").replace("http:", "ftp:");
-    let why = Sheet::read("s.cue", &bad).unwrap_err();
+    let why = LicenceSheet::read("s.cue", &bad).unwrap_err();
     assert!(why.contains("terms[1].from") && why.contains("at[0].uri"), "{why}");
-    let why = Sheet::read("s.cue", &SHEET.replace("seats: 3", "seats: -3")).unwrap_err();
+    let why = LicenceSheet::read("s.cue", &SHEET.replace("seats: 3", "seats: -3")).unwrap_err();
     assert!(why.contains("s.cue:5:") && why.contains("seats"), "{why}");
 }
 
 #[test]
 fn a_term_that_has_begun_cannot_be_changed_and_the_next_can() {
-    let old = Sheet::read("s.cue", SHEET).unwrap();
+    let old = LicenceSheet::read("s.cue", SHEET).unwrap();
     let during = old.terms[0].from + 60_000_000;
-    let shrunk = Sheet::read("s.cue", &SHEET.replace("seats: 3", "seats: 2")).unwrap();
+    let shrunk = LicenceSheet::read("s.cue", &SHEET.replace("seats: 3", "seats: 2")).unwrap();
     assert!(old.may_become(&shrunk, during, 1_000_000).is_err());
     assert!(old.may_become(&shrunk, old.terms[0].from - 2_000_000, 1_000_000).is_ok());
-    let longer = Sheet::read("s.cue", &SHEET.replace("[0, 1, 2]", "[0, 1, 2, 3]")).unwrap();
+    let longer = LicenceSheet::read("s.cue", &SHEET.replace("[0, 1, 2]", "[0, 1, 2, 3]")).unwrap();
     assert!(old.may_become(&longer, during, 1_000_000).is_ok());
-    let gone = Sheet { terms: vec![old.terms[1].clone()], ..old.clone() };
+    let gone = LicenceSheet { terms: vec![old.terms[1].clone()], ..old.clone() };
     assert!(old.may_become(&gone, during, 1_000_000).is_err());
     assert!(old.may_become(&gone, old.terms[0].until + 1, 0).is_ok());
 }
 
 /// A licence that the first term cuts at one gateway and the second at another.
-fn turning(moves: bool) -> (Sheet, String) {
-    let sheet = Sheet::read("s.cue", SHEET).unwrap();
+fn turning(moves: bool) -> (LicenceSheet, String) {
+    let sheet = LicenceSheet::read("s.cue", SHEET).unwrap();
     let names = (0..).map(|k| format!("l{k}"));
     let home = |name: &str, k: usize| highest(name, 0, &sheet.terms[k].gateways);
     let name = { names }.find(|name| (home(name, 0) != home(name, 1)) == moves).unwrap();
--- a/crates/elderpick-gateway/src/engine.rs
+++ b/crates/elderpick-gateway/src/engine.rs
@@ -20,7 +20,7 @@
 use elderpick_core::api::{
     Action, Event, ListKind, Micros, Report, RequestId, ServerId, ServerState, Status,
 };
-use elderpick_entitle::desk::SeatId;
+use elderpick_entitle::registry::SeatId;
 
 pub use self::events::{
     Answer, Ask, Counts, Input, Output, Payer, Said, Seated, SetUp, Token, Use, Via, Viewer, Wanted, Word,
--- a/crates/elderpick-gateway/src/engine/events.rs
+++ b/crates/elderpick-gateway/src/engine/events.rs
@@ -3,8 +3,8 @@
 use std::net::{IpAddr, SocketAddr};
 
 use elderpick_core::api::{ListKind, Micros, Report, RequestId, ServerId, Status};
-use elderpick_entitle::desk::SeatId;
-use elderpick_ledger::book::Outcome;
+use elderpick_entitle::registry::SeatId;
+use elderpick_ledger::accounts::Outcome;
 
 use crate::membership::Told;
 
--- a/crates/elderpick-gateway/src/engine/releases.rs
+++ b/crates/elderpick-gateway/src/engine/releases.rs
@@ -1,7 +1,7 @@
 //! The end of a session: released at its host, then forgotten.
 
 use elderpick_core::api::{Event, Micros, Report, RequestId, Status};
-use elderpick_ledger::book::Outcome;
+use elderpick_ledger::accounts::Outcome;
 
 use super::{Answer, Decide, Engine, Output, Seated, State, Timer, Token, Use};
 use crate::play::Play;
--- a/crates/elderpick-gateway/src/engine/requests.rs
+++ b/crates/elderpick-gateway/src/engine/requests.rs
@@ -1,7 +1,7 @@
 //! Requests of viewers: a session begins, is joined, or is refused.
 
 use elderpick_core::api::{Event, Micros, RequestId, Status, Viewing};
-use elderpick_entitle::desk::SeatId;
+use elderpick_entitle::registry::SeatId;
 
 use super::{Answer, Ask, Decide, Engine, Output, Seated, Session, State, Token, Via, Wanted};
 
--- a/crates/elderpick-gateway/src/engine/session.rs
+++ b/crates/elderpick-gateway/src/engine/session.rs
@@ -1,7 +1,7 @@
 //! A session and its state.
 
 use elderpick_core::api::{Micros, Report, ServerId, Status};
-use elderpick_ledger::book::Outcome;
+use elderpick_ledger::accounts::Outcome;
 
 use super::{Ask, Token, Wanted};
 use crate::play::Play;
--- a/crates/elderpick-gateway/src/entitle.rs
+++ b/crates/elderpick-gateway/src/entitle.rs
@@ -1,4 +1,4 @@
-//! Entitlement at work in the gateway: tokens that viewers bring, the desk that counts seats, its log and its files.
+//! Entitlement at work in the gateway: tokens that viewers bring, the registry that counts seats, its log and its files.
 
 use std::cell::RefCell;
 use std::path::Path;
@@ -6,10 +6,10 @@
 use std::time::{Duration, SystemTime};
 
 use elderpick_entitle::Times;
-use elderpick_entitle::desk::{self, Denied, Desk, Held, Revoked, SeatId};
 use elderpick_entitle::keys::KeySet;
 use elderpick_entitle::log::Record;
-use elderpick_entitle::sheet::Sheet;
+use elderpick_entitle::registry::{self, Denied, Held, Revoked, SeatId, SeatRegistry};
+use elderpick_entitle::sheet::LicenceSheet;
 use elderpick_entitle::token::{self, Asked, Claims, Flaw};
 use tokio::task::spawn_local;
 
@@ -42,7 +42,7 @@
 }
 
 pub struct Seats {
-    desk: Desk,
+    registry: SeatRegistry,
     keys: KeySet,
     asked: Asked,
     journal: Journal,
@@ -65,8 +65,8 @@
     pub fn open(config: &Config, t: Times) -> Result<Option<Seats>, String> {
         let Some(settings) = config.entitlement.clone() else { return Ok(None) };
         let keys = read_keys(&settings.keys, &open(&settings.keys)?)?;
-        let sheet = Sheet::read(&settings.sheet.display().to_string(), &open(&settings.sheet)?)?;
-        let rules = desk::Rules {
+        let sheet = LicenceSheet::read(&settings.sheet.display().to_string(), &open(&settings.sheet)?)?;
+        let rules = registry::Rules {
             me: config.me as u32,
             grace: settings.grace,
             skew: settings.skew,
@@ -74,19 +74,19 @@
             hold: settings.hold,
             most: settings.seats,
         };
-        let mut desk = Desk::new(rules, sheet);
+        let mut registry = SeatRegistry::new(rules, sheet);
         if let Some(path) = &settings.revoked {
-            desk.revoke(t, Revoked::read(&path.display().to_string(), &open(path)?)?);
+            registry.revoke(t, Revoked::read(&path.display().to_string(), &open(path)?)?);
         }
         let (journal, found) = Journal::open(&settings.state, settings.sync, span(settings.within))?;
-        desk.after(found.last);
+        registry.after(found.last);
         for (seat, licence, holder) in &found.taken {
-            desk.find(t, SeatId(*seat), licence, holder);
+            registry.find(t, SeatId(*seat), licence, holder);
         }
         if let Some(why) = &found.unsure {
             let hold_s = settings.hold / 1_000_000;
             tracing::warn!(%why, hold_s, "what was taken is not certain: no new seats for the hold");
-            desk.close(t);
+            registry.close(t);
         }
         if !found.taken.is_empty() {
             tracing::info!(seats = found.taken.len(), "taken before the restart; they count for the hold");
@@ -97,42 +97,42 @@
             skew: settings.skew,
         };
         let counts = Counts::default();
-        Ok(Some(Seats { desk, keys, asked, journal, left: Vec::new(), settings, counts }))
+        Ok(Some(Seats { registry, keys, asked, journal, left: Vec::new(), settings, counts }))
     }
 
     /// Hands to the journal what is to be kept, and takes from it whether it can be.
     fn flush(&mut self) {
-        self.left.extend(self.desk.take_records());
+        self.left.extend(self.registry.take_records());
         if self.journal.give(&self.left) {
             self.left.clear();
         }
         let good = self.journal.kept().borrow().good && self.left.is_empty();
-        self.desk.keeps(good);
+        self.registry.keeps(good);
     }
 
     pub fn next_end(&self) -> Option<i64> {
-        self.desk.next_end()
+        self.registry.next_end()
     }
 
     /// What operators see, as JSON.
     pub fn show(&self, t: Times) -> serde_json::Value {
         let kept = *self.journal.kept().borrow();
-        let c = &self.desk.counts;
-        let parts = self.desk.uses(t).into_iter().map(|u| {
+        let c = &self.registry.counts;
+        let parts = self.registry.uses(t).into_iter().map(|u| {
             serde_json::json!({ "licence": u.licence, "part": u.part, "gateway": u.gateway,
-                "here": u.gateway == self.desk.rules.me, "taken": u.taken, "seats": u.seats })
+                "here": u.gateway == self.registry.rules.me, "taken": u.taken, "seats": u.seats })
         });
         let parts: Vec<_> = parts.collect();
-        let seats = self.desk.seats(t).into_iter().map(|s| {
+        let seats = self.registry.seats(t).into_iter().map(|s| {
             serde_json::json!({ "seat": s.id.0, "licence": s.licence, "holder": s.holder, "token": s.token,
                 "state": s.state, "left_ms": s.left / 1000 })
         });
         let seats: Vec<_> = seats.collect();
         serde_json::json!({
-            "me": self.desk.rules.me,
+            "me": self.registry.rules.me,
             "parts": parts,
             "seats": seats,
-            "closed_ms": self.desk.closed_for(t).map(|us| us / 1000),
+            "closed_ms": self.registry.closed_for(t).map(|us| us / 1000),
             "state": { "kept": kept.good, "bytes": kept.length },
             "counts": { "taken": c.taken, "again": c.again, "renewed": c.renewed, "taken_over": c.taken_over,
                 "freed": c.freed, "lapsed": c.lapsed, "found": c.found, "full": c.full, "denied": c.denied,
@@ -154,7 +154,7 @@
     fn drop(&mut self) {
         let seat = self.seated.seat;
         let plays = self.shell.with_engine(|e| e.has_session(seat));
-        self.shell.with_desk(|desk, t| desk.answered(t, seat, plays));
+        self.shell.with_registry(|registry, t| registry.answered(t, seat, plays));
     }
 }
 
@@ -162,16 +162,16 @@
 const DISK: i64 = 4;
 
 impl<D: Decide + 'static> Shell<D> {
-    /// Does something at the desk and carries out what follows from it.
-    pub fn with_desk<T>(self: &Rc<Self>, f: impl FnOnce(&mut Desk, Times) -> T) -> Option<T> {
+    /// Does something at the registry and carries out what follows from it.
+    pub fn with_registry<T>(self: &Rc<Self>, f: impl FnOnce(&mut SeatRegistry, Times) -> T) -> Option<T> {
         let t = self.times();
         let (value, lapsed, moved) = {
             let mut seats = self.seats.borrow_mut();
             let seats = seats.as_mut()?;
-            let before = seats.desk.next_end();
-            let value = f(&mut seats.desk, t);
+            let before = seats.registry.next_end();
+            let value = f(&mut seats.registry, t);
             seats.flush();
-            (value, seats.desk.take_lapsed(), before != seats.desk.next_end())
+            (value, seats.registry.take_lapsed(), before != seats.registry.next_end())
         };
         for seat in lapsed {
             self.feed(Input::Lapse { seat });
@@ -214,7 +214,7 @@
             let class = &e.config.classes[class];
             (class.name.clone(), class.patience)
         });
-        let admitted = self.with_desk(|desk, t| desk.admit(t, &claims, device, &name, title));
+        let admitted = self.with_registry(|registry, t| registry.admit(t, &claims, device, &name, title));
         let held = admitted.ok_or(Barred::NoToken)?.map_err(|why| {
             tracing::info!(token = claims.id, licence = claims.licence, ?why, "no seat");
             Barred::Denied(why)
@@ -245,7 +245,7 @@
             tracing::warn!(seat = seat.0, "the seat's record was not kept in time");
             return Err(Barred::Slow);
         }
-        if !self.with_desk(|desk, _| desk.lasts(seat)).unwrap_or(false) {
+        if !self.with_registry(|registry, _| registry.lasts(seat)).unwrap_or(false) {
             return Err(Barred::Denied(Denied::Ended));
         }
         Ok(seating)
@@ -258,7 +258,7 @@
             e.seat_of(session).map(|(seat, class, title)| (seat, e.config.classes[class].name.clone(), title))
         });
         let Some((seat, class, title)) = of else { return Ok(()) };
-        let renewed = self.with_desk(|desk, t| desk.renew(t, seat, &claims, &class, &title));
+        let renewed = self.with_registry(|registry, t| registry.renew(t, seat, &claims, &class, &title));
         renewed.unwrap_or(Ok(())).map_err(Barred::Denied)
     }
 
@@ -288,7 +288,7 @@
                             Err(_) => seats.counts.bad_reloads += 1,
                         }
                     }
-                    shell.with_desk(|desk, t| desk.advance(t));
+                    shell.with_registry(|registry, t| registry.advance(t));
                 }
             });
         };
@@ -298,11 +298,11 @@
         });
         watch(&settings.sheet, |seats, t, path, text| {
             let name = path.display().to_string();
-            seats.desk.sheet(t, Sheet::read(&name, text)?).map_err(|why| format!("{name}: {why}"))
+            seats.registry.sheet(t, LicenceSheet::read(&name, text)?).map_err(|why| format!("{name}: {why}"))
         });
         if let Some(path) = &settings.revoked {
             watch(path, |seats, t, path, text| {
-                seats.desk.revoke(t, Revoked::read(&path.display().to_string(), text)?);
+                seats.registry.revoke(t, Revoked::read(&path.display().to_string(), text)?);
                 Ok(())
             });
         }
@@ -314,7 +314,7 @@
             let mut good = true;
             while let Ok(now) = kept.wait_for(|k| k.good != good).await.map(|k| k.good) {
                 good = now;
-                shell.with_desk(|_, _| ());
+                shell.with_registry(|_, _| ());
             }
         });
     }
--- a/crates/elderpick-gateway/src/front.rs
+++ b/crates/elderpick-gateway/src/front.rs
@@ -19,7 +19,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
-use elderpick_entitle::desk::Denied;
+use elderpick_entitle::registry::Denied;
 
 use crate::door::Entry;
 use crate::engine::{Answer, Ask, Decide, Input, Payer, Token, Via, Viewer, Wanted};
--- a/crates/elderpick-gateway/src/ledger.rs
+++ b/crates/elderpick-gateway/src/ledger.rs
@@ -12,7 +12,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use elderpick_ledger::Micros;
-use elderpick_ledger::book::{Book, Correction, Entry, Kind, Record};
+use elderpick_ledger::accounts::{Accounts, Correction, Entry, Kind, Record};
 use elderpick_ledger::calendar::Calendar;
 use elderpick_ledger::segments::{self, Disk, From, Segments};
 use handover::Work;
@@ -61,7 +61,7 @@
 /// A gateway's ledger, open.
 pub struct Ledger {
     gateway: String,
-    book: Book,
+    accounts: Accounts,
     folder: PathBuf,
     segments: Segments<Files>,
     /// Bytes of records that are kept, about.
@@ -82,12 +82,12 @@
         std::fs::create_dir_all(folder).map_err(told(folder))?;
         let lock = File::create(folder.join("lock")).map_err(told(folder))?;
         lock.try_lock().map_err(|_| format!("{}: another process has this ledger", folder.display()))?;
-        let mut book = Book::new(Calendar::new(&settings.zone, settings.every, settings.lateness)?);
+        let mut accounts = Accounts::new(Calendar::new(&settings.zone, settings.every, settings.lateness)?);
         let place = read(folder, gateway, From::Newest, |record| {
-            book.apply(record, &mut |_| ());
+            accounts.apply(record, &mut |_| ());
             ControlFlow::Continue(())
         })?;
-        if let Some(other) = book.other_calendar() {
+        if let Some(other) = accounts.other_calendar() {
             let folder = folder.display();
             return Err(format!(
                 "{folder}: ledger.zone, ledger.every: must stay {other}, or take another folder"
@@ -97,19 +97,19 @@
         let segments = Segments::new(files, gateway, settings.segment as u64, place);
         let keep = settings.keep as u64;
         let (gateway, folder) = (gateway.into(), folder.clone());
-        Ok(Ledger { gateway, book, folder, segments, keep, looked: 0, _lock: lock })
+        Ok(Ledger { gateway, accounts, folder, segments, keep, looked: 0, _lock: lock })
     }
 
     /// Begins a new epoch: what the process before left open ends where it was marked last.
     pub fn begin(&mut self) -> Result<(), String> {
-        let records = self.book.start(rand::random(), now());
+        let records = self.accounts.start(rand::random(), now());
         self.take(&records)
     }
 
     /// Keeps records and then counts them.
     pub fn take(&mut self, records: &[Record]) -> Result<(), String> {
-        self.segments.append(self.book.state(), records).map_err(told(&self.folder))?;
-        records.iter().for_each(|record| self.book.apply(record, &mut |_| ()));
+        self.segments.append(self.accounts.state(), records).map_err(told(&self.folder))?;
+        records.iter().for_each(|record| self.accounts.apply(record, &mut |_| ()));
         Ok(())
     }
 
@@ -130,23 +130,23 @@
                 stays
             });
             let upto = stay.map_or(self.looked, |s| s.0);
-            let kept = self.book.state().kept_from();
+            let kept = self.accounts.state().kept_from();
             let begins = segments::index(&self.segments.disk).map_err(told(&self.folder))?;
             let begins: Vec<_> = begins.into_iter().filter(|(s, _)| *s > kept && *s <= upto).collect();
-            if let Some(record) = self.book.let_go(&begins) {
+            if let Some(record) = self.accounts.let_go(&begins) {
                 self.take(&[record])?;
             }
-            if self.book.state().kept_from() < upto {
-                let waiting = self.book.waiting();
+            if self.accounts.state().kept_from() < upto {
+                let waiting = self.accounts.waiting();
                 tracing::warn!(waiting, "the ledger is over keep, and its oldest entries are not exported");
             }
         }
-        self.segments.remove_before(self.book.state().kept_from()).map_err(told(&self.folder))
+        self.segments.remove_before(self.accounts.state().kept_from()).map_err(told(&self.folder))
     }
 
     fn entry(&self, number: u64) -> Result<Entry, String> {
         let mut found = None;
-        let of = (&*self.folder, &*self.gateway, self.book.calendar());
+        let of = (&*self.folder, &*self.gateway, self.accounts.calendar());
         handover::entries(of, (number, number), |entry| {
             found = Some(entry);
             Ok(())
@@ -155,7 +155,7 @@
     }
 
     fn work(&self, number: u64, to: &str) -> Result<Work, String> {
-        let exports = self.book.exports();
+        let exports = self.accounts.exports();
         let of = exports
             .iter()
             .find(|e| e.number == number)
@@ -167,7 +167,7 @@
         Ok(Work {
             folder: self.folder.clone(),
             gateway: self.gateway.clone(),
-            calendar: self.book.calendar().clone(),
+            calendar: self.accounts.calendar().clone(),
             number,
             first: of.first,
             last: of.last,
@@ -180,13 +180,13 @@
     fn begin_command(&mut self, command: Command) -> Result<Begun, String> {
         match command {
             Command::Export { to } => {
-                let pending = self.book.exports().last().filter(|e| e.digest.is_none()).map(|e| e.number);
+                let pending = self.accounts.exports().last().filter(|e| e.digest.is_none()).map(|e| e.number);
                 let number = match pending {
                     Some(number) => number,
                     None => {
-                        let record = self.book.prepare().map_err(|why| why.to_string())?;
+                        let record = self.accounts.prepare().map_err(|why| why.to_string())?;
                         self.take(std::slice::from_ref(&record))?;
-                        self.book.exports().last().map_or(0, |e| e.number)
+                        self.accounts.exports().last().map_or(0, |e| e.number)
                     }
                 };
                 Ok(Begun::Work(self.work(number, &to)?, true))
@@ -200,10 +200,10 @@
     fn handed(&mut self, number: u64, first: bool, done: (String, String)) -> Result<Value, String> {
         let (name, digest) = done;
         if first {
-            let record = self.book.hand(number, &digest).map_err(|why| why.to_string())?;
+            let record = self.accounts.hand(number, &digest).map_err(|why| why.to_string())?;
             self.take(&record.into_iter().collect::<Vec<_>>())?;
         }
-        let waiting = self.book.waiting();
+        let waiting = self.accounts.waiting();
         Ok(json!({ "export": number, "name": name, "digest": digest, "waiting": waiting }))
     }
 
@@ -220,19 +220,19 @@
     }
 
     fn quick(&mut self, command: Command) -> Result<Value, String> {
-        let refused = |why: elderpick_ledger::book::Refused| why.to_string();
+        let refused = |why: elderpick_ledger::accounts::Refused| why.to_string();
         match command {
             Command::Show => {
-                let totals = self.book.totals().iter().map(|((period, tenant), total)| {
+                let totals = self.accounts.totals().iter().map(|((period, tenant), total)| {
                     json!({ "period": period, "tenant": tenant, "entries": total.entries, "uses": total.uses,
                         "us": total.time(), "at_rung_us": total.at_rung, "bytes": total.bytes })
                 });
-                let exports = self.book.exports().iter().map(|e| {
+                let exports = self.accounts.exports().iter().map(|e| {
                     json!({ "export": e.number, "first": e.first, "last": e.last, "handed": e.digest.is_some() })
                 });
                 Ok(
-                    json!({ "gateway": self.gateway, "epoch": self.book.epoch(), "entries": self.book.entries(),
-                    "open": self.book.open(), "closed_us": self.book.closed(), "odd": self.book.odd(),
+                    json!({ "gateway": self.gateway, "epoch": self.accounts.epoch(), "entries": self.accounts.entries(),
+                    "open": self.accounts.open(), "closed_us": self.accounts.closed(), "odd": self.accounts.odd(),
                     "totals": totals.collect::<Vec<_>>(), "exports": exports.collect::<Vec<_>>() }),
                 )
             }
@@ -240,11 +240,11 @@
                 let day = if period.len() == 7 { format!("{period}-15") } else { period.clone() };
                 let day: jiff::civil::Date = day.parse().map_err(|_| format!("{period:?} is no period"))?;
                 let noon = day.at(12, 0, 0, 0).in_tz("UTC").map_err(|why| why.to_string())?;
-                let of = self.book.calendar().period(noon.timestamp().as_microsecond());
+                let of = self.accounts.calendar().period(noon.timestamp().as_microsecond());
                 if of.name != period {
                     return Err(format!("{period:?} is no period: the one of that time is {:?}", of.name));
                 }
-                let record = self.book.close(&of, now()).map_err(refused)?;
+                let record = self.accounts.close(&of, now()).map_err(refused)?;
                 self.take(&[record])?;
                 Ok(json!({ "closed": of.name }))
             }
@@ -262,9 +262,9 @@
                     why,
                     at: now(),
                 };
-                let record = self.book.correct(&of, change).map_err(refused)?;
+                let record = self.accounts.correct(&of, change).map_err(refused)?;
                 self.take(&[record])?;
-                let number = self.book.entries();
+                let number = self.accounts.entries();
                 let period = self.entry(number)?.period;
                 Ok(json!({ "entry": number, "kind": Kind::Correction, "period": period }))
             }
@@ -276,14 +276,14 @@
 /// Reads all records of a ledger, also of a gateway that runs: how many records and entries, and how many records did
 /// not fit what was known.
 pub fn verify(gateway: &str, settings: &config::Ledger) -> Result<(u64, u64, u64), String> {
-    let mut book = Book::new(Calendar::new(&settings.zone, settings.every, settings.lateness)?);
+    let mut accounts = Accounts::new(Calendar::new(&settings.zone, settings.every, settings.lateness)?);
     let mut records = 0;
     read(&settings.folder, gateway, From::Oldest, |record| {
         records += 1;
-        book.apply(record, &mut |_| ());
+        accounts.apply(record, &mut |_| ());
         ControlFlow::Continue(())
     })?;
-    Ok((records, book.entries(), book.odd()))
+    Ok((records, accounts.entries(), accounts.odd()))
 }
 
 /// How a command began.
--- a/crates/elderpick-gateway/src/ledger/files.rs
+++ b/crates/elderpick-gateway/src/ledger/files.rs
@@ -5,7 +5,7 @@
 use std::ops::ControlFlow;
 use std::path::{Path, PathBuf};
 
-use elderpick_ledger::book::Record;
+use elderpick_ledger::accounts::Record;
 use elderpick_ledger::segments::{self, Disk, From, Place};
 
 /// Segments as files, `00000001.jsonl` and on, in a folder.
--- a/crates/elderpick-gateway/src/ledger/handover.rs
+++ b/crates/elderpick-gateway/src/ledger/handover.rs
@@ -14,7 +14,7 @@
 use base64::Engine as _;
 use bytes::Bytes;
 use elderpick_ledger::Micros;
-use elderpick_ledger::book::{Book, Entry};
+use elderpick_ledger::accounts::{Accounts, Entry};
 use elderpick_ledger::calendar::Calendar;
 use elderpick_ledger::chain;
 use elderpick_ledger::deliver::{self, Answered, Delivery, ENDINGS, Next};
@@ -45,10 +45,10 @@
     (first, last): (u64, u64),
     mut take: impl FnMut(Entry) -> Result<(), String>,
 ) -> Result<(), String> {
-    let mut book = Book::new(calendar.clone());
+    let mut accounts = Accounts::new(calendar.clone());
     let (mut next, mut failed) = (first, Ok(()));
     read(folder, gateway, From::Entry(first), |record| {
-        book.apply(record, &mut |entry| {
+        accounts.apply(record, &mut |entry| {
             if entry.number == next && next <= last && failed.is_ok() {
                 next += 1;
                 failed = take(entry);
--- a/crates/elderpick-gateway/src/ledger/uses.rs
+++ b/crates/elderpick-gateway/src/ledger/uses.rs
@@ -4,7 +4,7 @@
 
 use elderpick_entitle::Times;
 use elderpick_ledger::Micros;
-use elderpick_ledger::book::{Facts, Record};
+use elderpick_ledger::accounts::{Facts, Record};
 use serde_json::Value;
 use tokio::sync::oneshot;
 
--- a/crates/elderpick-gateway/src/ledger/writer.rs
+++ b/crates/elderpick-gateway/src/ledger/writer.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use elderpick_ledger::Micros;
-use elderpick_ledger::book::Record;
+use elderpick_ledger::accounts::Record;
 use serde_json::Value;
 use tokio::sync::oneshot;
 
--- a/crates/elderpick-gateway/src/lib.rs
+++ b/crates/elderpick-gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`engine`] holds the life of sessions without sockets; [`shell`] is its runtime on tokio's current-thread
 //! executor; [`host`] speaks to media hosts and [`front`] to viewers. What is decided besides stands in [`door`]
 //! (who may connect), [`liveness`] (which host is lost) and [`membership`] (what servers there are). [`entitle`] brings viewers' tokens to
-//! the desk of `elderpick-entitle`, [`state`] keeps its log, [`ledger`] writes down use, [`control`] shows operators what it holds.
+//! the registry of `elderpick-entitle`, [`state`] keeps its log, [`ledger`] writes down use, [`control`] shows operators what it holds.
 
 pub mod config;
 pub mod control;
--- a/crates/elderpick-gateway/src/shell/outputs.rs
+++ b/crates/elderpick-gateway/src/shell/outputs.rs
@@ -130,7 +130,7 @@
             }
             Output::Left { seat, willing } => {
                 let plays = self.engine.borrow().has_session(seat);
-                self.with_desk(|desk, t| desk.over(t, seat, plays, willing));
+                self.with_registry(|registry, t| registry.over(t, seat, plays, willing));
             }
             Output::Follow { server } => self.follow(server),
             Output::Subscribe | Output::Fetch => self.subscribe(),
--- a/crates/elderpick-gateway/src/shell/timers.rs
+++ b/crates/elderpick-gateway/src/shell/timers.rs
@@ -31,7 +31,7 @@
                 tokio::task::yield_now().await;
             }
         }
-        shell.with_desk(|desk, t| desk.advance(t));
+        shell.with_registry(|registry, t| registry.advance(t));
         shell.feed(Input::Tick);
     }
 }
--- a/crates/elderpick-gateway/src/srt.rs
+++ b/crates/elderpick-gateway/src/srt.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use elderpick_core::api::Micros;
-use elderpick_entitle::desk::Denied;
+use elderpick_entitle::registry::Denied;
 use elderpick_srt::call::{Call, Outcome, Wanted as Calls};
 use elderpick_srt::listen::{Bounds, Caller, Drop as Dropped, Heard, Listener};
 use elderpick_srt::packet::{self, Control, Handshake, Packet, reason};
--- a/crates/elderpick-gateway/tests/ledger.rs
+++ b/crates/elderpick-gateway/tests/ledger.rs
@@ -50,7 +50,7 @@
 
 /// Sessions of a second each; what they are and when is the same for the same numbers.
 fn sessions(ledger: &mut Ledger, numbers: std::ops::Range<i64>) {
-    use elderpick_ledger::book::{Facts, Outcome, Record};
+    use elderpick_ledger::accounts::{Facts, Outcome, Record};
     for k in numbers {
         let facts = Facts {
             tenant: format!("tenant-{}", k % 3),
--- a/crates/elderpick-lab/src/check/billing.rs
+++ b/crates/elderpick-lab/src/check/billing.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use elderpick_ledger::book::{Entry, Kind};
+use elderpick_ledger::accounts::{Entry, Kind};
 
 use super::{Rule, SEEN, trace_id};
 use crate::fleet::MARK;
--- a/crates/elderpick-lab/src/entitle_bench.rs
+++ b/crates/elderpick-lab/src/entitle_bench.rs
@@ -8,11 +8,11 @@
 use std::time::{Duration, Instant};
 
 use elderpick_entitle::Times;
-use elderpick_entitle::desk::{Desk, Rules, SeatId};
 use elderpick_entitle::keeper::Sync;
 use elderpick_entitle::keys::{Algorithm, Key, KeySet};
 use elderpick_entitle::log::Record;
-use elderpick_entitle::sheet::{Devices, Licence, Sheet, Term};
+use elderpick_entitle::registry::{Rules, SeatId, SeatRegistry};
+use elderpick_entitle::sheet::{Devices, Licence, LicenceSheet, Term};
 use elderpick_entitle::token::{self, Asked, Claims};
 use elderpick_gateway::state::{Journal, create};
 use rand::{Rng, SeedableRng};
@@ -45,15 +45,15 @@
     }
 }
 
-fn sheet(seats: u32, gateways: u32, block: u32) -> Sheet {
+fn sheet(seats: u32, gateways: u32, block: u32) -> LicenceSheet {
     let licences = [("course".to_owned(), licence(seats))].into();
     let term = Term { from: -FAR, until: FAR, gateways: (0..gateways).collect(), block, licences };
-    Sheet { terms: vec![term], at: BTreeMap::new() }
+    LicenceSheet { terms: vec![term], at: BTreeMap::new() }
 }
 
-fn desk(seats: u32) -> Desk {
+fn registry(seats: u32) -> SeatRegistry {
     let rules = Rules { me: 0, grace: 0, skew: 0, linger: 0, hold: 1_000_000, most: 1_000_000 };
-    Desk::new(rules, sheet(seats, 1, u32::MAX))
+    SeatRegistry::new(rules, sheet(seats, 1, u32::MAX))
 }
 
 /// How often a second something can be done, over half a second.
@@ -107,13 +107,13 @@
     let length = std::fs::metadata(path).map_or(0, |m| m.len());
     let began = Instant::now();
     let (_journal, found) = Journal::open(path, Sync::Always, Duration::from_secs(1))?;
-    let (mut desk, t) = (desk(seats as u32), Times { mono: 0, wall: 0 });
+    let (mut registry, t) = (registry(seats as u32), Times { mono: 0, wall: 0 });
     for (seat, licence, holder) in &found.taken {
-        desk.find(t, SeatId(*seat), licence, holder);
+        registry.find(t, SeatId(*seat), licence, holder);
     }
-    desk.advance(t);
-    if desk.taken() as u64 != seats {
-        return Err(format!("{} of {seats} seats were found", desk.taken()));
+    registry.advance(t);
+    if registry.taken() as u64 != seats {
+        return Err(format!("{} of {seats} seats were found", registry.taken()));
     }
     Ok((began.elapsed().as_secs_f64() * 1e3, length))
 }
@@ -238,31 +238,31 @@
     }
     let t = Times { mono: 0, wall: 0 };
     for held in [100u32, 100_000] {
-        let mut desk = desk(held + 1);
+        let mut registry = registry(held + 1);
         let mut names = Vec::new();
         for k in 0..held {
             let claims = claims(format!("viewer-{k}"));
             let seat =
-                desk.admit(t, &claims, 1, "exam", "carex-nigra").map_err(|why| format!("{why:?}"))?.seat;
-            desk.answered(t, seat, true);
+                registry.admit(t, &claims, 1, "exam", "carex-nigra").map_err(|why| format!("{why:?}"))?.seat;
+            registry.answered(t, seat, true);
             names.push((seat, claims));
         }
-        desk.take_records();
+        registry.take_records();
         let mut k = 0;
         let renewed = rate(|| {
             k = (k + 7919) % names.len();
             let (seat, claims) = &names[k];
-            assert!(desk.renew(t, *seat, claims, "exam", "carex-nigra").is_ok());
+            assert!(registry.renew(t, *seat, claims, "exam", "carex-nigra").is_ok());
         });
         let one = claims("one more".into());
         let cycled = rate(|| {
-            if let Ok(held) = desk.admit(t, &one, 1, "exam", "carex-nigra") {
-                desk.answered(t, held.seat, false);
+            if let Ok(held) = registry.admit(t, &one, 1, "exam", "carex-nigra") {
+                registry.answered(t, held.seat, false);
             }
-            desk.take_records();
+            registry.take_records();
         });
         println!(
-            "  desk with {held:>6} seats taken: renewals {renewed:>9.0}   seats taken and freed {cycled:>9.0}"
+            "  registry with {held:>6} seats taken: renewals {renewed:>9.0}   seats taken and freed {cycled:>9.0}"
         );
     }
     println!("\nseats taken and kept a second (a renewal writes nothing):");
--- a/crates/elderpick-lab/src/fuzz.rs
+++ b/crates/elderpick-lab/src/fuzz.rs
@@ -5,13 +5,13 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 
-use elderpick_entitle::desk::Revoked;
 use elderpick_entitle::keys::{Algorithm, Key, KeySet};
-use elderpick_entitle::sheet::Sheet;
+use elderpick_entitle::registry::Revoked;
+use elderpick_entitle::sheet::LicenceSheet;
 use elderpick_entitle::{log, token};
 use elderpick_hls::{Limits, Media, Multivariant, Reveal, Timeline, Variables};
 use elderpick_inventory::Format;
-use elderpick_ledger::book::{Book, Entry, Record};
+use elderpick_ledger::accounts::{Accounts, Entry, Record};
 use elderpick_ledger::calendar::{Calendar, Every};
 use elderpick_ledger::reconcile::reconcile;
 use elderpick_ledger::{chain, export};
@@ -47,7 +47,7 @@
     let (_, good, _) = chain::read::<Record>(input, &chain::Link::first("g"), |_| ());
     assert!(good <= input.len());
     let Ok(calendar) = Calendar::new("Europe/Dublin", Every::Day, 0) else { return false };
-    let mut book = Book::new(calendar);
+    let mut accounts = Accounts::new(calendar);
     let mut entries: Vec<Entry> = Vec::new();
     let mut taken = 0;
     for line in input.split(|&b| b == b'\n') {
@@ -56,7 +56,7 @@
             let sane = |r: &Record| !matches!(r, Record::Over { span, .. } if *span > 1 << 42);
             taken += usize::from(sane(&record));
             if sane(&record) {
-                book.apply(&record, &mut |e| entries.push(e));
+                accounts.apply(&record, &mut |e| entries.push(e));
             }
         }
         entries.extend(serde_json::from_slice::<Entry>(line));
@@ -129,7 +129,7 @@
         assert!(KeySet::read(set.write(true).as_bytes()).is_ok());
         return true;
     }
-    Sheet::read("f", text).is_ok() || Revoked::read("f", text).is_ok()
+    LicenceSheet::read("f", text).is_ok() || Revoked::read("f", text).is_ok()
 }
 
 /// Feeds one input. What must hold of any input is asserted; a panic is a find.
--- a/crates/elderpick-lab/src/ledger_bench.rs
+++ b/crates/elderpick-lab/src/ledger_bench.rs
@@ -7,7 +7,7 @@
 
 use elderpick_gateway::config;
 use elderpick_gateway::ledger::{Command, Ledger, reconcile};
-use elderpick_ledger::book::{Facts, Outcome, Record};
+use elderpick_ledger::accounts::{Facts, Outcome, Record};
 use elderpick_ledger::calendar::Every;
 use elderpick_ledger::reconcile::Renamed;
 use hdrhistogram::Histogram;
--- a/crates/elderpick-lab/tests/unit/check.rs
+++ b/crates/elderpick-lab/tests/unit/check.rs
@@ -1,6 +1,6 @@
 //! Unit tests of `check.rs`.
 
-use elderpick_ledger::book::{Book, Facts, Outcome, Record};
+use elderpick_ledger::accounts::{Accounts, Facts, Outcome, Record};
 use elderpick_ledger::calendar::{Calendar, Every};
 
 use super::*;
@@ -34,7 +34,7 @@
     }
     let mut entries = Vec::new();
     for _ in 0..times {
-        let mut book = Book::new(Calendar::new("UTC", Every::Day, 0).unwrap());
+        let mut accounts = Accounts::new(Calendar::new("UTC", Every::Day, 0).unwrap());
         let facts = Facts {
             tenant: "t".into(),
             licence: String::new(),
@@ -51,7 +51,7 @@
             bytes,
         };
         for record in [Record::Begun { session: "s".into(), facts, rung: 0 }, over] {
-            book.apply(&record, &mut |e| entries.push(e));
+            accounts.apply(&record, &mut |e| entries.push(e));
         }
     }
     billed(&lines, &entries).broken.len()
--- a/crates/elderpick-ledger/src/book.rs
+++ b/crates/elderpick-ledger/src/accounts.rs
@@ -111,19 +111,19 @@
 
 /// What a gateway knows of use.
 #[derive(Clone, Debug)]
-pub struct Book {
+pub struct Accounts {
     calendar: Calendar,
     state: State,
 }
 
-impl Book {
-    pub fn new(calendar: Calendar) -> Book {
-        Book { calendar, state: State::new() }
+impl Accounts {
+    pub fn new(calendar: Calendar) -> Accounts {
+        Accounts { calendar, state: State::new() }
     }
 
     /// Goes on from what was known once.
-    pub fn resume(calendar: Calendar, state: State) -> Book {
-        Book { calendar, state }
+    pub fn resume(calendar: Calendar, state: State) -> Accounts {
+        Accounts { calendar, state }
     }
 
     pub fn state(&self) -> &State {
@@ -370,7 +370,7 @@
         self.state.epoch.0
     }
 
-    /// The calendar that the records were cut by, if it is another one than this book's: entries that were exported
+    /// The calendar that the records were cut by, if it is another one than these accounts': entries that were exported
     /// and periods that were closed would not be what they were.
     pub fn other_calendar(&self) -> Option<&str> {
         Some(&*self.state.cut_by).filter(|name| !name.is_empty() && *name != self.calendar.name())
@@ -409,5 +409,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/unit/book.rs"]
+#[path = "../tests/unit/accounts.rs"]
 mod tests;
--- a/crates/elderpick-ledger/src/book/exports.rs
+++ b/crates/elderpick-ledger/src/accounts/exports.rs
@@ -1,8 +1,8 @@
 //! Exports: numbered, prepared, and handed over once.
 
-use super::{Book, Export, MOST_EXPORTED, Record, Refused};
+use super::{Accounts, Export, MOST_EXPORTED, Record, Refused};
 
-impl Book {
+impl Accounts {
     /// Sets apart what is new for the next export. One that is prepared goes first.
     pub fn prepare(&self) -> Result<Record, Refused> {
         let last = self.state.exports.last();
--- a/crates/elderpick-ledger/src/export.rs
+++ b/crates/elderpick-ledger/src/export.rs
@@ -7,8 +7,8 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use crate::book::Entry;
-use crate::book::Total;
+pub use crate::accounts::Entry;
+use crate::accounts::Total;
 use crate::chain::{Hash, digest};
 
 /// Sums of a tenant in a period, as a manifest tells them.
--- a/crates/elderpick-ledger/src/reconcile.rs
+++ b/crates/elderpick-ledger/src/reconcile.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Micros;
-use crate::book::{Entry, Kind, Total};
+use crate::accounts::{Entry, Kind, Total};
 use crate::chain::Hash;
 use crate::export::{Export, Manifest};
 
--- a/crates/elderpick-ledger/src/segments.rs
+++ b/crates/elderpick-ledger/src/segments.rs
@@ -7,7 +7,7 @@
 
 use std::fmt::Display;
 
-use crate::book::{Record, State};
+use crate::accounts::{Record, State};
 use crate::chain::{self, End, Link};
 
 /// Where segments are kept, by number from 1.
--- a/crates/elderpick-ledger/tests/export_protocol.rs
+++ b/crates/elderpick-ledger/tests/export_protocol.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, HashSet, VecDeque};
 
-use elderpick_ledger::book::{Book, Entry, Facts, Outcome, Record};
+use elderpick_ledger::accounts::{Accounts, Entry, Facts, Outcome, Record};
 use elderpick_ledger::calendar::{Calendar, Every};
 use elderpick_ledger::chain::digest;
 use elderpick_ledger::export::{self, Files};
@@ -39,18 +39,18 @@
     Kill,
 }
 
-fn fold(world: &World) -> (Book, Vec<Entry>) {
-    let mut book = Book::new(Calendar::new("UTC", Every::Day, 0).unwrap());
+fn fold(world: &World) -> (Accounts, Vec<Entry>) {
+    let mut accounts = Accounts::new(Calendar::new("UTC", Every::Day, 0).unwrap());
     let mut entries = Vec::new();
     for record in &world.records {
-        book.apply(&serde_json::from_str(record).unwrap(), &mut |e| entries.push(e));
+        accounts.apply(&serde_json::from_str(record).unwrap(), &mut |e| entries.push(e));
     }
-    (book, entries)
+    (accounts, entries)
 }
 
-fn files(book: &Book, entries: &[Entry], number: u64, fault: Fault) -> Files {
-    let of = book.exports().iter().find(|e| e.number == number).unwrap();
-    let before = book.exports().iter().find(|e| e.number + 1 == number).and_then(|e| e.digest.clone());
+fn files(accounts: &Accounts, entries: &[Entry], number: u64, fault: Fault) -> Files {
+    let of = accounts.exports().iter().find(|e| e.number == number).unwrap();
+    let before = accounts.exports().iter().find(|e| e.number + 1 == number).and_then(|e| e.digest.clone());
     let last = if fault == Fault::WritesWhatIsNew { entries.len() } else { of.last as usize };
     let of = &entries[of.first as usize - 1..last];
     export::write("g", number, &before.unwrap_or_default(), of).unwrap()
@@ -62,7 +62,7 @@
 
 fn step(world: &World, step: Step, fault: Fault) -> Option<World> {
     let mut next = world.clone();
-    let (book, entries) = fold(world);
+    let (accounts, entries) = fold(world);
     match step {
         Step::Use => {
             if world.sessions == 3 {
@@ -88,7 +88,7 @@
             if world.writing.is_some() {
                 return None;
             }
-            let pending = book.exports().last().filter(|e| e.digest.is_none()).map(|e| e.number);
+            let pending = accounts.exports().last().filter(|e| e.digest.is_none()).map(|e| e.number);
             let number = match pending {
                 Some(number) if fault == Fault::TakesForHanded => {
                     keep(&mut next, &Record::Handed { export: number, digest: "unknown".into() });
@@ -96,23 +96,23 @@
                 }
                 Some(number) => number,
                 None => {
-                    let record = book.prepare().ok()?;
+                    let record = accounts.prepare().ok()?;
                     keep(&mut next, &record);
-                    book.exports().last().map_or(1, |e| e.number + 1)
+                    accounts.exports().last().map_or(1, |e| e.number + 1)
                 }
             };
             next.writing = Some((number, 0));
         }
         Step::Write => {
             let (number, done) = world.writing.filter(|w| w.1 < 3)?;
-            let of = files(&book, &entries, number, fault);
+            let of = files(&accounts, &entries, number, fault);
             let bytes = [of.jsonl, of.csv, of.manifest][done as usize].clone();
             next.there.insert((number, done), bytes);
             next.writing = Some((number, done + 1));
         }
         Step::Hand => {
             let (number, _) = world.writing.filter(|w| w.1 == 3)?;
-            let record = book.hand(number, &digest(&world.there[&(number, 2)])).ok()?;
+            let record = accounts.hand(number, &digest(&world.there[&(number, 2)])).ok()?;
             record.iter().for_each(|record| keep(&mut next, record));
             next.writing = None;
         }
@@ -133,12 +133,12 @@
     if before.there.iter().any(|(name, bytes)| after.there.get(name) != Some(bytes)) {
         return Some("bytes that were written changed");
     }
-    let (book, _) = fold(after);
+    let (accounts, _) = fold(after);
     let (mut last, mut link) = (0, String::new());
     for number in 1.. {
         let part = |k| after.there.get(&(number, k)).cloned();
         let (Some(jsonl), Some(csv), Some(manifest)) = (part(0), part(1), part(2)) else {
-            let handed = book.exports().iter().any(|e| e.number == number && e.digest.is_some());
+            let handed = accounts.exports().iter().any(|e| e.number == number && e.digest.is_some());
             return handed.then_some("what counts as handed over is not there");
         };
         let Ok(read) = export::read(&Files { manifest, jsonl, csv }) else {
--- a/crates/elderpick-ledger/tests/unit/reconcile.rs
+++ b/crates/elderpick-ledger/tests/unit/reconcile.rs
@@ -1,7 +1,7 @@
 //! Unit tests of `reconcile.rs`.
 
 use super::*;
-use crate::book::{Book, Correction, Facts, Outcome, Record};
+use crate::accounts::{Accounts, Correction, Facts, Outcome, Record};
 use crate::calendar::{Calendar, Every};
 use crate::export;
 
@@ -10,22 +10,22 @@
 
 struct Gateway {
     name: &'static str,
-    book: Book,
+    accounts: Accounts,
     entries: Vec<Entry>,
     exports: Vec<Export>,
 }
 
 impl Gateway {
     fn new(name: &'static str) -> Gateway {
-        let book = Book::new(Calendar::new("UTC", Every::Day, 0).unwrap());
-        let mut gateway = Gateway { name, book, entries: vec![], exports: vec![] };
-        gateway.take(&gateway.book.start(name.len() as u64, START));
+        let accounts = Accounts::new(Calendar::new("UTC", Every::Day, 0).unwrap());
+        let mut gateway = Gateway { name, accounts, entries: vec![], exports: vec![] };
+        gateway.take(&gateway.accounts.start(name.len() as u64, START));
         gateway
     }
 
     fn take(&mut self, records: &[Record]) {
         let entries = &mut self.entries;
-        records.iter().for_each(|r| self.book.apply(r, &mut |e| entries.push(e)));
+        records.iter().for_each(|r| self.accounts.apply(r, &mut |e| entries.push(e)));
     }
 
     fn session(&mut self, viewer: &str, from: Micros, span: Micros) {
@@ -44,7 +44,7 @@
     }
 
     fn export(&mut self) {
-        let Record::Prepared { export, first, last } = self.book.prepare().unwrap() else { panic!() };
+        let Record::Prepared { export, first, last } = self.accounts.prepare().unwrap() else { panic!() };
         self.take(&[Record::Prepared { export, first, last }]);
         let before = self.exports.last().map_or(String::new(), |e| e.digest.clone());
         let entries = &self.entries[first as usize - 1..last as usize];
@@ -55,7 +55,7 @@
             "the same bytes again"
         );
         let read = export::read(&files).unwrap();
-        self.take(&[self.book.hand(export, &read.digest).unwrap().unwrap()]);
+        self.take(&[self.accounts.hand(export, &read.digest).unwrap().unwrap()]);
         self.exports.push(read);
     }
 }
@@ -106,8 +106,8 @@
     let both = [&all[..], &forged[1..2]].concat();
     assert!(reconcile(&both, S).findings.contains(&Finding::Twice { gateway: "a".into(), export: 2 }));
     // A disk from before the third export: the gateway starts again from there.
-    let mut old = Gateway { name: "a", book: a.book.clone(), entries: vec![], exports: vec![] };
-    old.book = Book::new(Calendar::new("UTC", Every::Day, 0).unwrap());
+    let mut old = Gateway { name: "a", accounts: a.accounts.clone(), entries: vec![], exports: vec![] };
+    old.accounts = Accounts::new(Calendar::new("UTC", Every::Day, 0).unwrap());
     old.take(&[Record::Epoch { epoch: 1, nonce: 99, at: START, calendar: String::new() }]);
     old.session("eve", 0, S);
     old.export();
@@ -133,7 +133,7 @@
         why: "a test".into(),
         at: START,
     };
-    a.take(&[a.book.correct(&a.entries[1], change).unwrap()]);
+    a.take(&[a.accounts.correct(&a.entries[1], change).unwrap()]);
     a.export();
     let report = reconcile(&a.exports, S);
     assert_eq!(billed(&report), (0, 0, 0));
--- a/crates/elderpick-ledger/tests/unit/segments.rs
+++ b/crates/elderpick-ledger/tests/unit/segments.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::*;
-use crate::book::{Book, Facts, Outcome};
+use crate::accounts::{Accounts, Facts, Outcome};
 use crate::calendar::{Calendar, Every};
 
 /// A disk that fails at one operation, in one of several ways, and from then on or just once.
@@ -69,8 +69,8 @@
     }
 }
 
-fn book() -> Book {
-    Book::new(Calendar::new("UTC", Every::Day, 0).unwrap())
+fn accounts() -> Accounts {
+    Accounts::new(Calendar::new("UTC", Every::Day, 0).unwrap())
 }
 
 /// One session, the k-th.
@@ -88,57 +88,57 @@
     [Record::Begun { session: k.to_string(), facts, rung: 0 }, over]
 }
 
-type Found = (Book, Vec<u64>, Place);
+type Found = (Accounts, Vec<u64>, Place);
 
-/// What a reader finds: the book, the numbers of the entries, which must be their sessions', and where it goes on.
+/// What a reader finds: the accounts, the numbers of the entries, which must be their sessions', and where it goes on.
 fn found(disk: &Faulty, from: From) -> Result<Found, Unread<&'static str>> {
-    let (mut book, mut entries) = (book(), Vec::new());
+    let (mut accounts, mut entries) = (accounts(), Vec::new());
     let place = read(disk, "g", from, |record| {
-        book.apply(record, &mut |e| {
+        accounts.apply(record, &mut |e| {
             assert_eq!(e.session, e.number.to_string());
             entries.push(e.number);
         });
         true
     })?;
-    assert_eq!(book.odd(), 0, "each state is what the records before it come to");
-    Ok((book, entries, place))
+    assert_eq!(accounts.odd(), 0, "each state is what the records before it come to");
+    Ok((accounts, entries, place))
 }
 
 struct Run {
     segments: Segments<Faulty>,
-    book: Book,
+    accounts: Accounts,
 }
 
 impl Run {
     fn new(disk: Faulty) -> Run {
-        let (book, _, place) = found(&disk, From::Newest).unwrap();
-        Run { segments: Segments::new(disk, "g", 600, place), book }
+        let (accounts, _, place) = found(&disk, From::Newest).unwrap();
+        Run { segments: Segments::new(disk, "g", 600, place), accounts }
     }
 
     fn take(&mut self, records: &[Record]) -> bool {
-        if self.segments.append(self.book.state(), records).is_err() {
+        if self.segments.append(self.accounts.state(), records).is_err() {
             return false;
         }
-        records.iter().for_each(|r| self.book.apply(r, &mut |_| ()));
+        records.iter().for_each(|r| self.accounts.apply(r, &mut |_| ()));
         true
     }
 
     /// Exports what is new and lets go of what was handed over.
     fn export(&mut self) {
-        if let Ok(record) = self.book.prepare() {
+        if let Ok(record) = self.accounts.prepare() {
             self.take(&[record]);
         }
-        let pending = self.book.exports().last().filter(|e| e.digest.is_none()).map(|e| e.number);
-        if let Some(record) = pending.and_then(|n| self.book.hand(n, "x").unwrap()) {
+        let pending = self.accounts.exports().last().filter(|e| e.digest.is_none()).map(|e| e.number);
+        if let Some(record) = pending.and_then(|n| self.accounts.hand(n, "x").unwrap()) {
             self.take(&[record]);
         }
         let known = index(&self.segments.disk).unwrap();
-        let kept = self.book.state().kept_from();
+        let kept = self.accounts.state().kept_from();
         let begins: Vec<_> = known.into_iter().filter(|(segment, _)| *segment > kept).collect();
-        if let Some(record) = self.book.let_go(&begins[..begins.len().saturating_sub(2)]) {
+        if let Some(record) = self.accounts.let_go(&begins[..begins.len().saturating_sub(2)]) {
             self.take(&[record]);
         }
-        let _ = self.segments.remove_before(self.book.state().kept_from());
+        let _ = self.segments.remove_before(self.accounts.state().kept_from());
     }
 }
 
@@ -158,7 +158,7 @@
             run.export();
         }
     }
-    (run.segments.disk, run.book.entries())
+    (run.segments.disk, run.accounts.entries())
 }
 
 fn check(disk: &Faulty, acknowledged: u64, case: &str) -> Found {
@@ -174,9 +174,9 @@
 #[test]
 fn a_fault_at_every_operation_loses_nothing_acknowledged_and_doubles_nothing() {
     let (whole, all) = run(Faulty::default());
-    let (book, entries, _) = check(&whole, all, "no fault");
+    let (accounts, entries, _) = check(&whole, all, "no fault");
     assert_eq!(all, 36);
-    assert!(entries.len() < 36 && book.state().kept_from() > 2, "old segments were let go");
+    assert!(entries.len() < 36 && accounts.state().kept_from() > 2, "old segments were let go");
     assert!(whole.files.len() < 6);
     let operations = whole.operations;
     assert!(operations > 40, "{operations}");
@@ -187,17 +187,17 @@
                 let (mut after, acknowledged) = run(faulty);
                 let case = format!("operation {fails_at}, {part} per cent, for good {for_good}");
                 // A kill: what was written is there. It may hold more than was acknowledged, in order, once each.
-                let (book, ..) = check(&after, acknowledged, &case);
+                let (accounts, ..) = check(&after, acknowledged, &case);
                 if !for_good {
                     assert_eq!(acknowledged, 36, "{case}");
                 }
                 // It goes on after it.
                 after.fails_at = None;
                 let mut again = Run::new(after.clone());
-                let left_open = again.book.start(1, 0);
+                let left_open = again.accounts.start(1, 0);
                 assert!(again.take(&left_open), "{case}");
-                let next = again.book.entries() + 1;
-                assert!(next <= book.entries() + 4 && again.take(&session(next)), "{case}");
+                let next = again.accounts.entries() + 1;
+                assert!(next <= accounts.entries() + 4 && again.take(&session(next)), "{case}");
                 again.export();
                 check(&again.segments.disk, next, &case);
                 // A loss of power: what was not synced is gone.
@@ -245,11 +245,11 @@
     let disk = kept();
     for number in 1..=36 {
         let mut first = None;
-        let mut book = book();
+        let mut accounts = accounts();
         let mut seen = Vec::new();
         read(&disk, "g", From::Entry(number), |record| {
             first.get_or_insert_with(|| record.clone());
-            book.apply(record, &mut |e| seen.push(e.number));
+            accounts.apply(record, &mut |e| seen.push(e.number));
             !seen.contains(&number)
         })
         .unwrap();
--- a/crates/elderpick/src/entitle.rs
+++ b/crates/elderpick/src/entitle.rs
@@ -7,7 +7,7 @@
 
 use clap::{Args, Subcommand, ValueEnum};
 use elderpick_entitle::keys::{Algorithm, Key, KeySet};
-use elderpick_entitle::sheet::Sheet;
+use elderpick_entitle::sheet::LicenceSheet;
 use elderpick_entitle::token::{self, Asked, Claims};
 use elderpick_gateway::config::Config;
 use elderpick_gateway::{control, state};
@@ -266,7 +266,7 @@
             Ok(())
         }
         Seats::Check { sheet, after } => {
-            let open = |file: &Path| Sheet::read(&file.display().to_string(), &read(file)?);
+            let open = |file: &Path| LicenceSheet::read(&file.display().to_string(), &read(file)?);
             let new = open(&sheet)?;
             if let Some(old) = after {
                 let skew = 2_000_000;
