--- a/crates/elderpick-entitle/src/sheet.rs
+++ b/crates/elderpick-entitle/src/sheet.rs
@@ -111,7 +111,7 @@
             terms: Vec<RawTerm>,
         }
         let schema = Schema::new("sheet.cue", SCHEMA).map_err(|p| p.to_string())?;
-        let raw: Raw = schema.load("#LicenceSheet", file, text).map_err(|p| p.to_string())?;
+        let raw: Raw = schema.load("#Sheet", file, text).map_err(|p| p.to_string())?;
         let (mut wrong, mut sheet) = (Vec::new(), LicenceSheet::default());
         let mut must = |holds: bool, field: String, rule: &str, found: String| {
             if !holds {
