--- a/crates/elderpick-node/src/buffered_stream.rs
+++ b/crates/elderpick-node/src/buffered_stream.rs
@@ -221,6 +221,31 @@
         Ok(())
     }
 
+    /// Reads what the peer still sends until it ends the connection; `true` if it did and all was heard.
+    async fn read_to_end(&self, buffer: &RefCell<Vec<u8>>, mut heard: impl FnMut(&[u8]) -> bool) -> bool {
+        let last = async {
+            loop {
+                let read = self.read(buffer).await;
+                let leaving = self.ending.get() == Ending::Leaving;
+                match read {
+                    Ok(0) => return leaving,
+                    Ok(read) if leaving && heard(&buffer.borrow()[..read]) => {}
+                    _ => return false,
+                }
+            }
+        };
+        tokio::time::timeout(CLOSE_TIMEOUT, last).await.unwrap_or(false)
+    }
+
+    /// Writes all that waits, as fast as the peer takes it.
+    async fn flush_all(&self) {
+        while !self.waiting.borrow().is_empty() {
+            if self.stream.writable().await.is_err() || self.flush().is_err() {
+                return;
+            }
+        }
+    }
+
     /// Reads and writes until either side ends it. `heard` gets each chunk that came and says whether to go on. What
     /// comes behind an end of ours is not heard: whoever sent it sees that it was too late. `true` if the peer ended it
     /// and all that it said was heard.
@@ -230,32 +255,10 @@
             let (wants_write, reads) = (waiting > 0, waiting <= READS_UP_TO);
             match self.ending.get() {
                 Ending::Now => return false,
-                Ending::Leaving => {
-                    let last = async {
-                        loop {
-                            match self.read(buffer).await {
-                                Ok(0) => return self.ending.get() == Ending::Leaving,
-                                Ok(read) if self.ending.get() == Ending::Leaving => {
-                                    if !heard(&buffer.borrow()[..read]) {
-                                        return false;
-                                    }
-                                }
-                                _ => return false,
-                            }
-                        }
-                    };
-                    return tokio::time::timeout(CLOSE_TIMEOUT, last).await.unwrap_or(false);
-                }
+                Ending::Leaving => return self.read_to_end(buffer, heard).await,
                 Ending::Flushed if !wants_write => return false,
                 Ending::Flushed => {
-                    let last = async {
-                        while !self.waiting.borrow().is_empty() {
-                            if self.stream.writable().await.is_err() || self.flush().is_err() {
-                                return;
-                            }
-                        }
-                    };
-                    let _ = tokio::time::timeout(FLUSH_TIMEOUT, last).await;
+                    let _ = tokio::time::timeout(FLUSH_TIMEOUT, self.flush_all()).await;
                     return false;
                 }
                 Ending::No => {}
--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -12,9 +12,10 @@
 use std::time::Duration;
 
 use elderpick_core::api::{Micros, ServerId};
-use elderpick_platform::rtsp;
+use elderpick_platform::{MOST_MESSAGE, rtsp};
 use elderpick_sessions::lifecycle::{self, AttemptId, Input};
 use elderpick_sessions::pending::PendingQueue;
+use tokio::net::TcpStream;
 
 use crate::buffered_stream::BufferedStream;
 
@@ -75,6 +76,15 @@
 }
 
 impl Attempt {
+    pub fn new(server: ServerId, session: u64, attempt: AttemptId, bytes: Vec<u8>) -> Attempt {
+        Attempt { server, session, attempt, bytes, polls: 0, unread: false }
+    }
+
+    /// It may be held up as often as a new one.
+    fn renewed(self) -> Attempt {
+        Attempt { polls: 0, unread: false, ..self }
+    }
+
     /// It was not written, and never will be.
     fn not_sent(self) -> Input {
         Input::NotSent { server: self.server, session: self.session, attempt: self.attempt }
@@ -91,6 +101,23 @@
 }
 
 impl HostConnection {
+    fn new(stream: TcpStream, now: Micros) -> HostConnection {
+        HostConnection {
+            stream: BufferedStream::new(stream, SET_UPS_PER_CONNECTION * MOST_MESSAGE),
+            decoder: RefCell::default(),
+            out: RefCell::default(),
+            unconfirmed: RefCell::default(),
+            asked: RefCell::default(),
+            up: now,
+            read: Cell::new(now),
+            used: Cell::new(now),
+            reported_at: Cell::new(now),
+            partial: Cell::default(),
+            retired: Cell::default(),
+            made_room: Cell::default(),
+        }
+    }
+
     fn free(&self) -> bool {
         !self.retired.get() && self.stream.free()
     }
@@ -99,11 +126,11 @@
         self.out.borrow().is_empty() && self.asked.borrow().is_empty()
     }
 
-    fn send(&self, (over, bytes): Message) {
-        let mut unheard = self.unconfirmed.borrow_mut();
-        let room = unheard.len() < MOST_UNCONFIRMED;
-        unheard.extend(over.filter(|_| room));
-        self.stream.send(&bytes);
+    fn send(&self, message: HostMessage) {
+        let mut unconfirmed = self.unconfirmed.borrow_mut();
+        let room = unconfirmed.len() < MOST_UNCONFIRMED;
+        unconfirmed.extend(message.ends.filter(|_| room));
+        self.stream.send(&message.bytes);
     }
 
     /// Takes out what is out under a session's number, if it is that attempt.
@@ -124,14 +151,18 @@
     }
 }
 
-/// A message that wants no answer, and the session that it withdraws or releases, if it does.
-type Message = (Option<u64>, Vec<u8>);
+/// A message that wants no answer.
+pub(crate) struct HostMessage {
+    /// The session that it withdraws or releases, if it does.
+    pub ends: Option<u64>,
+    pub bytes: Vec<u8>,
+}
 
 /// What leads to one host.
 struct HostConnections {
     connections: Vec<Rc<HostConnection>>,
     opening: usize,
-    pending: PendingQueue<Message>,
+    pending: PendingQueue<HostMessage>,
     /// Set-ups that wait for an opening to end.
     waiting: VecDeque<Attempt>,
 }
@@ -198,6 +229,11 @@
         }
     }
 
+    /// Adds a connection that came up.
+    fn add(&self, server: &ServerId, connection: Rc<HostConnection>) {
+        self.by_server.borrow_mut().entry(server.clone()).or_default().connections.push(connection);
+    }
+
     /// Connections that are up and not being closed, and openings.
     fn in_use(&self) -> usize {
         let hosts = self.by_server.borrow();
--- a/crates/elderpick-node/src/hosts/attempts.rs
+++ b/crates/elderpick-node/src/hosts/attempts.rs
@@ -9,7 +9,8 @@
 use tokio::task::spawn_local;
 
 use super::{
-    Attempt, CONFIRM_WITHIN, Call, HostConnection, MOST_POLLS, MOST_WAITING, POLL_PAUSE, RETIRED_FOR,
+    Attempt, CONFIRM_WITHIN, Call, HostConnection, HostMessage, MOST_POLLS, MOST_WAITING, POLL_PAUSE,
+    RETIRED_FOR,
 };
 use crate::buffered_stream::PollResult;
 use crate::node::Node;
@@ -59,7 +60,7 @@
         let node = self.clone();
         spawn_local(async move {
             tokio::time::sleep(POLL_PAUSE).await;
-            node.batch(|| node.attempts.borrow_mut().push_back(Attempt { polls: 0, unread: false, ..one }));
+            node.batch(|| node.attempts.borrow_mut().push_back(one.renewed()));
         });
     }
 
@@ -106,7 +107,7 @@
         host.waiting.retain(|one| one.attempt != attempt);
         for connection in &host.connections {
             let Some(written) = connection.take_out(session, Some(attempt)) else { continue };
-            connection.send((Some(session), rtsp::teardown(session, None)));
+            connection.send(HostMessage { ends: Some(session), bytes: rtsp::teardown(session, None) });
             // What hangs in the middle of a message, has said nothing since, or has not taken all, is trusted with no
             // other.
             if connection.partial.get() || connection.read.get() < written.1 || !connection.stream.free() {
--- a/crates/elderpick-node/src/hosts/messages.rs
+++ b/crates/elderpick-node/src/hosts/messages.rs
@@ -7,18 +7,18 @@
 use elderpick_sessions::lifecycle::Input;
 use tokio::task::spawn_local;
 
-use super::{Call, HostConnection, HostConnections, Message};
+use super::{Call, HostConnection, HostConnections, HostMessage};
 use crate::node::Node;
 
 impl Node {
     /// Sends something that needs no answer, now or on the next connection that comes up.
-    pub(crate) fn host_send(self: &Rc<Self>, server: ServerId, told: Message) {
+    pub(crate) fn host_send(self: &Rc<Self>, server: ServerId, message: HostMessage) {
         if let Some(connection) = self.pick_connection(&server) {
-            return connection.send(told);
+            return connection.send(message);
         }
         let mut hosts = self.hosts.by_server.borrow_mut();
         let host = hosts.entry(server.clone()).or_default();
-        host.pending.push(self.now(), told);
+        host.pending.push(self.now(), message);
         let idle = host.opening == 0;
         if idle {
             self.open_later(server);
--- a/crates/elderpick-node/src/hosts/pool.rs
+++ b/crates/elderpick-node/src/hosts/pool.rs
@@ -1,20 +1,17 @@
 //! Which connections to hosts there are: chosen, opened, closed to make room, and closed when they are not needed.
 
-use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use elderpick_core::api::{Report, ServerId, Status};
-use elderpick_platform::MOST_MESSAGE;
 use elderpick_sessions::health::Opened;
 use elderpick_sessions::lifecycle::Input;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
-use super::{Attempt, Call, HostConnection, ROTATION, SET_UPS_PER_CONNECTION};
-use crate::buffered_stream::BufferedStream;
+use super::{Attempt, Call, HostConnection, ROTATION};
 use crate::node::Node;
 
 impl Node {
@@ -123,49 +120,31 @@
         }
     }
 
-    /// A connection came up: says what waits for it and reads until it ends.
+    /// A connection came up: sends what waits for it and reads until it ends.
     pub(super) async fn up(self: Rc<Self>, server: ServerId, stream: TcpStream, call: Call) {
-        let now = self.now();
         tracing::trace!(server = %server, "host connection up");
-        let connection = Rc::new(HostConnection {
-            stream: BufferedStream::new(stream, SET_UPS_PER_CONNECTION * MOST_MESSAGE),
-            decoder: RefCell::default(),
-            out: RefCell::default(),
-            unconfirmed: RefCell::default(),
-            asked: RefCell::default(),
-            up: now,
-            read: Cell::new(now),
-            used: Cell::new(now),
-            reported_at: Cell::new(now),
-            partial: Cell::new(false),
-            retired: Cell::new(false),
-            made_room: Cell::new(false),
-        });
-        self.hosts
-            .by_server
-            .borrow_mut()
-            .entry(server.clone())
-            .or_default()
-            .connections
-            .push(connection.clone());
+        let connection = Rc::new(HostConnection::new(stream, self.now()));
+        self.hosts.add(&server, connection.clone());
         self.feed(Input::Opened { server: server.clone(), how: Opened::Up });
         self.send_pending(&server, &connection);
         self.batch(|| {
             match call {
-                Call::SetUp(one) => {
-                    self.attempts.borrow_mut().push_back(Attempt { polls: 0, unread: false, ..one })
-                }
+                Call::SetUp(one) => self.attempts.borrow_mut().push_back(one.renewed()),
                 Call::Load { session } => self.write_probe(&server, &connection, session),
                 Call::Nothing => {}
             }
-            let waiting =
-                self.waiting(&server).into_iter().map(|one| Attempt { polls: 0, unread: false, ..one });
+            let waiting = self.waiting(&server).into_iter().map(Attempt::renewed);
             self.attempts.borrow_mut().extend(waiting);
         });
-        let whole =
-            connection.stream.run(&self.buffer, |chunk| self.host_bytes(&server, &connection, chunk)).await;
+        let host_bytes = |chunk: &[u8]| self.host_bytes(&server, &connection, chunk);
+        let whole = connection.stream.run(&self.buffer, host_bytes).await;
         connection.stream.end(true);
-        if let Some(host) = self.hosts.by_server.borrow_mut().get_mut(&server) {
+        self.connection_ended(&server, connection, whole);
+    }
+
+    /// A connection has ended: what was out on it is over. `whole` tells that all that the host sent on it was read.
+    fn connection_ended(self: &Rc<Self>, server: &ServerId, connection: Rc<HostConnection>, whole: bool) {
+        if let Some(host) = self.hosts.by_server.borrow_mut().get_mut(server) {
             host.connections.retain(|other| !Rc::ptr_eq(other, &connection));
         }
         let (out, asked) = (connection.out.take(), connection.asked.take());
--- a/crates/elderpick-node/src/hosts/received.rs
+++ b/crates/elderpick-node/src/hosts/received.rs
@@ -91,22 +91,7 @@
         match &message.start {
             Start::Response { status: 100..=199 } => {}
             Start::Response { status } => match message.cseq {
-                cseq::SET_UP => {
-                    let attempt = connection.take_out(session, None).map(|(attempt, _)| attempt);
-                    match (set_up_status(*status), attempt) {
-                        (Status::Ok, attempt) => {
-                            let description = message.body.clone();
-                            let ended = None;
-                            self.feed(Input::Answer { server, session, attempt, description, ended });
-                        }
-                        (status, Some(attempt)) => {
-                            let report = self.report(message);
-                            self.feed(Input::Refused { server, session, attempt, status, report });
-                        }
-                        // Of an attempt that was withdrawn here, or of none.
-                        (_, None) => {}
-                    }
-                }
+                cseq::SET_UP => self.set_up_answered(server, connection, *status, message),
                 cseq::TEARDOWN if *status == 200 => {
                     connection.unconfirmed.borrow_mut().remove(&session);
                     self.feed(Input::ReleaseConfirmed { server, session });
@@ -135,6 +120,30 @@
         }
     }
 
+    /// A host has answered a set-up.
+    fn set_up_answered(
+        self: &Rc<Self>,
+        server: ServerId,
+        connection: &HostConnection,
+        status: u16,
+        message: &rtsp::Message,
+    ) {
+        let session = message.session;
+        let attempt = connection.take_out(session, None).map(|(attempt, _)| attempt);
+        match (set_up_status(status), attempt) {
+            (Status::Ok, attempt) => {
+                let description = message.body.clone();
+                self.feed(Input::Answer { server, session, attempt, description, ended: None });
+            }
+            (status, Some(attempt)) => {
+                let report = self.report(message);
+                self.feed(Input::Refused { server, session, attempt, status, report });
+            }
+            // Of an attempt that was withdrawn here, or of none.
+            (_, None) => {}
+        }
+    }
+
     /// A host's report, by the names that the settings give.
     pub(super) fn report(&self, message: &rtsp::Message) -> Report {
         let mut report = Report::default();
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -6,19 +6,26 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use elderpick_core::Controller;
 use elderpick_core::api::Micros;
 use elderpick_gateway::shell::{Clock, WallClock};
+use elderpick_platform::boot::{self, Boot, BootError};
 use elderpick_platform::rtsp;
 use elderpick_platform::viewer::{self, cause};
 use elderpick_sessions::admission::{Admission, Connections};
 use elderpick_sessions::follow::Follow;
-use elderpick_sessions::lifecycle::{Conn, Input, Lifecycle, Output};
+use elderpick_sessions::lifecycle::{self, Conn, Input, Lifecycle, Output};
 use elderpick_sessions::releases::Releases;
 use tokio::sync::Notify;
 
-use crate::hosts::{Attempt, Hosts};
+use crate::buffered_stream;
+use crate::descriptors::Descriptors;
+use crate::hosts::{Attempt, HostMessage, Hosts, Limits};
 use crate::viewers::{Client, Clients, Standing};
 
+/// A connection to a host that is not up by then is given up, where the settings tell no other time.
+const DEFAULT_CONNECT_TIMEOUT: Micros = 250_000;
+
 /// Whether the gateway runs.
 #[derive(Clone, Copy)]
 pub(crate) struct Awake {
@@ -70,6 +77,55 @@
 }
 
 impl Node {
+    /// A gateway that was told its configuration and nothing else.
+    pub fn new(boot: &Boot, descriptors: Descriptors) -> Result<Rc<Node>, BootError> {
+        let info = &boot.settings;
+        let seed = boot.seed()?;
+        let core = Controller::new(seed, boot::settings(info)?);
+        let classes = info.profiles.iter().map(|class| class.name.clone()).collect();
+        let connect = Some(info.limits.connect_timeout_us).filter(|us| *us > 0);
+        let limits = Limits {
+            connections: descriptors.hosts,
+            ending: descriptors.spare,
+            set_ups_on_one: info.limits.streams_per_conn,
+            connect: Duration::from_micros(connect.unwrap_or(DEFAULT_CONNECT_TIMEOUT) as u64),
+            idle: info.limits.conn_idle_us,
+        };
+        let clock = WallClock::start();
+        let started = clock.now();
+        Ok(Rc::new(Node {
+            awake: Cell::new(Awake { ran: started, due: started, behind: None }),
+            lifecycle: RefCell::new(Lifecycle::new(core, classes, info.extra.cells)),
+            clock,
+            name: boot.name.clone(),
+            zones: info.zones.clone(),
+            kinds: info.flavors.clone(),
+            hosts: Hosts::new(limits, seed),
+            clients: RefCell::default(),
+            admission: RefCell::new(Admission::new(descriptors.viewers)),
+            most_refusing: descriptors.spare.max(1),
+            refusing: Cell::default(),
+            next_conn: Cell::default(),
+            buffer: RefCell::new(vec![0; buffered_stream::CHUNK]),
+            releases: RefCell::new(Releases::new(lifecycle::MOST_SESSIONS)),
+            follow: RefCell::new(Follow::new(0)),
+            journal: Cell::new(boot.journal),
+            moved: Notify::default(),
+            caught_up: Cell::default(),
+            shutting_down: Cell::default(),
+            stop_accepting: Notify::default(),
+            timer: Notify::default(),
+            inputs: RefCell::default(),
+            attempts: RefCell::default(),
+            feeding: Cell::default(),
+            unreadable: Cell::default(),
+            turned_away: Cell::default(),
+            undelivered: Cell::default(),
+            spared: Cell::default(),
+            warned: Cell::default(),
+        }))
+    }
+
     pub fn now(&self) -> Micros {
         self.clock.now()
     }
@@ -202,30 +258,33 @@
         }
     }
 
+    /// Sends a description to its viewer. A session whose viewer cannot be told is released at its host.
+    fn deliver_answer(self: &Rc<Self>, conn: Conn, session: u64, description: &[u8]) {
+        let mut text = Vec::new();
+        let release = Input::Release { conn, session, cause: cause::ENDED_BY_VIEWER };
+        if let Err(why) = viewer::answer(&mut text, session, description) {
+            // A host's description that a viewers' message cannot hold: the session is of no use.
+            self.warn_seldom(&format!("an answer cannot be passed on: {why}"));
+            viewer::release(&mut text, session, cause::FAILED, None);
+            self.feed(release.clone());
+        }
+        if let Some(client) = self.clients.borrow().get(&conn) {
+            client.standing.set(Standing::Served);
+        }
+        if self.answer(conn, session, &text) {
+            self.answered_on(conn, session);
+        } else {
+            self.feed(release);
+        }
+        self.send_releases();
+    }
+
+    /// Carries out what the session lifecycle asks for.
     fn carry_out(self: &Rc<Self>, output: Output) {
         let mut text = Vec::new();
         tracing::trace!(?output, "output");
         match output {
-            Output::Answer { conn, session, description } => {
-                if let Err(why) = viewer::answer(&mut text, session, &description) {
-                    // A host's description that a viewers' message cannot hold: the session is of no use.
-                    self.warn_seldom(&format!("an answer cannot be passed on: {why}"));
-                    viewer::release(&mut text, session, cause::FAILED, None);
-                    let cause = cause::ENDED_BY_VIEWER;
-                    self.feed(Input::Release { conn, session, cause });
-                }
-                if let Some(client) = self.clients.borrow().get(&conn) {
-                    client.standing.set(Standing::Served);
-                }
-                if self.answer(conn, session, &text) {
-                    self.answered_on(conn, session);
-                } else {
-                    // Nobody knows of it: it would stand at its host for good.
-                    let cause = cause::ENDED_BY_VIEWER;
-                    self.feed(Input::Release { conn, session, cause });
-                }
-                self.send_releases();
-            }
+            Output::Answer { conn, session, description } => self.deliver_answer(conn, session, &description),
             Output::Rejected { conn, session, cause, retry_after } => {
                 let away = retry_after.filter(|at| *at > 0).map(|at| (at / 1_000) as u64);
                 viewer::release(&mut text, session, cause, away);
@@ -241,22 +300,16 @@
                 let patience_ms = (patience.max(0) / 1_000) as u64;
                 let (class, title, description) = (class.as_str(), title.as_str(), &description[..]);
                 let set_up = rtsp::SetUp { session, class, title, patience_ms, rung, description };
-                let bytes = rtsp::set_up(&set_up);
-                self.attempts.borrow_mut().push_back(Attempt {
-                    server,
-                    session,
-                    attempt,
-                    bytes,
-                    polls: 0,
-                    unread: false,
-                });
+                let attempt = Attempt::new(server, session, attempt, rtsp::set_up(&set_up));
+                self.attempts.borrow_mut().push_back(attempt);
             }
             Output::Withdraw { server, session, attempt } => self.host_withdraw(&server, session, attempt),
             Output::Release { server, session, cause } => {
-                self.host_send(server, (Some(session), rtsp::teardown(session, Some(cause))));
+                let bytes = rtsp::teardown(session, Some(cause));
+                self.host_send(server, HostMessage { ends: Some(session), bytes });
             }
             Output::Rung { server, session, rung } => {
-                self.host_send(server, (None, rtsp::rung(session, rung)))
+                self.host_send(server, HostMessage { ends: None, bytes: rtsp::rung(session, rung) });
             }
             Output::Probe { server } => self.host_probe(server),
             Output::Test { server } => self.host_test(&server),
--- a/crates/elderpick-platform/src/boot.rs
+++ b/crates/elderpick-platform/src/boot.rs
@@ -271,31 +271,34 @@
     pub names: Vec<String>,
 }
 
+/// A class of the decision module.
+fn class(number: usize, profile: &Profile, extra: &Extra) -> Result<Class, UnknownEffect> {
+    Ok(Class {
+        effect: match profile.effect.as_deref() {
+            Some("free") => Effect::Free,
+            Some("guarded") => Effect::Guarded,
+            Some("single_shot") => Effect::SingleShot,
+            other => return Err(UnknownEffect(other.map(str::to_owned))),
+        },
+        group: match profile.group.as_deref() {
+            Some("zone") => Group::Zone,
+            Some("cell") => Group::Cell,
+            _ => Group::All,
+        },
+        window: profile.window_us,
+        aim: profile.on_time_us,
+        worth: profile.worth,
+        scale: extra.class_scale.get(number).copied().unwrap_or(1.0),
+        floor: extra.class_floor.get(number).copied().unwrap_or(0),
+        top: extra.class_top.get(number).copied().unwrap_or(usize::MAX),
+        seats: extra.class_seats.get(number).filter(|&&seats| seats > 0.0).map(|&seats| seats as usize),
+    })
+}
+
 /// The settings of the decision module.
 pub fn settings(info: &BootInfo) -> Result<Settings, UnknownEffect> {
     let BootInfo { extra, guarantees: rules, limits, .. } = info;
-    let classes = info.profiles.iter().enumerate().map(|(c, profile)| {
-        Ok(Class {
-            effect: match profile.effect.as_deref() {
-                Some("free") => Effect::Free,
-                Some("guarded") => Effect::Guarded,
-                Some("single_shot") => Effect::SingleShot,
-                other => return Err(UnknownEffect(other.map(str::to_owned))),
-            },
-            group: match profile.group.as_deref() {
-                Some("zone") => Group::Zone,
-                Some("cell") => Group::Cell,
-                _ => Group::All,
-            },
-            window: profile.window_us,
-            aim: profile.on_time_us,
-            worth: profile.worth,
-            scale: extra.class_scale.get(c).copied().unwrap_or(1.0),
-            floor: extra.class_floor.get(c).copied().unwrap_or(0),
-            top: extra.class_top.get(c).copied().unwrap_or(usize::MAX),
-            seats: extra.class_seats.get(c).filter(|&&seats| seats > 0.0).map(|&seats| seats as usize),
-        })
-    });
+    let classes = info.profiles.iter().enumerate().map(|(number, profile)| class(number, profile, extra));
     let classes = classes.collect::<Result<Vec<_>, _>>()?;
     let cold =
         rules.ramp_time_us.zip(rules.start_capacity).zip(rules.tip_multiple.zip(rules.overload_for_us));
