--- a/crates/elderpick-hls/src/lib.rs
+++ b/crates/elderpick-hls/src/lib.rs
@@ -5,6 +5,8 @@
 //! crate does not know are passed on as they were; URIs come out absolute, so that segments are fetched from the media
 //! host and not through the gateway. Text is bounded by [`Limits`] before anything is built from it.
 
+#![deny(missing_docs)]
+
 mod line;
 mod media;
 mod multivariant;
--- a/crates/elderpick-hls/src/line.rs
+++ b/crates/elderpick-hls/src/line.rs
@@ -26,7 +26,9 @@
 /// Why a text is no usable playlist. `line` counts from 1; 0 concerns the whole text.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Fault {
+    /// The line, counted from 1.
     pub line: usize,
+    /// What is wrong with it.
     pub what: String,
 }
 
--- a/crates/elderpick-hls/src/media.rs
+++ b/crates/elderpick-hls/src/media.rs
@@ -30,10 +30,13 @@
     pub target: i64,
     /// Media sequence number of the first segment.
     pub first: u64,
+    /// The discontinuity sequence number of the first segment.
     pub discontinuities: u64,
     /// No segment will be added.
     pub ended: bool,
+    /// It holds I-frames alone.
     pub iframes: bool,
+    /// The segments, in order.
     pub segments: Vec<Segment>,
     /// Tags of the whole playlist, without those that are worked out anew.
     pub(crate) head: Vec<String>,
--- a/crates/elderpick-hls/src/multivariant.rs
+++ b/crates/elderpick-hls/src/multivariant.rs
@@ -19,6 +19,7 @@
 pub struct Rendition {
     /// Its media playlist at the media host.
     pub uri: Url,
+    /// It is an I-frame stream.
     pub iframes: bool,
 }
 
@@ -47,7 +48,9 @@
 /// A multivariant playlist as a media host gave it, its URIs absolute.
 #[derive(Clone, PartialEq, Debug)]
 pub struct Multivariant {
+    /// The variants, in the order of the file.
     pub variants: Vec<Variant>,
+    /// The renditions, in the order of the file.
     pub renditions: Vec<Rendition>,
     /// For the media playlists, which may import them.
     pub variables: Variables,
--- a/crates/elderpick-hls/src/timeline.rs
+++ b/crates/elderpick-hls/src/timeline.rs
@@ -9,6 +9,7 @@
 /// How much of a list that has ended is shown.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Reveal {
+    /// All of it.
     All,
     /// Segments that begin within so many microseconds of the first, and one at least. The list grows, so that a
     /// change of rung reaches the viewer with the next segments.
@@ -37,12 +38,14 @@
 /// A playlist made for a session.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Shaped {
+    /// The playlist as the viewer gets it.
     pub text: String,
     /// Every segment is listed, and none will follow.
     pub ended: bool,
 }
 
 impl Timeline {
+    /// A session that plays at this rung from its first segment.
     pub fn new(rung: usize) -> Self {
         Timeline { steps: vec![Step { from: 0, rung, put: None }], listed: None, dropped: 0 }
     }
--- a/crates/elderpick-inventory/src/lib.rs
+++ b/crates/elderpick-inventory/src/lib.rs
@@ -5,6 +5,8 @@
 //! `servers`. The fields are the same in both: `id`, `address`, `zone`, `kind`, `cell`, `weight`, `started`, `state`.
 //! What changes while a gateway runs comes from the list service; a changed file is read by a later start.
 
+#![deny(missing_docs)]
+
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -14,23 +16,32 @@
 /// Whether a server takes sessions.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum State {
+    /// It takes new sessions.
     Up,
+    /// It takes no new sessions; those that it has go on.
     Draining,
+    /// It is out of service.
     Gone,
 }
 
 /// One media server.
 #[derive(Clone, PartialEq, Debug)]
 pub struct Server {
+    /// Its name.
     pub id: String,
+    /// Where it listens.
     pub address: SocketAddr,
+    /// The name of its zone.
     pub zone: String,
+    /// The name of its kind.
     pub kind: String,
     /// Tells its rack and which titles it holds.
     pub cell: usize,
+    /// Its size over that of others.
     pub weight: f64,
     /// Its last start, microseconds since 1970, where that is known.
     pub started: Option<i64>,
+    /// Whether it may be used.
     pub state: State,
 }
 
@@ -39,14 +50,18 @@
 pub struct Fault {
     /// Counted from 1; 0 concerns the whole file.
     pub line: usize,
+    /// The field that is wrong.
     pub field: String,
+    /// What is wrong with it.
     pub why: String,
 }
 
 /// All that is wrong with one file.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Faults {
+    /// The name of the file.
     pub file: String,
+    /// All that is wrong with it.
     pub list: Vec<Fault>,
 }
 
@@ -66,7 +81,9 @@
 /// The notation of a file.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Format {
+    /// Comma-separated values, with a line of names.
     Csv,
+    /// YAML.
     Yaml,
 }
 
@@ -83,6 +100,7 @@
 
 /// Most bytes of a file, and most servers in it.
 pub const MOST_BYTES: usize = 16 << 20;
+/// Servers that an inventory may name at most.
 pub const MOST_SERVERS: usize = 20_000;
 const MOST_FAULTS: usize = 200;
 const FIELDS: [&str; 8] = ["id", "address", "zone", "kind", "cell", "weight", "started", "state"];
--- a/crates/elderpick-settings/src/lib.rs
+++ b/crates/elderpick-settings/src/lib.rs
@@ -9,6 +9,8 @@
 //! `string`. `duration`, `size`, `rate` and `address` are ours: strings that must be such. There are no expressions,
 //! no interpolation, no imports and no comprehensions.
 
+#![deny(missing_docs)]
+
 mod parse;
 mod quantity;
 mod value;
@@ -20,13 +22,16 @@
 /// A place in a text, both counted from 1.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Default)]
 pub struct Place {
+    /// The line, counted from 1.
     pub line: usize,
+    /// The column, counted from 1.
     pub column: usize,
 }
 
 /// One thing wrong with a settings file.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Problem {
+    /// Where it is.
     pub place: Place,
     /// Path of the field, such as `classes[2].aim`; empty for the whole file.
     pub field: String,
@@ -39,7 +44,9 @@
 /// All that is wrong with one file, in the order of its lines.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Problems {
+    /// The name of the file.
     pub file: String,
+    /// All that is wrong with it.
     pub list: Vec<Problem>,
 }
 
--- a/crates/elderpick-simhost/src/lib.rs
+++ b/crates/elderpick-simhost/src/lib.rs
@@ -1,5 +1,7 @@
 //! The adapter between the simulator's wire and the decision core. It translates and decides nothing.
 
+#![deny(missing_docs)]
+
 mod wire;
 
 use std::collections::BTreeMap;
