Files that were split off keep the kind of the file that they came from

The split of engine.rs and check.rs left the line 'kind: decisions' and 'kind: tool' in the first file alone, so that the parts counted as service and stand-in. Comments only.

--- a/crates/elderpick-gateway/src/engine/attempts.rs
+++ b/crates/elderpick-gateway/src/engine/attempts.rs
@@ -1,4 +1,6 @@
 //! Attempts to set a session up, and the final answer.
+//!
+//! kind: decisions
 
 use elderpick_core::api::{Event, Micros, Report, RequestId, ServerId, Status};
 
--- a/crates/elderpick-gateway/src/engine/events.rs
+++ b/crates/elderpick-gateway/src/engine/events.rs
@@ -1,4 +1,6 @@
 //! What the engine is told, what it asks for, and what it counts.
+//!
+//! kind: decisions
 
 use std::net::{IpAddr, SocketAddr};
 
--- a/crates/elderpick-gateway/src/engine/hosts.rs
+++ b/crates/elderpick-gateway/src/engine/hosts.rs
@@ -1,4 +1,6 @@
 //! Media hosts: the list, and what they tell while sessions play.
+//!
+//! kind: decisions
 
 use elderpick_core::api::{Event, ListKind, Micros, Note, Report, ServerId, ServerState, Status};
 
--- a/crates/elderpick-gateway/src/engine/releases.rs
+++ b/crates/elderpick-gateway/src/engine/releases.rs
@@ -1,4 +1,6 @@
 //! The end of a session: released at its host, then forgotten.
+//!
+//! kind: decisions
 
 use elderpick_core::api::{Event, Micros, Report, RequestId, Status};
 use elderpick_ledger::accounts::Outcome;
--- a/crates/elderpick-gateway/src/engine/requests.rs
+++ b/crates/elderpick-gateway/src/engine/requests.rs
@@ -1,4 +1,6 @@
 //! Requests of viewers: a session begins, is joined, or is refused.
+//!
+//! kind: decisions
 
 use elderpick_core::api::{Event, Micros, RequestId, Status, Viewing};
 use elderpick_entitle::registry::SeatId;
--- a/crates/elderpick-gateway/src/engine/session.rs
+++ b/crates/elderpick-gateway/src/engine/session.rs
@@ -1,4 +1,6 @@
 //! A session and its state.
+//!
+//! kind: decisions
 
 use elderpick_core::api::{Micros, Report, ServerId, Status};
 use elderpick_ledger::accounts::Outcome;
--- a/crates/elderpick-lab/src/check/billing.rs
+++ b/crates/elderpick-lab/src/check/billing.rs
@@ -1,4 +1,6 @@
 //! Rules on licences and on what is billed.
+//!
+//! kind: tool
 
 use std::collections::BTreeMap;
 
--- a/crates/elderpick-lab/src/check/sessions.rs
+++ b/crates/elderpick-lab/src/check/sessions.rs
@@ -1,4 +1,6 @@
 //! Rules on answers, attempts and terms of sessions.
+//!
+//! kind: tool
 
 use std::collections::BTreeMap;
 
--- a/crates/elderpick-lab/src/check/verdict.rs
+++ b/crates/elderpick-lab/src/check/verdict.rs
@@ -1,4 +1,6 @@
 //! The verdict on a drill.
+//!
+//! kind: tool
 
 use std::collections::BTreeMap;
 
