Failing tests: busy connections at shutdown, an end that overtakes its answer; soak

What callers see: set-ups that are sent on open connections later than 0.7 s after SIGTERM get no answer before the kill, and the process never ends by itself while they come; a session whose end its host tells on another connection before the answer is read is served and then stands for nobody.

The second was found by reading.

--- a/crates/elderpick-lab/src/lib.rs
+++ b/crates/elderpick-lab/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod script;
 pub mod seats;
 pub mod signal;
+pub mod soak;
 pub mod srt;
 pub mod srt_bench;
 pub mod viewers;
--- a/crates/elderpick-lab/src/main.rs
+++ b/crates/elderpick-lab/src/main.rs
@@ -11,7 +11,9 @@
 use elderpick_lab::hosts::Model;
 use elderpick_lab::mutants::{ALL, Double, Mutant};
 use elderpick_lab::record::What;
-use elderpick_lab::{check, entitle_bench, fuzz, ledger_bench, measure, script, seats, srt_bench, viewers};
+use elderpick_lab::{
+    check, entitle_bench, fuzz, ledger_bench, measure, script, seats, soak, srt_bench, viewers,
+};
 use elderpick_ledger::reconcile::{Finding, reconcile};
 
 /// Stand-ins, drills and measurements for elderpick, all on loopback.
@@ -57,6 +59,8 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Play seeded trials of a gateway on the platform's wire under faults, and judge them.
+    Soak(soak::command::Options),
     /// Play an HLS playlist to its end as an ordinary player would, and tell what came.
     Play { uri: String },
     /// Run one gateway, perhaps with a fault in its decisions. Drills use it.
@@ -150,6 +154,8 @@
                 in_folder(async |folder: &Path| ledger_bench::run(folder, entries, this_program()?).await);
             tokio::task::LocalSet::new().block_on(&runtime, measured)
         }
+        (Command::Soak(options), Ok(runtime)) => tokio::task::LocalSet::new()
+            .block_on(&runtime, in_folder(async |folder: &Path| play_trials(folder, &options).await)),
         (Command::Play { uri }, Ok(runtime)) => tokio::task::LocalSet::new().block_on(&runtime, play(&uri)),
         (Command::Drill(Drill::Mutants { seed }), Ok(runtime)) => {
             tokio::task::LocalSet::new().block_on(&runtime, mutants(seed))
@@ -175,6 +181,12 @@
     }
 }
 
+async fn play_trials(folder: &Path, options: &soak::command::Options) -> Result<(), String> {
+    let tally = soak::command::run(&this_program()?, folder, options).await.map_err(|why| why.to_string())?;
+    println!("kept {}  void {}  broken {:?}  {:?}", tally.kept, tally.void, tally.broken, tally.clauses);
+    if tally.broken.is_empty() { Ok(()) } else { Err("a rule was broken".into()) }
+}
+
 async fn gateway(settings: &Path, mutant: Option<Mutant>) -> Result<(), String> {
     let config = config::Config::open(settings)?;
     let servers = config.open_inventory()?;
--- a/crates/elderpick-lab/src/platform/host.rs
+++ b/crates/elderpick-lab/src/platform/host.rs
@@ -95,7 +95,8 @@
     format!("{session:016x}\r\nm=video 1 RTP/AVP 96\r\n\r\n\u{e9}").into_bytes()
 }
 
-pub(super) fn answer(session: u64) -> Vec<u8> {
+/// The answer to a session's set-up.
+pub fn answer(session: u64) -> Vec<u8> {
     let body = description(session);
     answer_of(session, &body, body.len())
 }
@@ -229,6 +230,13 @@
         self.tell_lines(|| Word::Say(bytes.to_vec()));
     }
 
+    /// Says something on the connection that a session was set up on.
+    pub fn say_on_connection_of(&self, session: u64, bytes: &[u8]) {
+        if let Some(line) = self.inside.standing.borrow().get(&session) {
+            let _ = line.send(Word::Say(bytes.to_vec()));
+        }
+    }
+
     /// Closes all its connections, or resets them, and goes on listening.
     pub fn hang_up(&self, reset: bool) {
         self.tell_lines(|| if reset { Word::Reset } else { Word::Close });
--- a/crates/elderpick-lab/src/platform/journal.rs
+++ b/crates/elderpick-lab/src/platform/journal.rs
@@ -27,6 +27,17 @@
     SpoiltOnce,
 }
 
+/// A host as the list names it.
+#[derive(Clone, Debug)]
+pub struct Listing {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its state, in the platform's words.
+    pub health: String,
+}
+
 /// The journal service: events from the first on, to whoever asks.
 pub struct Journal {
     pub address: SocketAddr,
@@ -79,12 +90,22 @@
 
     /// Adds an event with these hosts, each with its state; gives its number.
     pub fn tell(&self, whole: bool, hosts: &[(&Host, &str)]) -> u64 {
+        let listing = |(host, health): &(&Host, &str)| Listing {
+            name: host.name.clone(),
+            address: host.address,
+            health: (*health).to_owned(),
+        };
+        self.tell_listings(whole, &hosts.iter().map(listing).collect::<Vec<_>>())
+    }
+
+    /// Adds an event with these entries of the list; gives its number.
+    pub fn tell_listings(&self, whole: bool, listings: &[Listing]) -> u64 {
         let number = self.told.borrow().len() as u64 + 1;
-        let hosts: Vec<_> = hosts
+        let hosts: Vec<_> = listings
             .iter()
-            .map(|(host, health)| {
-                json!({"host": host.name, "dial": host.address.to_string(), "site": "here", "class": "one",
-                       "block": 0, "health": health, "share": 50.0, "born_ms": 0})
+            .map(|listing| {
+                json!({"host": listing.name, "dial": listing.address.to_string(), "site": "here", "class": "one",
+                       "block": 0, "health": listing.health, "share": 50.0, "born_ms": 0})
             })
             .collect();
         let event = json!({"pos": number, "hosts": {"seq": number, "whole": whole, "hosts": hosts}});
--- /dev/null
+++ b/crates/elderpick-lab/src/soak.rs
@@ -0,0 +1,17 @@
+//! Seeded trials of one gateway's process under faults, judged from what its peers saw.
+//!
+//! A trial draws its settings and its faults from a seed ([`plan`]), plays them with random media hosts and viewers on
+//! loopback ([`host`], [`viewers`]), and writes what they saw to one [`record`]. [`judge`] decides from that record
+//! alone which rules of the platform's protocol were broken.
+
+pub mod command;
+pub mod host;
+pub mod judge;
+pub mod plan;
+pub mod record;
+mod trial;
+pub mod viewers;
+
+pub use self::judge::{Break, Clause};
+pub use self::plan::{Plan, Scenario};
+pub use self::trial::{Outcome, TrialError, run};
--- /dev/null
+++ b/crates/elderpick-lab/src/soak/host.rs
@@ -0,0 +1,295 @@
+//! A media host that draws what it does with each set-up.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use elderpick_platform::rtsp::{self, Start};
+use elderpick_platform::viewer::cause;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+
+use super::plan::Plan;
+use super::record::{Record, What};
+
+/// The status of a host that is full.
+const FULL: u16 = 453;
+/// The status of a host that fails.
+const ERROR: u16 = 500;
+/// Answers take at least so long.
+const LEAST_WORK: Duration = Duration::from_millis(2);
+/// Longest pause between the pieces of a message.
+const MOST_PAUSE_US: u64 = 2_000;
+/// Sessions that are not left early stand so long at most.
+const LONGEST_SESSION: Duration = Duration::from_millis(1_500);
+/// A viewer that leaves around its answer does so within this time behind it.
+const LEAVES_WITHIN_US: u64 = 1_500;
+
+/// What is written on a connection.
+enum Output {
+    Message(Vec<u8>),
+    /// So much of a message, and then the end.
+    Cut(Vec<u8>),
+    Reset,
+}
+
+type Outputs = mpsc::UnboundedSender<Output>;
+
+/// A session that stands, and the connection that it was set up on.
+struct Standing {
+    outputs: Outputs,
+}
+
+struct Inside {
+    number: usize,
+    plan: Plan,
+    record: Record,
+    random: RefCell<ChaCha8Rng>,
+    /// Set-ups that are open, by session.
+    open: RefCell<BTreeSet<u64>>,
+    standing: RefCell<BTreeMap<u64, Standing>>,
+    connections: RefCell<Vec<Outputs>>,
+    /// Ends that found no connection: told on the next one that is opened.
+    untold: RefCell<Vec<Vec<u8>>>,
+}
+
+/// A media host that draws what it does with each set-up.
+pub struct RandomHost {
+    /// Its name in the list.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    inside: Rc<Inside>,
+}
+
+impl RandomHost {
+    /// Starts one on a port of the system's.
+    pub async fn start(number: usize, plan: &Plan, record: &Record) -> std::io::Result<RandomHost> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let inside = Rc::new(Inside {
+            number,
+            plan: plan.clone(),
+            record: record.clone(),
+            random: RefCell::new(plan.random(number as u64)),
+            open: RefCell::default(),
+            standing: RefCell::default(),
+            connections: RefCell::default(),
+            untold: RefCell::default(),
+        });
+        let accepting = inside.clone();
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn_local(accepting.clone().talk(stream));
+            }
+        });
+        Ok(RandomHost { name: format!("s-{number}"), address, inside })
+    }
+
+    /// Sessions that stand there.
+    pub fn standing(&self) -> Vec<u64> {
+        self.inside.standing.borrow().keys().copied().collect()
+    }
+}
+
+/// The description that a host answers a session's set-up with.
+fn description(host: usize, session: u64) -> String {
+    format!("{session:016x} at {host}\r\n")
+}
+
+fn answer(host: usize, session: u64) -> Vec<u8> {
+    let body = description(host, session);
+    let length = body.len();
+    let head =
+        format!("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: {session:016x}\r\nContent-Length: {length}\r\n\r\n");
+    [head, body].concat().into_bytes()
+}
+
+impl Inside {
+    /// One connection, until either side ends it.
+    async fn talk(self: Rc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let (mut reads, writes) = stream.into_split();
+        let (outputs, queue) = mpsc::unbounded_channel();
+        self.connections.borrow_mut().push(outputs.clone());
+        for end in self.untold.borrow_mut().drain(..) {
+            let _ = outputs.send(Output::Message(end));
+        }
+        let mut writing = spawn_local(self.clone().write(writes, queue));
+        let (mut decoder, mut chunk) = (rtsp::Decoder::default(), vec![0; 4096]);
+        let mut set_up_here = BTreeSet::new();
+        loop {
+            let read = tokio::select! {
+                read = reads.read(&mut chunk) => read,
+                _ = &mut writing => break,
+            };
+            let Ok(read @ 1..) = read else { break };
+            decoder.push(&chunk[..read]);
+            while let Ok(Some(message)) = decoder.message() {
+                if let Start::Request { method } = &message.start {
+                    if method == "SETUP" {
+                        set_up_here.insert(message.session);
+                    }
+                    self.clone().request(method, &message, &outputs);
+                }
+            }
+        }
+        // Set-ups that are open on a connection are given up when it closes.
+        for session in set_up_here {
+            if self.open.borrow_mut().remove(&session) {
+                self.record.add(What::Withdrawn { host: self.number, session });
+            }
+        }
+        self.connections.borrow_mut().retain(|other| !other.same_channel(&outputs));
+        writing.abort();
+    }
+
+    async fn write(
+        self: Rc<Self>,
+        mut writes: tokio::net::tcp::OwnedWriteHalf,
+        mut queue: mpsc::UnboundedReceiver<Output>,
+    ) {
+        while let Some(output) = queue.recv().await {
+            let written = match output {
+                Output::Message(bytes) => self.write_bytes(&mut writes, &bytes).await,
+                Output::Cut(bytes) => {
+                    let _ = writes.write_all(&bytes).await;
+                    break;
+                }
+                Output::Reset => {
+                    // It waits for nothing here: what is unsent is dropped.
+                    #[allow(deprecated)]
+                    let _ = writes.as_ref().set_linger(Some(Duration::ZERO));
+                    return writes.forget();
+                }
+            };
+            if written.is_err() {
+                break;
+            }
+        }
+        let _ = writes.shutdown().await;
+    }
+
+    async fn write_bytes(
+        &self,
+        writes: &mut tokio::net::tcp::OwnedWriteHalf,
+        bytes: &[u8],
+    ) -> std::io::Result<()> {
+        if !self.plan.pieces {
+            return writes.write_all(bytes).await;
+        }
+        let mut rest = bytes;
+        while !rest.is_empty() {
+            let (length, pause) = {
+                let mut random = self.random.borrow_mut();
+                (random.random_range(1..=rest.len()), random.random_range(0..MOST_PAUSE_US))
+            };
+            writes.write_all(&rest[..length]).await?;
+            rest = &rest[length..];
+            if !rest.is_empty() {
+                tokio::time::sleep(Duration::from_micros(pause)).await;
+            }
+        }
+        Ok(())
+    }
+
+    fn request(self: Rc<Self>, method: &str, message: &rtsp::Message, outputs: &Outputs) {
+        let session = message.session;
+        let send = |bytes| drop(outputs.send(Output::Message(bytes)));
+        match method {
+            "SETUP" => {
+                self.record.add(What::Arrived { host: self.number, session });
+                self.open.borrow_mut().insert(session);
+                spawn_local(self.serve(session, outputs.clone()));
+            }
+            "TEARDOWN" => {
+                if self.open.borrow_mut().remove(&session) {
+                    self.record.add(What::Withdrawn { host: self.number, session });
+                }
+                if self.standing.borrow_mut().remove(&session).is_some() {
+                    self.record.add(What::ReleasedAtHost { host: self.number, session });
+                    send(rtsp::teardown(session, Some(cause::ENDED_BY_VIEWER)));
+                }
+                send(rtsp::response(200, message.cseq, session));
+            }
+            "OPTIONS" => {
+                let head = format!("RTSP/1.0 200 OK\r\nCSeq: 3\r\nSession: {session:016x}\r\n");
+                send(format!("{head}X-State: utilization:0.200\r\nContent-Length: 0\r\n\r\n").into_bytes());
+            }
+            _ => {}
+        }
+    }
+
+    /// Decides on a set-up, works on it, and keeps its session until it ends.
+    async fn serve(self: Rc<Self>, session: u64, outputs: Outputs) {
+        let shares = self.plan.shares;
+        let (draw, work) = {
+            let mut random = self.random.borrow_mut();
+            let most = (self.plan.deadline / 2).max(LEAST_WORK + Duration::from_millis(1));
+            (random.random::<f64>(), random.random_range(LEAST_WORK..most))
+        };
+        let mut bound = shares.silent;
+        if draw < bound {
+            return;
+        }
+        tokio::time::sleep(work).await;
+        if !self.open.borrow_mut().remove(&session) {
+            return;
+        }
+        for (share, status) in [(shares.full, FULL), (shares.failed, ERROR)] {
+            bound += share;
+            if draw < bound {
+                self.record.add(What::Refused { host: self.number, session, status });
+                drop(outputs.send(Output::Message(rtsp::response(status, 1, session))));
+                return;
+            }
+        }
+        bound += shares.reset;
+        if draw < bound {
+            self.record.add(What::Withdrawn { host: self.number, session });
+            drop(outputs.send(Output::Reset));
+            return;
+        }
+        let bytes = answer(self.number, session);
+        bound += shares.cut;
+        let description = description(self.number, session);
+        self.record.add(What::Answered { host: self.number, session, description });
+        self.standing.borrow_mut().insert(session, Standing { outputs: outputs.clone() });
+        if draw < bound {
+            let whole = self.random.borrow_mut().random_range(1..bytes.len());
+            drop(outputs.send(Output::Cut(bytes[..whole].to_vec())));
+        } else {
+            drop(outputs.send(Output::Message(bytes)));
+        }
+        self.end_in_time(session, draw < bound + shares.left).await;
+    }
+
+    /// Waits until a session ends by itself.
+    async fn end_in_time(&self, session: u64, left: bool) {
+        let (lasts, cause) = {
+            let mut random = self.random.borrow_mut();
+            let lasts = random.random_range(Duration::from_millis(20)..LONGEST_SESSION);
+            let leaves = Duration::from_micros(random.random_range(0..LEAVES_WITHIN_US));
+            if left { (leaves, cause::ENDED_BY_VIEWER) } else { (lasts, cause::GIVEN_UP) }
+        };
+        tokio::time::sleep(lasts).await;
+        let Some(standing) = self.standing.borrow_mut().remove(&session) else { return };
+        self.record.add(What::EndedByHost { host: self.number, session, cause });
+        let end = rtsp::teardown(session, Some(cause));
+        // On its own connection, else on any, else on the next one.
+        if standing.outputs.send(Output::Message(end.clone())).is_ok() {
+            return;
+        }
+        let other = self.connections.borrow().iter().find(|other| !other.is_closed()).cloned();
+        match other {
+            Some(other) => drop(other.send(Output::Message(end))),
+            None => self.untold.borrow_mut().push(end),
+        }
+    }
+}
--- /dev/null
+++ b/crates/elderpick-lab/src/soak/plan.rs
@@ -0,0 +1,123 @@
+//! What one trial does, drawn from its seed: the same on every machine.
+
+use std::time::Duration;
+
+use clap::ValueEnum;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// A kind of trouble.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, ValueEnum)]
+pub enum Scenario {
+    /// The gateway is told to end while its connections are busy, and killed at the earliest time.
+    Shutdowns,
+    /// Hosts reset connections under requests, idle ones, and in the middle of answers.
+    Network,
+    /// Viewers give up, leave at their hosts around the answer, and close connections.
+    Clients,
+    /// All that is written comes in pieces.
+    Pieces,
+    /// Ten times the requests for a moment.
+    Crowd,
+}
+
+/// Deadlines of a trial that is not told one.
+const DEADLINES_MS: [u64; 5] = [100, 300, 1_000, 2_000, 3_000];
+/// A longer deadline counts as this one at a shutdown.
+const LONGEST_COUNTED: Duration = Duration::from_secs(3);
+/// A gateway may be killed so long after SIGTERM, beside the longest deadline.
+const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
+
+/// Shares of set-ups that a host treats so, from 0 to 1; the rest is answered.
+#[derive(Clone, Copy, Debug)]
+pub struct HostShares {
+    /// Never answered.
+    pub silent: f64,
+    /// Refused as full.
+    pub full: f64,
+    /// Failed.
+    pub failed: f64,
+    /// The connection is reset while the set-up is open.
+    pub reset: f64,
+    /// The connection is closed in the middle of the answer.
+    pub cut: f64,
+    /// The viewer leaves at the host right behind the answer.
+    pub left: f64,
+}
+
+/// What one trial does.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The seed that all of it is drawn from.
+    pub seed: u64,
+    /// The kinds of trouble.
+    pub scenarios: Vec<Scenario>,
+    /// The longest deadline of the classes.
+    pub deadline: Duration,
+    /// How many media hosts there are.
+    pub hosts: usize,
+    /// How many connections viewers keep.
+    pub connections: usize,
+    /// Set-ups a second, on all connections together.
+    pub rate: f64,
+    /// What hosts do.
+    pub shares: HostShares,
+    /// Share of set-ups that their viewers give up before their time.
+    pub gives_up: f64,
+    /// Whether hosts and viewers write in pieces.
+    pub pieces: bool,
+    /// A crowd comes at this time.
+    pub crowd_at: Option<Duration>,
+    /// When the gateway is told to end. It is told in each trial, since only then all is settled.
+    pub terminate_at: Duration,
+    /// For how long after that new connections come.
+    pub connects_for: Duration,
+    /// Descriptors of the gateway.
+    pub sockets: usize,
+}
+
+impl Plan {
+    /// Draws a trial. `deadline` is drawn as well unless it is told.
+    pub fn draw(seed: u64, scenarios: &[Scenario], deadline: Option<Duration>) -> Plan {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let has = |scenario| scenarios.contains(&scenario);
+        let drawn = Duration::from_millis(DEADLINES_MS[random.random_range(0..DEADLINES_MS.len())]);
+        let network = if has(Scenario::Network) { 0.06 } else { 0.0 };
+        let shares = HostShares {
+            silent: if random.random_bool(0.5) { 0.05 } else { 0.5 },
+            full: random.random_range(0.0..0.1),
+            failed: random.random_range(0.0..0.05),
+            reset: network,
+            cut: network,
+            left: if has(Scenario::Clients) { 0.1 } else { 0.0 },
+        };
+        let crowd_at = random.random_range(300..900);
+        Plan {
+            seed,
+            scenarios: scenarios.to_vec(),
+            deadline: deadline.unwrap_or(drawn),
+            hosts: random.random_range(2..=5),
+            connections: random.random_range(2..=6),
+            rate: random.random_range(30.0..90.0),
+            shares,
+            gives_up: if has(Scenario::Clients) { 0.15 } else { 0.0 },
+            pieces: has(Scenario::Pieces) || random.random_bool(0.3),
+            crowd_at: has(Scenario::Crowd).then(|| Duration::from_millis(crowd_at)),
+            terminate_at: Duration::from_millis(random.random_range(700..1_300)),
+            connects_for: Duration::from_millis(random.random_range(200..=400)),
+            sockets: random.random_range(96..=512),
+        }
+    }
+
+    /// The earliest time after SIGTERM at which the gateway may be killed.
+    pub fn kill_after(&self) -> Duration {
+        self.deadline.min(LONGEST_COUNTED) + KILL_AFTER_DEADLINE
+    }
+
+    /// A random generator for one part of the trial, which no other part's draws change.
+    pub fn random(&self, part: u64) -> ChaCha8Rng {
+        let mut random = ChaCha8Rng::seed_from_u64(self.seed);
+        random.set_stream(part + 1);
+        random
+    }
+}
--- /dev/null
+++ b/crates/elderpick-lab/src/soak/trial.rs
@@ -0,0 +1,147 @@
+//! One trial: the world of a gateway's process, its shutdown, and the verdict.
+
+use std::io;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+use tokio::task::spawn_local;
+
+use super::host::RandomHost;
+use super::judge::{Break, judge};
+use super::plan::Plan;
+use super::record::{Entry, Record, What};
+use super::viewers::{self, Shared};
+use crate::platform::{Gateway, Journal, Listing, config};
+
+/// A trial whose own program ran later than this is void.
+const LATEST: Duration = Duration::from_millis(40);
+/// How often it is looked whether the program runs late.
+const CLOCK_TICK: Duration = Duration::from_millis(5);
+/// What the gateway has sent by its end arrives within this time.
+const SETTLES: Duration = Duration::from_millis(200);
+
+/// Why a trial could not be played.
+#[derive(Debug, thiserror::Error)]
+pub enum TrialError {
+    /// A stand-in cannot listen.
+    #[error("a stand-in cannot listen: {0}")]
+    Listen(#[from] io::Error),
+    /// The gateway's process cannot be started or told anything.
+    #[error("the gateway: {0}")]
+    Gateway(String),
+}
+
+/// How a trial ended.
+#[derive(Debug)]
+pub enum Outcome {
+    /// The trial's own program ran late by so much: it says nothing.
+    Void(Duration),
+    /// It was judged. `set_ups` counts what viewers asked for.
+    Judged {
+        /// How many set-ups were written.
+        set_ups: usize,
+        /// How many of them were served.
+        served: usize,
+        /// When the process ended, counted from SIGTERM.
+        ended_after: Duration,
+        /// The clauses that were broken.
+        breaks: Vec<Break>,
+        /// All that was seen.
+        entries: Vec<Entry>,
+    },
+}
+
+/// Plays a trial with the gateway that `program` runs, whose configuration is kept in `folder`.
+pub async fn run(program: &Path, folder: &Path, plan: &Plan) -> Result<Outcome, TrialError> {
+    let record = Record::default();
+    let clock = spawn_local(watch_clock(record.clone()));
+    let mut hosts = Vec::new();
+    for number in 0..plan.hosts {
+        hosts.push(RandomHost::start(number, plan, &record).await?);
+    }
+    let journal = Journal::start().await.map_err(TrialError::Gateway)?;
+    let listing = |host: &RandomHost| Listing {
+        name: host.name.clone(),
+        address: host.address,
+        health: "Ready".to_owned(),
+    };
+    journal.tell_listings(true, &hosts.iter().map(listing).collect::<Vec<_>>());
+    let configuration = configuration(plan, &journal);
+    let gateway = Gateway::start(program, folder, &configuration).await.map_err(TrialError::Gateway)?;
+    let shared = Shared::new(plan, &record, gateway.address);
+    let viewers: Vec<_> =
+        (0..plan.connections).map(|number| spawn_local(viewers::keep(shared.clone(), number))).collect();
+    tokio::time::sleep(plan.terminate_at).await;
+    shut_down(gateway, &shared).await?;
+    tokio::time::sleep(SETTLES).await;
+    viewers.iter().for_each(|task| task.abort());
+    clock.abort();
+    Ok(outcome(&record))
+}
+
+/// Tells the gateway to end and kills it at the earliest time; viewers go on all the while.
+async fn shut_down(mut gateway: Gateway, shared: &Rc<Shared>) -> Result<(), TrialError> {
+    let (plan, record) = (&shared.plan, &shared.record);
+    record.add(What::Terminated);
+    gateway.signal(Signal::SIGTERM).map_err(TrialError::Gateway)?;
+    let connecting = shared.clone();
+    spawn_local(async move {
+        tokio::time::sleep(connecting.plan.connects_for).await;
+        connecting.connects.set(false);
+    });
+    let ended = tokio::time::timeout(plan.kill_after(), gateway.child.wait()).await;
+    match ended {
+        Ok(status) => record.add(What::Ended { clean: status?.success() }),
+        Err(_) => {
+            gateway.signal(Signal::SIGKILL).map_err(TrialError::Gateway)?;
+            record.add(What::Ended { clean: false });
+            gateway.child.wait().await?;
+        }
+    }
+    shared.asks.set(false);
+    Ok(())
+}
+
+/// Notes how late this program itself runs.
+async fn watch_clock(record: Record) {
+    loop {
+        let due = record.now() + CLOCK_TICK;
+        tokio::time::sleep(CLOCK_TICK).await;
+        record.ran_late(record.now().saturating_sub(due));
+    }
+}
+
+fn outcome(record: &Record) -> Outcome {
+    if record.latest() > LATEST {
+        return Outcome::Void(record.latest());
+    }
+    let entries = record.entries();
+    let count = |wanted: fn(&What) -> bool| entries.iter().filter(|entry| wanted(&entry.what)).count();
+    let time_of =
+        |wanted: fn(&What) -> bool| entries.iter().find(|entry| wanted(&entry.what)).map(|entry| entry.at);
+    let ended = time_of(|what| matches!(what, What::Ended { .. })).unwrap_or_default();
+    let terminated = time_of(|what| matches!(what, What::Terminated)).unwrap_or_default();
+    Outcome::Judged {
+        set_ups: count(|what| matches!(what, What::SetUpWritten { .. })),
+        served: count(|what| matches!(what, What::Served { .. })),
+        ended_after: ended.saturating_sub(terminated),
+        breaks: judge(&entries),
+        entries,
+    }
+}
+
+fn configuration(plan: &Plan, journal: &Journal) -> Value {
+    let mut configuration = config(journal, plan.sockets);
+    let settings = &mut configuration["settings"];
+    let deadline_us = plan.deadline.as_micros() as u64;
+    for class in settings["profiles"].as_array_mut().into_iter().flatten() {
+        class["on_time_us"] = json!(deadline_us / 2);
+        class["hard_limit_us"] = json!(deadline_us);
+    }
+    settings["limits"]["connect_timeout_us"] = json!(100_000);
+    configuration["seed"] = json!(format!("{:016x}", plan.seed));
+    configuration
+}
--- /dev/null
+++ b/crates/elderpick-lab/src/soak/viewers.rs
@@ -0,0 +1,270 @@
+//! Viewers on one connection after another: they ask, give up, end sessions, and confirm what they are told.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use elderpick_platform::viewer::{self, Decoder, Message, cause, code, kind};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+
+use super::plan::Plan;
+use super::record::{Connection, Record, What};
+
+/// The titles that are asked for.
+const TITLE: &[u8] = b"7f3a9c21e0b4d655";
+/// How many times the usual rate a crowd asks, and for how long.
+const CROWD: f64 = 10.0;
+const CROWD_LASTS: Duration = Duration::from_millis(300);
+/// Pause before a viewer connects again.
+const RECONNECT: Duration = Duration::from_millis(5);
+/// Longest pause between the pieces of a message.
+const MOST_PAUSE_US: u64 = 2_000;
+/// Share of sessions that their viewers end, soon.
+const ENDED_BY_VIEWER: f64 = 0.3;
+const LONGEST_SESSION: Duration = Duration::from_millis(800);
+/// Viewers whose numbers set the part of the trial's random numbers apart from hosts'.
+const FIRST_PART: u64 = 1_000;
+
+/// What all connections of a trial share.
+pub struct Shared {
+    /// The trial.
+    pub plan: Plan,
+    /// Its record.
+    pub record: Record,
+    /// Where the gateway listens.
+    pub address: SocketAddr,
+    /// Whether new connections still come.
+    pub connects: Cell<bool>,
+    /// Whether set-ups still come, on any connection.
+    pub asks: Cell<bool>,
+    next_session: Cell<u64>,
+    next_connection: Cell<Connection>,
+}
+
+impl Shared {
+    /// Viewers of a gateway at this address.
+    pub fn new(plan: &Plan, record: &Record, address: SocketAddr) -> Rc<Shared> {
+        Rc::new(Shared {
+            plan: plan.clone(),
+            record: record.clone(),
+            address,
+            connects: Cell::new(true),
+            asks: Cell::new(true),
+            next_session: Cell::new(1),
+            next_connection: Cell::new(0),
+        })
+    }
+
+    fn next_session(&self) -> u64 {
+        let session = self.next_session.get();
+        self.next_session.set(session + 1);
+        session
+    }
+
+    /// How long a viewer waits before the next set-up on one of the connections.
+    fn pause(&self, random: &mut ChaCha8Rng) -> Duration {
+        let now = self.record.now();
+        let crowd = self.plan.crowd_at.is_some_and(|at| now >= at && now < at + CROWD_LASTS);
+        let rate = self.plan.rate / self.plan.connections as f64 * if crowd { CROWD } else { 1.0 };
+        // Exponential, as independent viewers come.
+        Duration::from_secs_f64(-(1.0 - random.random::<f64>()).ln() / rate)
+    }
+}
+
+/// Keeps one connection up, a new one after each that ends, for as long as new ones come.
+pub async fn keep(shared: Rc<Shared>, number: usize) {
+    let random = Rc::new(RefCell::new(shared.plan.random(FIRST_PART + number as u64)));
+    while shared.connects.get() {
+        let Ok(stream) = TcpStream::connect(shared.address).await else {
+            tokio::time::sleep(RECONNECT).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let connection = shared.next_connection.get();
+        shared.next_connection.set(connection + 1);
+        use_connection(&shared, &random, stream, connection).await;
+        shared.record.add(What::Closed { connection });
+    }
+}
+
+/// What a viewers' connection writes, in order.
+enum Output {
+    SetUp { session: u64, bytes: Vec<u8>, paid: bool },
+    GiveUp { session: u64 },
+    End { session: u64 },
+    Confirm { session: u64 },
+}
+
+async fn use_connection(
+    shared: &Rc<Shared>,
+    random: &Rc<RefCell<ChaCha8Rng>>,
+    stream: TcpStream,
+    connection: Connection,
+) {
+    let (mut reads, writes) = stream.into_split();
+    let (outputs, queue) = mpsc::unbounded_channel();
+    let writing = spawn_local(write(shared.clone(), random.clone(), writes, queue, connection));
+    let asking = spawn_local(ask(shared.clone(), random.clone(), outputs.clone()));
+    let (mut decoder, mut chunk) = (Decoder::default(), vec![0; 4096]);
+    while let Ok(read @ 1..) = reads.read(&mut chunk).await {
+        decoder.push(&chunk[..read]);
+        while let Ok(Some(message)) = decoder.message() {
+            heard(shared, random, &message, &outputs);
+        }
+    }
+    asking.abort();
+    writing.abort();
+}
+
+/// Takes one message of the gateway's.
+fn heard(
+    shared: &Rc<Shared>,
+    random: &Rc<RefCell<ChaCha8Rng>>,
+    message: &Message,
+    outputs: &mpsc::UnboundedSender<Output>,
+) {
+    let session = message.session;
+    match message.kind {
+        kind::ANSWER => {
+            let description = message.parameters().flatten().find(|(code, _)| *code == code::DESCRIPTION);
+            let description =
+                description.map(|(_, value)| String::from_utf8_lossy(value).into_owned()).unwrap_or_default();
+            shared.record.add(What::Served { session, description });
+            let ends = {
+                let mut random = random.borrow_mut();
+                random
+                    .random_bool(ENDED_BY_VIEWER)
+                    .then(|| random.random_range(Duration::ZERO..LONGEST_SESSION))
+            };
+            if let Some(ends) = ends {
+                let outputs = outputs.clone();
+                spawn_local(async move {
+                    tokio::time::sleep(ends).await;
+                    let _ = outputs.send(Output::End { session });
+                });
+            }
+        }
+        kind::RELEASE => {
+            shared.record.add(What::Released { session, cause: message.cause().unwrap_or_default() });
+            let _ = outputs.send(Output::Confirm { session });
+        }
+        _ => {}
+    }
+}
+
+/// Asks for sessions at the trial's rate; some are given up.
+async fn ask(shared: Rc<Shared>, random: Rc<RefCell<ChaCha8Rng>>, outputs: mpsc::UnboundedSender<Output>) {
+    let patience = shared.plan.deadline;
+    while shared.asks.get() {
+        let pause = shared.pause(&mut random.borrow_mut());
+        tokio::time::sleep(pause).await;
+        let session = shared.next_session();
+        let (paid, gives_up) = {
+            let mut random = random.borrow_mut();
+            let after = random.random_range(Duration::ZERO..=patience);
+            (random.random_bool(0.4), random.random_bool(shared.plan.gives_up).then_some(after))
+        };
+        let bytes = set_up(session, paid, patience);
+        if outputs.send(Output::SetUp { session, bytes, paid }).is_err() {
+            return;
+        }
+        if let Some(after) = gives_up {
+            let outputs = outputs.clone();
+            spawn_local(async move {
+                tokio::time::sleep(after).await;
+                let _ = outputs.send(Output::GiveUp { session });
+            });
+        }
+    }
+}
+
+/// A set-up as viewers send it.
+fn set_up(session: u64, paid: bool, patience: Duration) -> Vec<u8> {
+    let class: &[u8] = if paid { b"paid" } else { b"free" };
+    let patience = patience.as_millis().to_string();
+    let figures = format!("home:0;copies:1;top:1;viewer:{session:016x}");
+    let parameters: [(u8, &[u8]); 5] = [
+        (code::CLASS, class),
+        (code::PATIENCE, patience.as_bytes()),
+        (code::TITLE, TITLE),
+        (code::FIGURES, figures.as_bytes()),
+        (code::DESCRIPTION, b"offer"),
+    ];
+    let mut bytes = Vec::new();
+    // It always fits.
+    let _ = viewer::encode(&mut bytes, kind::SET_UP, session, &parameters);
+    bytes
+}
+
+fn release(session: u64, cause: u8) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    viewer::release(&mut bytes, session, cause, None);
+    bytes
+}
+
+/// Writes what is queued, and what was written to the record once its last byte is.
+async fn write(
+    shared: Rc<Shared>,
+    random: Rc<RefCell<ChaCha8Rng>>,
+    mut writes: OwnedWriteHalf,
+    mut queue: mpsc::UnboundedReceiver<Output>,
+    connection: Connection,
+) {
+    while let Some(output) = queue.recv().await {
+        let (bytes, what) = match output {
+            Output::SetUp { session, bytes, paid } => {
+                let patience = shared.plan.deadline;
+                (bytes, Some(What::SetUpWritten { session, connection, paid, patience }))
+            }
+            Output::GiveUp { session } => {
+                (release(session, cause::GIVEN_UP), Some(What::GivenUp { session }))
+            }
+            Output::End { session } => {
+                (release(session, cause::ENDED_BY_VIEWER), Some(What::EndedByViewer { session }))
+            }
+            Output::Confirm { session } => {
+                let mut bytes = Vec::new();
+                // It always fits.
+                let _ = viewer::encode(&mut bytes, kind::RELEASE_HEARD, session, &[]);
+                (bytes, None)
+            }
+        };
+        if write_bytes(&shared, &random, &mut writes, &bytes).await.is_err() {
+            return;
+        }
+        if let Some(what) = what {
+            shared.record.add(what);
+        }
+    }
+}
+
+async fn write_bytes(
+    shared: &Shared,
+    random: &RefCell<ChaCha8Rng>,
+    writes: &mut OwnedWriteHalf,
+    bytes: &[u8],
+) -> std::io::Result<()> {
+    if !shared.plan.pieces {
+        return writes.write_all(bytes).await;
+    }
+    let mut rest = bytes;
+    while !rest.is_empty() {
+        let (length, pause) = {
+            let mut random = random.borrow_mut();
+            (random.random_range(1..=rest.len()), random.random_range(0..MOST_PAUSE_US))
+        };
+        writes.write_all(&rest[..length]).await?;
+        rest = &rest[length..];
+        if !rest.is_empty() {
+            tokio::time::sleep(Duration::from_micros(pause)).await;
+        }
+    }
+    Ok(())
+}
--- a/crates/elderpick-lab/tests/crossings.rs
+++ b/crates/elderpick-lab/tests/crossings.rs
@@ -2,7 +2,8 @@
 //! happen, or a stand-in holds one of them until the other has. `docs/design/crossings.md` names each path.
 
 use elderpick_lab::platform::{
-    Does, Host, Journal, PATIENCE, Speaks, Viewers, answer_with_note, config, set_up, set_up_of, set_up_with,
+    Does, Host, Journal, PATIENCE, Speaks, Viewers, answer, answer_with_note, config, set_up, set_up_of,
+    set_up_with,
 };
 use elderpick_platform::rtsp;
 use elderpick_platform::viewer::{self, cause, kind};
@@ -558,6 +559,26 @@
     });
 }
 
+/// A host tells of an end on another connection once that of the set-up is closed, and two connections have no order.
+#[test]
+fn an_end_that_overtakes_its_answer_on_another_connection_leaves_nothing_standing() {
+    run(async {
+        let world = world("overtakes", 1, 256).await;
+        let mut viewers = connect(&world).await;
+        world.hosts[0].script(&[Does::Holds, Does::Holds]);
+        for session in 1..=2 {
+            viewers.ask(session, "free", None).await.unwrap();
+            until("it is out", || !host_saw(&world, "SETUP", session).is_empty()).await;
+        }
+        assert_eq!(world.hosts[0].most_on_one_connection(), 1, "on a connection each");
+        world.hosts[0].say_on_connection_of(2, &rtsp::teardown(1, Some(16)));
+        until("the gateway has heard it", || world.hosts[0].heard().contains(&1)).await;
+        world.hosts[0].say_on_connection_of(1, &answer(1));
+        let (kind, _) = ended(&mut viewers, 1).await;
+        assert_eq!(kind, kind::RELEASE, "its viewer is not promised what is over");
+    });
+}
+
 // ---- Hand-overs ----
 
 #[test]
