Log: state transitions of sessions at debug, ends around the answer at info; attempts counted by end

Now each step of a session is one short line at debug, under the number of the wire, and the case that the traced losses are, an end by the host around the answer, is one line at info and a count. Attempts that end without a session are counted by how.

--- a/crates/elderpick-lab/src/soak/judge.rs
+++ b/crates/elderpick-lab/src/soak/judge.rs
@@ -166,16 +166,16 @@
                 self.answered.push((*host, description.clone()));
                 self.standing_at.insert(*host);
             }
-            What::Refused { host, status, .. } => {
-                if *status == FULL {
-                    self.full.insert(*host);
-                }
+            What::Refused { host, status: FULL, .. } => {
+                self.full.insert(*host);
             }
             What::EndedByHost { host, cause, .. } => {
                 self.ended_by_host = Some((at, *cause));
                 self.standing_at.remove(host);
             }
-            What::ReleasedAtHost { host, .. } => drop(self.standing_at.remove(host)),
+            What::ReleasedAtHost { host, .. } => {
+                self.standing_at.remove(host);
+            }
             _ => {}
         }
     }
--- a/crates/elderpick-node/src/lib.rs
+++ b/crates/elderpick-node/src/lib.rs
@@ -8,6 +8,7 @@
 mod buffered_stream;
 mod descriptors;
 mod error;
+mod event_log;
 mod hosts;
 mod journal;
 mod node;
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -20,6 +20,7 @@
 
 use crate::buffered_stream;
 use crate::descriptors::Descriptors;
+use crate::event_log;
 use crate::hosts::{Attempt, HostMessage, Hosts, Limits};
 use crate::viewers::{Client, Clients, Standing};
 
@@ -202,6 +203,7 @@
             self.inputs.borrow_mut().extend(behind);
         }
         let input = self.with_known_end(input);
+        event_log::input(&self.lifecycle.borrow(), self.now(), &input);
         self.lifecycle.borrow_mut().handle(self.now(), input, out);
         let said = std::mem::take(out);
         said.into_iter().for_each(|output| self.carry_out(output));
@@ -283,6 +285,7 @@
     fn carry_out(self: &Rc<Self>, output: Output) {
         let mut text = Vec::new();
         tracing::trace!(?output, "output");
+        event_log::output(&output);
         match output {
             Output::Answer { conn, session, description } => self.deliver_answer(conn, session, &description),
             Output::Rejected { conn, session, cause, retry_after } => {
--- a/crates/elderpick-sessions/src/lifecycle.rs
+++ b/crates/elderpick-sessions/src/lifecycle.rs
@@ -52,6 +52,8 @@
 /// Ends of sessions that are not held here: one that is handed over only then is over already. Hand-overs come right
 /// after the first test is passed, and a start may take 30 s.
 const ENDS_KEPT_FOR: Micros = 60_000_000;
+/// A session that ends so soon behind its answer may have ended before its viewer read that.
+pub const AROUND_ANSWER: Micros = 5_000;
 /// How often hosts are looked at.
 const HEALTH_POLL: Micros = 50_000;
 
@@ -83,11 +85,13 @@
     rung: usize,
     sends: usize,
     stage: Stage,
+    /// When its host's answer was read.
+    answered_at: Option<Micros>,
 }
 
 impl Session {
     fn new(conn: Conn, deadline: Micros, set_up: Option<Box<SetUp>>, stage: Stage) -> Session {
-        Session { conn: Some(conn), deadline, set_up, rung: 0, sends: 0, stage }
+        Session { conn: Some(conn), deadline, set_up, rung: 0, sends: 0, stage, answered_at: None }
     }
 
     fn server(&self) -> Option<&ServerId> {
@@ -217,6 +221,11 @@
         self.sessions.get(&session)?.conn
     }
 
+    /// When a host's answer to a session's set-up was read, for a session that stands.
+    pub fn answered_at(&self, session: u64) -> Option<Micros> {
+        self.sessions.get(&session)?.answered_at
+    }
+
     /// Sessions that are held, in whatever stage.
     pub fn held(&self) -> usize {
         self.sessions.len()
--- a/crates/elderpick-sessions/src/lifecycle/active.rs
+++ b/crates/elderpick-sessions/src/lifecycle/active.rs
@@ -3,7 +3,7 @@
 use elderpick_core::api::{Event, Micros, Note, Report, RequestId, ServerId, Status};
 use elderpick_platform::viewer::cause;
 
-use super::{AttemptId, Conn, Lifecycle, Output, Session, Stage};
+use super::{AROUND_ANSWER, AttemptId, Conn, Lifecycle, Output, Session, Stage};
 
 /// A host ends a session.
 pub(super) struct HostRelease {
@@ -44,6 +44,9 @@
                 }
             }
             Stage::Active { .. } => {
+                if held.answered_at.is_some_and(|at| now - at < AROUND_ANSWER) {
+                    self.counts.ended_around_answer += 1;
+                }
                 if cause != cause::ENDED_BY_VIEWER {
                     out.push(Output::SessionEnded { conn: held.conn, session, cause });
                 }
--- a/crates/elderpick-sessions/src/lifecycle/attempts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/attempts.rs
@@ -67,6 +67,7 @@
         let held = self.sessions.get_mut(&session).filter(|h| h.is_out_as(server, attempt));
         let Some(held) = held else { return };
         held.stage = Stage::Waiting;
+        self.counts.count_attempt(status);
         let (id, attempt) = (RequestId(session), held.sends - 1);
         self.events.push_back(Event::Outcome { id, attempt, status, closed: false, report });
     }
@@ -89,6 +90,7 @@
         let Some(held) = self.sessions.get_mut(&session) else { return };
         held.stage = Stage::Active { server: server.clone() };
         held.set_up = None;
+        held.answered_at = Some(now);
         let (conn, attempt) = (held.conn, held.sends - 1);
         self.add_active(conn);
         if let Some(cause) = ended {
@@ -96,6 +98,7 @@
             let rejected = |conn| Output::Rejected { conn, session, cause: cause::FAILED, retry_after: None };
             out.extend(conn.map(rejected));
             self.counts.failed += 1;
+            self.counts.ended_around_answer += 1;
             self.recent_answers.insert(now, session, ());
             self.events.push_back(Event::Playing { id: RequestId(session), attempt });
             return self.end(now, session, Lifecycle::status_of_end(cause), Report::default());
--- a/crates/elderpick-sessions/src/lifecycle/events.rs
+++ b/crates/elderpick-sessions/src/lifecycle/events.rs
@@ -277,4 +277,27 @@
     pub rejected: u64,
     /// Hosts with sessions that were given up.
     pub hosts_lost: u64,
+    /// Attempts that their hosts refused as full, or that were never sent.
+    pub attempts_not_run: u64,
+    /// Attempts that their hosts failed.
+    pub attempts_failed: u64,
+    /// Attempts whose time was up.
+    pub attempts_timed_out: u64,
+    /// Attempts whose connection broke, or did not come up.
+    pub attempts_disconnected: u64,
+    /// Sessions that their hosts ended right around the answer, so that it may have come too late for its viewer.
+    pub ended_around_answer: u64,
+}
+
+impl Counts {
+    /// Counts an attempt that ended without a session.
+    pub(super) fn count_attempt(&mut self, status: Status) {
+        let count = match status {
+            Status::Full | Status::Ignored => &mut self.attempts_not_run,
+            Status::TimedOut => &mut self.attempts_timed_out,
+            Status::Reset | Status::ConnectError => &mut self.attempts_disconnected,
+            _ => &mut self.attempts_failed,
+        };
+        *count += 1;
+    }
 }
