An end that overtakes its answer on another connection leaves no session standing

What callers saw: a set-up was served though its host had ended the session; its viewer was never told, and the gateway held it for good.

Cause: a host tells of an end on the connection of the set-up, otherwise on any open one, and two connections have no order. Lifecycle::released dropped an end that came on another connection while the attempt was out, as one of an attempt before; the answer that was read next made the session stand. Class: an order is assumed between two streams.

Why it works: the end is kept until the attempt's answer is read, which is then answered as failed, as where both come on one connection; an end that was known before the attempt was sent is dropped, since it is of an attempt before.

The judge of crossings.rs took a session for one that the gateway holds once its answer was read; it now also sees that a rejection ends that. What stands at a host behind a rejection was seen as owned; it now is owned by nobody and fails.

--- a/crates/elderpick-sessions/src/lifecycle/active.rs
+++ b/crates/elderpick-sessions/src/lifecycle/active.rs
@@ -37,12 +37,11 @@
         };
         let status = Lifecycle::status_of_end(cause);
         match held.stage {
-            // Of an attempt before, unless it came where this one is out.
-            Stage::Out { .. } => {
-                if let Some(attempt) = attempt {
-                    self.end_attempt(&server, session, attempt, Status::Reset, report);
-                }
-            }
+            Stage::Out { .. } => match attempt {
+                Some(attempt) => self.end_attempt(&server, session, attempt, Status::Reset, report),
+                // Connections have no order: the answer may be on its way on the one of the attempt.
+                None => self.recent_ends.renew(now, (session, Some(server)), cause),
+            },
             Stage::Active { .. } => {
                 if held.answered_at.is_some_and(|at| now - at < AROUND_ANSWER) {
                     self.counts.ended_around_answer += 1;
--- a/crates/elderpick-sessions/src/lifecycle/attempts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/attempts.rs
@@ -41,6 +41,8 @@
         let until = held.deadline.min(now + timeout);
         self.attempts += 1;
         let attempt = self.attempts;
+        // Ends that are known by now are of an attempt before.
+        self.recent_ends.remove(now, &(session, Some(server.clone())));
         held.stage = Stage::Out { server: server.clone(), attempt, until, started: entry.started };
         self.timers.push(Reverse((until, Timer::Attempt(session, attempt))));
         out.push(Output::SetUp {
@@ -86,6 +88,7 @@
             }
             return;
         }
+        let ended = ended.or_else(|| self.recent_ends.remove(now, &(session, Some(server.clone()))));
         self.close(session);
         let Some(held) = self.sessions.get_mut(&session) else { return };
         held.stage = Stage::Active { server: server.clone() };
--- a/crates/elderpick-sessions/tests/common/mod.rs
+++ b/crates/elderpick-sessions/tests/common/mod.rs
@@ -185,6 +185,9 @@
                 let proven = self.never_ran(*session);
                 let harmless = *cause != cause::REFUSED || !paid || proven;
                 self.must(harmless, || format!("{session} refused though it may have run"));
+                // Nothing stands for the gateway any more: where it does at its host, nobody owns it.
+                self.stands.remove(session);
+                self.over.remove(session);
             }
             Output::SetUp { server, session, attempt, .. } => {
                 let out = self.out.insert(*session, (*attempt, number(server)));
--- a/crates/elderpick-sessions/tests/lifecycle.rs
+++ b/crates/elderpick-sessions/tests/lifecycle.rs
@@ -284,6 +284,33 @@
     assert_eq!(world.lifecycle.held(), 1);
 }
 
+#[test]
+fn an_end_that_overtakes_its_answer_on_another_connection_leaves_nothing_standing() {
+    let mut world = World::new(&["a"]);
+    let at = sent(&world.ask(1, "free")).unwrap();
+    let released = Input::Released {
+        server: at.clone(),
+        session: 1,
+        attempt: None,
+        cause: 16,
+        report: Report::default(),
+    };
+    assert!(world.feed(released).is_empty(), "the answer decides");
+    assert_eq!(turned(&world.answer(&at, 1)), Some(cause::FAILED));
+    assert_eq!((world.lifecycle.held(), world.lifecycle.counts.ended_around_answer), (0, 1));
+}
+
+#[test]
+fn ends_right_behind_their_answer_are_counted() {
+    let mut world = World::new(&["a"]);
+    for (session, pause) in [(1, MS), (2, 100 * MS)] {
+        let at = world.play(session, "free");
+        world.pass(pause);
+        world.released(&at, session, cause::ENDED_BY_VIEWER);
+    }
+    assert_eq!(world.lifecycle.counts.ended_around_answer, 1, "not of the one that ended later");
+}
+
 #[test]
 fn a_set_up_that_waits_is_not_written_to_a_host_that_drains_or_is_another_process() {
     let changes = [
