Shutdown by a timetable: busy connections lose nothing, and the process ends before the kill

Class: waits of fixed length beside each other where one bound holds for their sum.

Now one sans-IO value, Timetable, is computed from the longest hard_limit_us: for 0.61 s all is as ever (viewers come for 0.6 s), then set-ups are refused at once and never sent on, so that only older ones are open and each ends by its deadline; once none is open, or 80 ms before the earliest kill, the rest is answered (refused where no host was asked, failed elsewhere) and withdrawn, all connections are closed, and the process ends, 45 ms before the kill at the latest. Viewers' connections stay open until then, since ends of sessions are told on them; hosts are not heard behind the last answers, so that what they end goes to the next process. After a standstill what came in time is read first.

Replaced: unit/shutdown.rs asserted that a request is waited for as long as its viewer waits, an hour in the test. The platform kills after 3.7 s at the latest, so that such a request was lost; the new tests assert the end before the kill for each deadline from 1 ms to 60 s, and the whole time of a request for deadlines up to 3 s but for what the end takes.

--- a/crates/elderpick-node/src/hosts/received.rs
+++ b/crates/elderpick-node/src/hosts/received.rs
@@ -17,6 +17,9 @@
         connection: &Rc<HostConnection>,
         chunk: &[u8],
     ) -> bool {
+        if self.closing.get() {
+            return true;
+        }
         let now = self.now();
         connection.read.set(now);
         self.batch(|| {
--- a/crates/elderpick-node/src/lib.rs
+++ b/crates/elderpick-node/src/lib.rs
@@ -12,21 +12,20 @@
 mod hosts;
 mod journal;
 mod node;
+mod shutdown;
 mod signals;
 mod viewers;
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::Duration;
 
 use elderpick_core::api::ListKind;
 use elderpick_platform::boot::Boot;
 use elderpick_sessions::follow::Take;
 use elderpick_sessions::lifecycle::Input;
-use elderpick_sessions::shutdown::Shutdown;
 use tokio::net::TcpListener;
-use tokio::task::{JoinHandle, spawn_local};
+use tokio::task::spawn_local;
 
 use crate::descriptors::Descriptors;
 pub use crate::error::RunError;
@@ -34,16 +33,6 @@
 use crate::node::Node;
 use crate::signals::Signals;
 
-/// After SIGTERM viewers go on coming for a while; then no new connection is taken.
-const ACCEPT_AFTER_SIGTERM: Duration = Duration::from_millis(900);
-/// Then what is idle is closed, with such pauses, until nothing is left.
-const SHUTDOWN_POLL: Duration = Duration::from_millis(150);
-/// What was sent to hosts is written before the end: how often that is looked for, with such pauses. Messages that
-/// found no connection are tried again meanwhile.
-const MOST_FLUSH_POLLS: usize = 100;
-const FLUSH_POLL: Duration = Duration::from_millis(20);
-const POLLS_PER_RETRY: usize = 10;
-
 /// Runs a gateway until SIGTERM or SIGINT. `ready` gets the address that it listens on.
 pub fn run(path: &Path, ready: impl FnOnce(SocketAddr)) -> Result<(), RunError> {
     let boot = read(path)?;
@@ -71,41 +60,12 @@
     let Descriptors { hosts, viewers, .. } = descriptors;
     tracing::info!(name = %node.name, %address, ?boot.limits, hosts, viewers, "serving");
     signals.end(|| reload(&node, &path)).await;
-    shut_down(&node, &path, &mut signals, accepting).await;
+    shutdown::run(&node, &mut signals, || reload(&node, &path), accepting).await;
     node.log_state();
     tracing::info!("ended");
     Ok(())
 }
 
-/// Answers what is open, and ends. Sessions go on at their hosts, to be handed over.
-async fn shut_down(node: &Rc<Node>, path: &Path, signals: &mut Signals, accepting: JoinHandle<()>) {
-    // Viewers go on coming until the front has heard.
-    node.shutting_down.set(true);
-    tracing::info!(open = node.lifecycle.borrow().open(), held = node.lifecycle.borrow().held(), "ending");
-    // The list goes on being followed, wherever the journal moves: what is open may still be placed.
-    signals.pass(ACCEPT_AFTER_SIGTERM, || reload(node, path)).await;
-    node.stop_accepting.notify_one();
-    let _ = accepting.await;
-    let mut shutdown = Shutdown::default();
-    loop {
-        node.close_overdue(true);
-        signals.pass(SHUTDOWN_POLL, || reload(node, path)).await;
-        let (open, connections) = (node.lifecycle.borrow().open(), node.clients.borrow().len());
-        if shutdown.may_end(open, connections) {
-            break;
-        }
-    }
-    for round in 0..MOST_FLUSH_POLLS {
-        if node.all_sent() {
-            break;
-        }
-        if round % POLLS_PER_RETRY == 0 {
-            node.connect_for_pending();
-        }
-        signals.pass(FLUSH_POLL, || {}).await;
-    }
-}
-
 /// The list as it was known at the start.
 fn begin(node: &Rc<Node>, boot: &Boot) {
     for (k, event) in boot.known.entries.iter().enumerate() {
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -16,6 +16,7 @@
 use elderpick_sessions::follow::Follow;
 use elderpick_sessions::lifecycle::{self, Conn, Input, Lifecycle, Output};
 use elderpick_sessions::releases::Releases;
+use elderpick_sessions::shutdown::Timetable;
 use tokio::sync::Notify;
 
 use crate::buffered_stream;
@@ -61,6 +62,10 @@
     pub moved: Notify,
     pub caught_up: Cell<bool>,
     pub shutting_down: Cell<bool>,
+    /// The last answers are given: nothing more is heard from hosts, which tell the next gateway.
+    pub closing: Cell<bool>,
+    /// When it does what once it is told to end.
+    pub timetable: Timetable,
     /// No further connection of viewers is taken.
     pub stop_accepting: Notify,
     pub timer: Notify,
@@ -114,6 +119,8 @@
             moved: Notify::default(),
             caught_up: Cell::default(),
             shutting_down: Cell::default(),
+            closing: Cell::default(),
+            timetable: Timetable::new(boot.longest_deadline()),
             stop_accepting: Notify::default(),
             timer: Notify::default(),
             inputs: RefCell::default(),
@@ -352,6 +359,17 @@
         awake.behind.unwrap_or(if stood_still { awake.ran } else { now })
     }
 
+    /// Lets what arrived while the gateway stood still be handled before its time-outs, as far as these can wait.
+    pub async fn catch_up(&self) {
+        let until = self.now() + STALL;
+        for _ in 0..MOST_YIELDS {
+            tokio::task::yield_now().await;
+            if self.now() >= until {
+                break;
+            }
+        }
+    }
+
     /// What is due next happens at its time.
     pub async fn run_timers(self: Rc<Self>) {
         loop {
@@ -370,14 +388,7 @@
             awake.behind = if late { awake.behind.or(Some(awake.ran)) } else { None };
             self.awake.set(awake);
             if late {
-                // What arrived while the gateway stood still is handled before its time-outs, as far as these can wait.
-                let until = self.now() + STALL;
-                for _ in 0..64 {
-                    tokio::task::yield_now().await;
-                    if self.now() >= until {
-                        break;
-                    }
-                }
+                self.catch_up().await;
             }
             if timer.is_some_and(|timer| timer <= self.now()) {
                 self.feed(Input::Tick);
@@ -438,8 +449,10 @@
     }
 }
 
+/// How often other tasks have their turn before a time-out that is late.
+const MOST_YIELDS: u32 = 64;
 /// Later by so much than it meant to run, it stood still.
-const STALL: Micros = 20_000;
+pub(crate) const STALL: Micros = 20_000;
 /// How often it means to run at least.
 const BEAT: Micros = 50_000;
 const CHORES: Duration = Duration::from_millis(200);
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -281,6 +281,23 @@
         overdue.into_iter().for_each(|conn| self.close_client(conn));
     }
 
+    /// Reads all that has come from viewers, whatever the runtime knows of it.
+    pub(crate) fn poll_clients(self: &Rc<Self>) {
+        let connections: Vec<_> = self.clients.borrow().keys().copied().collect();
+        for conn in connections {
+            self.poll_client(conn);
+        }
+    }
+
+    /// Closes all connections, each once what waits on it is written.
+    pub(crate) fn close_all(&self) {
+        let connections: Vec<_> = self.clients.borrow().keys().copied().collect();
+        for conn in connections {
+            self.admission.borrow_mut().remove(conn);
+            self.close_client(conn);
+        }
+    }
+
     /// What cannot be read gets an error. Behind too many of them nothing more is read from who sends nothing else.
     fn bad(&self, client: &Client, session: u64, why: elderpick_platform::DecodeError) {
         self.unreadable.set(self.unreadable.get() + 1);
--- a/crates/elderpick-platform/src/boot.rs
+++ b/crates/elderpick-platform/src/boot.rs
@@ -121,6 +121,11 @@
         Ok(boot)
     }
 
+    /// The longest deadline of all classes, if the settings tell any.
+    pub fn longest_deadline(&self) -> Option<Micros> {
+        self.settings.profiles.iter().map(|class| class.hard_limit_us).filter(|us| *us > 0).max()
+    }
+
     /// The seed as a number.
     pub fn seed(&self) -> Result<u64, BootError> {
         u64::from_str_radix(&self.seed, 16).map_err(|_| BootError::Seed(self.seed.clone()))
@@ -184,6 +189,9 @@
     /// The wanted time to the first picture, in microseconds.
     #[serde(default)]
     pub on_time_us: i64,
+    /// The deadline of a request, in microseconds.
+    #[serde(default)]
+    pub hard_limit_us: i64,
     /// What a session earns, over those of other classes.
     #[serde(default)]
     pub worth: f64,
--- a/crates/elderpick-sessions/src/lifecycle.rs
+++ b/crates/elderpick-sessions/src/lifecycle.rs
@@ -151,6 +151,8 @@
     actions: Vec<Action>,
     polled_at: Micros,
     fetching: bool,
+    /// Further requests are refused: the gateway ends.
+    draining: bool,
     /// What has happened since the start.
     pub counts: Counts,
 }
@@ -177,6 +179,7 @@
             actions: Vec::new(),
             polled_at: 0,
             fetching: false,
+            draining: false,
             counts: Counts::default(),
         }
     }
@@ -296,6 +299,8 @@
             Input::CaughtUp => self.list_caught_up(),
             Input::ListFailed => self.list_failed(),
             Input::Tick => self.tick(now, out),
+            Input::Drain => self.draining = true,
+            Input::Finish => self.finish(now, out),
         }
         self.poll_health(now, out);
         self.decide(now, out);
--- a/crates/elderpick-sessions/src/lifecycle/events.rs
+++ b/crates/elderpick-sessions/src/lifecycle/events.rs
@@ -154,6 +154,10 @@
     ListFailed,
     /// Time has passed.
     Tick,
+    /// The gateway ends: further requests are refused at once. Sessions may still be handed over.
+    Drain,
+    /// The gateway ends now: each request that is open gets its final answer, and its attempt is withdrawn.
+    Finish,
 }
 
 /// What is to be sent and done.
@@ -277,6 +281,8 @@
     pub rejected: u64,
     /// Hosts with sessions that were given up.
     pub hosts_lost: u64,
+    /// Set-ups that were still open when the gateway ended, and were answered for that.
+    pub finished: u64,
     /// Attempts that their hosts refused as full, or that were never sent.
     pub attempts_not_run: u64,
     /// Attempts that their hosts failed.
--- a/crates/elderpick-sessions/src/lifecycle/requests.rs
+++ b/crates/elderpick-sessions/src/lifecycle/requests.rs
@@ -115,7 +115,8 @@
     /// A viewer asks for a session.
     fn request(&mut self, now: Micros, asked: Asked, set_up: SetUp, out: &mut Vec<Output>) {
         let Asked { session, conn, viewing, .. } = asked;
-        let full = self.open_on(conn) >= MOST_OPEN_PER_CONNECTION
+        let full = self.draining
+            || self.open_on(conn) >= MOST_OPEN_PER_CONNECTION
             || self.open_count >= MOST_OPEN
             || self.sessions.len() >= MOST_SESSIONS;
         if full {
@@ -229,6 +230,18 @@
         self.withdraw(now, session, out);
     }
 
+    /// Answers all that is open: what no host was ever asked for is refused, the rest has failed.
+    pub(super) fn finish(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let open: Vec<_> = self.open.values().flatten().copied().collect();
+        for session in open {
+            let never_sent = self.sessions.get(&session).is_some_and(|held| held.sends == 0);
+            let cause = if never_sent { cause::REFUSED } else { cause::FAILED };
+            self.counts.finished += 1;
+            self.events.push_back(Event::Gone { id: RequestId(session) });
+            self.reject(now, session, cause, None, out);
+        }
+    }
+
     /// Forgets a set-up that is answered or given up, and withdraws its attempt.
     pub(super) fn withdraw(&mut self, now: Micros, session: u64, out: &mut Vec<Output>) {
         self.close(session);
