Sessions at a host's new process play on when the list tells late of its start

What callers saw: sessions that played were ended by the gateway, many in one moment, behind a host's return.

The list tells of a start 0.9 to 2.4 s late.

Cause: Lifecycle::list took a newer start for the end of all that stood at the host, also of what was sent behind that start, which only the new process can play; and Forget closed the connections to it, with set-ups open on them. Class: news are taken to be as old as their arrival, though they carry their time.

Now what was sent more than 0.2 s behind the start (clocks differ) stands or stays open, and connections that came up behind it stay. Another address, and a host that falls silent, end all as before.

--- a/crates/elderpick-lab/src/platform/journal.rs
+++ b/crates/elderpick-lab/src/platform/journal.rs
@@ -36,6 +36,8 @@
     pub address: SocketAddr,
     /// Its state, in the platform's words.
     pub health: String,
+    /// When its process started, in Unix milliseconds, if it did so late; 0 otherwise.
+    pub born_ms: u64,
 }
 
 /// The journal service: events from the first on, to whoever asks.
@@ -94,6 +96,7 @@
             name: host.name.clone(),
             address: host.address,
             health: (*health).to_owned(),
+            born_ms: 0,
         };
         self.tell_listings(whole, &hosts.iter().map(listing).collect::<Vec<_>>())
     }
@@ -105,7 +108,7 @@
             .iter()
             .map(|listing| {
                 json!({"host": listing.name, "dial": listing.address.to_string(), "site": "here", "class": "one",
-                       "block": 0, "health": listing.health, "share": 50.0, "born_ms": 0})
+                       "block": 0, "health": listing.health, "share": 50.0, "born_ms": listing.born_ms})
             })
             .collect();
         let event = json!({"pos": number, "hosts": {"seq": number, "whole": whole, "hosts": hosts}});
--- a/crates/elderpick-lab/src/soak/plan.rs
+++ b/crates/elderpick-lab/src/soak/plan.rs
@@ -19,6 +19,8 @@
     Pieces,
     /// Ten times the requests for a moment.
     Crowd,
+    /// The gateway's process stands still for half a second within its shutdown.
+    Stalls,
 }
 
 /// Deadlines of a trial that is not told one.
@@ -28,6 +30,14 @@
 /// A gateway may be killed so long after SIGTERM, beside the longest deadline.
 const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
 
+/// How long a process stands still, and how long before the kill it goes on at the latest.
+pub const STALL: Duration = Duration::from_millis(500);
+const RESUMES_BEFORE_KILL: Duration = Duration::from_millis(100);
+
+fn kill_after(deadline: Duration) -> Duration {
+    deadline.min(LONGEST_COUNTED) + KILL_AFTER_DEADLINE
+}
+
 /// Shares of set-ups that a host treats so, from 0 to 1; the rest is answered.
 #[derive(Clone, Copy, Debug)]
 pub struct HostShares {
@@ -70,6 +80,8 @@
     pub crowd_at: Option<Duration>,
     /// When the gateway is told to end. It is told in each trial, since only then all is settled.
     pub terminate_at: Duration,
+    /// The process stands still this long after it was told to end.
+    pub stall_after: Option<Duration>,
     /// For how long after that new connections come.
     pub connects_for: Duration,
     /// Descriptors of the gateway.
@@ -92,10 +104,13 @@
             left: if has(Scenario::Clients) { 0.1 } else { 0.0 },
         };
         let crowd_at = random.random_range(300..900);
+        let stall_at: f64 = random.random();
+        let deadline = deadline.unwrap_or(drawn);
+        let latest_stall = kill_after(deadline).saturating_sub(STALL + RESUMES_BEFORE_KILL);
         Plan {
             seed,
             scenarios: scenarios.to_vec(),
-            deadline: deadline.unwrap_or(drawn),
+            deadline,
             hosts: random.random_range(2..=5),
             connections: random.random_range(2..=6),
             rate: random.random_range(30.0..90.0),
@@ -103,6 +118,7 @@
             gives_up: if has(Scenario::Clients) { 0.15 } else { 0.0 },
             pieces: has(Scenario::Pieces) || random.random_bool(0.3),
             crowd_at: has(Scenario::Crowd).then(|| Duration::from_millis(crowd_at)),
+            stall_after: has(Scenario::Stalls).then(|| latest_stall.mul_f64(stall_at)),
             terminate_at: Duration::from_millis(random.random_range(700..1_300)),
             connects_for: Duration::from_millis(random.random_range(200..=400)),
             sockets: random.random_range(96..=512),
@@ -111,7 +127,7 @@
 
     /// The earliest time after SIGTERM at which the gateway may be killed.
     pub fn kill_after(&self) -> Duration {
-        self.deadline.min(LONGEST_COUNTED) + KILL_AFTER_DEADLINE
+        kill_after(self.deadline)
     }
 
     /// A random generator for one part of the trial, which no other part's draws change.
--- a/crates/elderpick-lab/src/soak/trial.rs
+++ b/crates/elderpick-lab/src/soak/trial.rs
@@ -11,7 +11,7 @@
 
 use super::host::RandomHost;
 use super::judge::{Break, judge};
-use super::plan::Plan;
+use super::plan::{Plan, STALL};
 use super::record::{Entry, Record, What};
 use super::viewers::{self, Shared};
 use crate::platform::{Gateway, Journal, Listing, config};
@@ -67,6 +67,7 @@
         name: host.name.clone(),
         address: host.address,
         health: "Ready".to_owned(),
+        born_ms: 0,
     };
     journal.tell_listings(true, &hosts.iter().map(listing).collect::<Vec<_>>());
     let configuration = configuration(plan, &journal);
@@ -92,7 +93,16 @@
         tokio::time::sleep(connecting.plan.connects_for).await;
         connecting.connects.set(false);
     });
-    let ended = tokio::time::timeout(plan.kill_after(), gateway.child.wait()).await;
+    let killed_at = tokio::time::Instant::now() + plan.kill_after();
+    if let Some(after) = plan.stall_after {
+        tokio::time::sleep(after).await;
+        // It may have ended by now, with nothing open.
+        if gateway.signal(Signal::SIGSTOP).is_ok() {
+            tokio::time::sleep(STALL).await;
+            gateway.signal(Signal::SIGCONT).map_err(TrialError::Gateway)?;
+        }
+    }
+    let ended = tokio::time::timeout_at(killed_at, gateway.child.wait()).await;
     match ended {
         Ok(status) => record.add(What::Ended { clean: status?.success() }),
         Err(_) => {
--- a/crates/elderpick-lab/tests/crossings.rs
+++ b/crates/elderpick-lab/tests/crossings.rs
@@ -2,8 +2,8 @@
 //! happen, or a stand-in holds one of them until the other has. `docs/design/crossings.md` names each path.
 
 use elderpick_lab::platform::{
-    Does, Host, Journal, PATIENCE, Speaks, Viewers, answer, answer_with_note, config, set_up, set_up_of,
-    set_up_with,
+    Does, Host, Journal, Listing, PATIENCE, Speaks, Viewers, answer, answer_with_note, config, set_up,
+    set_up_of, set_up_with,
 };
 use elderpick_platform::rtsp;
 use elderpick_platform::viewer::{self, cause, kind};
@@ -579,6 +579,37 @@
     });
 }
 
+// ---- Replaced hosts ----
+
+/// The list tells of a start up to some seconds late; what was set up meanwhile plays at the new process.
+#[test]
+fn sessions_that_a_new_process_plays_are_not_released_when_the_list_tells_of_it() {
+    run(async {
+        let world = world("late-start", 1, 256).await;
+        let mut viewers = connect(&world).await;
+        assert_eq!(asked(&mut viewers, 1, "free").await, SERVED);
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+        let host = &world.hosts[0];
+        let listing = |born_ms| Listing {
+            name: host.name.clone(),
+            address: host.address,
+            health: "Ready".to_owned(),
+            born_ms,
+        };
+        world.journal.tell_listings(false, &[listing(unix.as_millis() as u64 - 2_000)]);
+        // The next news ends what came before it, so that the first was taken by then.
+        tokio::time::sleep(std::time::Duration::from_millis(1_500)).await;
+        assert!(host_saw(&world, "TEARDOWN", 1).is_empty(), "it plays at the new process");
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+        world.journal.tell_listings(false, &[listing(unix.as_millis() as u64)]);
+        assert_eq!(
+            ended(&mut viewers, 1).await,
+            (kind::RELEASE, Some(cause::FAILED)),
+            "it played at the one before"
+        );
+    });
+}
+
 // ---- Hand-overs ----
 
 #[test]
--- a/crates/elderpick-node/src/event_log.rs
+++ b/crates/elderpick-node/src/event_log.rs
@@ -72,7 +72,9 @@
         Output::Release { server, session, cause } => {
             debug!(session = %SessionId(*session), %server, cause, "released at its host");
         }
-        Output::Forget { server } => info!(%server, "a host is given up: lost, or another process"),
+        Output::Forget { server, before } => {
+            info!(%server, before, "a host is given up: lost, or another process")
+        }
         _ => {}
     }
 }
--- a/crates/elderpick-node/src/hosts/pool.rs
+++ b/crates/elderpick-node/src/hosts/pool.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use elderpick_core::api::{Report, ServerId, Status};
+use elderpick_core::api::{Micros, Report, ServerId, Status};
 use elderpick_sessions::health::Opened;
 use elderpick_sessions::lifecycle::Input;
 use tokio::net::TcpStream;
@@ -166,11 +166,16 @@
         self.open(server, Call::Nothing);
     }
 
-    /// Closes all that leads to a host, and drops what waits for a connection to what it was.
-    pub(crate) fn host_forget(&self, server: &ServerId) {
+    /// Closes what leads to a host, as far as it came up before this time. Without one, what waits for a connection to
+    /// what the host was is dropped.
+    pub(crate) fn host_forget(&self, server: &ServerId, before: Option<Micros>) {
         let mut hosts = self.hosts.by_server.borrow_mut();
         let Some(host) = hosts.get_mut(server) else { return };
-        host.connections.iter().for_each(|connection| connection.stream.abort());
+        let is_old = |connection: &&Rc<HostConnection>| before.is_none_or(|before| connection.up < before);
+        host.connections.iter().filter(is_old).for_each(|connection| connection.stream.abort());
+        if before.is_some() {
+            return;
+        }
         // The attempts that wait are over by now, and may not be written.
         host.waiting.clear();
         host.pending.take(self.now()).for_each(drop);
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -324,7 +324,7 @@
             Output::Probe { server } => self.host_probe(server),
             Output::Test { server } => self.host_test(&server),
             Output::Open { server } => self.host_open(server),
-            Output::Forget { server } => self.host_forget(&server),
+            Output::Forget { server, before } => self.host_forget(&server, before),
             Output::Fetch => {
                 if self.caught_up.get() {
                     self.feed(Input::CaughtUp);
--- a/crates/elderpick-sessions/src/lifecycle.rs
+++ b/crates/elderpick-sessions/src/lifecycle.rs
@@ -52,6 +52,8 @@
 /// Ends of sessions that are not held here: one that is handed over only then is over already. Hand-overs come right
 /// after the first test is passed, and a start may take 30 s.
 const ENDS_KEPT_FOR: Micros = 60_000_000;
+/// Clocks of hosts and gateways differ by less than this.
+const CLOCK_SKEW: Micros = 200_000;
 /// A session that ends so soon behind its answer may have ended before its viewer read that.
 pub const AROUND_ANSWER: Micros = 5_000;
 /// How often hosts are looked at.
@@ -85,13 +87,24 @@
     rung: usize,
     sends: usize,
     stage: Stage,
+    /// When its last attempt was made; `None` for a session that was handed over.
+    sent_at: Option<Micros>,
     /// When its host's answer was read.
     answered_at: Option<Micros>,
 }
 
 impl Session {
     fn new(conn: Conn, deadline: Micros, set_up: Option<Box<SetUp>>, stage: Stage) -> Session {
-        Session { conn: Some(conn), deadline, set_up, rung: 0, sends: 0, stage, answered_at: None }
+        Session {
+            conn: Some(conn),
+            deadline,
+            set_up,
+            rung: 0,
+            sends: 0,
+            stage,
+            sent_at: None,
+            answered_at: None,
+        }
     }
 
     fn server(&self) -> Option<&ServerId> {
@@ -101,6 +114,11 @@
         }
     }
 
+    /// Whether its last attempt was made behind this time.
+    fn is_sent_after(&self, time: Option<Micros>) -> bool {
+        time.is_some_and(|time| self.sent_at.is_some_and(|sent| sent > time))
+    }
+
     fn is_out_at(&self, at: &ServerId) -> bool {
         matches!(&self.stage, Stage::Out { server, .. } if server == at)
     }
--- a/crates/elderpick-sessions/src/lifecycle/attempts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/attempts.rs
@@ -44,6 +44,7 @@
         // Ends that are known by now are of an attempt before.
         self.recent_ends.remove(now, &(session, Some(server.clone())));
         held.stage = Stage::Out { server: server.clone(), attempt, until, started: entry.started };
+        held.sent_at = Some(now);
         self.timers.push(Reverse((until, Timer::Attempt(session, attempt))));
         out.push(Output::SetUp {
             server,
--- a/crates/elderpick-sessions/src/lifecycle/events.rs
+++ b/crates/elderpick-sessions/src/lifecycle/events.rs
@@ -257,6 +257,8 @@
     Forget {
         /// The host.
         server: ServerId,
+        /// Connections that came up later than this lead to the process that runs now, and stay.
+        before: Option<Micros>,
     },
     /// Ask the journal whether all is known, and say [`Input::CaughtUp`].
     Fetch,
--- a/crates/elderpick-sessions/src/lifecycle/health.rs
+++ b/crates/elderpick-sessions/src/lifecycle/health.rs
@@ -1,5 +1,7 @@
 //! Hosts where sessions were set up are monitored, and lost ones are given up.
 
+use std::collections::BTreeSet;
+
 use elderpick_core::api::{Micros, Report, ServerId, ServerState, Status};
 use elderpick_platform::viewer::cause;
 
@@ -32,24 +34,37 @@
             }
         }
         for server in lost {
-            self.lose_host(now, &server, out);
+            self.lose_host(now, &server, None, out);
             if let Some(server) = self.servers.get_mut(&server) {
                 server.health = HealthMonitor::new(now);
             }
         }
     }
 
-    /// All that stands at a host is over: it died, or is out of reach for good.
-    pub(super) fn lose_host(&mut self, now: Micros, server: &ServerId, out: &mut Vec<Output>) {
+    /// All that stands at a host is over: it died, or is out of reach for good. Where another process runs in its place
+    /// since some time `before`, what was sent there later plays on.
+    pub(super) fn lose_host(
+        &mut self,
+        now: Micros,
+        server: &ServerId,
+        before: Option<Micros>,
+        out: &mut Vec<Output>,
+    ) {
         let Some(at) = self.servers.get_mut(server) else { return };
         self.counts.hosts_lost += 1;
         let attempt_there = |(session, held): (&u64, &Session)| match &held.stage {
-            Stage::Out { server: at, attempt, .. } if at == server => Some((*session, *attempt)),
+            Stage::Out { server: at, attempt, .. } if at == server && !held.is_sent_after(before) => {
+                Some((*session, *attempt))
+            }
             _ => None,
         };
         let out_there: Vec<_> = self.sessions.iter().filter_map(attempt_there).collect();
-        let standing = std::mem::take(&mut at.sessions);
-        out.push(Output::Forget { server: server.clone() });
+        let plays_on =
+            |session: &u64| self.sessions.get(session).is_some_and(|held| held.is_sent_after(before));
+        let (kept, standing): (BTreeSet<_>, BTreeSet<_>) =
+            std::mem::take(&mut at.sessions).into_iter().partition(plays_on);
+        at.sessions = kept;
+        out.push(Output::Forget { server: server.clone(), before });
         // If it was only out of reach, it has to hear what is over, also what waited for a connection that is dropped.
         self.resend_releases(now, server, |_| true, out);
         for (session, attempt) in out_there {
--- a/crates/elderpick-sessions/src/lifecycle/hosts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/hosts.rs
@@ -5,9 +5,33 @@
 use elderpick_core::api::{Event, ListKind, Micros, ServerId, ServerState};
 use elderpick_platform::journal::Listed;
 
-use super::{Lifecycle, Output, Server};
+use super::{CLOCK_SKEW, Lifecycle, Output, Server};
 use crate::health::HealthMonitor;
 
+/// Whether another process runs under a host's name than the one that was listed.
+#[derive(Clone, Copy)]
+enum Replaced {
+    No,
+    /// At another address.
+    Elsewhere,
+    /// At the same address, since this time.
+    InPlace {
+        started: Micros,
+    },
+}
+
+impl Replaced {
+    fn between(old: &Listed, new: &Listed) -> Replaced {
+        if new.address != old.address {
+            return Replaced::Elsewhere;
+        }
+        match new.entry.started {
+            Some(started) if new.entry.started > old.entry.started => Replaced::InPlace { started },
+            _ => Replaced::No,
+        }
+    }
+}
+
 impl Lifecycle {
     pub(super) fn list(&mut self, now: Micros, kind: ListKind, hosts: Vec<Listed>, out: &mut Vec<Output>) {
         if matches!(kind, ListKind::Full | ListKind::Restored) {
@@ -17,26 +41,15 @@
         }
         for host in &hosts {
             let id = host.entry.server.clone();
-            let another = match self.servers.get_mut(&id) {
+            match self.servers.get_mut(&id) {
                 Some(server) => {
-                    // Another process: what stood at the one before is over.
-                    let another = host.entry.started > server.listed.entry.started
-                        || host.address != server.listed.address;
+                    let replaced = Replaced::between(&server.listed, host);
                     server.listed = host.clone();
-                    another
+                    self.replace_host(now, &id, replaced, out);
                 }
                 None => {
                     let (listed, sessions, health) = (host.clone(), BTreeSet::new(), HealthMonitor::new(now));
-                    let server = Server { listed, sessions, health, replaced_at: None };
-                    self.servers.insert(id.clone(), server);
-                    false
-                }
-            };
-            if another {
-                self.lose_host(now, &id, out);
-                if let Some(server) = self.servers.get_mut(&id) {
-                    server.health = HealthMonitor::new(now);
-                    server.replaced_at = Some(now);
+                    self.servers.insert(id, Server { listed, sessions, health, replaced_at: None });
                 }
             }
         }
@@ -46,6 +59,21 @@
         gone.iter().for_each(|id| self.remove_if_gone(id));
     }
 
+    /// Ends what stood at the process before, if there is another.
+    fn replace_host(&mut self, now: Micros, id: &ServerId, replaced: Replaced, out: &mut Vec<Output>) {
+        let before = match replaced {
+            Replaced::No => return,
+            Replaced::Elsewhere => None,
+            Replaced::InPlace { started } => Some(started + CLOCK_SKEW),
+        };
+        self.lose_host(now, id, before, out);
+        let Some(server) = self.servers.get_mut(id) else { return };
+        server.replaced_at = Some(now);
+        if before.is_none() {
+            server.health = HealthMonitor::new(now);
+        }
+    }
+
     /// All that the journal has is known: the module gets the whole list if it has asked for it.
     pub(super) fn list_caught_up(&mut self) {
         if std::mem::take(&mut self.fetching) {
--- a/crates/elderpick-sessions/tests/common/mod.rs
+++ b/crates/elderpick-sessions/tests/common/mod.rs
@@ -205,7 +205,7 @@
                 self.out.remove(session);
             }
             // Closing what leads to a host gives up all that is out there.
-            Output::Forget { server } => {
+            Output::Forget { server, .. } => {
                 let host = number(server);
                 self.out.retain(|_, (_, at)| *at != host);
             }
@@ -439,7 +439,7 @@
             {
                 self.feed(Input::Heard { server });
             }
-            Output::Forget { server } => {
+            Output::Forget { server, .. } => {
                 self.hosts[number(&server)].kept.clear();
                 for line in self.open_line(number(&server)) {
                     self.close(line);
--- a/crates/elderpick-sessions/tests/lifecycle.rs
+++ b/crates/elderpick-sessions/tests/lifecycle.rs
@@ -386,13 +386,30 @@
     assert!(over.unwrap() < 6_000 * MS, "{over:?}");
 }
 
+/// The list tells of a start up to some seconds late.
+#[test]
+fn what_was_set_up_at_a_new_process_stands_when_the_list_tells_of_it() {
+    let mut world = World::new(&["a"]);
+    world.play(1, "free");
+    world.pass(2_000 * MS);
+    let started = world.now - 1_000 * MS;
+    world.play(2, "free");
+    sent(&world.ask(3, "paid")).unwrap();
+    let out = world.list(listed("a", ServerState::Up, Some(started)));
+    let over: Vec<_> = out.iter().filter(|o| matches!(o, Output::SessionEnded { .. })).collect();
+    assert!(matches!(over[..], [Output::SessionEnded { session: 1, .. }]), "{over:?}");
+    assert!(out.iter().any(|o| matches!(o, Output::Forget { before: Some(at), .. } if *at > started)));
+    assert!(matches!(&world.answer(&server("a"), 3)[..], [Output::Answer { session: 3, .. }]));
+    assert_eq!(world.lifecycle.held(), 2);
+}
+
 #[test]
 fn another_process_under_a_hosts_name_ends_what_stood_there() {
     let mut world = World::new(&["a"]);
     let at = world.play(1, "free");
     let out = world.list(listed("a", ServerState::Up, Some(world.now)));
     assert!(out.contains(&Output::SessionEnded { conn: Some(5), session: 1, cause: cause::FAILED }));
-    assert!(out.contains(&Output::Forget { server: at }));
+    assert!(out.contains(&Output::Forget { server: at, before: Some(world.now + 200 * MS) }));
 }
 
 #[test]
@@ -678,7 +695,7 @@
                     self.ran.extend(self.out.remove(session).map(|_| *session));
                 }
                 // Closing what leads to a host gives up all that is out there.
-                Output::Forget { server } => {
+                Output::Forget { server, .. } => {
                     let there = self.out.extract_if(.., |_, at| at == server);
                     self.ran.extend(there.map(|(session, _)| session));
                 }
