Answers at the end of a busy connection do not go down with it

What callers saw: of dozens of requests that were open on one connection at the end of the process, the first ten or twenty got their final answer and the others a reset.

Cause: a system sends ten segments before it hears of the peer and keeps the rest; a connection that is dropped with something unread on it (viewers confirm each answer) is reset, and what was not sent yet is taken back. Class: an end of a stream that takes its last words along.

--- a/crates/elderpick-lab/tests/shutdown.rs
+++ b/crates/elderpick-lab/tests/shutdown.rs
@@ -51,3 +51,9 @@
     plays(3_000, 1..=2, &[Scenario::Shutdowns]);
     plays(20_000, 1..=2, &[Scenario::Shutdowns]);
 }
+
+#[test]
+fn a_standstill_or_hanging_hosts_within_the_shutdown_lose_set_ups() {
+    plays(300, 1..=4, &[Scenario::Stalls, Scenario::Crowd]);
+    plays(1_000, 1..=2, &[Scenario::Stalls, Scenario::Pieces, Scenario::Clients]);
+}
--- a/crates/elderpick-node/src/buffered_stream.rs
+++ b/crates/elderpick-node/src/buffered_stream.rs
@@ -51,6 +51,8 @@
     Leaving,
     /// Once all that waits is written.
     Flushed,
+    /// Once all that waits is written and the peer has ended it as well; what it still says is dropped.
+    Delivered,
     Now,
 }
 
@@ -167,8 +169,10 @@
     /// Ends it: at once, or when all that waits is written. At once means that the peer is told before this returns,
     /// whoever still holds on to it: what was out on it is given up before the next thing is said elsewhere.
     pub fn end(&self, at_once: bool) {
-        if self.ending.get() != Ending::Now {
-            self.ending.set(if at_once { Ending::Now } else { Ending::Flushed });
+        match self.ending.get() {
+            Ending::Now => {}
+            Ending::Delivered if !at_once => {}
+            _ => self.ending.set(if at_once { Ending::Now } else { Ending::Flushed }),
         }
         if at_once {
             // It fails where the peer has ended it already.
@@ -177,6 +181,15 @@
         self.wake.notify_one();
     }
 
+    /// Ends it so that all that was sent arrives: a system that drops a connection with something unread on it takes
+    /// back what it has not sent yet, so that what the peer still says is read, and dropped.
+    pub fn deliver_and_end(&self) {
+        if self.ending.get() != Ending::Now {
+            self.ending.set(Ending::Delivered);
+        }
+        self.wake.notify_one();
+    }
+
     /// Ends it so that what the peer's system has not confirmed never arrives: a network that is cut would carry it,
     /// and the end behind it, once it is whole again. The system drops it when the connection's task does.
     pub fn abort(&self) {
@@ -237,6 +250,11 @@
         tokio::time::timeout(CLOSE_TIMEOUT, last).await.unwrap_or(false)
     }
 
+    /// Reads what the peer still sends until it ends the connection, and drops it.
+    async fn discard(&self, buffer: &RefCell<Vec<u8>>) {
+        while let Ok(1..) = self.read(buffer).await {}
+    }
+
     /// Writes all that waits, as fast as the peer takes it.
     async fn flush_all(&self) {
         while !self.waiting.borrow().is_empty() {
@@ -261,6 +279,12 @@
                     let _ = tokio::time::timeout(FLUSH_TIMEOUT, self.flush_all()).await;
                     return false;
                 }
+                Ending::Delivered => {
+                    let _ = tokio::time::timeout(FLUSH_TIMEOUT, self.flush_all()).await;
+                    let _ = socket2::SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write);
+                    let _ = tokio::time::timeout(CLOSE_TIMEOUT, self.discard(buffer)).await;
+                    return false;
+                }
                 Ending::No => {}
             }
             tokio::select! {
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -289,12 +289,11 @@
         }
     }
 
-    /// Closes all connections, each once what waits on it is written.
+    /// Closes all connections, each once all that was sent on it is delivered. Nothing more is heard on them.
     pub(crate) fn close_all(&self) {
-        let connections: Vec<_> = self.clients.borrow().keys().copied().collect();
-        for conn in connections {
-            self.admission.borrow_mut().remove(conn);
-            self.close_client(conn);
+        for client in self.clients.borrow().values() {
+            client.reading_stopped.set(true);
+            client.stream.deliver_and_end();
         }
     }
 
--- a/crates/elderpick-node/tests/unit/buffered_stream.rs
+++ b/crates/elderpick-node/tests/unit/buffered_stream.rs
@@ -44,6 +44,30 @@
     (BufferedStream::new(stream, MOST_OWED), listener.accept().expect("a connection").0)
 }
 
+/// More than a system sends before it hears of the peer, which goes on talking.
+#[tokio::test]
+async fn answers_on_a_busy_connection_that_is_ended_are_all_delivered() {
+    use std::io::Write;
+    let (link, mut peer) = pair().await;
+    let answers = vec![b'a'; MOST_OWED];
+    link.send(&answers);
+    peer.write_all(&[b'x'; 64]).expect("written");
+    let reading = std::thread::spawn(move || {
+        let (mut all, mut chunk) = (0, [0; 4_096]);
+        while let Ok(read @ 1..) = peer.read(&mut chunk) {
+            all += read;
+            if peer.write_all(b"x").is_err() {
+                break;
+            }
+        }
+        all
+    });
+    link.deliver_and_end();
+    assert!(!link.run(&RefCell::new(vec![0; CHUNK]), |_| panic!("nothing is heard")).await);
+    drop(link);
+    assert_eq!(reading.join().expect("read"), answers.len());
+}
+
 /// Both have happened when its task comes to run; the runtime picks by chance which it sees first, so many times.
 #[tokio::test]
 async fn what_comes_behind_our_end_is_not_heard() {
