--- a/crates/elderpick-lab/src/soak/record.rs
+++ b/crates/elderpick-lab/src/soak/record.rs
@@ -37,6 +37,10 @@
     ReleasedAtHost { host: usize, session: u64 },
     /// SIGTERM was sent to the gateway.
     Terminated,
+    /// The gateway's process was stopped where it was.
+    Stopped,
+    /// It goes on.
+    Resumed,
     /// The gateway's process has ended; `clean` tells that it did so by itself and without an error.
     Ended { clean: bool },
 }
--- a/crates/elderpick-lab/src/soak/trial.rs
+++ b/crates/elderpick-lab/src/soak/trial.rs
@@ -98,8 +98,10 @@
         tokio::time::sleep(after).await;
         // It may have ended by now, with nothing open.
         if gateway.signal(Signal::SIGSTOP).is_ok() {
+            record.add(What::Stopped);
             tokio::time::sleep(STALL).await;
             gateway.signal(Signal::SIGCONT).map_err(TrialError::Gateway)?;
+            record.add(What::Resumed);
         }
     }
     let ended = tokio::time::timeout_at(killed_at, gateway.child.wait()).await;
--- /dev/null
+++ b/crates/elderpick-lab/tests/soak.rs
@@ -0,0 +1,126 @@
+//! The soak: its judge sees each clause that is broken, and short trials of the program break none.
+
+use std::time::Duration;
+
+use elderpick_lab::soak::judge::judge;
+use elderpick_lab::soak::record::{Entry, What};
+use elderpick_lab::soak::{Clause, Outcome, Plan, Scenario, run as run_trial};
+
+mod common;
+
+use common::{folder, program, run};
+
+const SESSION: u64 = 1;
+const CONNECTION: usize = 0;
+const DESCRIPTION: &str = "made by host 0";
+
+fn entry(ms: u64, what: What) -> Entry {
+    Entry { at: Duration::from_millis(ms), what }
+}
+
+fn written(ms: u64, paid: bool) -> Entry {
+    let patience = Duration::from_millis(300);
+    entry(ms, What::SetUpWritten { session: SESSION, connection: CONNECTION, paid, patience })
+}
+
+fn arrived(ms: u64, host: usize) -> Entry {
+    entry(ms, What::Arrived { host, session: SESSION })
+}
+
+fn answered(ms: u64, host: usize) -> Entry {
+    entry(ms, What::Answered { host, session: SESSION, description: DESCRIPTION.to_owned() })
+}
+
+fn served(ms: u64, description: &str) -> Entry {
+    entry(ms, What::Served { session: SESSION, description: description.to_owned() })
+}
+
+fn released(ms: u64) -> Entry {
+    entry(ms, What::Released { session: SESSION, cause: 41 })
+}
+
+/// The clauses that are broken where the gateway is told to end at 5 s and ends by itself at 6 s.
+fn clauses(entries: Vec<Entry>) -> Vec<Clause> {
+    let end = [entry(5_000, What::Terminated), entry(6_000, What::Ended { clean: true })];
+    judge(&[entries, end.to_vec()].concat()).into_iter().map(|broken| broken.clause).collect()
+}
+
+/// A session as it should be, up to its answer.
+fn good() -> Vec<Entry> {
+    vec![written(100, true), arrived(101, 0), answered(120, 0), served(121, DESCRIPTION)]
+}
+
+#[test]
+fn the_judge_passes_what_keeps_the_rules() {
+    assert_eq!(clauses(good()), []);
+    let ended = entry(200, What::EndedByHost { host: 0, session: SESSION, cause: 16 });
+    assert_eq!(clauses([good(), vec![ended, released(300)]].concat()), []);
+    assert_eq!(clauses(vec![written(100, false), released(101)]), []);
+    let given_up = vec![written(100, false), arrived(101, 0), entry(150, What::GivenUp { session: SESSION })];
+    assert_eq!(clauses(given_up), []);
+    let crosses = vec![written(100, false), entry(140, What::Closed { connection: CONNECTION })];
+    assert_eq!(clauses(crosses), [], "it is sent once more");
+    let full = entry(110, What::Refused { host: 0, session: SESSION, status: 453 });
+    let again = vec![written(100, true), arrived(101, 0), full, arrived(111, 1), released(150)];
+    assert_eq!(clauses(again), [], "it never ran at the first");
+}
+
+#[test]
+fn the_judge_sees_each_clause_that_is_broken() {
+    let second = || served(122, DESCRIPTION);
+    let end_at = |ms, cause| entry(ms, What::EndedByHost { host: 0, session: SESSION, cause });
+    let cases = [
+        (Clause::NoAnswer, vec![written(100, false)]),
+        (Clause::NoAnswer, vec![written(100, false), released(1_000)]),
+        (
+            Clause::NoAnswer,
+            vec![written(100, false), arrived(101, 0), entry(140, What::Closed { connection: CONNECTION })],
+        ),
+        (Clause::SecondAnswer, [good(), vec![second()]].concat()),
+        (Clause::SecondAnswer, vec![written(100, false), released(101), released(102)]),
+        (
+            Clause::WrongAnswer,
+            vec![written(100, false), arrived(101, 0), answered(120, 0), served(121, "noise")],
+        ),
+        (Clause::LeftStanding, vec![written(100, false), arrived(101, 0), answered(120, 0), released(121)]),
+        (Clause::Duplicate, vec![written(100, true), arrived(101, 0), arrived(150, 1), released(160)]),
+        (
+            Clause::AfterGiveUp,
+            vec![written(100, false), entry(110, What::GivenUp { session: SESSION }), arrived(250, 0)],
+        ),
+        (Clause::NotReleased, [good(), vec![end_at(200, 16)]].concat()),
+    ];
+    for (clause, entries) in cases {
+        let text: Vec<_> = entries.iter().map(ToString::to_string).collect();
+        assert!(clauses(entries).contains(&clause), "{clause:?} goes unseen:\n{}", text.join("\n"));
+    }
+    let killed = [entry(5_000, What::Terminated), entry(6_000, What::Ended { clean: false })];
+    assert_eq!(judge(&killed)[0].clause, Clause::NotEnded);
+}
+
+/// Only the time for which the process was stopped is added to that of a request.
+#[test]
+fn the_judge_counts_a_standstill_once() {
+    let stall = vec![written(100, false), entry(350, What::Stopped), entry(850, What::Resumed)];
+    assert_eq!(clauses([stall.clone(), vec![released(1_300)]].concat()), []);
+    assert_eq!(clauses([stall, vec![released(1_400)]].concat()), [Clause::NoAnswer]);
+}
+
+#[test]
+fn short_trials_under_faults_break_no_rule() {
+    let folder = folder("soak");
+    let scenarios = [Scenario::Network, Scenario::Clients, Scenario::Pieces, Scenario::Crowd];
+    run(async {
+        for (seed, scenario) in (1..=8).zip(scenarios.into_iter().cycle()) {
+            let plan = Plan::draw(seed, &[scenario, Scenario::Shutdowns], None);
+            match run_trial(&program(), &folder, &plan).await.unwrap() {
+                Outcome::Void(late) => eprintln!("seed {seed}: void, {late:?} late"),
+                Outcome::Judged { breaks, .. } => {
+                    let texts: Vec<_> = breaks.iter().map(ToString::to_string).collect();
+                    assert!(texts.is_empty(), "seed {seed}, {scenario:?}:\n{}", texts.join("\n"));
+                }
+            }
+        }
+    });
+    let _ = std::fs::remove_dir_all(&folder);
+}
