--- a/crates/elderpick-lab/src/soak.rs
+++ b/crates/elderpick-lab/src/soak.rs
@@ -7,6 +7,7 @@
 pub mod command;
 pub mod host;
 pub mod judge;
+mod pieces;
 pub mod plan;
 pub mod record;
 mod trial;
--- a/crates/elderpick-lab/src/soak/host.rs
+++ b/crates/elderpick-lab/src/soak/host.rs
@@ -15,6 +15,7 @@
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
+use super::pieces;
 use super::plan::Plan;
 use super::record::{Record, What};
 
@@ -24,8 +25,6 @@
 const ERROR: u16 = 500;
 /// Answers take at least so long.
 const LEAST_WORK: Duration = Duration::from_millis(2);
-/// Longest pause between the pieces of a message.
-const MOST_PAUSE_US: u64 = 2_000;
 /// Sessions that are not left early stand so long at most.
 const LONGEST_SESSION: Duration = Duration::from_millis(1_500);
 /// A viewer that leaves around its answer does so within this time behind it.
@@ -157,7 +156,9 @@
     ) {
         while let Some(output) = queue.recv().await {
             let written = match output {
-                Output::Message(bytes) => self.write_bytes(&mut writes, &bytes).await,
+                Output::Message(bytes) => {
+                    pieces::write(&mut writes, &self.random, self.plan.pieces, &bytes).await
+                }
                 Output::Cut(bytes) => {
                     let _ = writes.write_all(&bytes).await;
                     break;
@@ -176,29 +177,6 @@
         let _ = writes.shutdown().await;
     }
 
-    async fn write_bytes(
-        &self,
-        writes: &mut tokio::net::tcp::OwnedWriteHalf,
-        bytes: &[u8],
-    ) -> std::io::Result<()> {
-        if !self.plan.pieces {
-            return writes.write_all(bytes).await;
-        }
-        let mut rest = bytes;
-        while !rest.is_empty() {
-            let (length, pause) = {
-                let mut random = self.random.borrow_mut();
-                (random.random_range(1..=rest.len()), random.random_range(0..MOST_PAUSE_US))
-            };
-            writes.write_all(&rest[..length]).await?;
-            rest = &rest[length..];
-            if !rest.is_empty() {
-                tokio::time::sleep(Duration::from_micros(pause)).await;
-            }
-        }
-        Ok(())
-    }
-
     fn request(self: Rc<Self>, method: &str, message: &rtsp::Message, outputs: &Outputs) {
         let session = message.session;
         let send = |bytes| drop(outputs.send(Output::Message(bytes)));
--- a/crates/elderpick-lab/src/soak/viewers.rs
+++ b/crates/elderpick-lab/src/soak/viewers.rs
@@ -8,12 +8,13 @@
 use elderpick_platform::viewer::{self, Decoder, Message, cause, code, kind};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
+use super::pieces;
 use super::plan::Plan;
 use super::record::{Connection, Record, What};
 
@@ -24,8 +25,6 @@
 const CROWD_LASTS: Duration = Duration::from_millis(300);
 /// Pause before a viewer connects again.
 const RECONNECT: Duration = Duration::from_millis(5);
-/// Longest pause between the pieces of a message.
-const MOST_PAUSE_US: u64 = 2_000;
 /// Share of sessions that their viewers end, soon.
 const ENDED_BY_VIEWER: f64 = 0.3;
 const LONGEST_SESSION: Duration = Duration::from_millis(800);
@@ -236,7 +235,7 @@
                 (bytes, None)
             }
         };
-        if write_bytes(&shared, &random, &mut writes, &bytes).await.is_err() {
+        if pieces::write(&mut writes, &random, shared.plan.pieces, &bytes).await.is_err() {
             return;
         }
         if let Some(what) = what {
@@ -244,27 +243,3 @@
         }
     }
 }
-
-async fn write_bytes(
-    shared: &Shared,
-    random: &RefCell<ChaCha8Rng>,
-    writes: &mut OwnedWriteHalf,
-    bytes: &[u8],
-) -> std::io::Result<()> {
-    if !shared.plan.pieces {
-        return writes.write_all(bytes).await;
-    }
-    let mut rest = bytes;
-    while !rest.is_empty() {
-        let (length, pause) = {
-            let mut random = random.borrow_mut();
-            (random.random_range(1..=rest.len()), random.random_range(0..MOST_PAUSE_US))
-        };
-        writes.write_all(&rest[..length]).await?;
-        rest = &rest[length..];
-        if !rest.is_empty() {
-            tokio::time::sleep(Duration::from_micros(pause)).await;
-        }
-    }
-    Ok(())
-}
