--- a/crates/elderpick-lab/src/soak/plan.rs
+++ b/crates/elderpick-lab/src/soak/plan.rs
@@ -19,6 +19,8 @@
     Pieces,
     /// Ten times the requests for a moment.
     Crowd,
+    /// The gateway is killed, starts again at its address, and is handed the sessions that stand.
+    Kills,
     /// The gateway's process stands still for half a second within its shutdown.
     Stalls,
 }
@@ -55,6 +57,17 @@
     pub left: f64,
 }
 
+/// A kill without a warning, and the start behind it.
+#[derive(Clone, Copy, Debug)]
+pub struct Kill {
+    /// When the process is killed.
+    pub at: Duration,
+    /// How long it is gone.
+    pub gone_for: Duration,
+    /// How long it runs then until it is told to end.
+    pub runs_for: Duration,
+}
+
 /// What one trial does.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -80,6 +93,8 @@
     pub crowd_at: Option<Duration>,
     /// When the gateway is told to end. It is told in each trial, since only then all is settled.
     pub terminate_at: Duration,
+    /// The process is killed at this time and is gone for so long.
+    pub kill: Option<Kill>,
     /// The process stands still this long after it was told to end.
     pub stall_after: Option<Duration>,
     /// For how long after that new connections come.
@@ -106,6 +121,11 @@
         let crowd_at = random.random_range(300..900);
         let stall_at: f64 = random.random();
         let deadline = deadline.unwrap_or(drawn);
+        let kill = Kill {
+            at: Duration::from_millis(random.random_range(600..1_200)),
+            gone_for: Duration::from_millis(random.random_range(50..800)),
+            runs_for: Duration::from_millis(random.random_range(1_500..2_500)),
+        };
         let latest_stall = kill_after(deadline).saturating_sub(STALL + RESUMES_BEFORE_KILL);
         Plan {
             seed,
@@ -118,6 +138,7 @@
             gives_up: if has(Scenario::Clients) { 0.15 } else { 0.0 },
             pieces: has(Scenario::Pieces) || random.random_bool(0.3),
             crowd_at: has(Scenario::Crowd).then(|| Duration::from_millis(crowd_at)),
+            kill: has(Scenario::Kills).then_some(kill),
             stall_after: has(Scenario::Stalls).then(|| latest_stall.mul_f64(stall_at)),
             terminate_at: Duration::from_millis(random.random_range(700..1_300)),
             connects_for: Duration::from_millis(random.random_range(200..=400)),
--- a/crates/elderpick-lab/src/soak/record.rs
+++ b/crates/elderpick-lab/src/soak/record.rs
@@ -35,6 +35,10 @@
     EndedByHost { host: usize, session: u64, cause: u8 },
     /// The gateway released a session at a host where it stood.
     ReleasedAtHost { host: usize, session: u64 },
+    /// A session was handed over to a gateway that started anew: the last byte of that was written.
+    HandedOver { session: u64 },
+    /// The gateway was killed without a warning.
+    Killed,
     /// SIGTERM was sent to the gateway.
     Terminated,
     /// The gateway's process was stopped where it was.
--- a/crates/elderpick-lab/src/soak/viewers.rs
+++ b/crates/elderpick-lab/src/soak/viewers.rs
@@ -30,6 +30,7 @@
 const LONGEST_SESSION: Duration = Duration::from_millis(800);
 /// Viewers whose numbers set the part of the trial's random numbers apart from hosts'.
 const FIRST_PART: u64 = 1_000;
+const HAND_OVER_PART: u64 = 2_000;
 
 /// What all connections of a trial share.
 pub struct Shared {
@@ -61,6 +62,12 @@
         })
     }
 
+    fn next_connection(&self) -> Connection {
+        let connection = self.next_connection.get();
+        self.next_connection.set(connection + 1);
+        connection
+    }
+
     fn next_session(&self) -> u64 {
         let session = self.next_session.get();
         self.next_session.set(session + 1);
@@ -85,17 +92,29 @@
             tokio::time::sleep(RECONNECT).await;
             continue;
         };
-        let _ = stream.set_nodelay(true);
-        let connection = shared.next_connection.get();
-        shared.next_connection.set(connection + 1);
-        use_connection(&shared, &random, stream, connection).await;
+        let connection = shared.next_connection();
+        use_connection(&shared, &random, stream, connection, Vec::new()).await;
         shared.record.add(What::Closed { connection });
     }
 }
 
+/// Hands sessions over, each with the name of its host, on a connection that then is used as any other.
+pub async fn hand_over(shared: Rc<Shared>, sessions: Vec<(u64, String)>) {
+    let random = Rc::new(RefCell::new(shared.plan.random(HAND_OVER_PART)));
+    let Ok(stream) = TcpStream::connect(shared.address).await else { return };
+    let outputs = sessions.into_iter().map(|(session, host)| Output::HandOver {
+        session,
+        bytes: set_up(session, false, shared.plan.deadline, Some(&host)),
+    });
+    let connection = shared.next_connection();
+    use_connection(&shared, &random, stream, connection, outputs.collect()).await;
+    shared.record.add(What::Closed { connection });
+}
+
 /// What a viewers' connection writes, in order.
 enum Output {
     SetUp { session: u64, bytes: Vec<u8>, paid: bool },
+    HandOver { session: u64, bytes: Vec<u8> },
     GiveUp { session: u64 },
     End { session: u64 },
     Confirm { session: u64 },
@@ -106,9 +125,12 @@
     random: &Rc<RefCell<ChaCha8Rng>>,
     stream: TcpStream,
     connection: Connection,
+    first: Vec<Output>,
 ) {
+    let _ = stream.set_nodelay(true);
     let (mut reads, writes) = stream.into_split();
     let (outputs, queue) = mpsc::unbounded_channel();
+    first.into_iter().for_each(|output| drop(outputs.send(output)));
     let writing = spawn_local(write(shared.clone(), random.clone(), writes, queue, connection));
     let asking = spawn_local(ask(shared.clone(), random.clone(), outputs.clone()));
     let (mut decoder, mut chunk) = (Decoder::default(), vec![0; 4096]);
@@ -170,7 +192,7 @@
             let after = random.random_range(Duration::ZERO..=patience);
             (random.random_bool(0.4), random.random_bool(shared.plan.gives_up).then_some(after))
         };
-        let bytes = set_up(session, paid, patience);
+        let bytes = set_up(session, paid, patience, None);
         if outputs.send(Output::SetUp { session, bytes, paid }).is_err() {
             return;
         }
@@ -184,11 +206,12 @@
     }
 }
 
-/// A set-up as viewers send it.
-fn set_up(session: u64, paid: bool, patience: Duration) -> Vec<u8> {
+/// A set-up as viewers send it, or the hand-over of a session that plays at a host.
+fn set_up(session: u64, paid: bool, patience: Duration, at: Option<&str>) -> Vec<u8> {
     let class: &[u8] = if paid { b"paid" } else { b"free" };
     let patience = patience.as_millis().to_string();
-    let figures = format!("home:0;copies:1;top:1;viewer:{session:016x}");
+    let at = at.map(|host| format!(";at:{host}")).unwrap_or_default();
+    let figures = format!("home:0;copies:1;top:1;viewer:{session:016x}{at}");
     let parameters: [(u8, &[u8]); 5] = [
         (code::CLASS, class),
         (code::PATIENCE, patience.as_bytes()),
@@ -222,6 +245,7 @@
                 let patience = shared.plan.deadline;
                 (bytes, Some(What::SetUpWritten { session, connection, paid, patience }))
             }
+            Output::HandOver { session, bytes } => (bytes, Some(What::HandedOver { session })),
             Output::GiveUp { session } => {
                 (release(session, cause::GIVEN_UP), Some(What::GivenUp { session }))
             }
