--- a/crates/elderpick-lab/src/soak/host.rs
+++ b/crates/elderpick-lab/src/soak/host.rs
@@ -11,9 +11,9 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
-use tokio::task::spawn_local;
+use tokio::task::{AbortHandle, spawn_local};
 
 use super::pieces;
 use super::plan::Plan;
@@ -23,6 +23,8 @@
 const FULL: u16 = 453;
 /// The status of a host that fails.
 const ERROR: u16 = 500;
+/// Connections that its system takes before it does.
+const BACKLOG: u32 = 256;
 /// Answers take at least so long.
 const LEAST_WORK: Duration = Duration::from_millis(2);
 /// Sessions that are not left early stand so long at most.
@@ -54,6 +56,8 @@
     open: RefCell<BTreeSet<u64>>,
     standing: RefCell<BTreeMap<u64, Standing>>,
     connections: RefCell<Vec<Outputs>>,
+    /// What runs for it, and ends with its process.
+    tasks: RefCell<Vec<AbortHandle>>,
     /// Ends that the gateway has not confirmed: sent on the next connection as well.
     unconfirmed: RefCell<BTreeMap<u64, Vec<u8>>>,
 }
@@ -80,20 +84,38 @@
             open: RefCell::default(),
             standing: RefCell::default(),
             connections: RefCell::default(),
+            tasks: RefCell::default(),
             unconfirmed: RefCell::default(),
         });
-        let accepting = inside.clone();
-        spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                spawn_local(accepting.clone().talk(stream));
-            }
-        });
+        inside.clone().accept(listener);
         Ok(RandomHost { name: format!("s-{number}"), address, inside })
     }
 
-    /// Sessions that stand there.
-    pub fn standing(&self) -> Vec<u64> {
-        self.inside.standing.borrow().keys().copied().collect()
+    /// Its process dies: its connections end and its sessions are cut.
+    pub fn die(&self) {
+        let inside = &self.inside;
+        inside.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
+        inside.connections.borrow_mut().clear();
+        let host = inside.number;
+        // Ends that may not have arrived go down with it: the list alone tells of them.
+        for (session, _) in std::mem::take(&mut *inside.unconfirmed.borrow_mut()) {
+            inside.record.add(What::Cut { host, session });
+        }
+        for session in std::mem::take(&mut *inside.open.borrow_mut()) {
+            inside.record.add(What::Withdrawn { host, session });
+        }
+        for (session, _) in std::mem::take(&mut *inside.standing.borrow_mut()) {
+            inside.record.add(What::Cut { host, session });
+        }
+    }
+
+    /// Another process listens where it did.
+    pub async fn come_back(&self) -> std::io::Result<()> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(self.address)?;
+        self.inside.clone().accept(socket.listen(BACKLOG)?);
+        Ok(())
     }
 }
 
@@ -111,6 +133,17 @@
 }
 
 impl Inside {
+    fn accept(self: Rc<Self>, listener: TcpListener) {
+        let inside = self.clone();
+        let accepting = spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let talking = spawn_local(inside.clone().talk(stream));
+                inside.tasks.borrow_mut().push(talking.abort_handle());
+            }
+        });
+        self.tasks.borrow_mut().push(accepting.abort_handle());
+    }
+
     /// One connection, until either side ends it.
     async fn talk(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
@@ -121,6 +154,7 @@
             let _ = outputs.send(Output::Message(end.clone()));
         }
         let mut writing = spawn_local(self.clone().write(writes, queue));
+        self.tasks.borrow_mut().push(writing.abort_handle());
         let (mut decoder, mut chunk) = (rtsp::Decoder::default(), vec![0; 4096]);
         let mut set_up_here = BTreeSet::new();
         loop {
--- a/crates/elderpick-lab/src/soak/judge.rs
+++ b/crates/elderpick-lab/src/soak/judge.rs
@@ -77,6 +77,7 @@
     answered: Vec<(usize, String)>,
     full: BTreeSet<usize>,
     ended_by_host: Option<(Duration, u8)>,
+    cut: Option<(Duration, usize)>,
     standing_at: BTreeSet<usize>,
 }
 
@@ -90,6 +91,8 @@
 #[derive(Default)]
 struct Process {
     closed: BTreeMap<Connection, Duration>,
+    /// When the list told that a host runs anew.
+    replaced: BTreeMap<usize, Duration>,
     terminated: Option<Duration>,
     killed: Option<Duration>,
     stopped: Option<Duration>,
@@ -152,9 +155,11 @@
         | What::Refused { session, .. }
         | What::Withdrawn { session, .. }
         | What::EndedByHost { session, .. }
+        | What::Cut { session, .. }
         | What::HandedOver { session }
         | What::ReleasedAtHost { session, .. } => Some(*session),
         What::Closed { .. }
+        | What::ReplacementListed { .. }
         | What::Killed
         | What::Terminated
         | What::Stopped
@@ -168,6 +173,9 @@
     for Entry { at, what } in entries {
         match what {
             What::Closed { connection } => drop(process.closed.insert(*connection, *at)),
+            What::ReplacementListed { host } => {
+                process.replaced.insert(*host, *at);
+            }
             What::Killed => process.killed = Some(*at),
             What::Terminated => process.terminated = Some(*at),
             What::Stopped => process.stopped = Some(*at),
@@ -207,6 +215,10 @@
                 self.ended_by_host = Some((at, *cause));
                 self.standing_at.remove(host);
             }
+            What::Cut { host, .. } => {
+                self.cut = Some((at, *host));
+                self.standing_at.remove(host);
+            }
             What::ReleasedAtHost { host, .. } => {
                 self.standing_at.remove(host);
             }
@@ -297,16 +309,25 @@
 }
 
 fn is_not_released(seen: &Seen, process: &Process) -> bool {
-    let Some((ended, cause)) = seen.ended_by_host else { return false };
     let served = seen.finals.iter().find(|(_, what)| matches!(what, Final::Served(_)));
     let Some((served, _)) = served else { return false };
-    // While it ends, the connections of viewers are closed, and the next process tells.
+    let Some(ended) = heard_of_end(seen, process) else { return false };
     if process.was_killed_since(*served) && seen.handed_over.is_none() {
         return false;
     }
     let last = ended.max(*served).max(seen.handed_over.unwrap_or_default()) + RELEASED_WITHIN;
+    // While it ends, the connections of viewers are closed, and the next process tells.
     let runs = process.terminated.is_none_or(|terminated| last < terminated);
-    let viewer_left = cause == ENDED_BY_VIEWER || seen.given_up.is_some() || seen.ended_by_viewer;
-    let owed = !viewer_left && runs;
-    owed && !seen.finals.iter().any(|(at, what)| *what == Final::Released && *at <= last)
+    let by_viewer = seen.ended_by_host.is_some_and(|(_, cause)| cause == ENDED_BY_VIEWER);
+    let viewer_left = by_viewer || seen.given_up.is_some() || seen.ended_by_viewer;
+    let released = seen.finals.iter().any(|(at, what)| *what == Final::Released && *at <= last);
+    !viewer_left && runs && !released
+}
+
+/// When the gateway can know at the latest that a session is over: from its host, or from the list behind its death.
+fn heard_of_end(seen: &Seen, process: &Process) -> Option<Duration> {
+    match seen.cut {
+        None => seen.ended_by_host.map(|(at, _)| at),
+        Some((at, host)) => process.replaced.get(&host).map(|listed| at.max(*listed)),
+    }
 }
--- a/crates/elderpick-lab/src/soak/plan.rs
+++ b/crates/elderpick-lab/src/soak/plan.rs
@@ -21,6 +21,8 @@
     Crowd,
     /// The gateway is killed, starts again at its address, and is handed the sessions that stand.
     Kills,
+    /// A host dies, comes back at its address, and the list tells late of its start.
+    Replacements,
     /// The gateway's process stands still for half a second within its shutdown.
     Stalls,
 }
@@ -32,6 +34,8 @@
 /// A gateway may be killed so long after SIGTERM, beside the longest deadline.
 const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
 
+/// What the list tells has its consequences within this time.
+const SETTLES: Duration = Duration::from_millis(1_300);
 /// How long a process stands still, and how long before the kill it goes on at the latest.
 pub const STALL: Duration = Duration::from_millis(500);
 const RESUMES_BEFORE_KILL: Duration = Duration::from_millis(100);
@@ -68,6 +72,24 @@
     pub runs_for: Duration,
 }
 
+/// The death of the first host, and its return at the same address.
+#[derive(Clone, Copy, Debug)]
+pub struct Replacement {
+    /// When it dies.
+    pub at: Duration,
+    /// How long it is gone.
+    pub gone_for: Duration,
+    /// How long behind its return the list tells of it.
+    pub told_after: Duration,
+}
+
+impl Replacement {
+    /// When the list tells of the return.
+    pub fn told_at(&self) -> Duration {
+        self.at + self.gone_for + self.told_after
+    }
+}
+
 /// What one trial does.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -95,6 +117,8 @@
     pub terminate_at: Duration,
     /// The process is killed at this time and is gone for so long.
     pub kill: Option<Kill>,
+    /// The first host dies and is replaced.
+    pub replacement: Option<Replacement>,
     /// The process stands still this long after it was told to end.
     pub stall_after: Option<Duration>,
     /// For how long after that new connections come.
@@ -126,6 +150,14 @@
             gone_for: Duration::from_millis(random.random_range(50..800)),
             runs_for: Duration::from_millis(random.random_range(1_500..2_500)),
         };
+        let replacement = Replacement {
+            at: Duration::from_millis(random.random_range(400..900)),
+            gone_for: Duration::from_millis(random.random_range(20..800)),
+            told_after: Duration::from_millis(random.random_range(10..1_500)),
+        };
+        let replacement = has(Scenario::Replacements).then_some(replacement);
+        let terminate_at = Duration::from_millis(random.random_range(700..1_300));
+        let settled = replacement.map_or(Duration::ZERO, |replacement| replacement.told_at() + SETTLES);
         let latest_stall = kill_after(deadline).saturating_sub(STALL + RESUMES_BEFORE_KILL);
         Plan {
             seed,
@@ -140,7 +172,8 @@
             crowd_at: has(Scenario::Crowd).then(|| Duration::from_millis(crowd_at)),
             kill: has(Scenario::Kills).then_some(kill),
             stall_after: has(Scenario::Stalls).then(|| latest_stall.mul_f64(stall_at)),
-            terminate_at: Duration::from_millis(random.random_range(700..1_300)),
+            replacement,
+            terminate_at: terminate_at.max(settled),
             connects_for: Duration::from_millis(random.random_range(200..=400)),
             sockets: random.random_range(96..=512),
         }
--- a/crates/elderpick-lab/src/soak/record.rs
+++ b/crates/elderpick-lab/src/soak/record.rs
@@ -33,6 +33,10 @@
     Withdrawn { host: usize, session: u64 },
     /// A host wrote that a session is over.
     EndedByHost { host: usize, session: u64, cause: u8 },
+    /// A session was cut by the death of its host, or an end that the gateway had not confirmed went down with it.
+    Cut { host: usize, session: u64 },
+    /// The list has told that a host runs anew.
+    ReplacementListed { host: usize },
     /// The gateway released a session at a host where it stood.
     ReleasedAtHost { host: usize, session: u64 },
     /// A session was handed over to a gateway that started anew: the last byte of that was written.
--- a/crates/elderpick-lab/src/soak/trial.rs
+++ b/crates/elderpick-lab/src/soak/trial.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use elderpick_platform::viewer::cause;
 use nix::sys::signal::Signal;
@@ -13,7 +13,7 @@
 
 use super::host::RandomHost;
 use super::judge::{Break, judge};
-use super::plan::{Plan, STALL};
+use super::plan::{Plan, Replacement, STALL};
 use super::record::{Entry, Record, What};
 use super::viewers::{self, Shared};
 use crate::platform::{Gateway, Journal, Listing, config};
@@ -65,18 +65,16 @@
         hosts.push(RandomHost::start(number, plan, &record).await?);
     }
     let journal = Journal::start().await.map_err(TrialError::Gateway)?;
-    let listing = |host: &RandomHost| Listing {
-        name: host.name.clone(),
-        address: host.address,
-        health: "Ready".to_owned(),
-        born_ms: 0,
-    };
-    journal.tell_listings(true, &hosts.iter().map(listing).collect::<Vec<_>>());
+    let journal = Rc::new(journal);
+    journal.tell_listings(true, &hosts.iter().map(|host| listing(host, 0)).collect::<Vec<_>>());
     let mut configuration = configuration(plan, &journal);
     let mut gateway = Gateway::start(program, folder, &configuration).await.map_err(TrialError::Gateway)?;
     let shared = Shared::new(plan, &record, gateway.address);
     let viewers: Vec<_> =
         (0..plan.connections).map(|number| spawn_local(viewers::keep(shared.clone(), number))).collect();
+    if let (Some(replacement), Some(host)) = (plan.replacement, hosts.into_iter().next()) {
+        spawn_local(replace(host, replacement, journal.clone(), record.clone()));
+    }
     match plan.kill {
         None => tokio::time::sleep(plan.terminate_at).await,
         Some(kill) => {
@@ -98,7 +96,27 @@
     Ok(outcome(&record))
 }
 
-/// Sessions that their viewers take to stand, each with its host: what a platform hands over to a new process.
+fn listing(host: &RandomHost, born_ms: u64) -> Listing {
+    Listing { name: host.name.clone(), address: host.address, health: "Ready".to_owned(), born_ms }
+}
+
+/// Lets the first host die and come back, and the list tell of that.
+async fn replace(host: RandomHost, replacement: Replacement, journal: Rc<Journal>, record: Record) {
+    tokio::time::sleep(replacement.at).await;
+    host.die();
+    tokio::time::sleep(replacement.gone_for).await;
+    let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    if host.come_back().await.is_err() {
+        // Its address was taken meanwhile: it stays away.
+        return;
+    }
+    tokio::time::sleep(replacement.told_after).await;
+    journal.tell_listings(false, &[listing(&host, born.as_millis() as u64)]);
+    record.add(What::ReplacementListed { host: 0 });
+}
+
+/// Sessions that their viewers take to stand, each with its host: what a platform hands over to a new process. Those
+/// that were cut play nowhere, and nobody could tell the new process of that.
 fn standing(record: &Record) -> Vec<(u64, String)> {
     let (mut hosts, mut served) = (BTreeMap::new(), BTreeSet::new());
     for Entry { what, .. } in record.entries() {
@@ -112,6 +130,7 @@
             What::Released { session, .. }
             | What::GivenUp { session }
             | What::EndedByViewer { session }
+            | What::Cut { session, .. }
             | What::EndedByHost { session, cause: cause::ENDED_BY_VIEWER, .. } => {
                 served.remove(&session);
             }
--- a/crates/elderpick-lab/tests/soak.rs
+++ b/crates/elderpick-lab/tests/soak.rs
@@ -113,6 +113,16 @@
     assert_eq!(clauses(by_viewer), []);
 }
 
+#[test]
+fn the_judge_knows_when_the_list_tells_of_a_cut() {
+    let cut = entry(200, What::Cut { host: 0, session: SESSION });
+    let listed = |ms| entry(ms, What::ReplacementListed { host: 0 });
+    let lost = || [good(), vec![cut.clone(), listed(1_000)]].concat();
+    assert_eq!(clauses(lost()), [Clause::NotReleased]);
+    assert_eq!(clauses([lost(), vec![released(2_000)]].concat()), []);
+    assert_eq!(clauses([lost(), vec![released(2_100)]].concat()), [Clause::NotReleased]);
+}
+
 /// Only the time for which the process was stopped is added to that of a request.
 #[test]
 fn the_judge_counts_a_standstill_once() {
@@ -124,10 +134,16 @@
 #[test]
 fn short_trials_under_faults_break_no_rule() {
     let folder = folder("soak");
-    let scenarios =
-        [Scenario::Network, Scenario::Clients, Scenario::Pieces, Scenario::Crowd, Scenario::Kills];
+    let scenarios = [
+        Scenario::Network,
+        Scenario::Clients,
+        Scenario::Pieces,
+        Scenario::Crowd,
+        Scenario::Kills,
+        Scenario::Replacements,
+    ];
     run(async {
-        for (seed, scenario) in (1..=10).zip(scenarios.into_iter().cycle()) {
+        for (seed, scenario) in (1..=12).zip(scenarios.into_iter().cycle()) {
             let plan = Plan::draw(seed, &[scenario, Scenario::Shutdowns], None);
             match run_trial(&program(), &folder, &plan).await.unwrap() {
                 Outcome::Void(late) => eprintln!("seed {seed}: void, {late:?} late"),
