Log and count what a loss could not be traced by: placements, loads, rungs, early leavers

The log named a loss and could not tell why its session began where delivery was short. Decisions are untouched.

--- a/crates/elderpick-core/src/api.rs
+++ b/crates/elderpick-core/src/api.rs
@@ -378,3 +378,26 @@
         at: Micros,
     },
 }
+
+/// What a placement was decided on, for the log.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct Placement {
+    /// The rack of the chosen server.
+    pub rack: usize,
+    /// What the rack's uplink is taken to give, in kB a second.
+    pub uplink: f64,
+    /// What the link of the chosen server was taken to be asked, over what it gives.
+    pub link_use: f64,
+    /// The same of its rack's uplink.
+    pub uplink_use: f64,
+    /// The age of the server's last load report, if there is one.
+    pub report_age: Option<Micros>,
+    /// The age of the last report on the uplink, if there is one.
+    pub uplink_report_age: Option<Micros>,
+    /// What all other gateways were taken to ask of an average server, over its size.
+    pub others: f64,
+    /// The room that the rung had to fit, in kB a second.
+    pub room: f64,
+    /// The rate of the rung, in kB a second.
+    pub rate: f64,
+}
--- a/crates/elderpick-core/src/policy/lifecycle.rs
+++ b/crates/elderpick-core/src/policy/lifecycle.rs
@@ -57,6 +57,7 @@
             may_have_run: Vec::new(),
             server: None,
             sent_at: self.now,
+            placement: None,
             playing: false,
             closed: false,
             rung_pending: false,
--- a/crates/elderpick-core/src/policy/placement.rs
+++ b/crates/elderpick-core/src/policy/placement.rs
@@ -1,8 +1,8 @@
 //! Candidates for a session: a few random holders, of which the least loaded is taken.
 
-use super::state::{Server, Session};
+use super::state::{Load, LoadReport, Server, Session};
 use super::{CANDIDATES, Controller, SHORTEST_ATTEMPT};
-use crate::api::{Effect, Group, RequestId, ServerId, ServerState};
+use crate::api::{Effect, Group, Placement, RequestId, ServerId, ServerState};
 
 /// Loads differ by as much before another zone is preferred.
 const ZONE_BIAS: f64 = 0.05;
@@ -21,20 +21,57 @@
             let to = &self.servers[&server];
             let (link, uplink) = (self.link_load(to, others), self.uplink_load(self.rack_of(to), others));
             let away = if to.entry.zone != zone { ZONE_BIAS } else { 0.0 };
-            (server, link.share().max(uplink.share()) + away, link.room().min(uplink.room()))
+            (server, link.share().max(uplink.share()) + away, (link, uplink))
         });
-        let Some((server, _, room)) = weighed.min_by(|a, b| a.1.total_cmp(&b.1)) else {
+        let Some((server, _, (link, uplink))) = weighed.min_by(|a, b| a.1.total_cmp(&b.1)) else {
             return self.give_up(id);
         };
+        let room = link.room().min(uplink.room());
         let wish = self.sessions[&id].wish;
         let floor = self.settings.classes[wish.class].floor;
         let fair = self.fair_rung(&wish, self.price(others));
         match (floor..=fair).rev().find(|&rung| self.rate(&wish, rung) <= room) {
-            Some(rung) => self.send(id, server, rung),
+            Some(rung) => {
+                self.record_placement(id, &server, [link, uplink], others, self.rate(&wish, rung));
+                self.send(id, server, rung);
+            }
             None => self.give_up(id),
         }
     }
 
+    /// Keeps what a placement was decided on, for the log.
+    fn record_placement(
+        &mut self,
+        id: RequestId,
+        server: &ServerId,
+        loads: [Load; 2],
+        others: f64,
+        rate: f64,
+    ) {
+        let to = &self.servers[server];
+        let age = |report: Option<LoadReport>| report.map(|report| self.now - report.at);
+        let [link, uplink] = loads;
+        let placement = Placement {
+            rack: self.rack_of(to),
+            uplink: uplink.link,
+            link_use: link.share(),
+            uplink_use: uplink.share(),
+            report_age: age(to.last_report),
+            uplink_report_age: age(self.racks[&self.rack_of(to)].last_report),
+            others,
+            room: link.room().min(uplink.room()),
+            rate,
+        };
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.placement = Some(placement);
+        }
+    }
+
+    /// What the last attempt of a session was decided on.
+    pub fn placement(&self, id: RequestId) -> Option<Placement> {
+        self.sessions.get(&id)?.placement
+    }
+
     /// Draws usable holders at random, large ones as much more often as they are larger.
     ///
     /// Exception: in a large fleet few of those drawn have told this gateway their load, so that a pick among
--- a/crates/elderpick-core/src/policy/state.rs
+++ b/crates/elderpick-core/src/policy/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::api::{Entry, Micros, RequestId, ServerId, Viewing};
+use crate::api::{Entry, Micros, Placement, RequestId, ServerId, Viewing};
 
 /// Part of a link that is left for the spread of true rates.
 const MARGIN: f64 = 0.1;
@@ -94,6 +94,8 @@
     /// Where its attempt is out or it plays.
     pub(super) server: Option<ServerId>,
     pub(super) sent_at: Micros,
+    /// What its last attempt was decided on.
+    pub(super) placement: Option<Placement>,
     pub(super) playing: bool,
     /// Answered or given up by the viewer while an attempt is out.
     pub(super) closed: bool,
--- a/crates/elderpick-node/src/event_log.rs
+++ b/crates/elderpick-node/src/event_log.rs
@@ -20,7 +20,8 @@
 pub(crate) fn input(lifecycle: &Lifecycle, now: Micros, input: &Input) {
     match input {
         Input::SetUp { conn, set_up, .. } => {
-            debug!(session = %SessionId(set_up.session), conn, class = %set_up.class, "set-up received");
+            let at = set_up.figures.at.as_deref();
+            debug!(session = %SessionId(set_up.session), conn, class = %set_up.class, at, "set-up received");
         }
         Input::Release { conn, session, cause } => {
             debug!(session = %SessionId(*session), conn, cause, "released by its viewer");
@@ -48,13 +49,19 @@
             debug!(session = %SessionId(*session), %server, attempt, "attempt not sent");
         }
         Input::ClientDisconnected { conn } => debug!(conn, "viewers' connection ended"),
+        Input::Probed { server, status, report } => {
+            debug!(%server, ?status, link = report.link, uplink = report.uplink, "load probe ended");
+        }
+        Input::Note { session, server, note } => {
+            debug!(session = %SessionId(*session), %server, ?note, "note from a host");
+        }
         Input::HostDisconnected { server, whole, .. } => debug!(%server, whole, "host's connection ended"),
         _ => {}
     }
 }
 
 /// Logs what the session lifecycle asks for.
-pub(crate) fn output(output: &Output) {
+pub(crate) fn output(lifecycle: &Lifecycle, output: &Output) {
     match output {
         Output::Answer { conn, session, .. } => debug!(session = %SessionId(*session), conn, "served"),
         Output::Rejected { conn, session, cause, .. } => {
@@ -65,6 +72,12 @@
         }
         Output::SetUp { server, session, attempt, rung, patience, .. } => {
             debug!(session = %SessionId(*session), %server, attempt, rung, patience, "attempt made");
+            if let Some(placement) = lifecycle.placement(*session) {
+                debug!(session = %SessionId(*session), %server, ?placement, "placed");
+            }
+        }
+        Output::Rung { server, session, rung } => {
+            debug!(session = %SessionId(*session), %server, rung, "rung changed");
         }
         Output::Withdraw { server, session, attempt } => {
             debug!(session = %SessionId(*session), %server, attempt, "attempt withdrawn");
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -292,7 +292,7 @@
     fn carry_out(self: &Rc<Self>, output: Output) {
         let mut text = Vec::new();
         tracing::trace!(?output, "output");
-        event_log::output(&output);
+        event_log::output(&self.lifecycle.borrow(), &output);
         match output {
             Output::Answer { conn, session, description } => self.deliver_answer(conn, session, &description),
             Output::Rejected { conn, session, cause, retry_after } => {
--- a/crates/elderpick-sessions/src/lifecycle.rs
+++ b/crates/elderpick-sessions/src/lifecycle.rs
@@ -16,7 +16,9 @@
 use std::net::SocketAddr;
 
 use elderpick_core::Controller;
-use elderpick_core::api::{Action, Event, Micros, Report, ServerId, ServerState, Status};
+use elderpick_core::api::{
+    Action, Event, Micros, Placement, Report, RequestId, ServerId, ServerState, Status,
+};
 use elderpick_platform::journal::Listed;
 use elderpick_platform::viewer::{SetUp, cause};
 
@@ -56,6 +58,8 @@
 const CLOCK_SKEW: Micros = 200_000;
 /// A session that ends so soon behind its answer may have ended before its viewer read that.
 pub const AROUND_ANSWER: Micros = 5_000;
+/// A viewer that leaves so soon after the answer counts as having left early.
+const EARLY: Micros = 1_000_000;
 /// How often hosts are looked at.
 const HEALTH_POLL: Micros = 50_000;
 
@@ -242,6 +246,11 @@
         self.sessions.get(&session)?.conn
     }
 
+    /// What the last attempt of a session was decided on.
+    pub fn placement(&self, session: u64) -> Option<Placement> {
+        self.core.placement(RequestId(session))
+    }
+
     /// When a host's answer to a session's set-up was read, for a session that stands.
     pub fn answered_at(&self, session: u64) -> Option<Micros> {
         self.sessions.get(&session)?.answered_at
--- a/crates/elderpick-sessions/src/lifecycle/active.rs
+++ b/crates/elderpick-sessions/src/lifecycle/active.rs
@@ -3,7 +3,7 @@
 use elderpick_core::api::{Event, Micros, Note, Report, RequestId, ServerId, Status};
 use elderpick_platform::viewer::cause;
 
-use super::{AROUND_ANSWER, AttemptId, Conn, Lifecycle, Output, Session, Stage};
+use super::{AROUND_ANSWER, AttemptId, Conn, EARLY, Lifecycle, Output, Session, Stage};
 
 /// A host ends a session.
 pub(super) struct HostRelease {
@@ -43,9 +43,10 @@
                 None => self.recent_ends.renew(now, (session, Some(server)), cause),
             },
             Stage::Active { .. } => {
-                if held.answered_at.is_some_and(|at| now - at < AROUND_ANSWER) {
-                    self.counts.ended_around_answer += 1;
-                }
+                let age = held.answered_at.map(|at| now - at);
+                let left_early = cause == cause::ENDED_BY_VIEWER && age.is_some_and(|age| age < EARLY);
+                self.counts.ended_around_answer += u64::from(age.is_some_and(|age| age < AROUND_ANSWER));
+                self.counts.left_early += u64::from(left_early);
                 if cause != cause::ENDED_BY_VIEWER {
                     out.push(Output::SessionEnded { conn: held.conn, session, cause });
                 }
--- a/crates/elderpick-sessions/src/lifecycle/events.rs
+++ b/crates/elderpick-sessions/src/lifecycle/events.rs
@@ -295,6 +295,8 @@
     pub attempts_disconnected: u64,
     /// Sessions that their hosts ended right around the answer, so that it may have come too late for its viewer.
     pub ended_around_answer: u64,
+    /// Sessions that their viewers left within a second of the answer, as those do whose delivery is short.
+    pub left_early: u64,
 }
 
 impl Counts {
