Gateways that start together no longer probe all hosts at once

Cause: one to two seconds after its start each gateway asked the hosts of all sessions handed over for their loads, and with each request one more. Harmless from one gateway; from 285 it is 60 probes a host and second, and each takes a little of a host's link. Delivery falls under 75%, viewers leave at once, and whoever leaves while the answer is on its way loses a request. Fix: a token bucket. All gateways together ask a host twice a second, each has its part by the settings' number of gateways; hosts of handed-over sessions are asked one after the other. It bounds the sum whatever makes gateways act at one time.

--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -13,6 +13,7 @@
 mod lifecycle;
 mod load;
 mod placement;
+mod probe_budget;
 mod rung;
 mod state;
 
@@ -21,6 +22,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 
+use self::probe_budget::ProbeBudget;
 use self::state::{Rack, Server, Session, Wish};
 use crate::api::*;
 
@@ -69,8 +71,10 @@
     recently_ended: VecDeque<Wish>,
     mean_length: Option<f64>,
     alarms: BTreeMap<u64, RequestId>,
+    /// Load probes that may be sent.
+    load_probes: Option<ProbeBudget>,
     /// How often servers of sessions handed over were to be asked for their load.
-    load_probe_rounds: usize,
+    load_probe_alarms: usize,
     next_token: u64,
     /// Requests taken and further attempts made within the budget's window.
     request_times: Vec<Micros>,
@@ -100,7 +104,8 @@
             recently_ended: VecDeque::new(),
             mean_length: None,
             alarms: BTreeMap::new(),
-            load_probe_rounds: 0,
+            load_probes: None,
+            load_probe_alarms: 0,
             next_token: LOAD_PROBE_TOKEN + 1,
             request_times: Vec::new(),
             retry_times: Vec::new(),
--- a/crates/elderpick-core/src/policy/lifecycle.rs
+++ b/crates/elderpick-core/src/policy/lifecycle.rs
@@ -36,9 +36,7 @@
         if self.settings.classes.get(viewing.class).is_none() {
             return;
         }
-        if self.load_probe_rounds == 0 {
-            self.schedule_load_probes();
-        }
+        self.schedule_load_probes();
         let (attempted, new) = (vec![server.clone()], self.new_session(viewing));
         self.sessions.insert(id, Session { attempted, playing: true, rung_pending: true, ..new });
         self.occupy(id, server);
--- a/crates/elderpick-core/src/policy/load.rs
+++ b/crates/elderpick-core/src/policy/load.rs
@@ -19,8 +19,9 @@
 /// A report tells half of what it told after this time, or after this part of a session's usual length.
 const REPORT_HALF_LIFE: f64 = 12e6;
 const REPORT_LENGTH_SHARE: f64 = 0.4;
-/// Rounds of load probes after a hand-over, at most, and the time within which servers measure their load.
-const MOST_LOAD_PROBE_ROUNDS: usize = 4;
+/// Load probes for each session that was handed over, at most, and the time within which servers measure
+/// their load.
+const MOST_LOAD_PROBES: usize = 4;
 const LOAD_MEASURED_WITHIN: Micros = 1_000_000;
 
 impl Controller {
@@ -158,27 +159,35 @@
         }
         let drawn = [(); CANDIDATES].map(|()| self.below(self.up.len())).map(|k| self.up[k].clone());
         let server = drawn.into_iter().find(|id| !self.servers[id].unresponsive && !self.is_known(id));
-        self.out.extend(server.map(|server| Action::Probe { server }));
+        if let Some(server) = server {
+            self.probe_load(server);
+        }
     }
 
     /// Servers measure their load now and then, and right after a start some have not yet: they are asked a
-    /// little later, and each gateway at a time of its own, so that not all answer one load at once.
+    /// little later, and each gateway begins at a time of its own, so that not all answer one load at once.
     pub(super) fn schedule_load_probes(&mut self) {
-        if self.may_probe_loads() && self.load_probe_rounds < MOST_LOAD_PROBE_ROUNDS {
-            self.load_probe_rounds += 1;
+        if self.may_probe_loads() && self.load_probe_alarms == 0 {
+            self.load_probe_alarms = 1;
             let at = self.now + LOAD_MEASURED_WITHIN + (self.unit() * LOAD_MEASURED_WITHIN as f64) as Micros;
             self.out.push(Action::Alarm { token: LOAD_PROBE_TOKEN, at });
         }
     }
 
-    /// Asks the servers of sessions that were handed over for the load that they have not told.
+    /// Asks one of the servers of sessions that were handed over for the load that it has not told, and goes
+    /// on at the pace of the budget.
     pub(super) fn probe_loads(&mut self) {
         let held = self.sessions.values().filter(|s| s.rung_pending).filter_map(|s| s.server.as_ref());
         let untold = |id: &&ServerId| self.servers.get(*id).is_some_and(|s| s.last_report.is_none());
-        let servers: BTreeSet<_> = held.filter(untold).cloned().collect();
-        if !servers.is_empty() {
-            self.schedule_load_probes();
+        let servers: BTreeSet<_> = held.clone().filter(untold).cloned().collect();
+        let most = MOST_LOAD_PROBES * held.count();
+        let next = self.below(servers.len());
+        let Some(server) = servers.into_iter().nth(next) else { return };
+        self.probe_load(server);
+        self.load_probe_alarms += 1;
+        if self.load_probe_alarms <= most {
+            let at = self.now + self.load_probe_interval();
+            self.out.push(Action::Alarm { token: LOAD_PROBE_TOKEN, at });
         }
-        self.out.extend(servers.into_iter().map(|server| Action::Probe { server }));
     }
 }
--- a/crates/elderpick-core/src/policy/probe_budget.rs
+++ b/crates/elderpick-core/src/policy/probe_budget.rs
@@ -1,46 +1,58 @@
-//! How many probes this gateway may send, so that those of all gateways together take little of a server's link.
+//! How many probes this gateway may send. Each takes a little of a server's link for a moment, which is
+//! nothing from one gateway and much from hundreds that have the same reason at the same time.
 
 use super::Controller;
 use crate::api::{Action, Micros, ServerId};
 
-/// Probes that a server gets from all gateways together, in a second.
-const PROBES_PER_SERVER: f64 = 8.0;
-/// Probes that were not sent are saved up for so long.
+/// Probes that a server gets from all gateways together, in a second: loads are measured about as often.
+const PROBES_PER_SERVER: f64 = 2.0;
+/// What was not used is saved up for so long.
 const SAVED_FOR: Micros = 500_000;
 
-/// Probes that may be sent now, as of a time.
-#[derive(Clone, Copy, Default)]
+/// A token bucket of probes.
+#[derive(Clone, Copy)]
 pub(super) struct ProbeBudget {
     probes: f64,
-    at: Option<Micros>,
+    filled_at: Micros,
 }
 
 impl ProbeBudget {
-    /// Takes one probe out, where `rate` come in a second; `false` if there is none.
+    /// Takes one probe out of what comes in at `rate` a second; `false` if there is none.
     fn take(&mut self, now: Micros, rate: f64) -> bool {
         let most = (rate * SAVED_FOR as f64 / 1e6).max(1.0);
-        let since = self.at.replace(now).map_or(0, |at| now - at);
-        self.probes = (self.probes + rate * since as f64 / 1e6).min(most);
-        let any = self.probes >= 1.0;
-        if any {
+        self.probes = (self.probes + rate * (now - self.filled_at) as f64 / 1e6).min(most);
+        self.filled_at = now;
+        let available = self.probes >= 1.0;
+        if available {
             self.probes -= 1.0;
         }
-        any
+        available
     }
 }
 
 impl Controller {
-    /// This gateway's part of the probes that all servers get, in a second.
-    pub(super) fn probe_rate(&self) -> f64 {
-        PROBES_PER_SERVER * self.up.len() as f64 / self.settings.gateways.max(1) as f64
+    /// A budget that holds some part of a probe, so that gateways that start together differ.
+    fn new_probe_budget(&mut self) -> ProbeBudget {
+        ProbeBudget { probes: self.unit(), filled_at: self.begun.unwrap_or(self.now) }
     }
 
-    /// Sends a probe if the budget has one.
-    pub(super) fn probe(&mut self, server: ServerId) -> bool {
-        let sent = self.probe_budget.take(self.now, self.probe_rate());
-        if sent {
+    /// This gateway's part of the probes that so many servers get in a second.
+    fn probe_rate(&self, servers: usize) -> f64 {
+        PROBES_PER_SERVER * servers as f64 / self.settings.gateways.max(1) as f64
+    }
+
+    /// Time between two load probes of this gateway.
+    pub(super) fn load_probe_interval(&self) -> Micros {
+        (1e6 / self.probe_rate(self.up.len().max(1))) as Micros
+    }
+
+    /// Asks a server for its load, if the budget has a probe left.
+    pub(super) fn probe_load(&mut self, server: ServerId) {
+        let rate = self.probe_rate(self.up.len());
+        let mut budget = self.load_probes.unwrap_or_else(|| self.new_probe_budget());
+        if budget.take(self.now, rate) {
             self.out.push(Action::Probe { server });
         }
-        sent
+        self.load_probes = Some(budget);
     }
 }
