Hosts that come back are no longer probed by all gateways at once

Cause: each gateway probes each host that did not answer, as soon as its back-off ends. Once a network heals, every gateway reaches every such host within a second or two, and what hundreds of probes take of a host's link is missing at the sessions there. Fix: a second bucket, filled by the number of hosts that do not answer: all gateways together reach each of them twice a second.

--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -73,6 +73,8 @@
     alarms: BTreeMap<u64, RequestId>,
     /// Load probes that may be sent.
     load_probes: Option<ProbeBudget>,
+    /// Probes that may be sent to servers that did not answer.
+    reach_probes: Option<ProbeBudget>,
     /// How often servers of sessions handed over were to be asked for their load.
     load_probe_alarms: usize,
     next_token: u64,
@@ -105,6 +107,7 @@
             mean_length: None,
             alarms: BTreeMap::new(),
             load_probes: None,
+            reach_probes: None,
             load_probe_alarms: 0,
             next_token: LOAD_PROBE_TOKEN + 1,
             request_times: Vec::new(),
--- a/crates/elderpick-core/src/policy/health.rs
+++ b/crates/elderpick-core/src/policy/health.rs
@@ -55,16 +55,26 @@
         self.failing_servers.insert(id.clone());
     }
 
-    /// Probes servers that did not answer, each when its back-off ends. Guards against dead servers, cut
-    /// networks and hung processes: a probe finds out what otherwise costs a session its wanted time.
+    /// Probes servers that did not answer, each when its back-off ends, at the pace of the budget. Guards
+    /// against dead servers, cut networks and hung processes: a probe finds out what otherwise costs a
+    /// session its wanted time.
     pub(super) fn probe_unresponsive(&mut self) {
-        for id in self.failing_servers.iter().filter(|_| self.settings.may_probe) {
-            let Some(server) = self.servers.get_mut(id) else { continue };
-            let due = server.unresponsive && server.avoid_until <= self.now;
-            if due && server.entry.state == ServerState::Up {
+        if !self.settings.may_probe {
+            return;
+        }
+        let unresponsive = |id: &&ServerId| {
+            let server = &self.servers[*id];
+            server.unresponsive && server.entry.state == ServerState::Up
+        };
+        let all: Vec<_> = self.failing_servers.iter().filter(unresponsive).cloned().collect();
+        let is_due = |id: &ServerId| self.servers[id].avoid_until <= self.now;
+        let mut due: Vec<_> = all.iter().filter(|id| is_due(id)).cloned().collect();
+        while !due.is_empty() && self.may_probe_reach(all.len()) {
+            let id = due.swap_remove(self.below(due.len()));
+            if let Some(server) = self.servers.get_mut(&id) {
                 server.avoid_until = self.now + back_off(UNREACHABLE_BACK_OFF, server.failures);
-                self.out.push(Action::Probe { server: id.clone() });
             }
+            self.out.push(Action::Probe { server: id });
         }
     }
 
--- a/crates/elderpick-core/src/policy/probe_budget.rs
+++ b/crates/elderpick-core/src/policy/probe_budget.rs
@@ -55,4 +55,13 @@
         }
         self.load_probes = Some(budget);
     }
+
+    /// Whether the budget has a probe left for one of so many servers that did not answer.
+    pub(super) fn may_probe_reach(&mut self, unresponsive: usize) -> bool {
+        let rate = self.probe_rate(unresponsive);
+        let mut budget = self.reach_probes.unwrap_or_else(|| self.new_probe_budget());
+        let available = budget.take(self.now, rate);
+        self.reach_probes = Some(budget);
+        available
+    }
 }
--- a/crates/elderpick-core/tests/probe_storms.rs
+++ b/crates/elderpick-core/tests/probe_storms.rs
@@ -146,3 +146,15 @@
     // Loads are asked for all the same.
     assert!(times.len() >= SERVERS * 6, "{} probes in six seconds", times.len());
 }
+
+#[test]
+fn servers_that_come_back_are_probed_by_all_gateways_at_once() {
+    let outage = Outage { servers: SERVERS / 3, from: BEGINS + 5 * SECOND, to: BEGINS + 11 * SECOND };
+    let times = probes_at(outage.servers, 16, outage);
+    let back: Vec<_> = times.into_iter().filter(|at| *at >= outage.to).collect();
+    let most = busiest(&back, outage.servers);
+    assert!(most <= LOADS_PER_SECOND, "{most} probes a server in a second");
+    // All together find out at once.
+    let first = back.iter().filter(|at| **at < outage.to + SECOND).count();
+    assert!(first >= outage.servers, "{first} probes in the first second");
+}
