A shutdown tries hosts that are out of reach again until it ends

A session that was released while its host was out of reach stood on there, if the host was back before the process ended. Cause: since the timetable, messages that wait for a connection were tried once behind the last answers, not every 0.2 s as before. Fix: a connection is tried every 0.2 s until all is sent or the process has to end. Test: a_release_whose_host_is_out_of_reach_at_the_shutdown_is_tried_once, on real processes, failed before: the host, back 1.5 s behind SIGTERM, was told nothing.

--- a/crates/elderpick-lab/tests/crossings.rs
+++ b/crates/elderpick-lab/tests/crossings.rs
@@ -559,6 +559,25 @@
     });
 }
 
+/// The host's machine is out of reach when the last answers are given, and back before the process has to end.
+#[test]
+fn a_release_whose_host_is_out_of_reach_at_the_shutdown_is_tried_once() {
+    run(async {
+        let mut world = world("unreached", 1, 256).await;
+        let mut viewers = connect(&world).await;
+        assert_eq!(asked(&mut viewers, 1, "free").await, SERVED);
+        world.hosts[0].die();
+        viewers.release(1, cause::ENDED_BY_VIEWER).await.unwrap();
+        world.gateway.signal(Signal::SIGTERM).unwrap();
+        ending(&world).await;
+        // Behind the time in which viewers still come, when nothing is open.
+        tokio::time::sleep(std::time::Duration::from_millis(1_500)).await;
+        world.hosts[0].come_back().await.unwrap();
+        assert!(world.gateway.child.wait().await.unwrap().success());
+        assert!(!host_saw(&world, "TEARDOWN", 1).is_empty(), "the host is told");
+    });
+}
+
 /// A host tells of an end on another connection once that of the set-up is closed, and two connections have no order.
 #[test]
 fn an_end_that_overtakes_its_answer_on_another_connection_leaves_nothing_standing() {
--- a/crates/elderpick-node/src/shutdown.rs
+++ b/crates/elderpick-node/src/shutdown.rs
@@ -12,6 +12,8 @@
 
 /// How often it is looked whether anything is still open.
 const POLL: Duration = Duration::from_millis(10);
+/// How often a connection is tried to hosts that are out of reach and have to be told anything.
+const RECONNECT_INTERVAL: Micros = 200_000;
 
 /// Answers what is open, and returns when the process may end. Sessions go on at their hosts, to be handed over.
 pub(crate) async fn run(
@@ -44,8 +46,12 @@
         signals.pass(POLL.min(until(times.answers_by)), &mut reload).await;
     }
     answer_all(node);
-    node.connect_for_pending();
+    let mut connect_at = node.now();
     while !until(times.ends_by).is_zero() && !is_all_sent(node) {
+        if node.now() >= connect_at {
+            node.connect_for_pending();
+            connect_at = node.now() + RECONNECT_INTERVAL;
+        }
         signals.pass(POLL.min(until(times.ends_by)), &mut reload).await;
     }
 }
