A connection opened before another broke is not taken for the host's next one

A host says an end that went down with a connection once more, on the next one that it takes. An opening that was on its way when the other connection broke passed for that next one, so that none was opened for it, and a session whose end was lost in that moment stood at its gateway for good. Cause: the monitor cleared its mark at any connection that came up, whenever its opening had begun. Fix: it is told when openings begin; as many as were on their way at the break do not clear the mark. One connection too many may be opened, and none is missing. Test: a_connection_that_was_opened_before_another_broke_passes_for_the_next_one failed with the mark cleared as before (Nothing in place of Open). In virtual time alone: not forced on sockets.

--- a/crates/elderpick-node/src/hosts/pool.rs
+++ b/crates/elderpick-node/src/hosts/pool.rs
@@ -70,6 +70,7 @@
     }
 
     pub(super) fn open(self: &Rc<Self>, server: ServerId, call: Call) {
+        self.feed(Input::Opening { server: server.clone() });
         let Some(to) = self.lifecycle.borrow().address(&server) else {
             return self.never_up(server, call, Opened::Refused);
         };
--- a/crates/elderpick-sessions/src/health.rs
+++ b/crates/elderpick-sessions/src/health.rs
@@ -56,6 +56,9 @@
     connections: usize,
     /// A connection broke and may have taken words along, which the host says again on the next one only.
     missed: bool,
+    /// Openings that are on their way, and how many of them had begun when the last connection broke.
+    openings: usize,
+    openings_before_break: usize,
     /// Since when the newest opening is on its way.
     opening: Option<Micros>,
     /// Since when connections are opened, none came up, and nothing was heard on those that are up.
@@ -74,6 +77,8 @@
             tested: None,
             connections: 0,
             missed: false,
+            openings: 0,
+            openings_before_break: 0,
             opening: None,
             reaching: None,
             refused,
@@ -90,7 +95,15 @@
     /// A connection of the host's ended; `whole` tells that all that the host said on it was read.
     pub fn closed(&mut self, whole: bool) {
         self.connections = self.connections.saturating_sub(1);
-        self.missed |= !whole;
+        if !whole {
+            self.missed = true;
+            self.openings_before_break = self.openings;
+        }
+    }
+
+    /// An opening begins, whoever asked for it.
+    pub fn opening_began(&mut self) {
+        self.openings += 1;
     }
 
     /// A connection of the host's was closed to make room for another host's: that one goes first.
@@ -106,10 +119,14 @@
     /// An opening, whoever asked for it, ended so.
     pub fn opened(&mut self, now: Micros, how: Opened) {
         self.opening = None;
+        self.openings = self.openings.saturating_sub(1);
+        // The host may have taken it before the other connection broke: then it is not the next one.
+        let began_before_break = self.openings_before_break > 0;
+        self.openings_before_break = self.openings_before_break.saturating_sub(1);
         match how {
             Opened::Up => {
                 self.connections += 1;
-                self.missed = false;
+                self.missed &= began_before_break;
                 self.heard(now);
             }
             Opened::Refused => self.refused += 1,
--- a/crates/elderpick-sessions/src/lifecycle.rs
+++ b/crates/elderpick-sessions/src/lifecycle.rs
@@ -308,6 +308,7 @@
                     self.events.push_back(Event::Probed { server, status, report });
                 }
             }
+            Input::Opening { server } => self.monitor(&server, HealthMonitor::opening_began),
             Input::Opened { server, how } => self.monitor(&server, |health| health.opened(now, how)),
             Input::HostDisconnected { server, whole, unheard, made_room } => {
                 self.polled_at = Micros::MIN / 2;
--- a/crates/elderpick-sessions/src/lifecycle/events.rs
+++ b/crates/elderpick-sessions/src/lifecycle/events.rs
@@ -118,6 +118,11 @@
         /// The load that the host reported.
         report: Report,
     },
+    /// A connection to a host is being opened.
+    Opening {
+        /// The host.
+        server: ServerId,
+    },
     /// A connection to a host came up or did not.
     Opened {
         /// The host.
--- a/crates/elderpick-sessions/tests/unit/health.rs
+++ b/crates/elderpick-sessions/tests/unit/health.rs
@@ -149,3 +149,16 @@
     watch.opened(30_050_000, Opened::Up);
     assert_eq!(watch.next(30_100_000, true), Next::Nothing);
 }
+
+/// What a host said on a connection that broke it says again on the next one that it takes.
+#[test]
+fn a_connection_that_was_opened_before_another_broke_passes_for_the_next_one() {
+    let mut watch = up(0);
+    watch.opening_began();
+    watch.closed(false);
+    watch.opened(PAUSE, Opened::Up);
+    assert_eq!(watch.next(3 * PAUSE, true), Next::Open, "its host may have taken it before the break");
+    watch.opening_began();
+    watch.opened(4 * PAUSE, Opened::Up);
+    assert_eq!(watch.next(6 * PAUSE, true), Next::Nothing);
+}
