--- a/crates/elderpick-node/src/buffered_stream.rs
+++ b/crates/elderpick-node/src/buffered_stream.rs
@@ -34,6 +34,31 @@
     More,
 }
 
+/// Why this side ends a connection.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum CloseReason {
+    /// It was silent, unfinished or idle for too long.
+    Overdue,
+    /// Another connection needs its descriptor.
+    MakesRoom,
+    /// What came on it cannot be read.
+    Unreadable,
+    /// It was not admitted.
+    NotAdmitted,
+    /// Its peer reads too little of what it is owed.
+    Overflow,
+    /// Its host is lost, or another process.
+    HostLost,
+    /// A withdrawal on it was not confirmed in time.
+    Unconfirmed,
+    /// It was retired and nothing is out on it.
+    Retired,
+    /// It is not needed.
+    Spare,
+    /// The gateway ends.
+    Shutdown,
+}
+
 /// One connection. Its task reads and writes what waits; anyone may send.
 pub(crate) struct BufferedStream {
     stream: TcpStream,
@@ -42,6 +67,8 @@
     most_waiting: usize,
     wake: Notify,
     ending: Cell<Ending>,
+    /// Why this side ends it, if it does; the first reason stays.
+    close_reason: Cell<Option<CloseReason>>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -66,9 +93,20 @@
             most_waiting: READS_UP_TO + most_owed,
             wake: Notify::new(),
             ending: Cell::new(Ending::No),
+            close_reason: Cell::default(),
         }
     }
 
+    /// Notes for the log why this side ends it.
+    pub fn set_close_reason(&self, reason: CloseReason) {
+        self.close_reason.set(self.close_reason.get().or(Some(reason)));
+    }
+
+    /// Why this side ended it; `None` if the peer or the network did.
+    pub fn close_reason(&self) -> Option<CloseReason> {
+        self.close_reason.get()
+    }
+
     /// Writes what can be written now and keeps the rest. A peer that reads too little is cut off.
     pub fn send(&self, bytes: &[u8]) {
         if self.ending.get() != Ending::No {
@@ -77,6 +115,7 @@
         let mut waiting = self.waiting.borrow_mut();
         let written = if waiting.is_empty() { self.stream.try_write(bytes).unwrap_or(0) } else { 0 };
         if waiting.len() + bytes.len() - written > self.most_waiting {
+            self.set_close_reason(CloseReason::Overflow);
             self.ending.set(Ending::Now);
         } else {
             waiting.extend(&bytes[written..]);
@@ -149,6 +188,7 @@
             let Ok(read @ 1..) = read else { return found };
             found = PollResult::All;
             if !heard(&chunk[..read]) {
+                self.set_close_reason(CloseReason::Unreadable);
                 self.end(false);
             }
         }
@@ -184,6 +224,7 @@
     /// Ends it so that all that was sent arrives: a system that drops a connection with something unread on it takes
     /// back what it has not sent yet, so that what the peer still says is read, and dropped.
     pub fn deliver_and_end(&self) {
+        self.set_close_reason(CloseReason::Shutdown);
         if self.ending.get() != Ending::Now {
             self.ending.set(Ending::Delivered);
         }
@@ -295,6 +336,7 @@
                         let chunk = buffer.borrow();
                         if !heard(&chunk[..read]) {
                             drop(chunk);
+                            self.set_close_reason(CloseReason::Unreadable);
                             self.end(false);
                         }
                     }
--- a/crates/elderpick-node/src/event_log.rs
+++ b/crates/elderpick-node/src/event_log.rs
@@ -48,14 +48,19 @@
         Input::NotSent { server, session, attempt } => {
             debug!(session = %SessionId(*session), %server, attempt, "attempt not sent");
         }
-        Input::ClientDisconnected { conn } => debug!(conn, "viewers' connection ended"),
         Input::Probed { server, status, report } => {
             debug!(%server, ?status, link = report.link, uplink = report.uplink, "load probe ended");
         }
         Input::Note { session, server, note } => {
             debug!(session = %SessionId(*session), %server, ?note, "note from a host");
         }
-        Input::HostDisconnected { server, whole, .. } => debug!(%server, whole, "host's connection ended"),
+        Input::Opened { server, how } => debug!(%server, ?how, "host's connection opened"),
+        Input::List { kind, hosts } => {
+            for host in hosts {
+                let (server, state, started) = (&host.entry.server, host.entry.state, host.entry.started);
+                debug!(%server, address = %host.address, ?state, started, ?kind, "host listed");
+            }
+        }
         _ => {}
     }
 }
--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -17,7 +17,7 @@
 use elderpick_sessions::pending::PendingQueue;
 use tokio::net::TcpStream;
 
-use crate::buffered_stream::BufferedStream;
+use crate::buffered_stream::{BufferedStream, CloseReason};
 
 /// Set-ups that one connection carries where no further one may be opened, unless the settings allow fewer.
 const SET_UPS_PER_CONNECTION: usize = 8;
@@ -133,6 +133,12 @@
         self.stream.send(&message.bytes);
     }
 
+    /// Ends it at once; what the host's system has not confirmed by then never arrives.
+    fn abort(&self, reason: CloseReason) {
+        self.stream.set_close_reason(reason);
+        self.stream.abort();
+    }
+
     /// Takes out what is out under a session's number, if it is that attempt.
     fn take_out(&self, session: u64, attempt: Option<AttemptId>) -> Option<(AttemptId, Micros)> {
         let mut out = self.out.borrow_mut();
@@ -145,7 +151,8 @@
 
     /// Ends it while nothing is out on it. Where sessions stand the host may be saying just now that one is over: it is
     /// heard to the end, since it would say so again on a new connection only.
-    fn leave(&self, stands: bool) {
+    fn leave(&self, stands: bool, reason: CloseReason) {
+        self.stream.set_close_reason(reason);
         self.retired.set(true);
         if stands { self.stream.leave() } else { self.stream.end(true) }
     }
--- a/crates/elderpick-node/src/hosts/attempts.rs
+++ b/crates/elderpick-node/src/hosts/attempts.rs
@@ -12,7 +12,7 @@
     Attempt, CONFIRM_WITHIN, Call, HostConnection, HostMessage, MOST_POLLS, MOST_WAITING, POLL_PAUSE,
     RETIRED_FOR,
 };
-use crate::buffered_stream::PollResult;
+use crate::buffered_stream::{CloseReason, PollResult};
 use crate::node::Node;
 
 impl Node {
@@ -128,7 +128,7 @@
             if let Some(connection) = connection.upgrade()
                 && (connection.read.get() == read || !connection.stream.written())
             {
-                connection.stream.abort();
+                connection.abort(CloseReason::Unconfirmed);
             }
         });
     }
@@ -146,7 +146,7 @@
                     let hangs = connection.partial.get()
                         && node.now() - connection.read.get() >= RETIRED_FOR.as_micros() as Micros;
                     if connection.out.borrow().is_empty() || hangs {
-                        return connection.stream.abort();
+                        return connection.abort(CloseReason::Retired);
                     }
                 }
             });
--- a/crates/elderpick-node/src/hosts/pool.rs
+++ b/crates/elderpick-node/src/hosts/pool.rs
@@ -12,6 +12,7 @@
 use tokio::task::spawn_local;
 
 use super::{Attempt, Call, HostConnection, ROTATION};
+use crate::buffered_stream::CloseReason;
 use crate::node::Node;
 
 impl Node {
@@ -44,7 +45,7 @@
         });
         let Some((_, stands, connection)) = idle.min_by_key(|(missed, ..)| *missed) else { return false };
         connection.made_room.set(true);
-        connection.leave(stands);
+        connection.leave(stands, CloseReason::MakesRoom);
         true
     }
 
@@ -151,8 +152,9 @@
         let (out, asked) = (connection.out.take(), connection.asked.take());
         let unheard = connection.unconfirmed.take().into_iter().collect();
         let made_room = connection.made_room.get();
+        let (reason, attempts) = (connection.stream.close_reason(), out.len());
+        tracing::debug!(%server, whole, ?reason, attempts, "host's connection closed");
         drop(connection);
-        tracing::trace!(server = %server, whole, "host connection ended");
         self.feed(Input::HostDisconnected { server: server.clone(), whole, unheard, made_room });
         for (session, (attempt, _)) in out {
             self.feed(Input::ConnectionLost { server: server.clone(), session, attempt, begun: true });
@@ -173,7 +175,7 @@
         let mut hosts = self.hosts.by_server.borrow_mut();
         let Some(host) = hosts.get_mut(server) else { return };
         let is_old = |connection: &&Rc<HostConnection>| before.is_none_or(|before| connection.up < before);
-        host.connections.iter().filter(is_old).for_each(|connection| connection.stream.abort());
+        host.connections.iter().filter(is_old).for_each(|connection| connection.abort(CloseReason::HostLost));
         if before.is_some() {
             return;
         }
@@ -194,7 +196,7 @@
                 let surplus = spare > 1 && now - connection.used.get() > 10_000_000;
                 if connection.idle() && connection.stream.goes_on() && (!known || stale || surplus) {
                     spare = spare.saturating_sub(1);
-                    connection.leave(stands);
+                    connection.leave(stands, CloseReason::Spare);
                 }
             }
             known || !host.connections.is_empty() || host.opening > 0
--- a/crates/elderpick-node/src/hosts/received.rs
+++ b/crates/elderpick-node/src/hosts/received.rs
@@ -7,6 +7,7 @@
 use elderpick_sessions::lifecycle::Input;
 
 use super::HostConnection;
+use crate::buffered_stream::CloseReason;
 use crate::node::Node;
 
 impl Node {
@@ -74,6 +75,7 @@
                 Err(why) => {
                     self.hosts.unreadable.set(self.hosts.unreadable.get() + 1);
                     tracing::debug!(server = %server, %why, "a host sent what cannot be read");
+                    connection.stream.set_close_reason(CloseReason::Unreadable);
                     connection.stream.end(true);
                     return false;
                 }
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -15,7 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
-use crate::buffered_stream::{BufferedStream, PollResult};
+use crate::buffered_stream::{BufferedStream, CloseReason, PollResult};
 use crate::node::Node;
 
 /// Messages that cannot be read, until nothing more is read on a connection on which nothing else ever came. One that
@@ -123,7 +123,7 @@
         let mut refused = None;
         match decision {
             AdmissionDecision::Admitted => {}
-            AdmissionDecision::InsteadOf(other) => self.close_client(other),
+            AdmissionDecision::InsteadOf(other) => self.close_client(other, CloseReason::MakesRoom),
             AdmissionDecision::Full => {
                 self.turned_away.set(self.turned_away.get() + 1);
                 if self.refusing.get() >= self.most_refusing {
@@ -150,7 +150,8 @@
             tracing::trace!(conn, "client connected");
             let whole =
                 client.stream.run(&node.buffer, |chunk| node.client_bytes(conn, &client, chunk)).await;
-            tracing::trace!(conn, whole, "client disconnected");
+            let reason = client.stream.close_reason();
+            tracing::debug!(conn, whole, ?reason, "viewers' connection closed");
             node.client_disconnected(&client);
             node.release_unheard(&client, whole).await;
         });
@@ -197,6 +198,7 @@
         for client in clients {
             self.end_if_done(&client);
             if client.refused.is_some_and(|at| now - at >= REFUSES_FOR) {
+                client.stream.set_close_reason(CloseReason::NotAdmitted);
                 client.stream.end(false);
             }
         }
@@ -208,6 +210,9 @@
         let told = !self.feeding.get();
         let answered = told && self.lifecycle.borrow().open_on(client.conn) == 0;
         if answered && client.reading_stopped.get() && client.stream.written() {
+            let refused = client.refused.is_some();
+            let reason = if refused { CloseReason::NotAdmitted } else { CloseReason::Unreadable };
+            client.stream.set_close_reason(reason);
             client.stream.end(false);
         }
     }
@@ -261,8 +266,9 @@
         PollResult::All
     }
 
-    pub(crate) fn close_client(&self, conn: Conn) {
+    fn close_client(&self, conn: Conn, reason: CloseReason) {
         if let Some(client) = self.clients.borrow().get(&conn) {
+            client.stream.set_close_reason(reason);
             // At once if nothing waits to be written: what comes after that is seen by its sender to be too late.
             client.stream.end(client.stream.free());
         }
@@ -278,7 +284,7 @@
     /// Closes what is overdue, or at the end all on which nothing is open.
     pub(crate) fn close_overdue(&self, all_idle: bool) {
         let overdue = self.admission.borrow_mut().overdue(self.now(), all_idle, self);
-        overdue.into_iter().for_each(|conn| self.close_client(conn));
+        overdue.into_iter().for_each(|conn| self.close_client(conn, CloseReason::Overdue));
     }
 
     /// Reads all that has come from viewers, whatever the runtime knows of it.
