--- a/crates/elderpick-core/src/api.rs
+++ b/crates/elderpick-core/src/api.rs
@@ -379,6 +379,25 @@
     },
 }
 
+/// Why a session was not placed, for the log.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum RefusalReason {
+    /// Too little of the viewer's time is left for an attempt.
+    NoTime,
+    /// The class has no free seat for the title.
+    NoSeat,
+    /// A further attempt is forbidden: by the class, by their number, or by the budget.
+    RetryLimit,
+    /// No listed server that takes sessions holds the title, beside those that were tried.
+    NoHolder,
+    /// All holders that are left did not answer of late.
+    Unresponsive,
+    /// All holders that are left failed of late, started of late or deliver too little.
+    Avoided,
+    /// The least loaded holder has too little room for the lowest rung.
+    NoRoom,
+}
+
 /// What a placement was decided on, for the log.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub struct Placement {
--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -14,6 +14,7 @@
 mod load;
 mod placement;
 mod probe_budget;
+mod refusal;
 mod rung;
 mod state;
 
@@ -81,6 +82,8 @@
     /// Requests taken and further attempts made within the budget's window.
     request_times: Vec<Micros>,
     retry_times: Vec<Micros>,
+    /// Sessions that the last event left without an attempt.
+    refusals: Vec<(RequestId, RefusalReason)>,
     out: Vec<Action>,
 }
 
@@ -112,6 +115,7 @@
             next_token: LOAD_PROBE_TOKEN + 1,
             request_times: Vec::new(),
             retry_times: Vec::new(),
+            refusals: Vec::new(),
             out: Vec::new(),
         }
     }
@@ -119,6 +123,7 @@
     /// Takes one event at the time `now` and appends the actions that answer it.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         self.now = now;
+        self.refusals.clear();
         if self.begun.is_none() {
             self.begun = Some(now);
             if self.settings.subscribe {
--- a/crates/elderpick-core/src/policy/lifecycle.rs
+++ b/crates/elderpick-core/src/policy/lifecycle.rs
@@ -2,7 +2,7 @@
 
 use super::state::{Session, Wish};
 use super::{Controller, LEAST_PRICED, LIST_TOKEN, LOAD_PROBE_TOKEN};
-use crate::api::{Action, Effect, Group, Micros, Report, RequestId, ServerId, Status, Viewing};
+use crate::api::{Action, Micros, Report, RequestId, ServerId, Status, Viewing};
 
 /// Spread of the price between sessions, so that a class does not change its rung all at once.
 const PRICE_SPREAD: f64 = 0.25;
@@ -145,18 +145,4 @@
         }
         Some(server)
     }
-
-    /// The final answer when no attempt is to follow: refused where it may be set up again, else failed.
-    pub(super) fn give_up(&mut self, id: RequestId) {
-        let Some(session) = self.sessions.remove(&id) else { return };
-        let class = &self.settings.classes[session.wish.class];
-        let harmless = match class.effect {
-            Effect::Free => true,
-            Effect::Guarded => session.may_have_run.is_empty() || class.group == Group::All,
-            Effect::SingleShot => session.may_have_run.is_empty(),
-        };
-        let refuse = Action::Refuse { id, retry_after: self.settings.max_retry_after };
-        let in_time = session.deadline > self.now;
-        self.out.push(if harmless && in_time { refuse } else { Action::Fail { id } });
-    }
 }
--- a/crates/elderpick-core/src/policy/placement.rs
+++ b/crates/elderpick-core/src/policy/placement.rs
@@ -2,7 +2,7 @@
 
 use super::state::{Load, LoadReport, Server, Session};
 use super::{CANDIDATES, Controller, SHORTEST_ATTEMPT};
-use crate::api::{Effect, Group, Placement, RequestId, ServerId, ServerState};
+use crate::api::{Effect, Group, Placement, RefusalReason, RequestId, ServerId, ServerState};
 
 /// Loads differ by as much before another zone is preferred.
 const ZONE_BIAS: f64 = 0.05;
@@ -12,8 +12,14 @@
     pub(super) fn place(&mut self, id: RequestId) {
         let session = &self.sessions[&id];
         let left = session.deadline - self.now;
-        if left < SHORTEST_ATTEMPT || !self.seat_free(session) || !self.may_attempt(session) {
-            return self.give_up(id);
+        let refused = match () {
+            () if left < SHORTEST_ATTEMPT => Some(RefusalReason::NoTime),
+            () if !self.seat_free(session) => Some(RefusalReason::NoSeat),
+            () if !self.may_attempt(session) => Some(RefusalReason::RetryLimit),
+            () => None,
+        };
+        if let Some(reason) = refused {
+            return self.give_up(id, reason);
         }
         let others = self.load_of_others();
         let zone = self.settings.zone;
@@ -24,7 +30,7 @@
             (server, link.share().max(uplink.share()) + away, (link, uplink))
         });
         let Some((server, _, (link, uplink))) = weighed.min_by(|a, b| a.1.total_cmp(&b.1)) else {
-            return self.give_up(id);
+            return self.give_up(id, self.why_none_usable(id));
         };
         let room = link.room().min(uplink.room());
         let wish = self.sessions[&id].wish;
@@ -35,7 +41,7 @@
                 self.record_placement(id, &server, [link, uplink], others, self.rate(&wish, rung));
                 self.send(id, server, rung);
             }
-            None => self.give_up(id),
+            None => self.give_up(id, RefusalReason::NoRoom),
         }
     }
 
@@ -117,15 +123,20 @@
 
     fn usable(&self, id: RequestId, server: &ServerId, shared: bool) -> bool {
         let (session, server) = (&self.sessions[&id], &self.servers[server]);
-        let cells = self.settings.cells.unwrap_or(1).max(1);
-        let from_home = (server.entry.cell % cells + cells - session.viewing.home % cells) % cells;
         server.entry.state == ServerState::Up
-            && from_home < session.viewing.copies
+            && self.holds(session, server)
             && !session.attempted.contains(&server.entry.server)
             && self.group_allows(session, server)
             && self.healthy(session, server, shared)
     }
 
+    /// Whether a server holds the title that is asked for.
+    pub(super) fn holds(&self, session: &Session, server: &Server) -> bool {
+        let cells = self.settings.cells.unwrap_or(1).max(1);
+        let from_home = (server.entry.cell % cells + cells - session.viewing.home % cells) % cells;
+        from_home < session.viewing.copies
+    }
+
     fn group_allows(&self, session: &Session, server: &Server) -> bool {
         let class = &self.settings.classes[session.wish.class];
         let ran = session.may_have_run.iter().filter_map(|(id, _)| self.servers.get(id));
--- a/crates/elderpick-node/src/event_log.rs
+++ b/crates/elderpick-node/src/event_log.rs
@@ -70,7 +70,8 @@
     match output {
         Output::Answer { conn, session, .. } => debug!(session = %SessionId(*session), conn, "served"),
         Output::Rejected { conn, session, cause, .. } => {
-            debug!(session = %SessionId(*session), conn, cause, "rejected");
+            let reason = lifecycle.refusal(*session);
+            debug!(session = %SessionId(*session), conn, cause, ?reason, "rejected");
         }
         Output::SessionEnded { session, cause, .. } => {
             debug!(session = %SessionId(*session), cause, "over");
--- a/crates/elderpick-sessions/src/lifecycle.rs
+++ b/crates/elderpick-sessions/src/lifecycle.rs
@@ -17,7 +17,7 @@
 
 use elderpick_core::Controller;
 use elderpick_core::api::{
-    Action, Event, Micros, Placement, Report, RequestId, ServerId, ServerState, Status,
+    Action, Event, Micros, Placement, RefusalReason, Report, RequestId, ServerId, ServerState, Status,
 };
 use elderpick_platform::journal::Listed;
 use elderpick_platform::viewer::{SetUp, cause};
@@ -175,6 +175,8 @@
     fetching: bool,
     /// Further requests are refused: the gateway ends.
     draining: bool,
+    /// Why the last input left sessions without an attempt.
+    refusals: Vec<(u64, RefusalReason)>,
     /// What has happened since the start.
     pub counts: Counts,
 }
@@ -202,6 +204,7 @@
             polled_at: 0,
             fetching: false,
             draining: false,
+            refusals: Vec::new(),
             counts: Counts::default(),
         }
     }
@@ -251,6 +254,18 @@
         self.core.placement(RequestId(session))
     }
 
+    /// Why the last input left a session without an attempt, if it did.
+    pub fn refusal(&self, session: u64) -> Option<RefusalReason> {
+        self.refusals.iter().find(|(refused, _)| *refused == session).map(|(_, reason)| *reason)
+    }
+
+    fn note_refusal(&mut self, session: u64) {
+        if let Some(reason) = self.core.refusal(RequestId(session)) {
+            self.counts.refusals.count(reason);
+            self.refusals.push((session, reason));
+        }
+    }
+
     /// When a host's answer to a session's set-up was read, for a session that stands.
     pub fn answered_at(&self, session: u64) -> Option<Micros> {
         self.sessions.get(&session)?.answered_at
@@ -282,6 +297,7 @@
 
     /// Takes one input at the time `now` and appends what is to be done.
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        self.refusals.clear();
         match input {
             Input::SetUp { conn, received_at, set_up } => self.set_up(now, conn, received_at, set_up, out),
             Input::Release { conn, session, cause } => self.release(now, conn, session, cause, out),
@@ -358,10 +374,12 @@
             Action::Send { id, server, timeout } => self.send(now, id.0, server, timeout, out),
             Action::Refuse { id, retry_after } => {
                 self.counts.refused += 1;
+                self.note_refusal(id.0);
                 self.reject(now, id.0, cause::REFUSED, retry_after, out);
             }
             Action::Fail { id } => {
                 self.counts.failed += 1;
+                self.note_refusal(id.0);
                 self.reject(now, id.0, cause::FAILED, None, out);
             }
             Action::Probe { server } => out.push(Output::Probe { server }),
--- a/crates/elderpick-sessions/src/lifecycle/events.rs
+++ b/crates/elderpick-sessions/src/lifecycle/events.rs
@@ -1,7 +1,7 @@
 //! What the session lifecycle is told, what it asks for, and what it counts.
 
 use bytes::Bytes;
-use elderpick_core::api::{ListKind, Micros, Note, Report, ServerId, Status};
+use elderpick_core::api::{ListKind, Micros, Note, RefusalReason, Report, ServerId, Status};
 use elderpick_platform::journal::Listed;
 use elderpick_platform::viewer::SetUp;
 
@@ -302,6 +302,37 @@
     pub ended_around_answer: u64,
     /// Sessions that their viewers left within a second of the answer, as those do whose delivery is short.
     pub left_early: u64,
+    /// Set-ups that the decision module refused or failed without a further attempt, by reason.
+    pub refusals: RefusalCounts,
+}
+
+/// Counts of set-ups that were not placed, by [`RefusalReason`].
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+#[allow(missing_docs, reason = "each field has the name of its reason")]
+pub struct RefusalCounts {
+    pub no_time: u64,
+    pub no_seat: u64,
+    pub retry_limit: u64,
+    pub no_holder: u64,
+    pub unresponsive: u64,
+    pub avoided: u64,
+    pub no_room: u64,
+}
+
+impl RefusalCounts {
+    /// Counts a set-up that was not placed.
+    pub(super) fn count(&mut self, reason: RefusalReason) {
+        let count = match reason {
+            RefusalReason::NoTime => &mut self.no_time,
+            RefusalReason::NoSeat => &mut self.no_seat,
+            RefusalReason::RetryLimit => &mut self.retry_limit,
+            RefusalReason::NoHolder => &mut self.no_holder,
+            RefusalReason::Unresponsive => &mut self.unresponsive,
+            RefusalReason::Avoided => &mut self.avoided,
+            RefusalReason::NoRoom => &mut self.no_room,
+        };
+        *count += 1;
+    }
 }
 
 impl Counts {
