--- a/crates/elderpick-lab/src/platform/host.rs
+++ b/crates/elderpick-lab/src/platform/host.rs
@@ -187,6 +187,13 @@
         Ok(())
     }
 
+    /// Another host listens where this one did before it died, under a name of its own.
+    pub async fn succeeded_by(&self, name: &str) -> Result<Host, String> {
+        let host = Host::at(name, self.address);
+        host.come_back().await?;
+        Ok(host)
+    }
+
     /// Takes the connections that were held off; the one that filled the queue is its own.
     pub fn let_in(&self) {
         if let Some((listener, first)) = self.held.borrow_mut().take() {
@@ -237,6 +244,13 @@
         }
     }
 
+    /// Resets the connection that a session was set up on, and goes on listening.
+    pub fn reset_connection_of(&self, session: u64) {
+        if let Some(line) = self.inside.standing.borrow().get(&session) {
+            let _ = line.send(Word::Reset);
+        }
+    }
+
     /// Closes all its connections, or resets them, and goes on listening.
     pub fn hang_up(&self, reset: bool) {
         self.tell_lines(|| if reset { Word::Reset } else { Word::Close });
--- a/crates/elderpick-node/tests/unit/buffered_stream.rs
+++ b/crates/elderpick-node/tests/unit/buffered_stream.rs
@@ -201,3 +201,22 @@
         assert_eq!(link.breaks_within(Duration::from_millis(50)).await, crosses);
     }
 }
+
+/// The system tells of a reset once, to whoever asks first.
+#[tokio::test]
+async fn a_reset_that_was_noticed_before_the_task_reads_passes_for_an_orderly_end() {
+    let notices: [(&str, fn(&BufferedStream)); 4] = [
+        ("ended", |link| drop(link.ended())),
+        ("quiet", |link| drop(link.quiet())),
+        ("poll_input", |link| drop(link.poll_input(|_| true))),
+        ("send", |link| link.send(b"release")),
+    ];
+    for (name, notice) in notices {
+        let (link, peer) = pair().await;
+        socket2::SockRef::from(&peer).set_linger(Some(Duration::ZERO)).expect("it is set");
+        drop(peer);
+        notice(&link);
+        assert!(!link.run(&RefCell::new(vec![0; CHUNK]), |_| true).await, "behind {name}");
+        assert!(link.breaks_within(Duration::from_millis(50)).await, "behind {name}");
+    }
+}
