--- a/crates/elderpick-lab/src/platform/gateway.rs
+++ b/crates/elderpick-lab/src/platform/gateway.rs
@@ -49,6 +49,16 @@
 impl Gateway {
     /// Starts `program gateway --platform` with this configuration, kept in `folder`.
     pub async fn start(program: &Path, folder: &Path, config: &Value) -> Result<Gateway, String> {
+        Gateway::start_logged(program, folder, config, None).await
+    }
+
+    /// Starts it as [`Gateway::start`] does; with a `log` all that it logs goes there, at the level `debug`.
+    pub async fn start_logged(
+        program: &Path,
+        folder: &Path,
+        config: &Value,
+        log: Option<&Path>,
+    ) -> Result<Gateway, String> {
         let path = folder.join("config.json");
         std::fs::write(&path, config.to_string()).map_err(fault)?;
         // Under the limit that the platform sets for it.
@@ -56,6 +66,10 @@
         let mut command = Command::new("/bin/sh");
         command.arg("-c").arg(format!("ulimit -n {sockets} && exec \"$0\" gateway --platform \"$1\""));
         command.arg(program).arg(&path).kill_on_drop(true);
+        if let Some(log) = log {
+            let log = std::fs::File::create(log).map_err(fault)?;
+            command.env("ELDERPICK_LOG", "debug").stderr(log);
+        }
         let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn().map_err(fault)?;
         let mut lines = BufReader::new(child.stdout.take().ok_or("no standard output")?).lines();
         let line = tokio::time::timeout(PATIENCE, lines.next_line()).await.map_err(fault)?.map_err(fault)?;
--- a/crates/elderpick-lab/src/soak.rs
+++ b/crates/elderpick-lab/src/soak.rs
@@ -5,10 +5,13 @@
 //! alone which rules of the platform's protocol were broken.
 
 pub mod command;
+pub mod fleet;
 pub mod host;
 pub mod judge;
+mod load;
 mod pieces;
 pub mod plan;
+mod process;
 pub mod record;
 mod trial;
 pub mod viewers;
--- a/crates/elderpick-lab/src/soak/command.rs
+++ b/crates/elderpick-lab/src/soak/command.rs
@@ -8,6 +8,7 @@
 
 use clap::Args;
 
+use super::fleet::{self, FleetOutcome, FleetPlan};
 use super::judge::Clause;
 use super::plan::{Plan, Scenario};
 use super::trial::{self, Outcome, TrialError};
@@ -50,6 +51,9 @@
     /// The longest deadline in milliseconds; drawn by the seed unless it is told.
     #[arg(long)]
     pub deadline_ms: Option<u64>,
+    /// Play a fleet of so many gateways that share machines, with all kinds of trouble, in place of one gateway.
+    #[arg(long)]
+    pub gateways: Option<usize>,
     /// Keep the records of trials that broke anything in this folder.
     #[arg(long)]
     pub out: Option<PathBuf>,
@@ -70,6 +74,9 @@
 
 /// Plays all seeds, one after the other, with the gateway that `program` runs.
 pub async fn run(program: &Path, folder: &Path, options: &Options) -> Result<Tally, TrialError> {
+    if let Some(gateways) = options.gateways {
+        return run_fleets(program, folder, options, gateways).await;
+    }
     let mut tally = Tally::default();
     for seed in options.seeds.first..=options.seeds.last {
         let deadline = options.deadline_ms.map(Duration::from_millis);
@@ -87,7 +94,80 @@
     Ok(tally)
 }
 
+/// Plays all seeds with fleets of so many gateways.
+async fn run_fleets(
+    program: &Path,
+    folder: &Path,
+    options: &Options,
+    gateways: usize,
+) -> Result<Tally, TrialError> {
+    let mut tally = Tally::default();
+    for seed in options.seeds.first..=options.seeds.last {
+        let plan = FleetPlan::draw(seed, gateways);
+        let folder = folder.join(format!("seed-{seed}"));
+        let outcome = fleet::run(program, &folder, &plan).await?;
+        println!("{}", tally.add_fleet(&plan, &outcome));
+        if let (Some(out), false) = (&options.out, outcome.is_void()) {
+            keep_records(&folder, &out.join(format!("seed-{seed}")), &outcome)?;
+        }
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    Ok(tally)
+}
+
+/// Keeps the record and the logs of each gateway for which a clause was broken.
+fn keep_records(folder: &Path, out: &Path, outcome: &FleetOutcome) -> std::io::Result<()> {
+    for (number, gateway) in outcome.gateways.iter().enumerate() {
+        if gateway.breaks.is_empty() {
+            continue;
+        }
+        let (from, to) = (folder.join(format!("gateway-{number}")), out.join(format!("gateway-{number}")));
+        std::fs::create_dir_all(&to)?;
+        let lines: Vec<_> = gateway.entries.iter().map(ToString::to_string).collect();
+        std::fs::write(to.join("record.txt"), lines.join("\n") + "\n")?;
+        for file in std::fs::read_dir(from)? {
+            let file = file?;
+            std::fs::copy(file.path(), to.join(file.file_name()))?;
+        }
+    }
+    Ok(())
+}
+
 impl Tally {
+    /// Counts a fleet's trial, and tells of it in a line or more.
+    fn add_fleet(&mut self, plan: &FleetPlan, outcome: &FleetOutcome) -> String {
+        let (seed, late) = (plan.seed, outcome.ran_late.as_millis());
+        let mut text =
+            format!("seed {seed:>4}  {} gateways  {} machines  ", plan.gateways.len(), plan.machines);
+        if outcome.is_void() {
+            self.void += 1;
+            let _ = write!(text, "void: this program ran {late} ms late");
+            return text;
+        }
+        let (crossed, early) = outcome.crossings();
+        let breaks: Vec<_> = outcome.breaks().collect();
+        let _ = write!(
+            text,
+            "{:>5} set-ups  {:>5} served  {early:>3} left early  {crossed:>3} before their answer  {:>3} probes/s  {} breaks",
+            outcome.set_ups(),
+            outcome.served(),
+            outcome.most_probes,
+            breaks.len(),
+        );
+        if breaks.is_empty() {
+            self.kept += 1;
+        } else {
+            self.broken.push(seed);
+        }
+        for (_, broken) in &breaks {
+            *self.clauses.entry(broken.clause).or_default() += 1;
+        }
+        for (gateway, broken) in breaks.iter().take(MOST_PRINTED) {
+            let _ = write!(text, "\n  gateway {gateway}: {broken}");
+        }
+        text
+    }
+
     /// Counts a trial, and tells of it in a line or more.
     fn add(&mut self, plan: &Plan, outcome: &Outcome) -> String {
         let mut text = format!("seed {:>4}  deadline {:>5} ms  ", plan.seed, plan.deadline.as_millis());
--- /dev/null
+++ b/crates/elderpick-lab/src/soak/fleet/gateway.rs
@@ -0,0 +1,147 @@
+//! One gateway of a fleet: its processes behind one another, its viewers, its journal.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+use tokio::task::spawn_local;
+
+use super::plan::{LifeEnd, LifePlan};
+use crate::platform::{Gateway, Journal, Listing, Viewers};
+use crate::soak::plan::Plan;
+use crate::soak::record::{Record, What};
+use crate::soak::trial::{self, TrialError};
+use crate::soak::viewers::{self, Shared};
+
+/// The sessions of one gateway's viewers are numbered so far apart from the next one's.
+const SESSIONS_PER_GATEWAY: u64 = 1 << 32;
+/// Pause between two tests of a gateway that has just started.
+const TEST_AGAIN: Duration = Duration::from_millis(5);
+
+/// One gateway of a fleet.
+pub(super) struct FleetGateway {
+    number: usize,
+    plan: Plan,
+    record: Record,
+    folder: PathBuf,
+    program: PathBuf,
+    /// The journal that tells it of the list now.
+    journal: RefCell<Rc<Journal>>,
+    gateways: usize,
+}
+
+impl FleetGateway {
+    /// A gateway that has not started yet; its files are kept in `folder`.
+    pub async fn new(
+        number: usize,
+        gateways: usize,
+        plan: Plan,
+        record: Record,
+        (program, folder): (&Path, &Path),
+    ) -> Result<FleetGateway, TrialError> {
+        let folder = folder.join(format!("gateway-{number}"));
+        std::fs::create_dir_all(&folder)?;
+        let journal = Journal::start().await.map_err(TrialError::Gateway)?;
+        let (journal, program) = (RefCell::new(Rc::new(journal)), program.to_owned());
+        Ok(FleetGateway { number, plan, record, folder, program, journal, gateways })
+    }
+
+    /// Tells its list of hosts.
+    pub fn tell(&self, whole: bool, listings: &[Listing]) {
+        self.journal.borrow().tell_listings(whole, listings);
+    }
+
+    fn configuration(&self, address: Option<SocketAddr>) -> Value {
+        let mut configuration = trial::configuration(&self.plan, &self.journal.borrow());
+        configuration["name"] = json!(format!("n{}", self.number));
+        configuration["settings"]["me"] = json!(self.number);
+        configuration["settings"]["balancers"] = json!(self.gateways);
+        if let Some(address) = address {
+            configuration["listen"] = json!(address.to_string());
+        }
+        configuration
+    }
+
+    /// The log of one of its processes.
+    fn log_path(&self, life: usize) -> PathBuf {
+        self.folder.join(format!("life-{life}.log"))
+    }
+
+    async fn start(&self, life: usize, address: Option<SocketAddr>) -> Result<Gateway, TrialError> {
+        let configuration = self.configuration(address);
+        let log = self.log_path(life);
+        let gateway = Gateway::start_logged(&self.program, &self.folder, &configuration, Some(&log)).await;
+        let gateway = gateway.map_err(TrialError::Gateway)?;
+        self.record.add(What::Started);
+        pass_first_test(gateway.address).await?;
+        Ok(gateway)
+    }
+
+    /// Runs its processes behind one another, to the end of the last.
+    pub async fn run(self: Rc<Self>, lives: Vec<LifePlan>) -> Result<(), TrialError> {
+        let mut gateway = self.start(0, None).await?;
+        let first = (self.number as u64 + 1) * SESSIONS_PER_GATEWAY;
+        let shared = Shared::numbered_from(first, &self.plan, &self.record, gateway.address);
+        let viewers: Vec<_> = (0..self.plan.connections)
+            .map(|number| spawn_local(viewers::keep(shared.clone(), number)))
+            .collect();
+        let last = lives.len().saturating_sub(1);
+        for (number, life) in lives.iter().enumerate() {
+            if number > 0 {
+                gateway = self.start(number, Some(shared.address)).await?;
+                spawn_local(viewers::hand_over(shared.clone(), trial::standing(&self.record)));
+                shared.connects.set(true);
+            }
+            self.serve(&gateway, life).await?;
+            match life.end {
+                LifeEnd::Terminated => trial::terminate(&mut gateway, &shared).await?,
+                LifeEnd::Killed => {
+                    gateway.signal(Signal::SIGKILL).map_err(TrialError::Gateway)?;
+                    self.record.add(What::Killed);
+                    shared.connects.set(false);
+                    gateway.child.wait().await?;
+                }
+            }
+            if number < last {
+                tokio::time::sleep(life.gone_for).await;
+            }
+        }
+        shared.asks.set(false);
+        shared.finished.set(true);
+        tokio::time::sleep(trial::SETTLES).await;
+        viewers.iter().for_each(|task| task.abort());
+        Ok(())
+    }
+
+    /// Lets a process run for its time; it follows another journal at each SIGHUP.
+    async fn serve(&self, gateway: &Gateway, life: &LifePlan) -> Result<(), TrialError> {
+        let began = tokio::time::Instant::now();
+        let mut hang_ups = life.hang_ups.clone();
+        hang_ups.sort_unstable();
+        for at in hang_ups {
+            tokio::time::sleep_until(began + at).await;
+            let next = Journal::start().await.map_err(TrialError::Gateway)?;
+            next.succeed(&self.journal.borrow());
+            *self.journal.borrow_mut() = Rc::new(next);
+            gateway.replace(&self.configuration(Some(gateway.address))).map_err(TrialError::Gateway)?;
+            gateway.signal(Signal::SIGHUP).map_err(TrialError::Gateway)?;
+        }
+        tokio::time::sleep_until(began + life.runs_for).await;
+        Ok(())
+    }
+}
+
+/// The front admits a gateway once it has passed a test.
+async fn pass_first_test(address: SocketAddr) -> Result<(), TrialError> {
+    loop {
+        let mut front = Viewers::connect(address).await.map_err(TrialError::Gateway)?;
+        if front.test().await.map_err(TrialError::Gateway)? {
+            return Ok(());
+        }
+        tokio::time::sleep(TEST_AGAIN).await;
+    }
+}
--- /dev/null
+++ b/crates/elderpick-lab/src/soak/fleet/trial.rs
@@ -0,0 +1,159 @@
+//! One trial of a fleet, from its start to the verdict.
+
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use elderpick_platform::viewer::cause;
+use tokio::task::spawn_local;
+
+use super::gateway::FleetGateway;
+use super::machine::Machine;
+use super::plan::FleetPlan;
+use crate::platform::Listing;
+use crate::soak::judge::{Break, judge};
+use crate::soak::record::{Entry, Record, What};
+use crate::soak::trial::{LATEST, TrialError, watch_clock};
+
+/// A viewer that leaves within this time behind its host's answer has left early.
+const EARLY: Duration = Duration::from_millis(250);
+
+/// What one gateway's record shows.
+#[derive(Debug)]
+pub struct GatewayOutcome {
+    /// The clauses that were broken.
+    pub breaks: Vec<Break>,
+    /// All that was seen.
+    pub entries: Vec<Entry>,
+}
+
+/// How a trial ended.
+#[derive(Debug)]
+pub struct FleetOutcome {
+    /// How late the trial's own program ran at most; it says nothing if that is more than [`LATEST`].
+    pub ran_late: Duration,
+    /// By gateway.
+    pub gateways: Vec<GatewayOutcome>,
+    /// Most probes that a machine got within a second.
+    pub most_probes: usize,
+}
+
+impl FleetOutcome {
+    /// Whether the trial's own program ran too late for it to say anything.
+    pub fn is_void(&self) -> bool {
+        self.ran_late > LATEST
+    }
+
+    fn count(&self, counts: impl Fn(&What) -> bool) -> usize {
+        let entries = self.gateways.iter().flat_map(|gateway| &gateway.entries);
+        entries.filter(|entry| counts(&entry.what)).count()
+    }
+
+    /// Set-ups that were written.
+    pub fn set_ups(&self) -> usize {
+        self.count(|what| matches!(what, What::SetUpWritten { .. }))
+    }
+
+    /// Set-ups that were served.
+    pub fn served(&self) -> usize {
+        self.count(|what| matches!(what, What::Served { .. }))
+    }
+
+    /// Answers that viewers read behind the moment in which they had left at their host; and viewers that left there
+    /// soon behind the host's answer.
+    pub fn crossings(&self) -> (usize, usize) {
+        let of_all = self.gateways.iter().map(|gateway| crossings(&gateway.entries));
+        of_all.fold((0, 0), |all, one| (all.0 + one.0, all.1 + one.1))
+    }
+
+    /// All breaks, with the number of their gateway.
+    pub fn breaks(&self) -> impl Iterator<Item = (usize, &Break)> {
+        let by_gateway = self.gateways.iter().enumerate();
+        by_gateway.flat_map(|(number, gateway)| gateway.breaks.iter().map(move |broken| (number, broken)))
+    }
+}
+
+fn crossings(entries: &[Entry]) -> (usize, usize) {
+    let (mut answered, mut left) = (std::collections::BTreeMap::new(), std::collections::BTreeSet::new());
+    let (mut crossed, mut early) = (0, 0);
+    for Entry { at, what } in entries {
+        match what {
+            What::Answered { session, .. } => drop(answered.insert(*session, *at)),
+            What::EndedByHost { session, cause: cause::ENDED_BY_VIEWER, .. } => {
+                left.insert(*session);
+                early += usize::from(answered.get(session).is_some_and(|answered| *at - *answered < EARLY));
+            }
+            What::Served { session, .. } => crossed += usize::from(left.contains(session)),
+            _ => {}
+        }
+    }
+    (crossed, early)
+}
+
+/// Plays a trial with the gateway that `program` runs, whose files are kept in `folder`.
+pub async fn run(program: &Path, folder: &Path, plan: &FleetPlan) -> Result<FleetOutcome, TrialError> {
+    let record = Record::default();
+    let clock = spawn_local(watch_clock(record.clone()));
+    let records: Vec<_> = plan.gateways.iter().map(|_| record.beside()).collect();
+    let mut machines = Vec::new();
+    for number in 0..plan.machines {
+        machines.push(Machine::start(number, plan, &records).await?);
+    }
+    let gateways = start_gateways(program, folder, plan, &records).await?;
+    for (number, gateway) in gateways.iter().enumerate() {
+        let list: Vec<_> = machines.iter().map(|machine| machine.listing(number, "Ready")).collect();
+        gateway.tell(true, &list);
+    }
+    let running: Vec<_> = gateways
+        .iter()
+        .zip(&plan.gateways)
+        .map(|(gateway, lives)| spawn_local(gateway.clone().run(lives.clone())))
+        .collect();
+    let mut faults: Vec<_> =
+        machines.iter().map(|machine| spawn_local(machine.clone().watch_delivery())).collect();
+    for trouble in plan.troubles.iter().copied() {
+        let (machine, gateways) = (machines[trouble.machine].clone(), gateways.clone());
+        let successor = plan.machines + trouble.machine;
+        faults.push(spawn_local(async move {
+            let tell = |listings: &dyn Fn(usize) -> Vec<Listing>| {
+                gateways
+                    .iter()
+                    .enumerate()
+                    .for_each(|(number, gateway)| gateway.tell(false, &listings(number)));
+            };
+            if let Err(why) = machine.suffer(trouble, successor, tell).await {
+                eprintln!("a machine's trouble cannot be played: {why}");
+            }
+        }));
+    }
+    for gateway in running {
+        gateway.await.map_err(|why| TrialError::Gateway(why.to_string()))??;
+    }
+    faults.iter().for_each(|task| task.abort());
+    clock.abort();
+    let outcome = |record: &Record| {
+        let entries = record.entries();
+        GatewayOutcome { breaks: judge(&entries), entries }
+    };
+    Ok(FleetOutcome {
+        ran_late: record.latest(),
+        gateways: records.iter().map(outcome).collect(),
+        most_probes: machines.iter().map(|machine| machine.most_probes()).max().unwrap_or_default(),
+    })
+}
+
+async fn start_gateways(
+    program: &Path,
+    folder: &Path,
+    plan: &FleetPlan,
+    records: &[Record],
+) -> Result<Vec<Rc<FleetGateway>>, TrialError> {
+    let mut gateways = Vec::new();
+    for (number, record) in records.iter().enumerate() {
+        let of_gateway = plan.of_gateway(number);
+        let places = (program, folder);
+        let gateway = FleetGateway::new(number, records.len(), of_gateway, record.clone(), places).await?;
+        gateways.push(Rc::new(gateway));
+    }
+    Ok(gateways)
+}
--- a/crates/elderpick-lab/src/soak/plan.rs
+++ b/crates/elderpick-lab/src/soak/plan.rs
@@ -40,6 +40,7 @@
 pub const STALL: Duration = Duration::from_millis(500);
 const RESUMES_BEFORE_KILL: Duration = Duration::from_millis(100);
 
+/// The earliest time after SIGTERM at which a gateway may be killed, for its longest deadline.
 fn kill_after(deadline: Duration) -> Duration {
     deadline.min(LONGEST_COUNTED) + KILL_AFTER_DEADLINE
 }
@@ -125,8 +126,15 @@
     pub connects_for: Duration,
     /// Descriptors of the gateway.
     pub sockets: usize,
+    /// How long sessions that are not left early stand at most.
+    pub longest_session: Duration,
+    /// How often viewers reset each of their connections, a second.
+    pub client_resets: f64,
 }
 
+/// Sessions that are not left early stand so long at most, unless a trial says otherwise.
+const LONGEST_SESSION: Duration = Duration::from_millis(1_500);
+
 impl Plan {
     /// Draws a trial. `deadline` is drawn as well unless it is told.
     pub fn draw(seed: u64, scenarios: &[Scenario], deadline: Option<Duration>) -> Plan {
@@ -176,6 +184,8 @@
             terminate_at: terminate_at.max(settled),
             connects_for: Duration::from_millis(random.random_range(200..=400)),
             sockets: random.random_range(96..=512),
+            longest_session: LONGEST_SESSION,
+            client_resets: 0.0,
         }
     }
 
--- a/crates/elderpick-lab/src/soak/record.rs
+++ b/crates/elderpick-lab/src/soak/record.rs
@@ -23,6 +23,8 @@
     Released { session: u64, cause: u8 },
     /// The gateway ended a viewers' connection, or it was never accepted.
     Closed { connection: Connection },
+    /// Viewers reset their connection: what was open on it is given up.
+    LeftConnection { connection: Connection },
     /// A set-up arrived whole at a host.
     Arrived { host: usize, session: u64 },
     /// A host wrote its answer: the session stands there.
@@ -35,12 +37,18 @@
     EndedByHost { host: usize, session: u64, cause: u8 },
     /// A session was cut by the death of its host, or an end that the gateway had not confirmed went down with it.
     Cut { host: usize, session: u64 },
-    /// The list has told that a host runs anew.
+    /// The list has told that a host runs anew, or is gone.
     ReplacementListed { host: usize },
+    /// A host hangs or is cut off: nothing that is sent to it arrives.
+    HostSuspended { host: usize },
+    /// It goes on, and gets what it was sent.
+    HostResumed { host: usize },
     /// The gateway released a session at a host where it stood.
     ReleasedAtHost { host: usize, session: u64 },
     /// A session was handed over to a gateway that started anew: the last byte of that was written.
     HandedOver { session: u64 },
+    /// The gateway's process has started.
+    Started,
     /// The gateway was killed without a warning.
     Killed,
     /// SIGTERM was sent to the gateway.
@@ -83,6 +91,11 @@
 }
 
 impl Record {
+    /// Another record of the same trial, with the same clock.
+    pub fn beside(&self) -> Record {
+        Record { began: self.began, entries: Rc::default(), latest: self.latest.clone() }
+    }
+
     /// Time since the trial began.
     pub fn now(&self) -> Duration {
         self.began.elapsed()
--- a/crates/elderpick-lab/src/soak/trial.rs
+++ b/crates/elderpick-lab/src/soak/trial.rs
@@ -19,11 +19,11 @@
 use crate::platform::{Gateway, Journal, Listing, config};
 
 /// A trial whose own program ran later than this is void.
-const LATEST: Duration = Duration::from_millis(40);
+pub const LATEST: Duration = Duration::from_millis(40);
 /// How often it is looked whether the program runs late.
 const CLOCK_TICK: Duration = Duration::from_millis(5);
 /// What the gateway has sent by its end arrives within this time.
-const SETTLES: Duration = Duration::from_millis(200);
+pub(super) const SETTLES: Duration = Duration::from_millis(200);
 
 /// Why a trial could not be played.
 #[derive(Debug, thiserror::Error)]
@@ -85,6 +85,7 @@
             tokio::time::sleep(kill.gone_for).await;
             configuration["listen"] = json!(shared.address.to_string());
             gateway = Gateway::start(program, folder, &configuration).await.map_err(TrialError::Gateway)?;
+            record.add(What::Started);
             spawn_local(viewers::hand_over(shared.clone(), standing(&record)));
             tokio::time::sleep(kill.runs_for).await;
         }
@@ -117,7 +118,7 @@
 
 /// Sessions that their viewers take to stand, each with its host: what a platform hands over to a new process. Those
 /// that were cut play nowhere, and nobody could tell the new process of that.
-fn standing(record: &Record) -> Vec<(u64, String)> {
+pub(super) fn standing(record: &Record) -> Vec<(u64, String)> {
     let (mut hosts, mut served) = (BTreeMap::new(), BTreeSet::new());
     for Entry { what, .. } in record.entries() {
         match what {
@@ -140,13 +141,21 @@
     hosts.into_iter().filter(|(session, _)| served.contains(session)).collect()
 }
 
-/// Tells the gateway to end and kills it at the earliest time; viewers go on all the while.
+/// Tells the gateway to end for good.
 async fn shut_down(mut gateway: Gateway, shared: &Rc<Shared>) -> Result<(), TrialError> {
+    terminate(&mut gateway, shared).await?;
+    shared.asks.set(false);
+    shared.finished.set(true);
+    Ok(())
+}
+
+/// Tells the gateway to end and kills it at the earliest time; viewers go on all the while.
+pub(super) async fn terminate(gateway: &mut Gateway, shared: &Rc<Shared>) -> Result<(), TrialError> {
     let (plan, record) = (&shared.plan, &shared.record);
     record.add(What::Terminated);
     gateway.signal(Signal::SIGTERM).map_err(TrialError::Gateway)?;
     let connecting = shared.clone();
-    spawn_local(async move {
+    let connecting = spawn_local(async move {
         tokio::time::sleep(connecting.plan.connects_for).await;
         connecting.connects.set(false);
     });
@@ -170,12 +179,13 @@
             gateway.child.wait().await?;
         }
     }
-    shared.asks.set(false);
+    connecting.abort();
+    shared.connects.set(false);
     Ok(())
 }
 
 /// Notes how late this program itself runs.
-async fn watch_clock(record: Record) {
+pub(super) async fn watch_clock(record: Record) {
     loop {
         let due = record.now() + CLOCK_TICK;
         tokio::time::sleep(CLOCK_TICK).await;
@@ -202,7 +212,7 @@
     }
 }
 
-fn configuration(plan: &Plan, journal: &Journal) -> Value {
+pub(super) fn configuration(plan: &Plan, journal: &Journal) -> Value {
     let mut configuration = config(journal, plan.sockets);
     let settings = &mut configuration["settings"];
     let deadline_us = plan.deadline.as_micros() as u64;
