Stand-ins reset connections with a reset alone, no end in order before it

A dropped write half shuts its side down, so that each 'reset' of the scripted host, of viewers and of the soak's viewers was an end in order and then a reset: the gateway read the end and never an error. The halves are forgotten now, as the soak's host already did.

--- a/crates/elderpick-lab/src/platform/host.rs
+++ b/crates/elderpick-lab/src/platform/host.rs
@@ -320,6 +320,7 @@
         loop {
             tokio::select! {
                 word = words.recv() => {
+                    let reset = matches!(word, Some(Word::Reset));
                     let goes_on = match word {
                         Some(Word::Say(word)) => writes.write_all(&word).await.is_ok(),
                         Some(word @ (Word::Deaf | Word::Hears)) => {
@@ -332,7 +333,11 @@
                         Some(Word::Close) | None => false,
                     };
                     if !goes_on {
-                        drop((reads, writes));
+                        // Dropped with the others, the half would say in order that nothing more comes.
+                        if reset {
+                            writes.forget();
+                        }
+                        drop(reads);
                         return self.done.set(self.done.get() + 1);
                     }
                     self.done.set(self.done.get() + 1);
--- a/crates/elderpick-lab/src/platform/viewers.rs
+++ b/crates/elderpick-lab/src/platform/viewers.rs
@@ -64,7 +64,10 @@
     /// Ends the connection so that the gateway sees a reset.
     #[allow(deprecated)]
     pub fn reset(self) -> Result<(), String> {
-        self.writes.as_ref().set_linger(Some(Duration::ZERO)).map_err(fault)
+        self.writes.as_ref().set_linger(Some(Duration::ZERO)).map_err(fault)?;
+        // Dropped with the other, the half would say in order that nothing more comes.
+        self.writes.forget();
+        Ok(())
     }
 
     pub async fn release(&mut self, session: u64, cause: u8) -> Result<(), String> {
--- a/crates/elderpick-lab/src/soak/viewers.rs
+++ b/crates/elderpick-lab/src/soak/viewers.rs
@@ -11,7 +11,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::spawn_local;
 
 use super::pieces;
@@ -152,7 +152,9 @@
     let (mut reads, writes) = stream.into_split();
     let (outputs, queue) = mpsc::unbounded_channel();
     first.into_iter().for_each(|output| drop(outputs.send(output)));
-    let writing = spawn_local(write(shared.clone(), random.clone(), writes, queue, connection));
+    let resets = Rc::new(Notify::new());
+    let queue = Queue { queue, connection, resets: resets.clone() };
+    let writing = spawn_local(write(shared.clone(), random.clone(), writes, queue));
     let asking = spawn_local(ask(shared.clone(), random.clone(), outputs.clone()));
     let (mut decoder, mut chunk) = (Decoder::default(), vec![0; 4096]);
     let stays = shared.stays(&mut random.borrow_mut());
@@ -167,9 +169,12 @@
     if tokio::time::timeout(stays, reading).await.is_err() {
         shared.record.add(What::LeftConnection { connection });
         let _ = socket2::SockRef::from(reads.as_ref()).set_linger(Some(Duration::ZERO));
+        resets.notify_one();
+        let _ = writing.await;
+    } else {
+        writing.abort();
     }
     asking.abort();
-    writing.abort();
 }
 
 /// Takes one message of the gateway's.
@@ -259,15 +264,38 @@
     bytes
 }
 
-/// Writes what is queued, and what was written to the record once its last byte is.
+/// What a connection is to write.
+struct Queue {
+    queue: mpsc::UnboundedReceiver<Output>,
+    connection: Connection,
+    /// The connection is to be reset, whatever is still to be written.
+    resets: Rc<Notify>,
+}
+
+/// Writes what is queued until the connection ends or is reset.
 async fn write(
     shared: Rc<Shared>,
     random: Rc<RefCell<ChaCha8Rng>>,
     mut writes: OwnedWriteHalf,
-    mut queue: mpsc::UnboundedReceiver<Output>,
-    connection: Connection,
+    mut queue: Queue,
+) {
+    let resets = queue.resets.clone();
+    tokio::select! {
+        () = write_queue(&shared, &random, &mut writes, &mut queue) => {}
+        // Dropped, the half would say in order that nothing more comes.
+        () = resets.notified() => writes.forget(),
+    }
+}
+
+/// Writes what is queued, and what was written to the record once its last byte is.
+async fn write_queue(
+    shared: &Rc<Shared>,
+    random: &Rc<RefCell<ChaCha8Rng>>,
+    writes: &mut OwnedWriteHalf,
+    queue: &mut Queue,
 ) {
-    while let Some(output) = queue.recv().await {
+    let connection = queue.connection;
+    while let Some(output) = queue.queue.recv().await {
         let (bytes, what) = match output {
             Output::SetUp { session, bytes, paid } => {
                 let patience = shared.plan.deadline;
@@ -287,7 +315,7 @@
                 (bytes, None)
             }
         };
-        if pieces::write(&mut writes, &random, shared.plan.pieces, &bytes).await.is_err() {
+        if pieces::write(writes, random, shared.plan.pieces, &bytes).await.is_err() {
             return;
         }
         if let Some(what) = what {
