A reset that a look at the socket found first no longer passes for an orderly end

What callers saw: the viewer of a session whose end went down with a reset connection heard nothing while another connection to that host was up; an answer that crossed a reset of its own connection counted as read, and its session stood for nobody. Cause: the system tells a socket's error once. ended(), quiet(), poll_input() and a failed write took it and dropped it; the connection's task then read 0 and reported an end in order, behind which nothing is asked for again (HealthMonitor::closed, release_unheard). The stream remembers every error that the system tells, whoever asked, and an end behind one is never in order.

--- a/crates/elderpick-lab/tests/lost_ends.rs
+++ b/crates/elderpick-lab/tests/lost_ends.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
-use elderpick_lab::platform::{Host, Listing, Viewers};
-use elderpick_platform::viewer::kind;
+use elderpick_lab::platform::{Does, Host, Journal, Listing, Viewers};
+use elderpick_platform::rtsp;
+use elderpick_platform::viewer::{cause, kind};
+use serde_json::json;
 
 mod common;
 
-use common::{World, run, until, world};
+use common::{World, host_saw, run, until, world, world_of};
 
 async fn connect(world: &World) -> Viewers {
     Viewers::connect(world.gateway.address).await.unwrap()
@@ -33,6 +35,54 @@
     std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis() as u64
 }
 
+/// Sessions 1 and 2 stand on a connection each at one host, which has taken just these.
+async fn two_connections(name: &str) -> (World, Viewers) {
+    let hosts = vec![Host::start("s-0").await.unwrap()];
+    let journal = Journal::start().await.unwrap();
+    let unprobed = |config: &mut serde_json::Value| {
+        config["settings"]["limits"]["may_probe"] = json!(false);
+    };
+    let world = world_of(name, hosts, journal, 256, unprobed).await;
+    let mut viewers = connect(&world).await;
+    world.hosts[0].script(&[Does::Holds]);
+    viewers.ask(1, "free", None).await.unwrap();
+    until("it is out", || !host_saw(&world, "SETUP", 1).is_empty()).await;
+    is_served(&mut viewers, 2).await;
+    world.hosts[0].go_on();
+    assert_eq!(next_kind(&mut viewers, 1).await, kind::ANSWER);
+    assert_eq!(world.hosts[0].taken(), 2);
+    (world, viewers)
+}
+
+/// The host says on the next connection what went down with the one that was reset; while another one is up, the
+/// gateway has to open that by itself.
+#[test]
+fn an_end_that_went_down_with_a_reset_connection_is_never_asked_for() {
+    run(async {
+        let (world, mut viewers) = two_connections("reset-noticed").await;
+        let host = &world.hosts[0];
+        world.gateway.pause().await.unwrap();
+        // The set-up comes first, so that connections are looked at before the one that was reset is read.
+        viewers.ask(3, "free", None).await.unwrap();
+        let done = host.done();
+        host.reset_connection_of(1);
+        until("it is reset", || host.done() > done).await;
+        world.gateway.resume().unwrap();
+        assert_eq!(next_kind(&mut viewers, 3).await, kind::ANSWER);
+        let opened = async {
+            while host.taken() < 3 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        assert!(
+            tokio::time::timeout(Duration::from_secs(1), opened).await.is_ok(),
+            "no connection is opened"
+        );
+        host.say(&rtsp::teardown(1, Some(cause::GIVEN_UP)));
+        assert_eq!(next_kind(&mut viewers, 1).await, kind::RELEASE);
+    });
+}
+
 /// A host dies, and before two connections to it were refused another one listens at its address.
 #[test]
 fn sessions_of_a_host_whose_address_another_one_took_stand_for_nobody() {
--- a/crates/elderpick-node/src/buffered_stream.rs
+++ b/crates/elderpick-node/src/buffered_stream.rs
@@ -67,6 +67,8 @@
     most_waiting: usize,
     wake: Notify,
     ending: Cell<Ending>,
+    /// The system told an error of it. It tells each once, to whichever call comes first.
+    broken: Cell<bool>,
     /// Why this side ends it, if it does; the first reason stays.
     close_reason: Cell<Option<CloseReason>>,
 }
@@ -93,6 +95,7 @@
             most_waiting: READS_UP_TO + most_owed,
             wake: Notify::new(),
             ending: Cell::new(Ending::No),
+            broken: Cell::new(false),
             close_reason: Cell::default(),
         }
     }
@@ -107,13 +110,27 @@
         self.close_reason.get()
     }
 
+    /// Remembers an error that the system tells of it.
+    fn note_error<T>(&self, result: io::Result<T>) -> io::Result<T> {
+        let passing =
+            |why: &io::Error| matches!(why.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted);
+        if result.as_ref().is_err_and(|why| !passing(why)) {
+            self.broken.set(true);
+        }
+        result
+    }
+
+    fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
+        self.note_error(self.stream.try_write(bytes))
+    }
+
     /// Writes what can be written now and keeps the rest. A peer that reads too little is cut off.
     pub fn send(&self, bytes: &[u8]) {
         if self.ending.get() != Ending::No {
             return;
         }
         let mut waiting = self.waiting.borrow_mut();
-        let written = if waiting.is_empty() { self.stream.try_write(bytes).unwrap_or(0) } else { 0 };
+        let written = if waiting.is_empty() { self.try_write(bytes).unwrap_or(0) } else { 0 };
         if waiting.len() + bytes.len() - written > self.most_waiting {
             self.set_close_reason(CloseReason::Overflow);
             self.ending.set(Ending::Now);
@@ -130,7 +147,7 @@
         if self.ending.get() != Ending::No || !self.waiting.borrow().is_empty() {
             return false;
         }
-        match self.stream.try_write(bytes) {
+        match self.try_write(bytes) {
             Ok(written) if written > 0 => {
                 if written < bytes.len() {
                     self.waiting.borrow_mut().extend(&bytes[written..]);
@@ -144,7 +161,8 @@
 
     /// What would be read first. Asks the system, which may know more than the runtime does.
     fn peek(&self) -> io::Result<usize> {
-        socket2::SockRef::from(&self.stream).peek(&mut [std::mem::MaybeUninit::uninit()])
+        let peeked = socket2::SockRef::from(&self.stream).peek(&mut [std::mem::MaybeUninit::uninit()]);
+        self.note_error(peeked)
     }
 
     /// Whether nothing has come that was not read yet.
@@ -182,7 +200,7 @@
         for _ in 0..MOST_POLL_CHUNKS {
             let mut chunk = [0; POLL_CHUNK];
             let read = match self.ending.get() {
-                Ending::No => (&*socket2::SockRef::from(&self.stream)).read(&mut chunk),
+                Ending::No => self.note_error((&*socket2::SockRef::from(&self.stream)).read(&mut chunk)),
                 _ => return found,
             };
             let Ok(read @ 1..) = read else { return found };
@@ -241,7 +259,7 @@
     /// Whether the peer's system tells within this time, behind an end in order, that it does not take what was sent.
     pub async fn breaks_within(&self, time: Duration) -> bool {
         for _ in 0..BREAK_POLLS {
-            if !matches!(self.stream.take_error(), Ok(None)) {
+            if self.broken.get() || !matches!(self.stream.take_error(), Ok(None)) {
                 return true;
             }
             tokio::time::sleep(time / BREAK_POLLS).await;
@@ -253,7 +271,7 @@
     async fn read(&self, buffer: &RefCell<Vec<u8>>) -> io::Result<usize> {
         loop {
             self.stream.readable().await?;
-            match self.stream.try_read(&mut buffer.borrow_mut()) {
+            match self.note_error(self.stream.try_read(&mut buffer.borrow_mut())) {
                 Err(why) if why.kind() == io::ErrorKind::WouldBlock => {}
                 other => return other,
             }
@@ -263,7 +281,7 @@
     fn flush(&self) -> io::Result<()> {
         let mut waiting = self.waiting.borrow_mut();
         while !waiting.is_empty() {
-            match self.stream.try_write(waiting.as_slices().0) {
+            match self.try_write(waiting.as_slices().0) {
                 Ok(written) => drop(waiting.drain(..written)),
                 Err(why) if why.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(why) => return Err(why),
@@ -282,7 +300,7 @@
                 let read = self.read(buffer).await;
                 let leaving = self.ending.get() == Ending::Leaving;
                 match read {
-                    Ok(0) => return leaving,
+                    Ok(0) => return leaving && !self.broken.get(),
                     Ok(read) if leaving && heard(&buffer.borrow()[..read]) => {}
                     _ => return false,
                 }
@@ -330,7 +348,10 @@
             }
             tokio::select! {
                 read = self.read(buffer), if reads => match read {
-                    Ok(0) => return matches!(self.ending.get(), Ending::No | Ending::Leaving),
+                    Ok(0) => {
+                        let heard_to_the_end = matches!(self.ending.get(), Ending::No | Ending::Leaving);
+                        return heard_to_the_end && !self.broken.get();
+                    }
                     Err(_) => return false,
                     Ok(read) if matches!(self.ending.get(), Ending::No | Ending::Leaving) => {
                         let chunk = buffer.borrow();
