A host whose address another one took is given up, and its viewers hear of it

What callers saw: a viewer whose session stood at a host that died heard nothing, for as long as another host under another name answered at the same address; a set-up that came to that one under the old name stood there for nobody once the list told of both. Cause: connections are opened by address and judged by whatever answers there. A connection that came up behind the death, before two were refused, passed for the dead host's; the list's 'Gone' ends nothing while a connection is up (lifecycle/hosts.rs, health.rs: 'next'). The list tells when an address changed hands: what stood at the host before is over, its connections are closed, and what was meant for it since the successor's start is released there.

--- a/crates/elderpick-lab/tests/lost_ends.rs
+++ b/crates/elderpick-lab/tests/lost_ends.rs
@@ -103,3 +103,32 @@
         assert_eq!(released.ok(), Some(kind::RELEASE), "its viewer is told within 8 s");
     });
 }
+
+/// Before the list tells of it, a set-up for the host that died comes to the one that listens at its address, and plays
+/// there: its viewer hears that it is over, and so does the host.
+#[test]
+fn a_session_that_a_successor_plays_under_the_old_name_is_left_standing() {
+    run(async {
+        let (world, mut viewers) = two_connections("successor-plays").await;
+        world.gateway.pause().await.unwrap();
+        world.hosts[0].die();
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let born = unix_ms();
+        let successor = world.hosts[0].succeeded_by("s-1").await.unwrap();
+        world.gateway.resume().unwrap();
+        until("a connection leads to the successor", || successor.taken() > 0).await;
+        is_served(&mut viewers, 3).await;
+        world.journal.tell_listings(false, &[listing(&world.hosts[0], "Gone", 0)]);
+        world.journal.tell_listings(false, &[listing(&successor, "Ready", born)]);
+        let mut over = Vec::new();
+        for _ in 1..=3 {
+            let message = viewers.next().await.unwrap().expect("a release");
+            assert_eq!(message.kind, kind::RELEASE);
+            over.push(message.session);
+        }
+        over.sort_unstable();
+        assert_eq!(over, [1, 2, 3], "each viewer is told once");
+        let released = || successor.seen().iter().any(|(method, of, _)| method == "TEARDOWN" && *of == 3);
+        until("the successor is told", released).await;
+    });
+}
--- a/crates/elderpick-sessions/src/lifecycle/hosts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/hosts.rs
@@ -1,9 +1,11 @@
 //! The list of hosts.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 use elderpick_core::api::{Event, ListKind, Micros, ServerId, ServerState};
 use elderpick_platform::journal::Listed;
+use elderpick_platform::viewer::cause;
 
 use super::{CLOCK_SKEW, Lifecycle, Output, Server};
 use crate::health::HealthMonitor;
@@ -39,8 +41,13 @@
             let missing = self.servers.iter_mut().filter(|(id, _)| !named.contains(id));
             missing.for_each(|(_, server)| server.listed.entry.state = ServerState::Gone);
         }
+        let mut arrived = BTreeSet::new();
         for host in &hosts {
             let id = host.entry.server.clone();
+            let before = self.servers.get(&id).filter(|s| s.listed.entry.state != ServerState::Gone);
+            if before.is_none_or(|server| server.listed.address != host.address) {
+                arrived.insert(id.clone());
+            }
             match self.servers.get_mut(&id) {
                 Some(server) => {
                     let replaced = Replaced::between(&server.listed, host);
@@ -53,12 +60,62 @@
                 }
             }
         }
+        self.lose_succeeded(now, &hosts, &arrived, out);
         let entries = hosts.into_iter().map(|h| h.entry).collect();
         self.events.push_back(Event::List { kind, entries });
         let gone: Vec<_> = self.servers.keys().cloned().collect();
         gone.iter().for_each(|id| self.remove_if_gone(id));
     }
 
+    /// Gives up hosts whose address another one has by now: connections to them lead to that one, and whatever it says
+    /// there is no sign that they live.
+    fn lose_succeeded(
+        &mut self,
+        now: Micros,
+        news: &[Listed],
+        arrived: &BTreeSet<ServerId>,
+        out: &mut Vec<Output>,
+    ) {
+        for (host, successor) in self.succeeded_hosts(news, arrived) {
+            let began = self.servers.get(&successor).and_then(|s| s.listed.entry.started);
+            let since = began.map(|began| began - CLOCK_SKEW);
+            let placed = self.sessions.iter().filter(|(_, held)| {
+                held.server() == Some(&host) && held.sent_at.is_some_and(|sent| Some(sent) >= since)
+            });
+            let placed: Vec<_> = placed.map(|(session, _)| *session).collect();
+            self.lose_host(now, &host, None, out);
+            if let Some(server) = self.servers.get_mut(&host) {
+                server.replaced_at = Some(now);
+                server.health = HealthMonitor::new(now);
+            }
+            // What was meant for the host since then has come to its successor.
+            for session in placed {
+                self.send_release(now, successor.clone(), session, cause::ENDED_BY_VIEWER, out);
+            }
+        }
+    }
+
+    /// Hosts that are gone, or were listed before another one arrived at their address; each with that one. Only
+    /// addresses that the news names can have changed hands.
+    fn succeeded_hosts(&self, news: &[Listed], arrived: &BTreeSet<ServerId>) -> Vec<(ServerId, ServerId)> {
+        let named: BTreeSet<_> = news.iter().map(|host| host.address).collect();
+        let concerned = || self.servers.iter().filter(|(_, server)| named.contains(&server.listed.address));
+        let is_gone = |server: &Server| server.listed.entry.state == ServerState::Gone;
+        let mut holders: BTreeMap<SocketAddr, &ServerId> = BTreeMap::new();
+        for (id, server) in concerned().filter(|(_, server)| !is_gone(server)) {
+            let holder = holders.entry(server.listed.address).or_insert(id);
+            if arrived.contains(id) {
+                *holder = id;
+            }
+        }
+        let successor_of = |id: &ServerId, server: &Server| {
+            let holder = *holders.get(&server.listed.address)?;
+            let newer = arrived.contains(holder) && !arrived.contains(id);
+            (holder != id && (is_gone(server) || newer)).then(|| holder.clone())
+        };
+        concerned().filter_map(|(id, server)| Some((id.clone(), successor_of(id, server)?))).collect()
+    }
+
     /// Ends what stood at the process before, if there is another.
     fn replace_host(&mut self, now: Micros, id: &ServerId, replaced: Replaced, out: &mut Vec<Output>) {
         let before = match replaced {
