--- a/crates/elderpick-lab/src/soak/trial.rs
+++ b/crates/elderpick-lab/src/soak/trial.rs
@@ -1,6 +1,6 @@
 //! One trial: the world of a gateway's process, its shutdown, and the verdict.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
@@ -119,26 +119,30 @@
 /// Sessions that their viewers take to stand, each with its host: what a platform hands over to a new process. Those
 /// that were cut play nowhere, and nobody could tell the new process of that.
 pub(super) fn standing(record: &Record) -> Vec<(u64, String)> {
-    let (mut hosts, mut served) = (BTreeMap::new(), BTreeSet::new());
+    let (mut answered, mut served) = (BTreeMap::new(), BTreeMap::new());
     for Entry { what, .. } in record.entries() {
         match what {
-            What::Answered { host, session, .. } => {
-                hosts.insert(session, format!("s-{host}"));
+            What::Answered { host, session, description } => {
+                answered.insert((session, description), host);
             }
-            What::Served { session, .. } => {
-                served.insert(session);
+            // Of several hosts that answered, its viewer has the one whose description it was given.
+            What::Served { session, description } => {
+                let host = answered.get(&(session, description)).copied();
+                served.extend(host.map(|host| (session, host)));
             }
             What::Released { session, .. }
             | What::GivenUp { session }
             | What::EndedByViewer { session }
-            | What::Cut { session, .. }
             | What::EndedByHost { session, cause: cause::ENDED_BY_VIEWER, .. } => {
                 served.remove(&session);
             }
+            What::Cut { host, session } if served.get(&session) == Some(&host) => {
+                served.remove(&session);
+            }
             _ => {}
         }
     }
-    hosts.into_iter().filter(|(session, _)| served.contains(session)).collect()
+    served.into_iter().map(|(session, host)| (session, format!("s-{host}"))).collect()
 }
 
 /// Tells the gateway to end for good.
