--- a/crates/elderpick-lab/tests/soak.rs
+++ b/crates/elderpick-lab/tests/soak.rs
@@ -131,6 +131,56 @@
     assert_eq!(clauses([stall, vec![released(1_400)]].concat()), [Clause::NoAnswer]);
 }
 
+#[test]
+fn the_judge_sees_a_session_that_stands_for_nobody() {
+    let left = || entry(110, What::LeftConnection { connection: CONNECTION });
+    let answered_late = || vec![written(100, false), arrived(101, 0), left(), answered(120, 0)];
+    let released = |ms| entry(ms, What::ReleasedAtHost { host: 0, session: SESSION });
+    assert_eq!(clauses([answered_late(), vec![released(500)]].concat()), []);
+    assert_eq!(clauses([answered_late(), vec![released(2_500)]].concat()), [Clause::LeftStanding]);
+    let ended = entry(130, What::EndedByViewer { session: SESSION });
+    assert_eq!(clauses([good(), vec![ended.clone(), released(500)]].concat()), []);
+    assert_eq!(clauses([good(), vec![ended.clone(), released(2_500)]].concat()), [Clause::LeftStanding]);
+    // A host that cannot be reached is told once it can.
+    let cut_off = [entry(125, What::HostSuspended { host: 0 }), entry(1_000, What::HostResumed { host: 0 })];
+    let told_later = [cut_off.to_vec(), good(), vec![ended, released(2_500)]].concat();
+    assert_eq!(clauses(told_later), []);
+}
+
+#[test]
+fn the_judge_knows_which_of_several_processes_had_a_session() {
+    let ended = |ms| entry(ms, What::EndedByHost { host: 0, session: SESSION, cause: 16 });
+    let restarted = || {
+        let end = [entry(1_000, What::Terminated), entry(1_500, What::Ended { clean: true })];
+        let begin = [entry(2_000, What::Started), entry(2_010, What::HandedOver { session: SESSION })];
+        [good(), end.to_vec(), begin.to_vec()].concat()
+    };
+    assert_eq!(clauses([restarted(), vec![ended(2_500), released(2_600)]].concat()), []);
+    assert_eq!(clauses([restarted(), vec![ended(2_500)]].concat()), [Clause::NotReleased]);
+    // An end that no process was there for is told by the one that the session is handed over to.
+    let between = [restarted()[..6].to_vec(), vec![ended(1_700)], restarted()[6..].to_vec()].concat();
+    assert_eq!(clauses(between.clone()), [Clause::NotReleased]);
+    assert_eq!(clauses([between, vec![released(3_000)]].concat()), []);
+    // What was written to the process before is that one's.
+    let unanswered =
+        vec![written(100, false), arrived(101, 0), entry(150, What::Killed), entry(200, What::Started)];
+    assert_eq!(clauses(unanswered), []);
+    let not_ended =
+        [entry(50, What::Terminated), entry(90, What::Ended { clean: false }), entry(95, What::Started)];
+    assert_eq!(clauses(not_ended.to_vec()), [Clause::NotEnded]);
+}
+
+#[test]
+fn the_judge_excuses_a_late_arrival_only_where_the_host_was_out_of_reach() {
+    let late = || vec![written(100, false), entry(110, What::GivenUp { session: SESSION }), arrived(900, 0)];
+    assert_eq!(clauses(late()), [Clause::AfterGiveUp]);
+    let hung = [entry(50, What::HostSuspended { host: 0 }), entry(850, What::HostResumed { host: 0 })];
+    assert_eq!(clauses([hung.to_vec(), late()].concat()), []);
+    let hung_elsewhere =
+        [entry(50, What::HostSuspended { host: 1 }), entry(850, What::HostResumed { host: 1 })];
+    assert_eq!(clauses([hung_elsewhere.to_vec(), late()].concat()), [Clause::AfterGiveUp]);
+}
+
 #[test]
 fn short_trials_under_faults_break_no_rule() {
     let folder = folder("soak");
