Hosts that are back are found by the requests that want them, in a fleet of any size

What callers saw: a gateway told that it is one of 300 refused for half a minute and more while its hosts were back and idle, and used the one that it found first alone. Cause: probe_budget.rs divides the probes of servers that did not answer by the number of gateways, and nothing else may reach such a server. A server that answered its probe kept a back-off of up to 8 s, and time-outs of what was sent into the silence marked it again. Mend: beside the paced probes, each third request earns one probe of a server that was drawn for it and did not answer, after 1 s that does not double; where none is left that answered, a session that may be set up again goes on trial, one a server; an answer ends the back-off; time-outs of what was sent before it are old. So the probes that a server gets follow its requests and not the number of gateways. Tests, failing before: returning_servers.rs (1 to 900 gateways, 3 and 20 and 200 servers, outages of 1, 8 and 60 s, silent and refused): each of 3 used within 3 s, 90% served from the fifth second; before, one gateway alone took 3.9 s and of many some were never used. returning_hosts.rs on a process told of 300 gateways: before, never used within 8 s.

--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -76,6 +76,8 @@
     load_probes: Option<ProbeBudget>,
     /// Probes that may be sent to servers that did not answer.
     reach_probes: Option<ProbeBudget>,
+    /// Probes that requests have earned, for servers that they would use if these answered.
+    wanted_probes: f64,
     /// How often servers of sessions handed over were to be asked for their load.
     load_probe_alarms: usize,
     next_token: u64,
@@ -111,6 +113,7 @@
             alarms: BTreeMap::new(),
             load_probes: None,
             reach_probes: None,
+            wanted_probes: 0.0,
             load_probe_alarms: 0,
             next_token: LOAD_PROBE_TOKEN + 1,
             request_times: Vec::new(),
--- a/crates/elderpick-core/src/policy/lifecycle.rs
+++ b/crates/elderpick-core/src/policy/lifecycle.rs
@@ -1,6 +1,6 @@
 //! The events of a session, from its request or its hand-over to its end.
 
-use super::state::{Session, Wish};
+use super::state::{Server, Session, Wish};
 use super::{Controller, LEAST_PRICED, LIST_TOKEN, LOAD_PROBE_TOKEN};
 use crate::api::{Action, Micros, Report, RequestId, ServerId, Status, Viewing};
 
@@ -14,6 +14,7 @@
         self.request_times.retain(|&at| at >= since);
         self.retry_times.retain(|&at| at >= since);
         self.probe_unresponsive();
+        self.earn_wanted_probe();
         self.probe_unknown();
         let Some(class) = self.settings.classes.get(viewing.class) else {
             return self.out.push(Action::Fail { id });
@@ -82,7 +83,11 @@
         let began_here = session.deadline < Micros::MAX;
         let Some(server) = self.vacate(id) else { return };
         let never_ran = matches!(status, Status::Full | Status::ConnectError | Status::Ignored);
-        self.record_status(&server, status);
+        // Sent into a silence that has ended, it tells nothing of the server as it is now.
+        let is_old = |server: &Server| status == Status::TimedOut && sent_at < server.answered_at;
+        if !self.servers.get(&server).is_some_and(is_old) {
+            self.record_status(&server, status);
+        }
         self.record_report(&server, report.link, report.uplink);
         if over {
             self.sessions.remove(&id);
--- a/crates/elderpick-core/src/policy/placement.rs
+++ b/crates/elderpick-core/src/policy/placement.rs
@@ -1,6 +1,6 @@
 //! Candidates for a session: a few random holders, of which the least loaded is taken.
 
-use super::state::{Load, LoadReport, Server, Session};
+use super::state::{Load, LoadReport, Server, Session, Use};
 use super::{CANDIDATES, Controller, SHORTEST_ATTEMPT};
 use crate::api::{Effect, Group, Placement, RefusalReason, RequestId, ServerId, ServerState};
 
@@ -23,7 +23,7 @@
         }
         let others = self.load_of_others();
         let zone = self.settings.zone;
-        let weighed = self.draw(id).into_iter().map(|server| {
+        let weighed = self.draw_usable(id).into_iter().map(|server| {
             let to = &self.servers[&server];
             let (link, uplink) = (self.link_load(to, others), self.uplink_load(self.rack_of(to), others));
             let away = if to.entry.zone != zone { ZONE_BIAS } else { 0.0 };
@@ -78,15 +78,25 @@
         self.sessions.get(&id)?.placement
     }
 
+    /// Draws holders that answered of late. Exception: where there is none, of those that did not, since what is
+    /// known of them is old: they may be back, and a session that may be set up again finds out. Harm: it loses
+    /// some of its time where they are not.
+    fn draw_usable(&mut self, id: RequestId) -> Vec<ServerId> {
+        let drawn = self.draw(id, false);
+        let class = &self.settings.classes[self.sessions[&id].wish.class];
+        let goes_on_trial = self.settings.may_probe && class.effect != Effect::SingleShot;
+        if drawn.is_empty() && goes_on_trial { self.draw(id, true) } else { drawn }
+    }
+
     /// Draws usable holders at random, large ones as much more often as they are larger.
     ///
     /// Exception: in a large fleet few of those drawn have told this gateway their load, so that a pick among
     /// them is blind. Then some of the servers that told theirs of late are drawn as well.
-    fn draw(&mut self, id: RequestId) -> Vec<ServerId> {
+    fn draw(&mut self, id: RequestId, untested: bool) -> Vec<ServerId> {
         // Where most servers show the same trouble its cause is shared, and avoiding them helps nobody.
         let failing = self.failing_servers.iter().filter(|id| !self.servers[*id].unresponsive).count();
-        let shared = 2 * failing > self.up.len();
-        let mut drawn = Vec::new();
+        let using = Use { shared: 2 * failing > self.up.len(), untested };
+        let (mut drawn, mut unanswered) = (Vec::new(), Vec::new());
         for by_size in [true, false] {
             for k in 0..self.up.len() {
                 if drawn.len() >= CANDIDATES {
@@ -96,16 +106,22 @@
                 self.up.swap(k, other);
                 let (chance, server) = (self.unit(), &self.up[k]);
                 let passed = by_size && chance * self.largest > self.servers[server].size;
-                if !passed && !drawn.contains(server) && self.usable(id, server, shared) {
+                if passed || drawn.contains(server) {
+                    continue;
+                }
+                if self.usable(id, server, using) {
                     drawn.push(server.clone());
+                } else if self.servers[server].unresponsive && self.eligible(id, server) {
+                    unanswered.push(server.clone());
                 }
             }
         }
+        self.probe_wanted(&unanswered);
         // Few of many cold servers have a turn that is this gateway's: one that has joins the draw.
         if self.settings.cold.is_some() && !drawn.iter().any(|id| self.is_cold(&self.servers[id])) {
             let (up, from) = (self.up.len(), self.below(self.up.len()));
             let mut others = (0..up).map(|k| &self.up[(from + k) % up]);
-            let open = others.find(|s| self.is_cold(&self.servers[*s]) && self.usable(id, s, shared));
+            let open = others.find(|s| self.is_cold(&self.servers[*s]) && self.usable(id, s, using));
             drawn.extend(open.cloned());
         }
         let mut known = drawn.iter().filter(|id| self.is_known(id)).count();
@@ -113,7 +129,7 @@
         while known < CANDIDATES && !told.is_empty() {
             let k = told.swap_remove(self.below(told.len()));
             let server = &self.reports[k].1;
-            if !drawn.contains(server) && self.is_known(server) && self.usable(id, server, shared) {
+            if !drawn.contains(server) && self.is_known(server) && self.usable(id, server, using) {
                 known += 1;
                 drawn.push(server.clone());
             }
@@ -121,13 +137,17 @@
         drawn
     }
 
-    fn usable(&self, id: RequestId, server: &ServerId, shared: bool) -> bool {
+    fn usable(&self, id: RequestId, server: &ServerId, using: Use) -> bool {
+        self.eligible(id, server) && self.healthy(&self.sessions[&id], &self.servers[server], using)
+    }
+
+    /// Whether the list and the rules let a session go to a server, in whatever health that is.
+    fn eligible(&self, id: RequestId, server: &ServerId) -> bool {
         let (session, server) = (&self.sessions[&id], &self.servers[server]);
         server.entry.state == ServerState::Up
             && self.holds(session, server)
             && !session.attempted.contains(&server.entry.server)
             && self.group_allows(session, server)
-            && self.healthy(session, server, shared)
     }
 
     /// Whether a server holds the title that is asked for.
--- a/crates/elderpick-core/src/policy/probe_budget.rs
+++ b/crates/elderpick-core/src/policy/probe_budget.rs
@@ -6,6 +6,9 @@
 
 /// Probes that a server gets from all gateways together, in a second: loads are measured about as often.
 const PROBES_PER_SERVER: f64 = 2.0;
+/// Requests for each probe of a server that they would use if it answered: in a fleet of any size the probes
+/// that a server gets for that stay a part of its requests.
+const REQUESTS_PER_WANTED_PROBE: f64 = 3.0;
 /// What was not used is saved up for so long.
 const SAVED_FOR: Micros = 500_000;
 
@@ -64,4 +67,18 @@
         self.reach_probes = Some(budget);
         available
     }
+
+    /// A request came, and with it part of a probe.
+    pub(super) fn earn_wanted_probe(&mut self) {
+        self.wanted_probes = (self.wanted_probes + REQUESTS_PER_WANTED_PROBE.recip()).min(1.0);
+    }
+
+    /// Whether requests have earned a probe of a server that one of them would use.
+    pub(super) fn may_probe_wanted(&mut self) -> bool {
+        let available = self.wanted_probes >= 1.0;
+        if available {
+            self.wanted_probes -= 1.0;
+        }
+        available
+    }
 }
--- a/crates/elderpick-core/src/policy/state.rs
+++ b/crates/elderpick-core/src/policy/state.rs
@@ -32,8 +32,12 @@
     pub(super) cut: Option<(Micros, f64)>,
     pub(super) failures: u32,
     pub(super) avoid_until: Micros,
+    /// Did not answer; a session that would use it may find out from this time on whether it does.
+    pub(super) retry_at: Micros,
     /// Did not answer, and no probe has reached it since.
     pub(super) unresponsive: bool,
+    /// When it last answered again behind that.
+    pub(super) answered_at: Micros,
     /// Seen to die, and not yet to answer again.
     pub(super) lost: bool,
     /// First answer after it was seen to die.
@@ -54,7 +58,9 @@
             cut: None,
             failures: 0,
             avoid_until: 0,
+            retry_at: 0,
             unresponsive: false,
+            answered_at: 0,
             lost: false,
             back: None,
             given: (0, 0),
@@ -103,6 +109,15 @@
     pub(super) rung_pending: bool,
 }
 
+/// Which servers in doubtful health a draw takes.
+#[derive(Clone, Copy)]
+pub(super) struct Use {
+    /// Those that failed, since most do and the cause is shared.
+    pub(super) shared: bool,
+    /// Those that did not answer, since no others are left.
+    pub(super) untested: bool,
+}
+
 /// Capacity of a link or uplink and what is asked of it, in kB a second.
 #[derive(Clone, Copy)]
 pub(super) struct Load {
