Virtual hosts have an address each

The lifecycle's tests listed all hosts at one address, which since the mend of taken addresses makes each arrival the successor of the others. They passed all the same; with an address each they test what they name again. Sessions' tests pass.

--- a/crates/elderpick-sessions/tests/common/mod.rs
+++ b/crates/elderpick-sessions/tests/common/mod.rs
@@ -131,10 +131,15 @@
     format!("class {class}")
 }
 
+/// Where the first host listens.
+const FIRST_PORT: u16 = 10_000;
+
 fn listed(host: usize, state: ServerState, started: Option<Micros>) -> Listed {
     let (zone, kind, cell, weight) = (0, 0, 0, 1.0);
     let entry = Entry { server: name(host), zone, kind, cell, state, weight, started };
-    Listed { address: ([127, 0, 0, 1], 9).into(), entry }
+    // Each host has an address of its own: one that another takes is over.
+    let port = FIRST_PORT + u16::try_from(host).expect("few hosts");
+    Listed { address: ([127, 0, 0, 1], port).into(), entry }
 }
 
 /// The description that hosts give for a session.
--- a/crates/elderpick-sessions/tests/lifecycle.rs
+++ b/crates/elderpick-sessions/tests/lifecycle.rs
@@ -60,7 +60,9 @@
 
 fn listed(name: &str, state: ServerState, started: Option<Micros>) -> Listed {
     let entry = Entry { server: server(name), zone: 0, kind: 0, cell: 0, state, weight: 1.0, started };
-    Listed { address: ([127, 0, 0, 1], 9).into(), entry }
+    // Each name has an address of its own.
+    let port = name.bytes().fold(9, |port: u16, byte| port.wrapping_mul(31).wrapping_add(u16::from(byte)));
+    Listed { address: ([127, 0, 0, 1], port).into(), entry }
 }
 
 fn asks(session: u64, class: &str) -> SetUp {
