A session handed over at a host that the list names later is released there

Cause: a hand-over at an unknown host was ended towards its viewer alone, on the belief that a host has sessions only after it was told (docs/design/crossings.md). The host is remembered as one to be told, and is told as soon as the list names it. The test fails before (nothing is sent) and passes now.

--- a/crates/elderpick-sessions/src/lifecycle/hosts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/hosts.rs
@@ -61,6 +61,9 @@
             }
         }
         self.lose_succeeded(now, &hosts, &arrived, out);
+        for host in &arrived {
+            self.resend_releases(now, host, |_| true, out);
+        }
         let entries = hosts.into_iter().map(|h| h.entry).collect();
         self.events.push_back(Event::List { kind, entries });
         let gone: Vec<_> = self.servers.keys().cloned().collect();
--- a/crates/elderpick-sessions/src/lifecycle/requests.rs
+++ b/crates/elderpick-sessions/src/lifecycle/requests.rs
@@ -94,8 +94,10 @@
         let Asked { session, conn, received_at, viewing } = asked;
         let ended = Output::SessionEnded { conn: Some(conn), session, cause: cause::FAILED };
         let Some(to) = self.servers.get_mut(&server).filter(|_| self.sessions.len() < MOST_SESSIONS) else {
-            // It plays nowhere that is known: its viewer is to come again.
+            // It plays nowhere that is known: its viewer is to come again. The list may name its host later, which is
+            // told then.
             self.counts.rejected += 1;
+            self.unconfirmed.renew(now, (server, session), ());
             return out.push(ended);
         };
         if to.replaced_at.is_some_and(|replaced| received_at < replaced) {
--- a/crates/elderpick-sessions/tests/lifecycle.rs
+++ b/crates/elderpick-sessions/tests/lifecycle.rs
@@ -631,6 +631,21 @@
     assert_eq!(world.feed(hand), [lost]);
 }
 
+/// Its host took the address of one that the process before had it set up at, before the list told of that.
+#[test]
+fn a_session_handed_over_at_a_host_that_the_list_names_later_is_left_standing() {
+    let mut world = World::new(&["a"]);
+    let mut handed = asks(1, "free");
+    handed.figures.at = Some("b".into());
+    let hand = Input::SetUp { conn: 5, received_at: world.now, set_up: handed };
+    let lost = Output::SessionEnded { conn: Some(5), session: 1, cause: cause::FAILED };
+    assert_eq!(world.feed(hand), [lost]);
+    world.pass(500 * MS);
+    let out = world.list(listed("b", ServerState::Up, Some(world.now)));
+    let release = Output::Release { server: server("b"), session: 1, cause: cause::ENDED_BY_VIEWER };
+    assert_eq!(out, [release], "its host is told");
+}
+
 #[test]
 fn a_closed_connection_gives_its_set_ups_up_and_leaves_what_stands() {
     let mut world = World::new(&["a"]);
