--- a/crates/elderpick-lab/src/soak/fleet/gateway.rs
+++ b/crates/elderpick-lab/src/soak/fleet/gateway.rs
@@ -10,8 +10,8 @@
 use serde_json::{Value, json};
 use tokio::task::spawn_local;
 
-use super::plan::{LifeEnd, LifePlan};
-use crate::platform::{Gateway, Journal, Listing, Viewers};
+use super::plan::{JournalTrouble, LifeEnd, LifePlan};
+use crate::platform::{Gateway, Journal, Listing, Speaks, Viewers};
 use crate::soak::plan::Plan;
 use crate::soak::record::{Record, What};
 use crate::soak::trial::{self, TrialError};
@@ -19,6 +19,8 @@
 
 /// The sessions of one gateway's viewers are numbered so far apart from the next one's.
 const SESSIONS_PER_GATEWAY: u64 = 1 << 32;
+/// What a journal in trouble would have told counts as told so much later.
+const TOLD_IN_TROUBLE_AFTER: Duration = Duration::from_secs(4);
 /// Pause between two tests of a gateway that has just started.
 const TEST_AGAIN: Duration = Duration::from_millis(5);
 
@@ -31,6 +33,8 @@
     program: PathBuf,
     /// The journal that tells it of the list now.
     journal: RefCell<Rc<Journal>>,
+    /// What happens to its journal, and when.
+    pub journal_trouble: Option<(Duration, JournalTrouble)>,
     gateways: usize,
 }
 
@@ -47,7 +51,40 @@
         std::fs::create_dir_all(&folder)?;
         let journal = Journal::start().await.map_err(TrialError::Gateway)?;
         let (journal, program) = (RefCell::new(Rc::new(journal)), program.to_owned());
-        Ok(FleetGateway { number, plan, record, folder, program, journal, gateways })
+        let journal_trouble = None;
+        Ok(FleetGateway { number, plan, record, folder, program, journal, journal_trouble, gateways })
+    }
+
+    /// Notes that its list has told that a host is over: at once, or when that counts as told.
+    pub fn note_replaced(&self, host: usize) {
+        let delay = self.journal_trouble.map_or(Duration::ZERO, |_| TOLD_IN_TROUBLE_AFTER);
+        let record = self.record.clone();
+        spawn_local(async move {
+            tokio::time::sleep(delay).await;
+            record.add(What::ReplacementListed { host });
+        });
+    }
+
+    /// Lets the trouble of its journal happen. A journal that it is told of meanwhile has none.
+    pub async fn suffer_journal(self: Rc<Self>) {
+        let Some((at, trouble)) = self.journal_trouble else { return };
+        tokio::time::sleep(at).await;
+        let journal = self.journal.borrow().clone();
+        let speaks_for = |speaks, lasts| {
+            let journal = journal.clone();
+            async move {
+                journal.speaks.set(speaks);
+                journal.break_off();
+                tokio::time::sleep(lasts).await;
+                journal.speaks.set(Speaks::Well);
+            }
+        };
+        match trouble {
+            JournalTrouble::BreaksOff => journal.break_off(),
+            JournalTrouble::FallsSilent => journal.fall_silent(),
+            JournalTrouble::Closes { lasts } => speaks_for(Speaks::Closing, lasts).await,
+            JournalTrouble::Mute { lasts } => speaks_for(Speaks::NotAtAll, lasts).await,
+        }
     }
 
     /// Tells its list of hosts.
@@ -98,7 +135,9 @@
             }
             self.serve(&gateway, life).await?;
             match life.end {
-                LifeEnd::Terminated => trial::terminate(&mut gateway, &shared).await?,
+                LifeEnd::Terminated => {
+                    trial::terminate(&mut gateway, &shared, life.signals_again_after).await?
+                }
                 LifeEnd::Killed => {
                     gateway.signal(Signal::SIGKILL).map_err(TrialError::Gateway)?;
                     self.record.add(What::Killed);
--- a/crates/elderpick-lab/src/soak/fleet/machine.rs
+++ b/crates/elderpick-lab/src/soak/fleet/machine.rs
@@ -134,12 +134,13 @@
         }
     }
 
-    /// Lets its trouble happen. `tell` tells all gateways' lists of it: what they name it, for each gateway.
+    /// Lets its trouble happen. `tell` tells all gateways' lists of it: what they name it, for each gateway, and the
+    /// number of the host that is over by that.
     pub async fn suffer(
         self: Rc<Self>,
         trouble: MachineTrouble,
         successor: usize,
-        tell: impl Fn(&dyn Fn(usize) -> Vec<Listing>),
+        tell: impl Fn(&dyn Fn(usize) -> Vec<Listing>, Option<usize>),
     ) -> std::io::Result<()> {
         tokio::time::sleep(trouble.at).await;
         let before = self.number.get();
@@ -149,12 +150,11 @@
                 tokio::time::sleep(gone_for).await;
                 self.come_back().await?;
                 tokio::time::sleep(trouble.told_after).await;
-                tell(&|gateway| vec![self.listing(gateway, "Ready")]);
-                self.record(What::ReplacementListed { host: before });
+                tell(&|gateway| vec![self.listing(gateway, "Ready")], Some(before));
             }
             Trouble::Succeeded { gone_for, drains_for } => {
                 if !drains_for.is_zero() {
-                    tell(&|gateway| vec![self.listing(gateway, "Terminating")]);
+                    tell(&|gateway| vec![self.listing(gateway, "Terminating")], None);
                     tokio::time::sleep(drains_for).await;
                 }
                 let gone: Vec<_> =
@@ -163,9 +163,8 @@
                 tokio::time::sleep(gone_for).await;
                 self.become_another(successor).await?;
                 tokio::time::sleep(trouble.told_after).await;
-                tell(&|gateway| vec![gone[gateway].clone()]);
-                tell(&|gateway| vec![self.listing(gateway, "Ready")]);
-                self.record(What::ReplacementListed { host: before });
+                tell(&|gateway| vec![gone[gateway].clone()], None);
+                tell(&|gateway| vec![self.listing(gateway, "Ready")], Some(before));
             }
             Trouble::Hangs { lasts } => {
                 self.record(What::HostSuspended { host: before });
--- a/crates/elderpick-lab/src/soak/fleet/plan.rs
+++ b/crates/elderpick-lab/src/soak/fleet/plan.rs
@@ -38,6 +38,27 @@
     pub gone_for: Duration,
     /// When it gets SIGHUP, each time with another journal.
     pub hang_ups: Vec<Duration>,
+    /// It gets SIGHUP and a second SIGTERM so long behind the first.
+    pub signals_again_after: Option<Duration>,
+}
+
+/// What happens to the journal of a gateway.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum JournalTrouble {
+    /// Its streams break off in the middle of an event.
+    BreaksOff,
+    /// Its streams stay open and say nothing more.
+    FallsSilent,
+    /// For a while it answers calls and closes.
+    Closes {
+        /// For how long.
+        lasts: Duration,
+    },
+    /// For a while calls are answered, and nothing is said.
+    Mute {
+        /// For how long.
+        lasts: Duration,
+    },
 }
 
 /// What happens to a machine.
@@ -108,6 +129,8 @@
     pub machines: usize,
     /// What viewers and media hosts do.
     pub base: Plan,
+    /// What happens to the journal of each gateway, and when.
+    pub journals: Vec<Option<(Duration, JournalTrouble)>>,
     /// What happens to machines.
     pub troubles: Vec<MachineTrouble>,
     /// What happens to connections.
@@ -141,7 +164,14 @@
         base.longest_session = LONGEST_SESSION;
         base.client_resets = 0.4;
         let troubles = (0..machines).flat_map(|machine| draw_trouble(&mut random, machine)).collect();
-        let lives = (0..gateways).map(|_| draw_lives(&mut random)).collect();
+        let mut lives: Vec<_> = (0..gateways).map(|_| draw_lives(&mut random)).collect();
+        // Of a stream of their own: what else a seed draws stays as it is.
+        let mut others = ChaCha8Rng::seed_from_u64(seed);
+        others.set_stream(1);
+        let journals = (0..gateways).map(|_| draw_journal_trouble(&mut others)).collect();
+        for life in lives.iter_mut().flatten() {
+            life.signals_again_after = others.random_bool(0.3).then(|| draw_ms(&mut others, 10..1_200));
+        }
         // About as much as is asked for in the mean, so that some machines are short at times.
         let asked = gateways as f64 * base.rate * LONGEST_SESSION.as_secs_f64() / 2.0 / machines as f64;
         FleetPlan {
@@ -149,6 +179,7 @@
             gateways: lives,
             machines,
             base,
+            journals,
             troubles,
             proxy: ProxyShares {
                 reset_new: 0.02,
@@ -193,7 +224,20 @@
     Some(MachineTrouble { machine, at, trouble, told_after: draw_ms(random, 10..1_500) })
 }
 
-/// Two or three processes behind one another, of which each but the last ends early.
+fn draw_journal_trouble(random: &mut ChaCha8Rng) -> Option<(Duration, JournalTrouble)> {
+    let at = draw_time(random, QUIET_FOR, FAULTS_WITHIN);
+    let lasts = draw_ms(random, 300..3_000);
+    let trouble = match random.random_range(0..10) {
+        0 => JournalTrouble::BreaksOff,
+        1 => JournalTrouble::FallsSilent,
+        2 => JournalTrouble::Closes { lasts },
+        3 => JournalTrouble::Mute { lasts },
+        _ => return None,
+    };
+    Some((at, trouble))
+}
+
+/// Up to three processes behind one another, of which each but the last ends early.
 fn draw_lives(random: &mut ChaCha8Rng) -> Vec<LifePlan> {
     let count = random.random_range(1..=3);
     let mut lives: Vec<_> = (0..count)
@@ -202,6 +246,7 @@
             end: if random.random_bool(0.6) { LifeEnd::Terminated } else { LifeEnd::Killed },
             gone_for: draw_ms(random, 20..900),
             hang_ups: (0..random.random_range(0..3)).map(|_| draw_ms(random, 300..1_100)).collect(),
+            signals_again_after: None,
         })
         .collect();
     if let Some(last) = lives.last_mut() {
--- a/crates/elderpick-lab/src/soak/fleet/trial.rs
+++ b/crates/elderpick-lab/src/soak/fleet/trial.rs
@@ -111,15 +111,16 @@
         .collect();
     let mut faults: Vec<_> =
         machines.iter().map(|machine| spawn_local(machine.clone().watch_delivery())).collect();
+    faults.extend(gateways.iter().map(|gateway| spawn_local(gateway.clone().suffer_journal())));
     for trouble in plan.troubles.iter().copied() {
         let (machine, gateways) = (machines[trouble.machine].clone(), gateways.clone());
         let successor = plan.machines + trouble.machine;
         faults.push(spawn_local(async move {
-            let tell = |listings: &dyn Fn(usize) -> Vec<Listing>| {
-                gateways
-                    .iter()
-                    .enumerate()
-                    .for_each(|(number, gateway)| gateway.tell(false, &listings(number)));
+            let tell = |listings: &dyn Fn(usize) -> Vec<Listing>, over: Option<usize>| {
+                for (number, gateway) in gateways.iter().enumerate() {
+                    gateway.tell(false, &listings(number));
+                    over.into_iter().for_each(|host| gateway.note_replaced(host));
+                }
             };
             if let Err(why) = machine.suffer(trouble, successor, tell).await {
                 eprintln!("a machine's trouble cannot be played: {why}");
@@ -152,7 +153,9 @@
     for (number, record) in records.iter().enumerate() {
         let of_gateway = plan.of_gateway(number);
         let places = (program, folder);
-        let gateway = FleetGateway::new(number, records.len(), of_gateway, record.clone(), places).await?;
+        let mut gateway =
+            FleetGateway::new(number, records.len(), of_gateway, record.clone(), places).await?;
+        gateway.journal_trouble = plan.journals[number];
         gateways.push(Rc::new(gateway));
     }
     Ok(gateways)
--- a/crates/elderpick-lab/src/soak/trial.rs
+++ b/crates/elderpick-lab/src/soak/trial.rs
@@ -147,14 +147,19 @@
 
 /// Tells the gateway to end for good.
 async fn shut_down(mut gateway: Gateway, shared: &Rc<Shared>) -> Result<(), TrialError> {
-    terminate(&mut gateway, shared).await?;
+    terminate(&mut gateway, shared, None).await?;
     shared.asks.set(false);
     shared.finished.set(true);
     Ok(())
 }
 
-/// Tells the gateway to end and kills it at the earliest time; viewers go on all the while.
-pub(super) async fn terminate(gateway: &mut Gateway, shared: &Rc<Shared>) -> Result<(), TrialError> {
+/// Tells the gateway to end and kills it at the earliest time; viewers go on all the while. It may get SIGHUP and
+/// SIGTERM `again` some time behind the first.
+pub(super) async fn terminate(
+    gateway: &mut Gateway,
+    shared: &Rc<Shared>,
+    again: Option<Duration>,
+) -> Result<(), TrialError> {
     let (plan, record) = (&shared.plan, &shared.record);
     record.add(What::Terminated);
     gateway.signal(Signal::SIGTERM).map_err(TrialError::Gateway)?;
@@ -174,6 +179,13 @@
             record.add(What::Resumed);
         }
     }
+    if let Some(after) = again
+        && tokio::time::timeout(after, gateway.child.wait()).await.is_err()
+    {
+        for signal in [Signal::SIGHUP, Signal::SIGTERM] {
+            gateway.signal(signal).map_err(TrialError::Gateway)?;
+        }
+    }
     let ended = tokio::time::timeout_at(killed_at, gateway.child.wait()).await;
     match ended {
         Ok(status) => record.add(What::Ended { clean: status?.success() }),
