An answer that overstates its length is not served with what its host said next

What callers saw: 'served' with a description that no host made: the description and 1 to 7 bytes, or a whole TEARDOWN, of another session behind it; the viewer of that other session heard nothing of its end either. Cause: a body is as long as its head says, whatever comes. The rest of a message whose first bytes went to the body is noise and spoils the answer before it (distrust_answers), but not where it passes for a message: EARDOWN is as good a method as TEARDOWN to the decoder (rtsp.rs, first_line, may_begin), and behind a whole message nothing is left. A body with another message's first line and CSeq, and a method that the protocol does not have, end the connection as unreadable; what came right before is spoilt, and the connection's end has the host say the rest again on the next one.

--- a/crates/elderpick-lab/src/platform/host.rs
+++ b/crates/elderpick-lab/src/platform/host.rs
@@ -37,6 +37,8 @@
     HoldsRefusal(u16),
     /// Answers with a `Content-Length` that is so many bytes less than the description.
     Understates(usize),
+    /// Answers with a `Content-Length` that is so many bytes more than the description.
+    Overstates(usize),
 }
 
 /// What a host's connection is told to do.
@@ -393,6 +395,10 @@
                         let body = description(session);
                         say(answer_of(session, &body, body.len() - bytes));
                     }
+                    Does::Overstates(bytes) => {
+                        let body = description(session);
+                        say(answer_of(session, &body, body.len() + bytes));
+                    }
                     Does::Doubles => say([answer(session), answer(session), answer(!session)].concat()),
                     Does::EndsAtOnce(cause) => {
                         say([answer(session), note(session), rtsp::teardown(session, Some(cause))].concat());
--- a/crates/elderpick-node/src/hosts/received.rs
+++ b/crates/elderpick-node/src/hosts/received.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use elderpick_core::api::{Note, Report, ServerId, Status};
+use elderpick_platform::DecodeError;
 use elderpick_platform::rtsp::{self, Start, cseq};
 use elderpick_sessions::lifecycle::Input;
 
@@ -69,7 +70,7 @@
         let mut decoder = connection.decoder.borrow_mut();
         decoder.push(chunk);
         loop {
-            match decoder.message() {
+            match decoder.message().and_then(|message| message.map(intact).transpose()) {
                 Ok(Some(message)) => self.host_message(server, connection, &message),
                 Ok(None) => break,
                 Err(why) => {
@@ -164,6 +165,20 @@
     }
 }
 
+/// Passes a message on, unless it shows that an answer overstated its length: one that took what its host said next
+/// along, or what is left of that.
+fn intact(message: rtsp::Message) -> Result<rtsp::Message, DecodeError> {
+    match &message.start {
+        Start::Response { .. } if rtsp::holds_a_message(&message.body) => {
+            Err(DecodeError("an answer holds another message"))
+        }
+        Start::Request { method } if !rtsp::is_known_method(method) => {
+            Err(DecodeError("a method that the protocol does not have"))
+        }
+        _ => Ok(message),
+    }
+}
+
 /// What an answer to a set-up means.
 fn set_up_status(status: u16) -> Status {
     match status {
--- a/crates/elderpick-platform/src/rtsp.rs
+++ b/crates/elderpick-platform/src/rtsp.rs
@@ -136,6 +136,28 @@
     }
 }
 
+/// The methods of the platform's protocol.
+const METHODS: [&str; 6] = ["SETUP", "TEARDOWN", "OPTIONS", "ANNOUNCE", "REDIRECT", "SET_PARAMETER"];
+
+/// Whether the protocol has this method. What is left of a message whose first bytes went to an answer that overstated
+/// its length begins with none of them.
+pub fn is_known_method(method: &str) -> bool {
+    METHODS.contains(&method)
+}
+
+/// Whether a body holds the first line of a message and the header behind it: the answer that it belongs to overstated
+/// its length.
+pub fn holds_a_message(body: &[u8]) -> bool {
+    let begins = |at: usize| {
+        let line = body[at..].split(|byte| *byte == b'\r').next().unwrap_or_default();
+        body[at + line.len()..].starts_with(b"\r\nCSeq:")
+    };
+    body.windows(RTSP_VERSION.len()).enumerate().any(|(at, window)| window == RTSP_VERSION && begins(at))
+}
+
+/// What each first line holds.
+const RTSP_VERSION: &[u8] = b"RTSP/1.0";
+
 /// Longest name of a method.
 const MOST_METHOD: usize = 32;
 
