Soak: spoilt and doubled answers in fleets; addresses of dead stand-ins stay theirs

Answers that overstate or understate their length, noise, and second answers up to 5 ms later, 3% each. An address is held by a bound socket for as long as its stand-in lives, which also ends a busy wait for it that made trials void.

--- a/crates/elderpick-lab/src/soak.rs
+++ b/crates/elderpick-lab/src/soak.rs
@@ -13,6 +13,7 @@
 pub mod plan;
 mod process;
 pub mod record;
+mod reserved;
 mod trial;
 pub mod viewers;
 
--- a/crates/elderpick-lab/src/soak/fleet/machine.rs
+++ b/crates/elderpick-lab/src/soak/fleet/machine.rs
@@ -59,7 +59,7 @@
     }
 
     fn address(&self, gateway: usize) -> SocketAddr {
-        self.faces[gateway].proxy.address
+        self.faces[gateway].proxy.address()
     }
 
     /// The machine as the list of a gateway names it.
@@ -98,7 +98,7 @@
         self.born_now();
         for face in &self.faces {
             let host = face.host.borrow().clone();
-            host.listen_again().await?;
+            host.come_back().await?;
             face.proxy.come_back(host.address).await?;
         }
         Ok(())
--- a/crates/elderpick-lab/src/soak/fleet/plan.rs
+++ b/crates/elderpick-lab/src/soak/fleet/plan.rs
@@ -156,8 +156,16 @@
         base.hosts = machines;
         base.connections = random.random_range(2..=4);
         base.rate = random.random_range(6.0..14.0);
-        base.shares =
-            HostShares { silent: 0.03, full: 0.03, failed: 0.02, reset: 0.02, cut: 0.02, left: 0.06 };
+        base.shares = HostShares {
+            silent: 0.03,
+            full: 0.03,
+            failed: 0.02,
+            reset: 0.02,
+            cut: 0.02,
+            left: 0.06,
+            spoilt: 0.03,
+            doubled: 0.03,
+        };
         base.gives_up = 0.1;
         base.crowd_at = crowd_at;
         base.kill = None;
--- a/crates/elderpick-lab/src/soak/fleet/proxy.rs
+++ b/crates/elderpick-lab/src/soak/fleet/proxy.rs
@@ -8,11 +8,12 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, spawn_local};
 
 use super::plan::ProxyShares;
+use crate::soak::reserved::ReservedAddress;
 
 /// Connections that the system takes before the proxy does.
 const BACKLOG: u32 = 256;
@@ -24,8 +25,6 @@
 const BREAKS_WITHIN_MS: std::ops::Range<u64> = 20..3_000;
 /// How long a connection stalls, in milliseconds.
 const STALLS_FOR_MS: std::ops::Range<u64> = 10..300;
-/// Pause between two tries to listen where another one did.
-const LISTEN_AGAIN: Duration = Duration::from_millis(1);
 
 /// How a connection is treated.
 #[derive(Clone, Copy, Debug)]
@@ -58,7 +57,7 @@
 /// The way of one gateway to one machine.
 pub(super) struct Proxy {
     /// Where the gateway finds the machine.
-    pub address: SocketAddr,
+    reserved: ReservedAddress,
     inside: Rc<Inside>,
     accepting: RefCell<Option<AbortHandle>>,
     /// Listens without taking any connection, and the connection that fills its queue.
@@ -72,7 +71,8 @@
         shares: ProxyShares,
         random: ChaCha8Rng,
     ) -> std::io::Result<Proxy> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let reserved = ReservedAddress::take()?;
+        let listener = reserved.listen(BACKLOG).await?;
         let inside = Inside {
             target: Cell::new(target),
             shares,
@@ -81,7 +81,7 @@
             tasks: RefCell::default(),
         };
         let proxy = Proxy {
-            address: listener.local_addr()?,
+            reserved,
             inside: Rc::new(inside),
             accepting: RefCell::default(),
             held: RefCell::default(),
@@ -120,23 +120,14 @@
     /// Listens again, and passes on to `target`.
     pub async fn come_back(&self, target: SocketAddr) -> std::io::Result<()> {
         self.inside.target.set(target);
-        let listener = self.listen(BACKLOG).await?;
+        let listener = self.reserved.listen(BACKLOG).await?;
         self.accept(listener);
         Ok(())
     }
 
-    /// Listens at the address, once nobody else does.
-    async fn listen(&self, backlog: u32) -> std::io::Result<TcpListener> {
-        loop {
-            let socket = TcpSocket::new_v4()?;
-            socket.set_reuseaddr(true)?;
-            match socket.bind(self.address).and_then(|()| socket.listen(backlog)) {
-                Err(why) if why.kind() == std::io::ErrorKind::AddrInUse => {
-                    tokio::time::sleep(LISTEN_AGAIN).await;
-                }
-                listener => return listener,
-            }
-        }
+    /// Where the gateway finds the machine.
+    pub fn address(&self) -> SocketAddr {
+        self.reserved.address
     }
 
     /// Nothing is passed on any more; connections still come up, as with a process that hangs.
@@ -149,8 +140,8 @@
         self.hang();
         self.stop_listening();
         // One connection fits that is not taken.
-        let listener = self.listen(0).await?;
-        let filler = TcpStream::connect(self.address).await?;
+        let listener = self.reserved.listen(0).await?;
+        let filler = TcpStream::connect(self.reserved.address).await?;
         *self.held.borrow_mut() = Some((listener, filler));
         Ok(())
     }
--- a/crates/elderpick-lab/src/soak/host.rs
+++ b/crates/elderpick-lab/src/soak/host.rs
@@ -11,7 +11,7 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, spawn_local};
 
@@ -19,6 +19,7 @@
 use super::pieces;
 use super::plan::Plan;
 use super::record::{Record, What};
+use super::reserved::ReservedAddress;
 
 /// The status of a host that is full.
 const FULL: u16 = 453;
@@ -72,6 +73,7 @@
     pub name: String,
     /// Where it listens.
     pub address: SocketAddr,
+    reserved: Rc<ReservedAddress>,
     inside: Rc<Inside>,
 }
 
@@ -88,8 +90,9 @@
         record: &Record,
         load: Rc<MachineLoad>,
     ) -> std::io::Result<RandomHost> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
+        let reserved = Rc::new(ReservedAddress::take()?);
+        let listener = reserved.listen(BACKLOG).await?;
+        let address = reserved.address;
         let inside = Rc::new(Inside {
             number,
             plan: plan.clone(),
@@ -103,7 +106,7 @@
             unconfirmed: RefCell::default(),
         });
         inside.clone().accept(listener);
-        Ok(RandomHost { name: format!("s-{number}"), address, inside })
+        Ok(RandomHost { name: format!("s-{number}"), address, reserved, inside })
     }
 
     /// Its process dies: its connections end and its sessions are cut.
@@ -125,16 +128,6 @@
         }
     }
 
-    /// Another process listens where it did, once the one before is gone.
-    pub async fn listen_again(&self) -> std::io::Result<()> {
-        loop {
-            match self.come_back().await {
-                Err(why) if why.kind() == std::io::ErrorKind::AddrInUse => tokio::task::yield_now().await,
-                other => return other,
-            }
-        }
-    }
-
     /// Tells the gateway of each session's delivery, as a share of its rate.
     pub fn tell_delivery(&self, share: f64) {
         for (session, standing) in self.inside.standing.borrow().iter() {
@@ -153,12 +146,9 @@
         }
     }
 
-    /// Another process listens where it did.
+    /// Another process listens where it did, once the one before is gone.
     pub async fn come_back(&self) -> std::io::Result<()> {
-        let socket = TcpSocket::new_v4()?;
-        socket.set_reuseaddr(true)?;
-        socket.bind(self.address)?;
-        self.inside.clone().accept(socket.listen(BACKLOG)?);
+        self.inside.clone().accept(self.reserved.listen(BACKLOG).await?);
         Ok(())
     }
 }
@@ -177,10 +167,32 @@
 
 fn answer(host: usize, session: u64) -> Vec<u8> {
     let body = description(host, session);
-    let length = body.len();
+    answer_with(session, body.len(), &body)
+}
+
+/// An answer with this description, of which the head tells this length.
+fn answer_with(session: u64, length: usize, body: &str) -> Vec<u8> {
     let head =
         format!("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: {session:016x}\r\nContent-Length: {length}\r\n\r\n");
-    [head, body].concat().into_bytes()
+    [&head, body].concat().into_bytes()
+}
+
+/// Ways to spoil an answer.
+const SPOILS: u32 = 3;
+/// Most bytes by which a length is overstated, and understated.
+const MOST_OVERSTATED: usize = 160;
+const MOST_UNDERSTATED: usize = 8;
+/// A second answer comes within this time.
+const DOUBLED_WITHIN_US: u64 = 5_000;
+
+/// An answer that no viewer may be given.
+fn spoilt_answer(random: &mut ChaCha8Rng, host: usize, session: u64) -> Vec<u8> {
+    let body = description(host, session);
+    match random.random_range(0..SPOILS) {
+        0 => answer_with(session, body.len() + random.random_range(1..=MOST_OVERSTATED), &body),
+        1 => answer_with(session, body.len() - random.random_range(1..=MOST_UNDERSTATED), &body),
+        _ => b"RTSP/1.0 200 OK\r\nCSeq: 1\r\n\x07\x01\x02 noise\r\n\r\n".to_vec(),
+    }
 }
 
 impl Inside {
@@ -325,7 +337,12 @@
             drop(outputs.send(Output::Reset));
             return;
         }
-        let bytes = answer(self.number, session);
+        let mut bytes = answer(self.number, session);
+        if draw > 1.0 - shares.spoilt {
+            bytes = spoilt_answer(&mut self.random.borrow_mut(), self.number, session);
+        } else if draw > 1.0 - shares.spoilt - shares.doubled {
+            self.clone().answer_again(outputs.clone(), bytes.clone());
+        }
         bound += shares.cut;
         let description = description(self.number, session);
         self.record.add(What::Answered { host: self.number, session, description });
@@ -340,6 +357,15 @@
         self.end_in_time(session, draw < bound + shares.left).await;
     }
 
+    /// Sends an answer a second time, some milliseconds later.
+    fn answer_again(self: Rc<Self>, outputs: Outputs, bytes: Vec<u8>) {
+        let after = Duration::from_micros(self.random.borrow_mut().random_range(0..DOUBLED_WITHIN_US));
+        spawn_local(async move {
+            tokio::time::sleep(after).await;
+            let _ = outputs.send(Output::Message(bytes));
+        });
+    }
+
     /// Waits until a session ends by itself.
     async fn end_in_time(&self, session: u64, left: bool) {
         let (lasts, cause) = {
--- a/crates/elderpick-lab/src/soak/plan.rs
+++ b/crates/elderpick-lab/src/soak/plan.rs
@@ -60,6 +60,10 @@
     pub cut: f64,
     /// The viewer leaves at the host right behind the answer.
     pub left: f64,
+    /// The answer cannot be read, or tells a length that does not fit.
+    pub spoilt: f64,
+    /// The answer comes twice, the second time some milliseconds later.
+    pub doubled: f64,
 }
 
 /// A kill without a warning, and the start behind it.
@@ -149,6 +153,8 @@
             reset: network,
             cut: network,
             left: if has(Scenario::Clients) { 0.1 } else { 0.0 },
+            spoilt: 0.0,
+            doubled: 0.0,
         };
         let crowd_at = random.random_range(300..900);
         let stall_at: f64 = random.random();
