Soak: the judge asks for the release of an end at the host that served

It keeps ends and cuts by host now, and takes those of the host whose description the viewer was given; an end by a viewer at another host no longer excuses a release. Cheats for both.

--- a/crates/elderpick-lab/src/soak/judge.rs
+++ b/crates/elderpick-lab/src/soak/judge.rs
@@ -85,8 +85,10 @@
     arrived: Vec<(Duration, usize)>,
     answered: Vec<Answered>,
     full: BTreeSet<usize>,
-    ended_by_host: Option<EndedByHost>,
-    cut: Option<(Duration, usize)>,
+    /// What each host said of its end.
+    ended_by_host: BTreeMap<usize, EndedByHost>,
+    /// When the death of each host cut it.
+    cut: BTreeMap<usize, Duration>,
     /// When it ended at each host where it stood.
     over_at: BTreeMap<usize, Duration>,
 }
@@ -102,7 +104,6 @@
 #[derive(Clone, Copy)]
 struct EndedByHost {
     at: Duration,
-    host: usize,
     cause: u8,
 }
 
@@ -208,11 +209,11 @@
                 self.full.insert(*host);
             }
             What::EndedByHost { host, cause, .. } => {
-                self.ended_by_host = Some(EndedByHost { at, host: *host, cause: *cause });
+                self.ended_by_host.insert(*host, EndedByHost { at, cause: *cause });
                 self.over_at.insert(*host, at);
             }
             What::Cut { host, .. } => {
-                self.cut = Some((at, *host));
+                self.cut.insert(*host, at);
                 self.over_at.insert(*host, at);
             }
             What::ReleasedAtHost { host, .. } => {
@@ -251,6 +252,14 @@
         Some(first.max(answered.at))
     }
 
+    /// The host whose answer its viewer was given.
+    fn serving_host(&self) -> Option<usize> {
+        let served = |answered: &&Answered| {
+            self.finals.iter().any(|(_, what)| *what == Final::Served(answered.description.clone()))
+        };
+        self.answered.iter().find(served).map(|answered| answered.host)
+    }
+
     fn was_served(&self) -> bool {
         self.finals.iter().any(|(_, what)| matches!(what, Final::Served(_)))
     }
@@ -352,7 +361,8 @@
 }
 
 fn is_not_released(seen: &Seen, process: &Process) -> bool {
-    let by_viewer = seen.ended_by_host.is_some_and(|end| end.cause == ENDED_BY_VIEWER);
+    let end = seen.serving_host().and_then(|host| seen.ended_by_host.get(&host));
+    let by_viewer = end.is_some_and(|end| end.cause == ENDED_BY_VIEWER);
     let viewer_left = by_viewer || seen.given_up.is_some() || seen.ended_by_viewer.is_some();
     let Some(due) = release_due(seen, process).filter(|_| !viewer_left) else { return false };
     !seen.finals.iter().any(|(at, what)| *what == Final::Released && *at <= due)
@@ -377,17 +387,18 @@
         .map(|(_, due)| due)
 }
 
-/// When a session was over, and when the gateway can know it at the latest: from its host as soon as that can be
-/// reached, from the list behind its death, or from its silence.
+/// When a session was over at the host that served it, and when the gateway can know it at the latest: from its host as
+/// soon as that can be reached, from the list behind its death, or from its silence.
 fn heard_of_end(seen: &Seen, process: &Process) -> Option<(Duration, Duration)> {
     let untold = |over: Duration| over + RELEASED_UNTOLD_WITHIN - RELEASED_WITHIN;
-    match seen.cut {
+    let host = seen.serving_host()?;
+    match seen.cut.get(&host) {
         None => {
-            let end = seen.ended_by_host?;
-            let told = process.reachable_since(end.host, end.at);
+            let end = seen.ended_by_host.get(&host)?;
+            let told = process.reachable_since(host, end.at);
             Some((end.at, told.min(untold(end.at))))
         }
-        Some((over, host)) => {
+        Some(&over) => {
             let listed = process.replaced(host).map(|listed| listed.max(over));
             Some((over, listed.unwrap_or(untold(over)).min(untold(over))))
         }
--- a/crates/elderpick-lab/tests/soak.rs
+++ b/crates/elderpick-lab/tests/soak.rs
@@ -170,6 +170,24 @@
     assert_eq!(clauses(not_ended.to_vec()), [Clause::NotEnded]);
 }
 
+#[test]
+fn the_judge_asks_for_the_release_of_an_end_at_the_host_that_served() {
+    let ended = |ms, host, cause| entry(ms, What::EndedByHost { host, session: SESSION, cause });
+    let cut_elsewhere = entry(130, What::Cut { host: 1, session: SESSION });
+    let answered_elsewhere =
+        entry(110, What::Answered { host: 1, session: SESSION, description: "made by host 1".to_owned() });
+    let both = || [good(), vec![answered_elsewhere.clone(), cut_elsewhere.clone()]].concat();
+    assert_eq!(clauses(both()), [], "it plays on where it was served");
+    assert_eq!(clauses([both(), vec![ended(200, 0, 16)]].concat()), [Clause::NotReleased]);
+    let left_elsewhere =
+        [good(), vec![answered_elsewhere.clone(), ended(130, 1, 31), ended(200, 0, 16)]].concat();
+    assert_eq!(
+        clauses(left_elsewhere),
+        [Clause::NotReleased],
+        "who left another host is owed this one's end"
+    );
+}
+
 #[test]
 fn the_judge_excuses_a_late_arrival_only_where_the_host_was_out_of_reach() {
     let late = || vec![written(100, false), entry(110, What::GivenUp { session: SESSION }), arrived(900, 0)];
