Only hosts with something on them are given up for a successor

The list names each taken address of a replaced fleet: without sessions or attempts there is nothing to end, and 'a host is given up' with its count would say so for each. Hosts that arrive gone are no successors. Sessions' tests, lost_ends.rs and crossings.rs pass.

--- a/crates/elderpick-sessions/src/lifecycle/hosts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/hosts.rs
@@ -45,7 +45,8 @@
         for host in &hosts {
             let id = host.entry.server.clone();
             let before = self.servers.get(&id).filter(|s| s.listed.entry.state != ServerState::Gone);
-            if before.is_none_or(|server| server.listed.address != host.address) {
+            let is_new = before.is_none_or(|server| server.listed.address != host.address);
+            if is_new && host.entry.state != ServerState::Gone {
                 arrived.insert(id.clone());
             }
             match self.servers.get_mut(&id) {
@@ -80,6 +81,10 @@
         out: &mut Vec<Output>,
     ) {
         for (host, successor) in self.succeeded_hosts(news, arrived) {
+            let stands = self.has_sessions_at(&host);
+            if !stands && !self.sessions.values().any(|held| held.is_out_at(&host)) {
+                continue;
+            }
             let began = self.servers.get(&successor).and_then(|s| s.listed.entry.started);
             let since = began.map(|began| began - CLOCK_SKEW);
             let placed = self.sessions.iter().filter(|(_, held)| {
