--- a/crates/elderpick-lab/src/soak/viewers.rs
+++ b/crates/elderpick-lab/src/soak/viewers.rs
@@ -151,13 +151,14 @@
     let _ = stream.set_nodelay(true);
     let (mut reads, writes) = stream.into_split();
     let (outputs, queue) = mpsc::unbounded_channel();
+    // The platform hands over all that plays: it does not leave in the middle.
+    let stays = if first.is_empty() { shared.stays(&mut random.borrow_mut()) } else { LONGEST_STAY };
     first.into_iter().for_each(|output| drop(outputs.send(output)));
     let resets = Rc::new(Notify::new());
     let queue = Queue { queue, connection, resets: resets.clone() };
     let writing = spawn_local(write(shared.clone(), random.clone(), writes, queue));
     let asking = spawn_local(ask(shared.clone(), random.clone(), outputs.clone()));
     let (mut decoder, mut chunk) = (Decoder::default(), vec![0; 4096]);
-    let stays = shared.stays(&mut random.borrow_mut());
     let reading = async {
         while let Ok(read @ 1..) = reads.read(&mut chunk).await {
             decoder.push(&chunk[..read]);
--- a/crates/elderpick-lab/tests/spoilt_answers.rs
+++ b/crates/elderpick-lab/tests/spoilt_answers.rs
@@ -1,6 +1,9 @@
-//! Answers whose length is overstated, on real sockets: what their host says next is no part of them.
+//! Answers whose length does not fit, on real sockets: what their host says next is no part of them, and what is left of
+//! them shows that they were cut.
 
-use elderpick_lab::platform::{Does, Viewers};
+use std::time::Duration;
+
+use elderpick_lab::platform::{Does, Viewers, description};
 use elderpick_platform::rtsp;
 use elderpick_platform::viewer::{cause, kind};
 
@@ -44,3 +47,27 @@
         is_not_served(rtsp::teardown(1, Some(cause::GIVEN_UP)).len()).await;
     });
 }
+
+/// The rest of an answer that understates its length comes by itself, some milliseconds later.
+#[test]
+fn an_answer_whose_rest_comes_later_is_served_without_it() {
+    run(async {
+        let world = world("understated", 1, 256).await;
+        let mut viewers = Viewers::connect(world.gateway.address).await.unwrap();
+        world.hosts[0].script(&[Does::Holds]);
+        viewers.ask(1, "free", None).await.unwrap();
+        until("it is out", || !host_saw(&world, "SETUP", 1).is_empty()).await;
+        let body = description(1);
+        let (told, rest) = body.split_at(body.len() - 4);
+        let head = format!(
+            "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: {:016x}\r\nContent-Length: {}\r\n\r\n",
+            1,
+            told.len()
+        );
+        world.hosts[0].say_on_connection_of(1, &[head.as_bytes(), told].concat());
+        tokio::time::sleep(Duration::from_millis(2)).await;
+        world.hosts[0].say_on_connection_of(1, rest);
+        let answer = viewers.next().await.unwrap().expect("an answer");
+        assert_eq!(answer.kind, kind::RELEASE, "it is served cut: {:?}", common::described(&answer));
+    });
+}
