An end that nobody can be told of at the shutdown is left to the next process

What callers saw: a viewer heard nothing of its session's end, nor did the next process of its gateway. Cause: each end is confirmed as it is read, also where no viewers' connection is left that could carry its release. While the gateway ends, such an end is not confirmed: its host says it again on the next connection, to the next process.

--- a/crates/elderpick-lab/tests/lost_ends.rs
+++ b/crates/elderpick-lab/tests/lost_ends.rs
@@ -132,3 +132,20 @@
         until("the successor is told", released).await;
     });
 }
+
+/// While a gateway ends and no viewers' connection is left, it can tell nobody of an end: the host tells the next process
+/// what was not confirmed.
+#[test]
+fn an_end_that_can_be_told_to_nobody_at_the_shutdown_is_confirmed_and_lost() {
+    run(async {
+        let mut world = world("end-at-shutdown", 1, 256).await;
+        let mut viewers = connect(&world).await;
+        is_served(&mut viewers, 1).await;
+        world.gateway.signal(nix::sys::signal::Signal::SIGTERM).unwrap();
+        drop(viewers);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        world.hosts[0].end(1, cause::GIVEN_UP);
+        assert!(world.gateway.child.wait().await.unwrap().success());
+        assert!(!world.hosts[0].heard().contains(&1), "the next process is to hear of it");
+    });
+}
--- a/crates/elderpick-node/src/hosts/received.rs
+++ b/crates/elderpick-node/src/hosts/received.rs
@@ -111,7 +111,10 @@
             Start::Request { method } => match method.as_str() {
                 "TEARDOWN" => {
                     let attempt = connection.take_out(session, None).map(|(attempt, _)| attempt);
-                    connection.stream.send(&rtsp::response(200, message.cseq, session));
+                    // An end that nobody can be told of any more is left to the next process.
+                    if !self.shutting_down.get() || self.client_for(None).is_some() {
+                        connection.stream.send(&rtsp::response(200, message.cseq, session));
+                    }
                     let (cause, report) = (message.cause().unwrap_or(0), self.report(message));
                     self.feed(Input::Released { server, session, attempt, cause, report });
                 }
