--- a/crates/elderpick-lab/tests/soak_fleet.rs
+++ b/crates/elderpick-lab/tests/soak_fleet.rs
@@ -8,7 +8,7 @@
 
 /// Each trial: its seed, and how many gateways it has.
 const TRIALS: [(u64, usize); 4] = [(1, 24), (2, 12), (4, 24), (8, 6)];
-/// A trial that is void, since the machine was busy, is played again so often.
+/// A trial that breaks a rule while this program ran late, since the machine was busy, is played again so often.
 const MOST_VOID: usize = 3;
 /// So many have to be judged, however busy the machine is.
 const LEAST_JUDGED: usize = 2;
@@ -22,13 +22,14 @@
             for _ in 0..MOST_VOID {
                 let plan = FleetPlan::draw(seed, gateways);
                 let outcome = fleet::run(&program(), &folder.join(seed.to_string()), &plan).await.unwrap();
-                if outcome.is_void() {
-                    eprintln!("seed {seed}: void, {:?} late", outcome.ran_late);
-                    continue;
-                }
                 assert!(outcome.served() > 0, "seed {seed}");
                 let breaks = outcome.breaks().map(|(gateway, broken)| format!("gateway {gateway}: {broken}"));
                 let breaks: Vec<_> = breaks.collect();
+                // What keeps all rules though this program ran late keeps them.
+                if outcome.is_void() && !breaks.is_empty() {
+                    eprintln!("seed {seed}: void, {:?} late", outcome.ran_late);
+                    continue;
+                }
                 assert!(breaks.is_empty(), "seed {seed}, {gateways} gateways:\n{}", breaks.join("\n"));
                 judged += 1;
                 break;
