--- a/crates/elderpick-lab/src/soak/fleet/trial.rs
+++ b/crates/elderpick-lab/src/soak/fleet/trial.rs
@@ -30,7 +30,7 @@
 /// How a trial ended.
 #[derive(Debug)]
 pub struct FleetOutcome {
-    /// How late the trial's own program ran at most; it says nothing if that is more than [`LATEST`].
+    /// How late the trial's own program ran at most; it says nothing if that is too much, see [`FleetOutcome::is_void`].
     pub ran_late: Duration,
     /// By gateway.
     pub gateways: Vec<GatewayOutcome>,
