--- a/crates/elderpick-core/src/policy/placement.rs
+++ b/crates/elderpick-core/src/policy/placement.rs
@@ -78,9 +78,9 @@
         self.sessions.get(&id)?.placement
     }
 
-    /// Draws holders that answered of late. Exception: where there is none, of those that did not, since what is
-    /// known of them is old: they may be back, and a session that may be set up again finds out. Harm: it loses
-    /// some of its time where they are not.
+    /// Draws holders that answered of late. Exception: where there is none, of those that did not, since what
+    /// is known of them is old: they may be back, and a session that may be set up again finds out. Harm: it
+    /// loses some of its time where they are not.
     fn draw_usable(&mut self, id: RequestId) -> Vec<ServerId> {
         let drawn = self.draw(id, false);
         let class = &self.settings.classes[self.sessions[&id].wish.class];
