--- a/crates/elderpick-sessions/src/lifecycle.rs
+++ b/crates/elderpick-sessions/src/lifecycle.rs
@@ -54,6 +54,9 @@
 /// Ends of sessions that are not held here: one that is handed over only then is over already. Hand-overs come right
 /// after the first test is passed, and a start may take 30 s.
 const ENDS_KEPT_FOR: Micros = 60_000_000;
+/// Sessions that were handed over at hosts that the list does not have: any client may name any host, so that their number
+/// is bounded by what all may take of memory.
+const MOST_AT_UNKNOWN_HOSTS: usize = 4_096;
 /// Clocks of hosts and gateways differ by less than this.
 const CLOCK_SKEW: Micros = 200_000;
 /// A session that ends so soon behind its answer may have ended before its viewer read that.
@@ -167,6 +170,8 @@
     recent_answers: ExpiringMap<u64>,
     /// What ended before it was held here, with its host where that said so, and the cause.
     recent_ends: ExpiringMap<(u64, Option<ServerId>), u8>,
+    /// What was handed over at a host that the list does not have, which is told once the list names it.
+    at_unknown_hosts: ExpiringMap<(ServerId, u64)>,
     attempts: AttemptId,
     timers: BinaryHeap<Reverse<(Micros, Timer)>>,
     events: VecDeque<Event>,
@@ -197,6 +202,7 @@
             unconfirmed: ExpiringMap::new(MOST_REMEMBERED, LONGEST_OUTAGE),
             recent_answers: ExpiringMap::new(MOST_REMEMBERED, ANSWERS_KEPT_FOR),
             recent_ends: ExpiringMap::new(MOST_REMEMBERED, ENDS_KEPT_FOR),
+            at_unknown_hosts: ExpiringMap::new(MOST_AT_UNKNOWN_HOSTS, ENDS_KEPT_FOR),
             attempts: 0,
             timers: BinaryHeap::new(),
             events: VecDeque::new(),
--- a/crates/elderpick-sessions/src/lifecycle/hosts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/hosts.rs
@@ -62,15 +62,25 @@
             }
         }
         self.lose_succeeded(now, &hosts, &arrived, out);
-        for host in &arrived {
-            self.resend_releases(now, host, |_| true, out);
-        }
+        arrived.iter().for_each(|host| self.release_handed_over_early(now, host, out));
         let entries = hosts.into_iter().map(|h| h.entry).collect();
         self.events.push_back(Event::List { kind, entries });
         let gone: Vec<_> = self.servers.keys().cloned().collect();
         gone.iter().for_each(|id| self.remove_if_gone(id));
     }
 
+    /// Tells a host that the list names now of sessions that were handed over there before and ended for that.
+    fn release_handed_over_early(&mut self, now: Micros, host: &ServerId, out: &mut Vec<Output>) {
+        let all = (host.clone(), u64::MIN)..=(host.clone(), u64::MAX);
+        let early: Vec<_> = self.at_unknown_hosts.keys(now, all).cloned().collect();
+        for (server, session) in early {
+            self.at_unknown_hosts.remove(now, &(server.clone(), session));
+            if !self.sessions.contains_key(&session) {
+                self.send_release(now, server, session, cause::ENDED_BY_VIEWER, out);
+            }
+        }
+    }
+
     /// Gives up hosts whose address another one has by now: connections to them lead to that one, and whatever it says
     /// there is no sign that they live.
     fn lose_succeeded(
--- a/crates/elderpick-sessions/src/lifecycle/requests.rs
+++ b/crates/elderpick-sessions/src/lifecycle/requests.rs
@@ -97,7 +97,7 @@
             // It plays nowhere that is known: its viewer is to come again. The list may name its host later, which is
             // told then.
             self.counts.rejected += 1;
-            self.unconfirmed.renew(now, (server, session), ());
+            self.at_unknown_hosts.renew(now, (server, session), ());
             return out.push(ended);
         };
         if to.replaced_at.is_some_and(|replaced| received_at < replaced) {
