--- a/crates/elderpick-lab/src/seats.rs
+++ b/crates/elderpick-lab/src/seats.rs
@@ -99,8 +99,6 @@
     sid: String,
     /// A second device's request had no answer that tells whether it plays now.
     unclear: Cell<bool>,
-    /// Until when a renewal without an answer may have given the seat.
-    may_last_until: Cell<i64>,
 }
 
 /// An answer, by whom, and the session's key if it plays.
@@ -200,7 +198,7 @@
                         (token, right, until) = (fresh.0, fresh.1, until.max(fresh.1));
                         self.believes(Some(until));
                     }
-                    _ => return self.may_last_until.set(self.may_last_until.get().max(fresh.1)),
+                    _ => return,
                 }
             } else if what < 0.6 {
                 let fresh = self.token();
@@ -212,7 +210,7 @@
                         self.believes(Some(until));
                     }
                     // It may have taken effect or not.
-                    _ => return self.may_last_until.set(self.may_last_until.get().max(fresh.1)),
+                    _ => return,
                 }
             } else if what < 0.8 {
                 self.count("retries");
@@ -260,8 +258,7 @@
                 }
             } else if what < 0.955 {
                 self.count("expiries");
-                let last = until.max(self.may_last_until.get());
-                let left = (last - now() + 300_000).max(0) as u64;
+                let left = (until - now() + 300_000).max(0) as u64;
                 tokio::time::sleep(Duration::from_micros(left)).await;
                 let Some(to) = self.run.fleet.gateways[home].address.get() else { return };
                 let path = format!("{session}/main.m3u8");
@@ -312,15 +309,7 @@
         let licence = LICENCES[[0, 0, 0, 0, 0, 1, 1, 2][k % 8]].0;
         let (holder, sid) = (format!("viewer-{k}"), format!("s{k}"));
         viewers.push(spawn_local(
-            Viewer {
-                run: run.clone(),
-                licence,
-                holder,
-                sid,
-                unclear: Cell::new(false),
-                may_last_until: Cell::new(0),
-            }
-            .live(),
+            Viewer { run: run.clone(), licence, holder, sid, unclear: Cell::new(false) }.live(),
         ));
     }
     let killer = {
