Review: releases wait for a set-up where only a tested connection is open

Cause: Node::client_for takes only connections on which a set-up was read, so that a release without its own connection is not sent on one that carries the front's tests, though "what ends it may be sent on any connection from viewers". Nothing of the program is changed.

--- /dev/null
+++ b/review/standin/src/main.rs
@@ -0,0 +1,29 @@
+//! One case of the review: `standin CASE ROOT FOLDER`. `TROUBLE=0` leaves the disruption out.
+//! Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
+
+mod kit;
+mod lost_release;
+mod site;
+
+use std::path::PathBuf;
+
+/// What a case is started with.
+pub struct Start {
+    pub root: PathBuf,
+    pub folder: PathBuf,
+    pub trouble: bool,
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, root, folder] = &arguments[..] else { kit::cannot_run("usage: standin CASE ROOT FOLDER") };
+    kit::watchdog(112);
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let start = Start { root: root.into(), folder: folder.into(), trouble };
+    let broken = match case.as_str() {
+        "lost-release" => lost_release::run(&start),
+        _ => kit::cannot_run("no such case"),
+    };
+    println!("{}", if broken { "broken" } else { "held" });
+    kit::finish(i32::from(broken));
+}
