Review: bad clients make the gateway grow past its memory limit

Cause: the alarm of a request's deadline stays in `alarms` and `timers` until the viewer's time is up, an hour at most, whatever became of the request. No bound counts these, and limits.memory_mb bounds nothing. Nothing of the program is changed.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -3,6 +3,7 @@
 
 mod kit;
 mod lost_release;
+mod memory;
 mod site;
 
 use std::path::PathBuf;
@@ -21,6 +22,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let start = Start { root: root.into(), folder: folder.into(), trouble };
     let broken = match case.as_str() {
+        "memory" => memory::run(&start),
         "lost-release" => lost_release::run(&start),
         _ => kit::cannot_run("no such case"),
     };
