--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -1,6 +1,7 @@
 //! One case of the review: `standin CASE ROOT FOLDER`. `TROUBLE=0` leaves the disruption out.
 //! Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
 
+mod drain_slow;
 mod kit;
 mod lost_release;
 mod memory;
@@ -22,6 +23,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let start = Start { root: root.into(), folder: folder.into(), trouble };
     let broken = match case.as_str() {
+        "drain-slow" => drain_slow::run(&start),
         "memory" => memory::run(&start),
         "lost-release" => lost_release::run(&start),
         _ => kit::cannot_run("no such case"),
