--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,6 +2,7 @@
 //! Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
 
 mod drain_slow;
+mod drain_stall;
 mod kit;
 mod lost_release;
 mod memory;
@@ -24,6 +25,7 @@
     let start = Start { root: root.into(), folder: folder.into(), trouble };
     let broken = match case.as_str() {
         "drain-slow" => drain_slow::run(&start),
+        "drain-stall" => drain_stall::run(&start),
         "memory" => memory::run(&start),
         "lost-release" => lost_release::run(&start),
         _ => kit::cannot_run("no such case"),
