Review: bad clients stop the gateway while they go on

Cause: hand_over takes a client's word for up to 50,000 sessions, each request passes over all of them several times (some 30 ms), and all that one read brought is handled before anything else has its turn. Nothing of the program is changed.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -3,6 +3,7 @@
 
 mod drain_slow;
 mod drain_stall;
+mod hang;
 mod kit;
 mod lost_release;
 mod memory;
@@ -26,6 +27,7 @@
     let broken = match case.as_str() {
         "drain-slow" => drain_slow::run(&start),
         "drain-stall" => drain_stall::run(&start),
+        "hang" => hang::run(&start),
         "memory" => memory::run(&start),
         "lost-release" => lost_release::run(&start),
         _ => kit::cannot_run("no such case"),
