--- a/review/standin/src/kit.rs
+++ b/review/standin/src/kit.rs
@@ -96,6 +96,11 @@
 
 pub struct HostState {
     pub act: Act,
+    /// One in so many answers tells a length that lacks its last line; 0 for none. Each answer comes in two pieces then.
+    pub understates: u64,
+    /// Each answer comes in two pieces, its last line so many milliseconds behind the rest.
+    pub pieces: Option<u64>,
+    answers: u64,
     /// Titles that begin so it cannot use: answered with an error after so many milliseconds.
     pub unknown: Option<(String, u64)>,
     /// Sessions that stand: the connection that they were set up on.
@@ -154,6 +159,9 @@
         let addr = listener.local_addr().unwrap();
         let state = HostState {
             act: Act::Answer(20),
+            understates: 0,
+            pieces: None,
+            answers: 0,
             unknown: None,
             standing: BTreeMap::new(),
             open: BTreeMap::new(),
@@ -361,7 +369,27 @@
             }
             let body = description(&self.name, session);
             let text = response(200, "1", session, "", &body);
-            if (&stream).write_all(text.as_bytes()).is_err() {
+            let last = body.trim_end().rfind("\r\n").map_or(0, |k| body.len() - k - 2);
+            if let Some(ms) = state.pieces {
+                state.answers += 1;
+                let short = state.understates > 0 && state.answers % state.understates == 0;
+                let told = if short { body.len() - last } else { body.len() };
+                let text = text
+                    .replace(&format!("Content-Length: {}", body.len()), &format!("Content-Length: {told}"));
+                let (first, rest) = text.split_at(text.len() - last);
+                if short {
+                    self.record.add(&format!(
+                        "host {} tells {told} bytes of {} for {session:016x}",
+                        self.name,
+                        body.len()
+                    ));
+                }
+                if (&stream).write_all(first.as_bytes()).is_err() {
+                    return;
+                }
+                sleep_ms(ms);
+                let _ = (&stream).write_all(rest.as_bytes());
+            } else if (&stream).write_all(text.as_bytes()).is_err() {
                 return;
             }
             state.standing.insert(session, stream);
@@ -483,6 +511,8 @@
     pub at: u64,
     pub kind: u8,
     pub cause: u8,
+    /// The description.
+    pub text: String,
 }
 
 #[derive(Clone, Default)]
@@ -555,7 +585,7 @@
                         rest = &rest[3 + n..];
                     }
                     log.add(&format!("viewer gets type {kind} {session:016x} cause {cause} {text:?}"));
-                    let came = Came { at: now(), kind, cause };
+                    let came = Came { at: now(), kind, cause, text };
                     let stood = {
                         let mut inbox = inbox.0.lock().unwrap();
                         let all = inbox.entry(session).or_default();
@@ -696,11 +726,6 @@
         Gateway { addr, child, record: record.clone() }
     }
 
-    pub fn signal(&self, name: &str) {
-        self.record.add(&format!("gateway gets SIG{name}"));
-        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {}", self.child.id())).status();
-    }
-
     /// Waits until a test is passed.
     pub fn wait_ready(&self, inbox: &Inbox) {
         let until = Instant::now() + Duration::from_secs(30);
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -7,6 +7,7 @@
 mod lost_release;
 mod memory;
 mod site;
+mod wrong_data;
 
 use std::path::PathBuf;
 
@@ -26,6 +27,7 @@
     let broken = match case.as_str() {
         "drain-slow" => drain_slow::run(&start),
         "hang" => hang::run(&start),
+        "wrong-data" => wrong_data::run(&start),
         "memory" => memory::run(&start),
         "lost-release" => lost_release::run(&start),
         _ => kit::cannot_run("no such case"),
