--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -49,34 +49,6 @@
         }
     }
 
-    /// As `galway-main`.
-    pub fn galway(cells: usize) -> Site {
-        Site {
-            classes: vec![
-                Class {
-                    name: "sheet-zoom",
-                    effect: "free",
-                    aim_ms: 1_500,
-                    limit_ms: 5_000,
-                    floor: 1,
-                    seats: 0,
-                },
-                Class {
-                    name: "label-clip",
-                    effect: "free",
-                    aim_ms: 800,
-                    limit_ms: 3_000,
-                    floor: 0,
-                    seats: 0,
-                },
-            ],
-            max_attempts: 3,
-            grace_ms: 1_000,
-            budget: Some((3.0, 0.2, 10_000)),
-            ..Site::piedmont(cells)
-        }
-    }
-
     pub fn config(&self, listen: SocketAddr, journal: SocketAddr, known: &str) -> String {
         let list =
             |field: &dyn Fn(&Class) -> String| self.classes.iter().map(field).collect::<Vec<_>>().join(",");
