Review: each run.sh names its record.txt, and stand-ins are built under target/

Cause: that record.txt is written could only be seen in the stand-ins, and their build folder lay among the cases, with what the compiler writes of the machine. No check, bound or disruption is changed.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,13 +1,14 @@
 #!/bin/sh
 # A resting connection of viewers ends; the front's other connection, on which it tests, stays open.
+# Writes what was sent, answered and run to record.txt beside this file.
 # Exit status: 0 the rule held, 1 it was broken, 2 the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-program=review/target/release/standin
+program=target/review/release/standin
 if [ ! -x "$program" ] || [ ! -x target/release/elderpick ]; then
     echo "build first: the deploy file's build, then review/build.sh" >&2
     exit 2
 fi
-"$program" lost-release "$PWD" "$PWD/review/2"
+"$program" lost-release "$PWD" "$PWD/review/2/record.txt"
 case $? in
 0) exit 0 ;;
 1) exit 1 ;;
--- a/review/standin/src/drain_slow.rs
+++ b/review/standin/src/drain_slow.rs
@@ -26,7 +26,7 @@
 }
 
 pub fn run(start: &Start) -> bool {
-    let record = Record::new(&start.folder.join("record.txt"));
+    let record = Record::new(&start.record);
     let site = Site::piedmont(CELLS);
     let hosts: Vec<Host> =
         (0..CELLS).map(|k| Host::start(&format!("s-0000000{k}"), k, None, &record)).collect();
--- a/review/standin/src/hang.rs
+++ b/review/standin/src/hang.rs
@@ -90,7 +90,7 @@
 }
 
 pub fn run(start: &Start) -> bool {
-    let record = Record::new(&start.folder.join("record.txt"));
+    let record = Record::new(&start.record);
     let site = Site::piedmont(HOSTS);
     let hosts: Vec<Host> =
         (0..HOSTS).map(|k| Host::start(&format!("s-0000000{k}"), k, None, &record)).collect();
--- a/review/standin/src/lost_release.rs
+++ b/review/standin/src/lost_release.rs
@@ -15,7 +15,7 @@
 const SLACK_US: u64 = 50_000;
 
 pub fn run(start: &Start) -> bool {
-    let record = Record::new(&start.folder.join("record.txt"));
+    let record = Record::new(&start.record);
     let site = Site::piedmont(HOSTS);
     let hosts: Vec<Host> =
         (0..HOSTS).map(|k| Host::start(&format!("s-0000000{k}"), k, None, &record)).collect();
--- a/review/standin/src/memory.rs
+++ b/review/standin/src/memory.rs
@@ -72,7 +72,7 @@
 }
 
 pub fn run(start: &Start) -> bool {
-    let record = Record::new(&start.folder.join("record.txt"));
+    let record = Record::new(&start.record);
     let site = Site { sockets: 512, memory_mb: 48, ..Site::piedmont(HOSTS) };
     let hosts: Vec<Host> =
         (0..HOSTS).map(|k| Host::start(&format!("s-0000000{k}"), k, None, &record)).collect();
--- a/review/standin/src/wrong_data.rs
+++ b/review/standin/src/wrong_data.rs
@@ -11,7 +11,7 @@
 const PIECE_MS: u64 = 20;
 
 pub fn run(start: &Start) -> bool {
-    let record = Record::new(&start.folder.join("record.txt"));
+    let record = Record::new(&start.record);
     let site = Site::piedmont(HOSTS);
     let hosts: Vec<Host> =
         (0..HOSTS).map(|k| Host::start(&format!("s-0000000{k}"), k, None, &record)).collect();
