A decision costs the same however many sessions are held

Cause: each decision passed over all sessions for seats, the gateway's own demand, that of each candidate and of its rack, and over all requests of the budget's window.

Change: policy/occupancy.rs keeps running sums of demand, in fixed point so that they are the same in whatever order sessions come and go, of seats taken and of sessions whose rung is pending. Times of requests are queues, 65,536 at most: fewer requests remembered allow fewer further attempts. Related: load probes and raises of sessions handed over no longer pass over all sessions.

--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -12,6 +12,7 @@
 mod health;
 mod lifecycle;
 mod load;
+mod occupancy;
 mod placement;
 mod probe_budget;
 mod refusal;
@@ -23,6 +24,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 
+use self::occupancy::Occupancy;
 use self::probe_budget::ProbeBudget;
 use self::state::{Rack, Server, Session, Wish};
 use crate::api::*;
@@ -68,6 +70,7 @@
     /// asked of all servers then.
     reports: VecDeque<(Micros, ServerId, f64, f64)>,
     sessions: BTreeMap<RequestId, Session>,
+    occupancy: Occupancy,
     /// The last sessions that ended, and the mean length of those that began here.
     recently_ended: VecDeque<Wish>,
     mean_length: Option<f64>,
@@ -82,8 +85,8 @@
     load_probe_alarms: usize,
     next_token: u64,
     /// Requests taken and further attempts made within the budget's window.
-    request_times: Vec<Micros>,
-    retry_times: Vec<Micros>,
+    request_times: VecDeque<Micros>,
+    retry_times: VecDeque<Micros>,
     /// Sessions that the last event left without an attempt.
     refusals: Vec<(RequestId, RefusalReason)>,
     out: Vec<Action>,
@@ -108,6 +111,7 @@
             capacity: 0.0,
             reports: VecDeque::new(),
             sessions: BTreeMap::new(),
+            occupancy: Occupancy::default(),
             recently_ended: VecDeque::new(),
             mean_length: None,
             alarms: BTreeMap::new(),
@@ -116,8 +120,8 @@
             wanted_probes: 0.0,
             load_probe_alarms: 0,
             next_token: LOAD_PROBE_TOKEN + 1,
-            request_times: Vec::new(),
-            retry_times: Vec::new(),
+            request_times: VecDeque::new(),
+            retry_times: VecDeque::new(),
             refusals: Vec::new(),
             out: Vec::new(),
         }
--- a/crates/elderpick-core/src/policy/attempts.rs
+++ b/crates/elderpick-core/src/policy/attempts.rs
@@ -4,13 +4,15 @@
 use super::{Controller, SHORTEST_ATTEMPT};
 use crate::api::{Action, Effect, Micros, RequestId, ServerId};
 
+/// Requests of the budget's window that are remembered.
+const MOST_REQUEST_TIMES: usize = 65_536;
+
 impl Controller {
     /// From its send, or from being handed over, to its outcome a session has a seat.
     pub(super) fn seat_free(&self, session: &Session) -> bool {
         let (class, title) = (session.wish.class, &session.viewing.title);
-        let held = self.sessions.values().filter(|s| s.server.is_some());
-        let seated = held.filter(|s| s.wish.class == class && s.viewing.title == *title).count();
-        self.settings.classes[class].seats.is_none_or(|seats| seated < seats)
+        let taken = || self.occupancy.seats_taken(class, title);
+        self.settings.classes[class].seats.is_none_or(|seats| taken() < seats)
     }
 
     /// Whether the rules let this session have a(nother) attempt now.
@@ -30,11 +32,25 @@
         repeatable && within && self.budget_left()
     }
 
+    /// A request was taken. Requests that are no longer remembered allow no further attempts.
+    pub(super) fn count_request(&mut self) {
+        if self.request_times.len() >= MOST_REQUEST_TIMES {
+            self.request_times.pop_front();
+        }
+        self.request_times.push_back(self.now);
+        let since = self.now - self.settings.budget.map_or(0, |budget| budget.window);
+        for times in [&mut self.request_times, &mut self.retry_times] {
+            while times.front().is_some_and(|&at| at < since) {
+                times.pop_front();
+            }
+        }
+    }
+
     fn budget_left(&self) -> bool {
         let Some(budget) = self.settings.budget else { return true };
         let since = self.now - budget.window;
-        let extras = self.retry_times.iter().filter(|&&at| at >= since).count();
-        let taken = self.request_times.iter().filter(|&&at| at > since).count();
+        let extras = self.retry_times.len() - self.retry_times.partition_point(|&at| at < since);
+        let taken = self.request_times.len() - self.request_times.partition_point(|&at| at <= since);
         (extras + 1) as f64 <= budget.free + budget.share * taken as f64
     }
 
@@ -48,7 +64,7 @@
         let once = last || class.effect == Effect::SingleShot || half < SHORTEST_ATTEMPT;
         let timeout = if once { left } else { half.min(left) };
         if !session.attempted.is_empty() {
-            self.retry_times.push(self.now);
+            self.retry_times.push_back(self.now);
         }
         session.wish.rung = rung;
         session.sent_at = self.now;
--- a/crates/elderpick-core/src/policy/delivery.rs
+++ b/crates/elderpick-core/src/policy/delivery.rs
@@ -19,9 +19,7 @@
     pub(super) fn on_note(&mut self, id: RequestId, server: ServerId, note: Note) {
         match note {
             Note::Rung(rung) => {
-                if let Some(session) = self.sessions.get_mut(&id) {
-                    session.wish.rung = rung.min(self.settings.rung_kb.len().saturating_sub(1));
-                }
+                self.change_rung(id, rung.min(self.settings.rung_kb.len().saturating_sub(1)));
             }
             Note::LinkAsked(asked) => {
                 // The first time the uplink's news comes right after it.
@@ -61,7 +59,7 @@
     }
 
     fn set_rung(&mut self, id: RequestId, rung: usize) {
-        self.sessions.get_mut(&id).expect("plays here").wish.rung = rung;
+        self.change_rung(id, rung);
         self.out.push(Action::Rate { id, rung });
     }
 
@@ -72,11 +70,12 @@
     /// left at low rungs for the life of what played before. Harm: each raise costs a change of rung, which
     /// a session near its end does not earn back.
     pub(super) fn raise_handed_over(&mut self, id: &ServerId) {
-        let waiting: Vec<_> =
-            self.playing_on(id).into_iter().filter(|id| self.sessions[id].rung_pending).collect();
-        let Some(server) = self.servers.get(id).filter(|s| !waiting.is_empty() && !self.is_short(s)) else {
+        let Some(server) = self.servers.get(id).filter(|s| !s.rung_pending.is_empty() && !self.is_short(s))
+        else {
             return;
         };
+        let waiting = server.rung_pending.iter().copied().filter(|id| !self.sessions[id].closed);
+        let waiting: Vec<_> = waiting.collect();
         let (others, rack) = (self.load_of_others(), self.rack_of(server));
         let part = |load: Load, own: f64| load.room() * (own / load.asked.max(1.0)).min(1.0);
         let link = part(self.link_load(server, others), self.own_demand_on(server));
@@ -95,7 +94,7 @@
             }
             if rung > wish.rung {
                 room -= step(wish.rung, rung);
-                self.sessions.get_mut(&id).expect("listed above").rung_pending = false;
+                self.rung_decided(id);
                 self.set_rung(id, rung);
             }
         }
--- a/crates/elderpick-core/src/policy/fleet.rs
+++ b/crates/elderpick-core/src/policy/fleet.rs
@@ -29,9 +29,11 @@
             match self.servers.get_mut(&entry.server) {
                 Some(old) if entry.started > old.entry.started => {
                     // A new process: what was known of the old one tells nothing of it.
-                    let (sessions, given, back) = (std::mem::take(&mut old.sessions), old.given, old.back);
+                    let (sessions, rung_pending) =
+                        (std::mem::take(&mut old.sessions), std::mem::take(&mut old.rung_pending));
+                    let (demand, given, back) = (old.demand, old.given, old.back);
                     self.failing_servers.remove(&entry.server);
-                    *old = Server { sessions, given, back, ..Server::new(entry) };
+                    *old = Server { sessions, rung_pending, demand, given, back, ..Server::new(entry) };
                 }
                 Some(server) => server.entry = entry,
                 None => drop(self.servers.insert(entry.server.clone(), Server::new(entry))),
--- a/crates/elderpick-core/src/policy/lifecycle.rs
+++ b/crates/elderpick-core/src/policy/lifecycle.rs
@@ -9,10 +9,7 @@
 
 impl Controller {
     pub(super) fn on_request(&mut self, id: RequestId, viewing: Viewing) {
-        self.request_times.push(self.now);
-        let since = self.now - self.settings.budget.map_or(0, |budget| budget.window);
-        self.request_times.retain(|&at| at >= since);
-        self.retry_times.retain(|&at| at >= since);
+        self.count_request();
         self.probe_unresponsive();
         self.earn_wanted_probe();
         self.probe_unknown();
@@ -23,6 +20,7 @@
         let aim_deadline = self.now + class.aim.min(left);
         let session = Session { deadline: self.now + left, aim_deadline, ..self.new_session(viewing) };
         let deadline = session.deadline;
+        self.vacate(id);
         self.sessions.insert(id, session);
         self.alarms.insert(self.next_token, id);
         self.out.push(Action::Alarm { token: self.next_token, at: deadline });
@@ -39,6 +37,7 @@
         }
         self.schedule_load_probes();
         let (attempted, new) = (vec![server.clone()], self.new_session(viewing));
+        self.vacate(id);
         self.sessions.insert(id, Session { attempted, playing: true, rung_pending: true, ..new });
         self.occupy(id, server);
     }
@@ -135,19 +134,4 @@
             self.on_viewer_left(id);
         }
     }
-
-    pub(super) fn occupy(&mut self, id: RequestId, server: ServerId) {
-        if let Some(to) = self.servers.get_mut(&server) {
-            to.sessions.insert(id);
-        }
-        self.sessions.get_mut(&id).expect("held when it is sent").server = Some(server);
-    }
-
-    fn vacate(&mut self, id: RequestId) -> Option<ServerId> {
-        let server = self.sessions.get_mut(&id)?.server.take()?;
-        if let Some(from) = self.servers.get_mut(&server) {
-            from.sessions.remove(&id);
-        }
-        Some(server)
-    }
 }
--- a/crates/elderpick-core/src/policy/load.rs
+++ b/crates/elderpick-core/src/policy/load.rs
@@ -1,7 +1,5 @@
 //! Estimated load of links and uplinks: reports, own sessions that are newer, and load probes.
 
-use std::collections::BTreeSet;
-
 use super::state::{Load, LoadReport, Server};
 use super::{CANDIDATES, Controller, LOAD_PROBE_TOKEN, SHORT};
 use crate::api::{Action, Micros, Report, Reporting, ServerId};
@@ -39,7 +37,7 @@
 
     /// Rates of own sessions on a server.
     pub(super) fn own_demand_on(&self, server: &Server) -> f64 {
-        server.sessions.iter().map(|id| self.demand_of(&self.sessions[id].wish)).sum()
+        server.demand.kb()
     }
 
     pub(super) fn own_demand_behind(&self, rack: usize) -> f64 {
@@ -47,7 +45,7 @@
     }
 
     pub(super) fn own_demand(&self) -> f64 {
-        self.sessions.values().filter(|s| s.server.is_some()).map(|s| self.demand_of(&s.wish)).sum()
+        self.occupancy.demand.kb()
     }
 
     /// What the other gateways ask of an average server, as a share of its size. A gateway sees few of the
@@ -177,12 +175,12 @@
     /// Asks one of the servers of sessions that were handed over for the load that it has not told, and goes
     /// on at the pace of the budget.
     pub(super) fn probe_loads(&mut self) {
-        let held = self.sessions.values().filter(|s| s.rung_pending).filter_map(|s| s.server.as_ref());
-        let untold = |id: &&ServerId| self.servers.get(*id).is_some_and(|s| s.last_report.is_none());
-        let servers: BTreeSet<_> = held.clone().filter(untold).cloned().collect();
-        let most = MOST_LOAD_PROBES * held.count();
-        let next = self.below(servers.len());
-        let Some(server) = servers.into_iter().nth(next) else { return };
+        let is_untold = |server: &Server| !server.rung_pending.is_empty() && server.last_report.is_none();
+        let untold = self.servers.iter().filter(|(_, server)| is_untold(server));
+        let untold: Vec<_> = untold.map(|(id, _)| id.clone()).collect();
+        let most = MOST_LOAD_PROBES * self.occupancy.rung_pending;
+        let next = self.below(untold.len());
+        let Some(server) = untold.into_iter().nth(next) else { return };
         self.probe_load(server);
         self.load_probe_alarms += 1;
         if self.load_probe_alarms <= most {
--- a/crates/elderpick-core/src/policy/state.rs
+++ b/crates/elderpick-core/src/policy/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use super::occupancy::Demand;
 use crate::api::{Entry, Micros, Placement, RequestId, ServerId, Viewing};
 
 /// Part of a link that is left for the spread of true rates.
@@ -25,6 +26,9 @@
     pub(super) size: f64,
     /// Own sessions there: playing, or with an attempt out.
     pub(super) sessions: BTreeSet<RequestId>,
+    /// What these ask, and those whose rung is not yet this gateway's decision.
+    pub(super) demand: Demand,
+    pub(super) rung_pending: BTreeSet<RequestId>,
     pub(super) last_report: Option<LoadReport>,
     /// Delivered share, and when it was heard.
     pub(super) share: Option<(f64, Micros)>,
@@ -53,6 +57,8 @@
             link: 0.0,
             size: 0.0,
             sessions: BTreeSet::new(),
+            demand: Demand::default(),
+            rung_pending: BTreeSet::new(),
             last_report: None,
             share: None,
             cut: None,
