A connection that is always busy no longer holds up all others

Cause: a connection was read for as long as anything came on it, up to 128 reads of 16 KiB in one turn of its task, and each attempt read up to 576 KiB more from its viewer before it was written. Each reply was a write of its own.

Change: 4 KiB of a connection of viewers are read, 16 KiB of a host's, then all others have their turn. An attempt whose viewer has more unread waits until the connection's own turns have read that. Replies to what was read at once are written together.

--- a/crates/elderpick-node/src/buffered_stream.rs
+++ b/crates/elderpick-node/src/buffered_stream.rs
@@ -11,7 +11,7 @@
 /// Nothing more is read from a peer while more bytes than this wait to be written to it: who does not read what it is
 /// owed cannot ask for more.
 pub(crate) const READS_UP_TO: usize = 64 << 10;
-/// What is read at a time.
+/// The buffer that connections are read into.
 pub(crate) const CHUNK: usize = 16 << 10;
 /// What still waits at the end is given so long to be written: they may be answers that are owed, to a peer that
 /// reads slowly.
@@ -20,9 +20,8 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// How often it is looked whether a connection breaks behind its end.
 const BREAK_POLLS: u32 = 10;
-/// Most that one look takes of what has come.
+/// What a look reads at a time.
 const POLL_CHUNK: usize = 4 << 10;
-const MOST_POLL_CHUNKS: usize = 16;
 
 /// What a look at a connection found.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -65,6 +64,10 @@
     waiting: RefCell<VecDeque<u8>>,
     /// Most bytes that may wait; a peer that reads so little is cut off.
     most_waiting: usize,
+    /// Most bytes that are read before others have their turn.
+    most_read: usize,
+    /// What is sent is kept until it is uncorked.
+    corked: Cell<bool>,
     wake: Notify,
     ending: Cell<Ending>,
     /// The system told an error of it. It tells each once, to whichever call comes first.
@@ -86,13 +89,16 @@
 }
 
 impl BufferedStream {
-    /// `most_owed` is what may be owed to the peer by the time that nothing more is read from it.
-    pub fn new(stream: TcpStream, most_owed: usize) -> BufferedStream {
+    /// `most_owed` is what may be owed to the peer by the time that nothing more is read from it, `most_read` what is
+    /// read before other connections have their turn.
+    pub fn new(stream: TcpStream, most_owed: usize, most_read: usize) -> BufferedStream {
         let _ = stream.set_nodelay(true);
         BufferedStream {
             stream,
             waiting: RefCell::default(),
             most_waiting: READS_UP_TO + most_owed,
+            most_read,
+            corked: Cell::default(),
             wake: Notify::new(),
             ending: Cell::new(Ending::No),
             broken: Cell::new(false),
@@ -130,14 +136,34 @@
             return;
         }
         let mut waiting = self.waiting.borrow_mut();
-        let written = if waiting.is_empty() { self.try_write(bytes).unwrap_or(0) } else { 0 };
+        let at_once = waiting.is_empty() && !self.corked.get();
+        let written = if at_once { self.try_write(bytes).unwrap_or(0) } else { 0 };
         if waiting.len() + bytes.len() - written > self.most_waiting {
             self.set_close_reason(CloseReason::Overflow);
             self.ending.set(Ending::Now);
         } else {
             waiting.extend(&bytes[written..]);
         }
-        if written < bytes.len() {
+        if written < bytes.len() && !self.corked.get() {
+            self.wake.notify_one();
+        }
+    }
+
+    /// Keeps what is sent until [`BufferedStream::uncork`], so that many small messages are written together; `false`
+    /// if it is corked already, or something waits to be written.
+    pub fn cork(&self) -> bool {
+        let corks = !self.corked.get() && self.waiting.borrow().is_empty();
+        self.corked.set(self.corked.get() || corks);
+        corks
+    }
+
+    /// Writes what was sent while it was corked.
+    pub fn uncork(&self) {
+        self.corked.set(false);
+        if self.ending.get() != Ending::Now {
+            let _ = self.flush();
+        }
+        if !self.written() {
             self.wake.notify_one();
         }
     }
@@ -188,16 +214,16 @@
         self.ending.get() == Ending::Now || self.waiting.borrow().is_empty()
     }
 
-    /// Whether nothing waits and it is not ending.
+    /// Whether it takes what is sent at once, and is not ending.
     pub fn free(&self) -> bool {
-        self.ending.get() == Ending::No && self.waiting.borrow().is_empty()
+        self.ending.get() == Ending::No && (self.corked.get() || self.waiting.borrow().is_empty())
     }
 
-    /// Reads at once what has come, whatever the runtime knows of it. The connection's own task sees how it ends.
-    /// More than a bound is left to that.
-    pub fn poll_input(&self, mut heard: impl FnMut(&[u8]) -> bool) -> PollResult {
+    /// Reads at once what has come, whatever the runtime knows of it, up to so many chunks. The connection's own task
+    /// reads what is more, and sees how it ends.
+    pub fn poll_input(&self, most_chunks: usize, mut heard: impl FnMut(&[u8]) -> bool) -> PollResult {
         let mut found = PollResult::Nothing;
-        for _ in 0..MOST_POLL_CHUNKS {
+        for _ in 0..most_chunks {
             let mut chunk = [0; POLL_CHUNK];
             let read = match self.ending.get() {
                 Ending::No => self.note_error((&*socket2::SockRef::from(&self.stream)).read(&mut chunk)),
@@ -209,6 +235,9 @@
                 self.set_close_reason(CloseReason::Unreadable);
                 self.end(false);
             }
+            if read < POLL_CHUNK {
+                return found;
+            }
         }
         PollResult::More
     }
@@ -271,7 +300,9 @@
     async fn read(&self, buffer: &RefCell<Vec<u8>>) -> io::Result<usize> {
         loop {
             self.stream.readable().await?;
-            match self.note_error(self.stream.try_read(&mut buffer.borrow_mut())) {
+            let mut buffer = buffer.borrow_mut();
+            let most = self.most_read.min(buffer.len());
+            match self.note_error(self.stream.try_read(&mut buffer[..most])) {
                 Err(why) if why.kind() == io::ErrorKind::WouldBlock => {}
                 other => return other,
             }
@@ -355,11 +386,14 @@
                     Err(_) => return false,
                     Ok(read) if matches!(self.ending.get(), Ending::No | Ending::Leaving) => {
                         let chunk = buffer.borrow();
-                        if !heard(&chunk[..read]) {
-                            drop(chunk);
+                        let goes_on = heard(&chunk[..read]);
+                        drop(chunk);
+                        if !goes_on {
                             self.set_close_reason(CloseReason::Unreadable);
                             self.end(false);
                         }
+                        // A peer that sends without a pause would hold up all others.
+                        tokio::task::yield_now().await;
                     }
                     Ok(_) => {}
                 },
--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -17,7 +17,7 @@
 use elderpick_sessions::pending::PendingQueue;
 use tokio::net::TcpStream;
 
-use crate::buffered_stream::{BufferedStream, CloseReason};
+use crate::buffered_stream::{BufferedStream, CHUNK, CloseReason};
 
 /// Set-ups that one connection carries where no further one may be opened, unless the settings allow fewer.
 const SET_UPS_PER_CONNECTION: usize = 8;
@@ -39,6 +39,8 @@
 /// have left: it is looked at again after a pause.
 const MOST_POLLS: u32 = 9;
 const POLL_PAUSE: Duration = Duration::from_millis(1);
+/// What a look reads of what a host has said.
+const POLLED_CHUNKS: usize = 16;
 
 /// One connection to a host.
 pub(crate) struct HostConnection {
@@ -103,7 +105,7 @@
 impl HostConnection {
     fn new(stream: TcpStream, now: Micros) -> HostConnection {
         HostConnection {
-            stream: BufferedStream::new(stream, SET_UPS_PER_CONNECTION * MOST_MESSAGE),
+            stream: BufferedStream::new(stream, SET_UPS_PER_CONNECTION * MOST_MESSAGE, CHUNK),
             decoder: RefCell::default(),
             out: RefCell::default(),
             unconfirmed: RefCell::default(),
--- a/crates/elderpick-node/src/hosts/attempts.rs
+++ b/crates/elderpick-node/src/hosts/attempts.rs
@@ -10,7 +10,7 @@
 
 use super::{
     Attempt, CONFIRM_WITHIN, Call, HostConnection, HostMessage, MOST_POLLS, MOST_WAITING, POLL_PAUSE,
-    RETIRED_FOR,
+    POLLED_CHUNKS, RETIRED_FOR,
 };
 use crate::buffered_stream::{CloseReason, PollResult};
 use crate::node::Node;
@@ -24,14 +24,20 @@
         }
         one.polls += 1;
         let asked_on = self.lifecycle.borrow().asked_on(one.session);
+        if one.unread && asked_on.is_some_and(|conn| self.has_unread(conn)) {
+            // The connection's own task reads it, in its turn.
+            return false;
+        }
         let mut found = asked_on.map_or(PollResult::Nothing, |conn| self.poll_client(conn));
         if found == PollResult::Nothing
             && let Some(connection) = self.pick_connection(&one.server)
         {
-            found = connection.stream.poll_input(|chunk| self.host_bytes(&one.server, &connection, chunk));
+            found = connection
+                .stream
+                .poll_input(POLLED_CHUNKS, |chunk| self.host_bytes(&one.server, &connection, chunk));
         }
         one.unread = found == PollResult::More;
-        found != PollResult::Nothing
+        found == PollResult::All
     }
 
     /// Writes a set-up on an idle connection, on a new one, or with others if there may be no further. A bound of
@@ -60,7 +66,8 @@
         let node = self.clone();
         spawn_local(async move {
             tokio::time::sleep(POLL_PAUSE).await;
-            node.batch(|| node.attempts.borrow_mut().push_back(one.renewed()));
+            let one = Attempt { polls: 0, ..one };
+            node.batch(|| node.attempts.borrow_mut().push_back(one));
         });
     }
 
--- a/crates/elderpick-node/src/hosts/received.rs
+++ b/crates/elderpick-node/src/hosts/received.rs
@@ -7,7 +7,7 @@
 use elderpick_platform::rtsp::{self, Start, cseq};
 use elderpick_sessions::lifecycle::Input;
 
-use super::HostConnection;
+use super::{HostConnection, POLLED_CHUNKS};
 use crate::buffered_stream::CloseReason;
 use crate::node::Node;
 
@@ -34,7 +34,7 @@
             let answers = |input: &Input| matches!(input, Input::Answer { .. });
             if goes_on && self.inputs.borrow().iter().skip(before).any(answers) {
                 // Whether it still stands: its host may have said more by now.
-                connection.stream.poll_input(|chunk| {
+                connection.stream.poll_input(POLLED_CHUNKS, |chunk| {
                     goes_on = self.decode_host_bytes(server, connection, chunk);
                     goes_on
                 });
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -29,6 +29,12 @@
 const ROOM_AGAIN: Duration = Duration::from_millis(5);
 /// A connection that is not admitted has so long to ask, and to be told so.
 const REFUSES_FOR: Micros = 1_000_000;
+/// What is read from one connection before others have their turn: it bounds what the others wait for it.
+const READ_IN_ONE_TURN: usize = 4 << 10;
+/// What is read of what a viewer that waits has said, before it is answered or a host is asked.
+const POLLED_CHUNKS: usize = 1;
+/// The same before the last answers are given.
+const LAST_POLLED_CHUNKS: usize = 16;
 /// Connections that are taken at the end, before the listener is dropped.
 const MOST_ACCEPTED: usize = 1_024;
 
@@ -135,7 +141,7 @@
         }
         let client = Rc::new(Client {
             conn,
-            stream: BufferedStream::new(stream, MOST_OWED),
+            stream: BufferedStream::new(stream, MOST_OWED, READ_IN_ONE_TURN),
             decoder: RefCell::default(),
             standing: Cell::new(Standing::New),
             has_asked: Cell::new(false),
@@ -223,6 +229,7 @@
         if client.reading_stopped.get() {
             return true;
         }
+        let corked = client.stream.cork();
         self.batch(|| {
             let mut decoder = client.decoder.borrow_mut();
             decoder.push(chunk);
@@ -246,6 +253,9 @@
                 .reading_stopped
                 .set(client.reading_stopped.get() || (client.refused.is_some() && !partial));
         });
+        if corked {
+            client.stream.uncork();
+        }
         self.end_if_done(client);
         true
     }
@@ -254,9 +264,13 @@
     /// not come to: after a standstill of this gateway, or behind a line that came up late. The session lifecycle is
     /// told of it.
     pub(crate) fn poll_client(self: &Rc<Self>, conn: Conn) -> PollResult {
+        self.poll_client_chunks(conn, POLLED_CHUNKS)
+    }
+
+    fn poll_client_chunks(self: &Rc<Self>, conn: Conn, most_chunks: usize) -> PollResult {
         let client = self.clients.borrow().get(&conn).cloned();
         let found = client.as_ref().map_or(PollResult::Nothing, |client| {
-            client.stream.poll_input(|chunk| self.client_bytes(conn, client, chunk))
+            client.stream.poll_input(most_chunks, |chunk| self.client_bytes(conn, client, chunk))
         });
         let there = client.is_some_and(|client| client.stream.goes_on() && !client.stream.ended());
         if there {
@@ -270,10 +284,16 @@
         if let Some(client) = self.clients.borrow().get(&conn) {
             client.stream.set_close_reason(reason);
             // At once if nothing waits to be written: what comes after that is seen by its sender to be too late.
-            client.stream.end(client.stream.free());
+            client.stream.end(client.stream.goes_on() && client.stream.written());
         }
     }
 
+    /// Whether anything has come on a connection that goes on and was not read yet.
+    pub(crate) fn has_unread(&self, conn: Conn) -> bool {
+        let client = self.clients.borrow().get(&conn).cloned();
+        client.is_some_and(|client| client.stream.goes_on() && !client.stream.quiet())
+    }
+
     /// Whether nothing has come on a connection that was not read yet.
     pub(crate) fn quiet(&self, conn: Conn) -> bool {
         let quiet = self.clients.borrow().get(&conn).is_none_or(|client| client.stream.quiet());
@@ -291,7 +311,7 @@
     pub(crate) fn poll_clients(self: &Rc<Self>) {
         let connections: Vec<_> = self.clients.borrow().keys().copied().collect();
         for conn in connections {
-            self.poll_client(conn);
+            self.poll_client_chunks(conn, LAST_POLLED_CHUNKS);
         }
     }
 
--- a/crates/elderpick-node/tests/unit/buffered_stream.rs
+++ b/crates/elderpick-node/tests/unit/buffered_stream.rs
@@ -6,6 +6,8 @@
 
 /// What may be owed to a peer that these tests are of.
 const MOST_OWED: usize = 1 << 20;
+/// What a look at it reads.
+const MOST_POLLED: usize = 16;
 
 #[tokio::test]
 async fn what_has_come_is_seen_before_the_runtime_reads_it() {
@@ -13,7 +15,7 @@
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     let stream = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("up");
     let (mut peer, _) = listener.accept().expect("a connection");
-    let link = BufferedStream::new(stream, MOST_OWED);
+    let link = BufferedStream::new(stream, MOST_OWED, CHUNK);
     assert!(link.quiet());
     peer.write_all(b"x").expect("written");
     // Over loopback it has come when the write returns.
@@ -30,7 +32,7 @@
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     let stream = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("up");
     let (mut peer, _) = listener.accept().expect("a connection");
-    let held = std::rc::Rc::new(BufferedStream::new(stream, MOST_OWED));
+    let held = std::rc::Rc::new(BufferedStream::new(stream, MOST_OWED, CHUNK));
     assert!(held.clone().send_now(b"all"));
     held.end(true);
     let mut all = Vec::new();
@@ -41,7 +43,7 @@
 async fn pair() -> (BufferedStream, std::net::TcpStream) {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     let stream = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("up");
-    (BufferedStream::new(stream, MOST_OWED), listener.accept().expect("a connection").0)
+    (BufferedStream::new(stream, MOST_OWED, CHUNK), listener.accept().expect("a connection").0)
 }
 
 /// More than a system sends before it hears of the peer, which goes on talking.
@@ -114,15 +116,15 @@
     use std::io::Write;
     let (link, mut peer) = pair().await;
     let mut heard = Vec::new();
-    assert_eq!(link.poll_input(|_| true), PollResult::Nothing);
+    assert_eq!(link.poll_input(MOST_POLLED, |_| true), PollResult::Nothing);
     peer.write_all(b"x").expect("written");
     drop(peer);
-    let look = link.poll_input(|chunk| {
+    let look = link.poll_input(MOST_POLLED, |chunk| {
         heard.extend_from_slice(chunk);
         true
     });
     assert!(look == PollResult::All && heard == b"x" && link.ended());
-    assert_eq!(link.poll_input(|_| true), PollResult::Nothing);
+    assert_eq!(link.poll_input(MOST_POLLED, |_| true), PollResult::Nothing);
 }
 
 /// Polls once.
@@ -209,7 +211,7 @@
     let notices: [(&str, Notice); 4] = [
         ("ended", |link| assert!(link.ended())),
         ("quiet", |link| assert!(link.quiet())),
-        ("poll_input", |link| assert_eq!(link.poll_input(|_| true), PollResult::Nothing)),
+        ("poll_input", |link| assert_eq!(link.poll_input(MOST_POLLED, |_| true), PollResult::Nothing)),
         ("send", |link| link.send(b"release")),
     ];
     for (name, notice) in notices {
