Timers of requests that are over no longer fill the memory

Cause: the alarm of a request's deadline stayed in the module and in the lifecycle's timers until it was due, and the time-out of an attempt as well, whatever became of the request. No bound counted them.

Change: the module forgets an alarm with its session and tells whether one still matters; the lifecycle drops timers that no longer matter once they are the larger part. What the module says is unchanged (recorded.rs).

--- a/crates/elderpick-core/src/policy/lifecycle.rs
+++ b/crates/elderpick-core/src/policy/lifecycle.rs
@@ -18,9 +18,9 @@
         };
         let left = viewing.left.max(0);
         let aim_deadline = self.now + class.aim.min(left);
-        let session = Session { deadline: self.now + left, aim_deadline, ..self.new_session(viewing) };
-        let deadline = session.deadline;
-        self.vacate(id);
+        let (deadline, alarm) = (self.now + left, Some(self.next_token));
+        let session = Session { deadline, alarm, aim_deadline, ..self.new_session(viewing) };
+        self.forget(id);
         self.sessions.insert(id, session);
         self.alarms.insert(self.next_token, id);
         self.out.push(Action::Alarm { token: self.next_token, at: deadline });
@@ -37,7 +37,7 @@
         }
         self.schedule_load_probes();
         let (attempted, new) = (vec![server.clone()], self.new_session(viewing));
-        self.vacate(id);
+        self.forget(id);
         self.sessions.insert(id, Session { attempted, playing: true, rung_pending: true, ..new });
         self.occupy(id, server);
     }
@@ -50,6 +50,7 @@
             wish: Wish { class: viewing.class, top, spread, rung: class.floor },
             viewing,
             deadline: Micros::MAX,
+            alarm: None,
             aim_deadline: Micros::MAX,
             attempted: Vec::new(),
             may_have_run: Vec::new(),
@@ -68,6 +69,7 @@
     }
 
     pub(super) fn on_playing(&mut self, id: RequestId) {
+        self.cancel_alarm(id);
         let Some(session) = self.sessions.get_mut(&id) else { return };
         session.playing = true;
         if let Some(server) = session.server.clone() {
@@ -89,7 +91,7 @@
         }
         self.record_report(&server, report.link, report.uplink);
         if over {
-            self.sessions.remove(&id);
+            self.forget(id);
             if played {
                 if began_here && status == Status::Ok {
                     let (length, usual) = ((self.now - sent_at) as f64, self.usual_length());
@@ -108,13 +110,33 @@
     }
 
     pub(super) fn on_viewer_left(&mut self, id: RequestId) {
+        self.cancel_alarm(id);
         let Some(session) = self.sessions.get_mut(&id) else { return };
         session.closed = true;
         if session.server.is_none() {
-            self.sessions.remove(&id);
+            self.forget(id);
+        }
+    }
+
+    /// A session is over: nothing of it is held any longer.
+    pub(super) fn forget(&mut self, id: RequestId) -> Option<Session> {
+        self.vacate(id);
+        self.cancel_alarm(id);
+        self.sessions.remove(&id)
+    }
+
+    /// The deadline of a session does not matter any more.
+    fn cancel_alarm(&mut self, id: RequestId) {
+        if let Some(token) = self.sessions.get_mut(&id).and_then(|session| session.alarm.take()) {
+            self.alarms.remove(&token);
         }
     }
 
+    /// Whether an alarm that was asked for still matters.
+    pub fn awaits_alarm(&self, token: u64) -> bool {
+        matches!(token, LIST_TOKEN | LOAD_PROBE_TOKEN) || self.alarms.contains_key(&token)
+    }
+
     pub(super) fn on_alarm(&mut self, token: u64) {
         match token {
             LOAD_PROBE_TOKEN => self.probe_loads(),
--- a/crates/elderpick-core/src/policy/refusal.rs
+++ b/crates/elderpick-core/src/policy/refusal.rs
@@ -6,7 +6,7 @@
 impl Controller {
     /// The final answer when no attempt is to follow: refused where it may be set up again, else failed.
     pub(super) fn give_up(&mut self, id: RequestId, reason: RefusalReason) {
-        let Some(session) = self.sessions.remove(&id) else { return };
+        let Some(session) = self.forget(id) else { return };
         self.refusals.push((id, reason));
         let class = &self.settings.classes[session.wish.class];
         let harmless = match class.effect {
--- a/crates/elderpick-core/src/policy/state.rs
+++ b/crates/elderpick-core/src/policy/state.rs
@@ -98,6 +98,8 @@
     pub(super) wish: Wish,
     pub(super) viewing: Viewing,
     pub(super) deadline: Micros,
+    /// The alarm of its deadline, while it may still be needed.
+    pub(super) alarm: Option<u64>,
     pub(super) aim_deadline: Micros,
     /// Where each attempt went.
     pub(super) attempted: Vec<ServerId>,
--- a/crates/elderpick-sessions/src/lifecycle.rs
+++ b/crates/elderpick-sessions/src/lifecycle.rs
@@ -10,9 +10,9 @@
 mod health;
 mod hosts;
 mod requests;
+mod timers;
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 use elderpick_core::Controller;
@@ -25,6 +25,7 @@
 use self::active::HostRelease;
 use self::attempts::HostAnswer;
 pub use self::events::{Counts, Input, Output};
+use self::timers::{Timer, Timers};
 use crate::health::HealthMonitor;
 use crate::pending::ExpiringMap;
 
@@ -144,14 +145,6 @@
     replaced_at: Option<Micros>,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
-enum Timer {
-    /// The time of a session's attempt is up; goes before the module's own alarms of the same instant.
-    Attempt(u64, AttemptId),
-    Ending(u64),
-    Alarm(u64),
-}
-
 /// All sessions of one gateway.
 pub struct Lifecycle {
     core: Controller,
@@ -173,7 +166,7 @@
     /// What was handed over at a host that the list does not have, which is told once the list names it.
     at_unknown_hosts: ExpiringMap<(ServerId, u64)>,
     attempts: AttemptId,
-    timers: BinaryHeap<Reverse<(Micros, Timer)>>,
+    timers: Timers,
     events: VecDeque<Event>,
     actions: Vec<Action>,
     polled_at: Micros,
@@ -204,7 +197,7 @@
             recent_ends: ExpiringMap::new(MOST_REMEMBERED, ENDS_KEPT_FOR),
             at_unknown_hosts: ExpiringMap::new(MOST_AT_UNKNOWN_HOSTS, ENDS_KEPT_FOR),
             attempts: 0,
-            timers: BinaryHeap::new(),
+            timers: Timers::default(),
             events: VecDeque::new(),
             actions: Vec::new(),
             polled_at: 0,
@@ -295,7 +288,7 @@
 
     /// When [`Input::Tick`] is due.
     pub fn next_timer(&self) -> Option<Micros> {
-        let timer = self.timers.peek().map(|Reverse((at, _))| *at);
+        let timer = self.timers.next();
         let look =
             self.servers.values().any(|s| !s.sessions.is_empty()).then_some(self.polled_at + HEALTH_POLL);
         timer.into_iter().chain(look).min()
@@ -393,16 +386,12 @@
                 self.fetching = true;
                 out.push(Output::Fetch);
             }
-            Action::Alarm { token, at } => self.timers.push(Reverse((at, Timer::Alarm(token)))),
+            Action::Alarm { token, at } => self.set_timer(at, Timer::Alarm(token)),
         }
     }
 
     fn tick(&mut self, now: Micros, out: &mut Vec<Output>) {
-        while let Some(Reverse((at, timer))) = self.timers.peek().copied() {
-            if at > now {
-                break;
-            }
-            self.timers.pop();
+        while let Some(timer) = self.timers.take_due(now) {
             match timer {
                 Timer::Alarm(token) => self.events.push_back(Event::Alarm { token }),
                 Timer::Ending(session) => self.release_timed_out(now, session),
--- a/crates/elderpick-sessions/src/lifecycle/attempts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/attempts.rs
@@ -1,7 +1,5 @@
 //! Attempts to set a session up at a host, and what its host says to them.
 
-use std::cmp::Reverse;
-
 use bytes::Bytes;
 use elderpick_core::api::{Event, Micros, Report, RequestId, ServerId, ServerState, Status};
 use elderpick_platform::viewer::cause;
@@ -45,7 +43,6 @@
         self.recent_ends.remove(now, &(session, Some(server.clone())));
         held.stage = Stage::Out { server: server.clone(), attempt, until, started: entry.started };
         held.sent_at = Some(now);
-        self.timers.push(Reverse((until, Timer::Attempt(session, attempt))));
         out.push(Output::SetUp {
             server,
             session,
@@ -56,6 +53,7 @@
             rung: held.rung,
             description: set_up.description.clone(),
         });
+        self.set_timer(until, Timer::Attempt(session, attempt));
     }
 
     /// The attempt at a host has ended without a session.
--- a/crates/elderpick-sessions/src/lifecycle/requests.rs
+++ b/crates/elderpick-sessions/src/lifecycle/requests.rs
@@ -1,7 +1,5 @@
 //! Requests of viewers: set-ups, hand-overs, releases, and the final answers that are no session.
 
-use std::cmp::Reverse;
-
 use elderpick_core::api::{Event, Micros, Report, RequestId, ServerId, Status, Viewing};
 use elderpick_platform::viewer::{SetUp, cause};
 
@@ -208,7 +206,7 @@
             Stage::Active { server } => {
                 let server = server.clone();
                 held.stage = Stage::Ending { server: server.clone() };
-                self.timers.push(Reverse((now + SEAT_RELEASED_AFTER, Timer::Ending(session))));
+                self.set_timer(now + SEAT_RELEASED_AFTER, Timer::Ending(session));
                 self.send_release(now, server, session, cause, out);
             }
             Stage::Ending { .. } => {}
--- a/crates/elderpick-sessions/tests/common/mod.rs
+++ b/crates/elderpick-sessions/tests/common/mod.rs
@@ -134,7 +134,7 @@
 /// Where the first host listens.
 const FIRST_PORT: u16 = 10_000;
 
-fn listed(host: usize, state: ServerState, started: Option<Micros>) -> Listed {
+pub fn listed(host: usize, state: ServerState, started: Option<Micros>) -> Listed {
     let (zone, kind, cell, weight) = (0, 0, 0, 1.0);
     let entry = Entry { server: name(host), zone, kind, cell, state, weight, started };
     // Each host has an address of its own: one that another takes is over.
