Ends are told on connections of viewers that have carried only tests

Cause: Node::client_for took no connection on which no set-up had come, and none behind a message that could not be read.

Change: a connection on which anything came that can be read carries ends where no better one is open; they are sent again once one carries a set-up. A message that cannot be read costs a connection that has carried others nothing.

--- a/crates/elderpick-lab/tests/lost_ends.rs
+++ b/crates/elderpick-lab/tests/lost_ends.rs
@@ -149,3 +149,63 @@
         assert!(!world.hosts[0].heard().contains(&1), "the next process is to hear of it");
     });
 }
+
+/// Viewers are told of an end within this time of their host's release.
+const TOLD_WITHIN: Duration = Duration::from_secs(1);
+
+/// Session 1 stands, and the connection that it was asked for on has ended.
+async fn stands_without_its_connection(world: &World) {
+    let mut viewers = connect(world).await;
+    is_served(&mut viewers, 1).await;
+    drop(viewers);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+}
+
+/// Guards against ends that wait for a set-up though a connection of viewers is open, on which the front only tests.
+#[test]
+fn an_end_is_told_on_a_connection_that_has_carried_nothing_but_tests() {
+    run(async {
+        let world = world("tested-connection", 1, 256).await;
+        let mut front = connect(&world).await;
+        assert!(front.test().await.unwrap());
+        stands_without_its_connection(&world).await;
+        assert!(front.test().await.unwrap());
+        world.hosts[0].end(1, cause::GIVEN_UP);
+        let told = tokio::time::timeout(TOLD_WITHIN, next_kind(&mut front, 1)).await;
+        assert_eq!(told, Ok(kind::RELEASE));
+    });
+}
+
+/// The same for a connection on which something else could not be read.
+#[test]
+fn an_end_is_told_on_a_connection_that_has_carried_an_unreadable_message_too() {
+    run(async {
+        let world = world("partly-unreadable-connection", 1, 256).await;
+        let mut front = connect(&world).await;
+        is_served(&mut front, 2).await;
+        // A release without a cause.
+        front.write(&[0, 9, kind::RELEASE, 0, 0, 0, 0, 0, 0, 0, 7]).await.unwrap();
+        assert_eq!(next_kind(&mut front, 7).await, kind::RELEASE);
+        stands_without_its_connection(&world).await;
+        world.hosts[0].end(1, cause::GIVEN_UP);
+        let told = tokio::time::timeout(TOLD_WITHIN, next_kind(&mut front, 1)).await;
+        assert_eq!(told, Ok(kind::RELEASE));
+    });
+}
+
+/// Guards against a stranger's connection, which can be read and no more, taking the only word of an end.
+#[test]
+fn an_end_told_on_a_strangers_connection_is_told_again_where_a_viewer_asks() {
+    run(async {
+        let world = world("strangers-connection", 1, 256).await;
+        stands_without_its_connection(&world).await;
+        let mut stranger = connect(&world).await;
+        assert!(stranger.test().await.unwrap());
+        world.hosts[0].end(1, cause::GIVEN_UP);
+        assert_eq!(next_kind(&mut stranger, 1).await, kind::RELEASE);
+        let mut front = connect(&world).await;
+        front.ask(2, "free", None).await.unwrap();
+        let told = async { while front.next().await.unwrap().expect("a message").session != 1 {} };
+        assert!(tokio::time::timeout(TOLD_WITHIN, told).await.is_ok(), "the front is not told");
+    });
+}
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -278,7 +278,7 @@
             self.feed(release.clone());
         }
         if let Some(client) = self.clients.borrow().get(&conn) {
-            client.standing.set(Standing::Served);
+            self.raise_standing(client, Standing::Served);
         }
         if self.answer(conn, session, &text) {
             self.answered_on(conn, session);
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -41,9 +41,15 @@
 /// How far a connection has shown that a viewer of ours is behind it.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Standing {
+    /// All that came on it cannot be read.
     Bad,
+    /// Nothing has come on it.
     New,
+    /// Something that can be read has come: a front may test on a connection of its own.
+    Known,
+    /// A set-up has come.
     Asked,
+    /// A set-up was answered on it.
     Served,
 }
 
@@ -52,9 +58,7 @@
     pub conn: Conn,
     pub stream: BufferedStream,
     decoder: RefCell<Decoder>,
-    pub standing: Cell<Standing>,
-    /// A set-up that could be read came on it.
-    has_asked: Cell<bool>,
+    standing: Cell<Standing>,
     unreadable: Cell<u32>,
     /// What comes is not read any more; it is ended once all that is open on it is answered.
     reading_stopped: Cell<bool>,
@@ -144,7 +148,6 @@
             stream: BufferedStream::new(stream, MOST_OWED, READ_IN_ONE_TURN),
             decoder: RefCell::default(),
             standing: Cell::new(Standing::New),
-            has_asked: Cell::new(false),
             unreadable: Cell::new(0),
             reading_stopped: Cell::new(false),
             refused,
@@ -330,9 +333,12 @@
         let mut text = Vec::new();
         viewer::release(&mut text, session, cause::UNREADABLE, None);
         client.stream.send(&text);
-        client.standing.set(Standing::Bad);
+        if client.standing.get() == Standing::New {
+            client.standing.set(Standing::Bad);
+        }
         client.unreadable.set(client.unreadable.get() + 1);
-        let nothing_else = !client.has_asked.get() && client.unreadable.get() >= MOST_UNREADABLE;
+        let nothing_else =
+            client.standing.get() < Standing::Asked && client.unreadable.get() >= MOST_UNREADABLE;
         client.reading_stopped.set(client.reading_stopped.get() || nothing_else);
     }
 
@@ -346,14 +352,14 @@
                     self.refuse(client, session);
                 }
                 Ok(set_up) => {
-                    client.standing.set(client.standing.get().max(Standing::Asked));
-                    client.has_asked.set(true);
+                    self.raise_standing(client, Standing::Asked);
                     self.feed(Input::SetUp { conn, received_at: self.arrival_time(), set_up });
                 }
                 Err(why) => self.bad(client, session, why),
             },
             kind::RELEASE => match message.cause() {
                 Ok(cause) => {
+                    self.raise_standing(client, Standing::Known);
                     self.feed(Input::Release { conn, session, cause });
                     let mut text = Vec::new();
                     let _ = viewer::encode(&mut text, kind::RELEASE_HEARD, session, &[]);
@@ -362,12 +368,16 @@
                 Err(why) => self.bad(client, session, why),
             },
             kind::TEST => {
+                self.raise_standing(client, Standing::Known);
                 let mut text = Vec::new();
                 viewer::tested(&mut text, session, !self.shutting_down.get());
                 client.stream.send(&text);
             }
-            kind::RELEASE_HEARD => self.releases.borrow_mut().confirmed(session, conn),
-            kind::PROGRESS => {}
+            kind::RELEASE_HEARD => {
+                self.raise_standing(client, Standing::Known);
+                self.releases.borrow_mut().confirmed(session, conn);
+            }
+            kind::PROGRESS => self.raise_standing(client, Standing::Known),
             _ => self.bad(client, session, elderpick_platform::DecodeError("a message of an unknown type")),
         }
     }
@@ -384,7 +394,24 @@
         let clients = self.clients.borrow();
         let hears = |client: &&Rc<Client>| client.stream.free() && !client.stream.ended();
         let own = conn.and_then(|conn| clients.get(&conn)).filter(hears);
-        let best = |standing| clients.values().filter(|g| g.standing.get() == standing).find(hears);
-        own.or_else(|| best(Standing::Served)).or_else(|| best(Standing::Asked)).cloned()
+        let best = |standing| clients.values().filter(|c| c.standing.get() == standing).find(hears);
+        let standings = [Standing::Served, Standing::Asked, Standing::Known];
+        own.or_else(|| standings.into_iter().find_map(best)).cloned()
+    }
+
+    /// A connection has shown more of who is behind it. What was sent on those that had shown no more than that they
+    /// can be read, and was not confirmed, is sent again where a viewer has asked.
+    pub(crate) fn raise_standing(&self, client: &Client, to: Standing) {
+        let before = client.standing.get();
+        if to <= before {
+            return;
+        }
+        client.standing.set(to);
+        if before < Standing::Asked && to >= Standing::Asked {
+            let mut releases = self.releases.borrow_mut();
+            let clients = self.clients.borrow();
+            let known = clients.values().filter(|client| client.standing.get() == Standing::Known);
+            known.for_each(|client| releases.send_again(client.conn));
+        }
     }
 }
--- a/crates/elderpick-sessions/src/releases.rs
+++ b/crates/elderpick-sessions/src/releases.rs
@@ -111,6 +111,17 @@
         }
     }
 
+    /// Another connection is more surely their viewers': what went out on this one and is not confirmed is pending anew.
+    pub fn send_again(&mut self, conn: Conn) {
+        for session in self.by_connection.remove(&conn).unwrap_or_default() {
+            let Some(release) = self.pending.get_mut(&session) else { continue };
+            let Some((_, sent_at)) = release.sent.take() else { continue };
+            self.by_send_time.remove(&(sent_at, session));
+            self.waiting.insert((release.since, session));
+            self.resent += 1;
+        }
+    }
+
     /// How many are pending.
     pub fn len(&self) -> usize {
         self.pending.len()
