An answer that lacks what its offer has waits for its rest

Cause: an answer was passed on as soon as its head's length was there; the rest, unreadable by itself, came 20 ms later and ended the connection, but not the session.

Change: an answer with fewer media lines than its offer, or without an end of line where the offer has one, waits 250 ms for what follows. Where three in a row were held for nothing none is held any more. What is found to be cut right behind being passed on ends its session at host and viewer.

--- a/crates/elderpick-lab/tests/spoilt_answers.rs
+++ b/crates/elderpick-lab/tests/spoilt_answers.rs
@@ -5,11 +5,11 @@
 
 use elderpick_lab::platform::{Does, Viewers, description};
 use elderpick_platform::rtsp;
-use elderpick_platform::viewer::{cause, kind};
+use elderpick_platform::viewer::{self, cause, code, kind};
 
 mod common;
 
-use common::{host_saw, run, until, world};
+use common::{World, host_saw, run, until, world};
 
 /// The host of session 1 answers session 2 on the same connection with so many bytes too much, and ends session 1 then.
 async fn is_not_served(overstated: usize) {
@@ -71,3 +71,93 @@
         assert_eq!(answer.kind, kind::RELEASE, "it is served cut: {:?}", common::described(&answer));
     });
 }
+
+const OFFER: &[u8] = b"v=0\r\nm=video 5004 RTP/AVP 96\r\n";
+const CONNECTION_LINE: &[u8] = b"c=IN IP4 127.0.0.1\r\n";
+const MEDIA_LINE: &[u8] = b"m=audio 31000 RTP/AVP 0 8 101\r\n";
+
+/// A set-up whose offer describes one medium.
+fn set_up_with_a_medium(session: u64) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let parameters: [(u8, &[u8]); 5] = [
+        (code::CLASS, b"free"),
+        (code::PATIENCE, b"8000"),
+        (code::TITLE, b"7f3a9c21e0b4d655"),
+        (code::FIGURES, b"home:0;copies:1;top:1;viewer:0000000000000001"),
+        (code::DESCRIPTION, OFFER),
+    ];
+    viewer::encode(&mut bytes, kind::SET_UP, session, &parameters).unwrap();
+    bytes
+}
+
+/// An answer to session 1, and a part of it in a later piece.
+async fn answers_in_pieces(world: &World, told: &[u8], later: Duration, rest: &[u8]) {
+    let host = &world.hosts[0];
+    let head = format!(
+        "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: {:016x}\r\nContent-Length: {}\r\n\r\n",
+        1,
+        told.len()
+    );
+    host.say_on_connection_of(1, &[head.as_bytes(), told].concat());
+    tokio::time::sleep(later).await;
+    host.say_on_connection_of(1, rest);
+}
+
+/// Session 1, whose offer describes one medium, is out.
+async fn is_out(name: &str) -> (World, Viewers) {
+    let world = world(name, 1, 256).await;
+    let mut viewers = Viewers::connect(world.gateway.address).await.unwrap();
+    world.hosts[0].script(&[Does::Holds]);
+    viewers.write(&set_up_with_a_medium(1)).await.unwrap();
+    until("it is out", || !host_saw(&world, "SETUP", 1).is_empty()).await;
+    (world, viewers)
+}
+
+/// Guards against an answer that is served without its last line, which comes in a later piece.
+#[test]
+fn an_answer_cut_before_the_medium_that_was_offered_is_not_served() {
+    run(async {
+        let (world, mut viewers) = is_out("cut-before-medium").await;
+        answers_in_pieces(&world, CONNECTION_LINE, Duration::from_millis(20), MEDIA_LINE).await;
+        let answer = viewers.next().await.unwrap().expect("an answer");
+        assert_eq!(answer.kind, kind::RELEASE, "it is served cut: {:?}", common::described(&answer));
+    });
+}
+
+/// The same for an answer that is cut in the middle of a line.
+#[test]
+fn an_answer_cut_within_a_line_is_not_served() {
+    run(async {
+        let (world, mut viewers) = is_out("cut-within-line").await;
+        let (told, rest) = MEDIA_LINE.split_at(MEDIA_LINE.len() - 4);
+        answers_in_pieces(&world, told, Duration::from_millis(20), rest).await;
+        let answer = viewers.next().await.unwrap().expect("an answer");
+        assert_eq!(answer.kind, kind::RELEASE, "it is served cut: {:?}", common::described(&answer));
+    });
+}
+
+/// An answer that has less than its offer and is whole is served, as it is.
+#[test]
+fn an_answer_without_the_medium_that_was_offered_is_served_if_nothing_follows() {
+    run(async {
+        let (world, mut viewers) = is_out("no-medium").await;
+        answers_in_pieces(&world, CONNECTION_LINE, Duration::ZERO, b"").await;
+        let answer = viewers.next().await.unwrap().expect("an answer");
+        assert_eq!((answer.kind, common::described(&answer)), (kind::ANSWER, CONNECTION_LINE.to_vec()));
+    });
+}
+
+/// Guards against a session that stays served though what came behind its answer shows that this was cut.
+#[test]
+fn a_session_ends_whose_answer_was_passed_on_cut() {
+    run(async {
+        let (world, mut viewers) = is_out("passed-on-cut").await;
+        let told = [CONNECTION_LINE, MEDIA_LINE].concat();
+        answers_in_pieces(&world, &told, Duration::from_millis(20), b"a=rtpmap:101 telephone-event/8000\r\n")
+            .await;
+        assert_eq!(viewers.next().await.unwrap().expect("an answer").kind, kind::ANSWER);
+        let end = viewers.next().await.unwrap().expect("an end");
+        assert_eq!((end.kind, end.session), (kind::RELEASE, 1));
+        until("its host is told", || !host_saw(&world, "TEARDOWN", 1).is_empty()).await;
+    });
+}
--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -2,6 +2,7 @@
 //! along.
 
 mod attempts;
+mod cut_answers;
 mod messages;
 mod pool;
 mod received;
@@ -12,6 +13,7 @@
 use std::time::Duration;
 
 use elderpick_core::api::{Micros, ServerId};
+use elderpick_platform::description::Shape;
 use elderpick_platform::{MOST_MESSAGE, rtsp};
 use elderpick_sessions::lifecycle::{self, AttemptId, Input};
 use elderpick_sessions::pending::PendingQueue;
@@ -46,8 +48,12 @@
 pub(crate) struct HostConnection {
     stream: BufferedStream,
     decoder: RefCell<rtsp::Decoder>,
-    /// Set-ups that are out on it: which attempts they are, and when they were written.
-    out: RefCell<BTreeMap<u64, (AttemptId, Micros)>>,
+    /// Set-ups that are out on it, by session.
+    out: RefCell<BTreeMap<u64, SetUpOut>>,
+    /// An answer that may be cut.
+    held_answer: RefCell<Option<rtsp::Message>>,
+    /// The session of an answer that was the last that came on it, and when.
+    last_answer: Cell<Option<(u64, Micros)>>,
     /// Sessions whose withdrawal or release was said on it and not confirmed on it.
     unconfirmed: RefCell<BTreeSet<u64>>,
     /// Calls for load that are out on it.
@@ -65,12 +71,22 @@
     made_room: Cell<bool>,
 }
 
+/// A set-up that was written.
+#[derive(Clone, Copy)]
+struct SetUpOut {
+    attempt: AttemptId,
+    written_at: Micros,
+    offer: Shape,
+}
+
 /// An attempt on its way to a host.
 pub(crate) struct Attempt {
     pub server: ServerId,
     pub session: u64,
     pub attempt: AttemptId,
     pub bytes: Vec<u8>,
+    /// The shape of its viewer's description.
+    pub offer: Shape,
     /// How often it was held up by what was there to be read before it.
     pub polls: u32,
     /// The last look left something unread.
@@ -78,8 +94,10 @@
 }
 
 impl Attempt {
-    pub fn new(server: ServerId, session: u64, attempt: AttemptId, bytes: Vec<u8>) -> Attempt {
-        Attempt { server, session, attempt, bytes, polls: 0, unread: false }
+    pub fn new(server: ServerId, attempt: AttemptId, set_up: &rtsp::SetUp<'_>) -> Attempt {
+        let (session, bytes) = (set_up.session, rtsp::set_up(set_up));
+        let offer = Shape::of(set_up.description);
+        Attempt { server, session, attempt, bytes, offer, polls: 0, unread: false }
     }
 
     /// It may be held up as often as a new one.
@@ -108,6 +126,8 @@
             stream: BufferedStream::new(stream, SET_UPS_PER_CONNECTION * MOST_MESSAGE, CHUNK),
             decoder: RefCell::default(),
             out: RefCell::default(),
+            held_answer: RefCell::default(),
+            last_answer: Cell::default(),
             unconfirmed: RefCell::default(),
             asked: RefCell::default(),
             up: now,
@@ -142,9 +162,9 @@
     }
 
     /// Takes out what is out under a session's number, if it is that attempt.
-    fn take_out(&self, session: u64, attempt: Option<AttemptId>) -> Option<(AttemptId, Micros)> {
+    fn take_out(&self, session: u64, attempt: Option<AttemptId>) -> Option<SetUpOut> {
         let mut out = self.out.borrow_mut();
-        let fits = |(out, _): &&(AttemptId, Micros)| attempt.is_none_or(|attempt| attempt == *out);
+        let fits = |out: &&SetUpOut| attempt.is_none_or(|attempt| attempt == out.attempt);
         let found = out.get(&session).filter(fits).copied();
         found.inspect(|_| {
             out.remove(&session);
@@ -220,6 +240,10 @@
     stale: Micros,
     next_call: Cell<u64>,
     pub unreadable: Cell<u64>,
+    /// Answers that were found to be cut.
+    pub cut_answers: Cell<u64>,
+    /// Answers in a row that were held and were whole.
+    unfounded_holds: Cell<u32>,
 }
 
 impl Hosts {
@@ -235,6 +259,8 @@
             stale: if limits.idle > 0 { limits.idle / 3 * 2 } else { Micros::MAX },
             next_call: Cell::new(first_call),
             unreadable: Cell::new(0),
+            cut_answers: Cell::new(0),
+            unfounded_holds: Cell::new(0),
         }
     }
 
--- a/crates/elderpick-node/src/hosts/attempts.rs
+++ b/crates/elderpick-node/src/hosts/attempts.rs
@@ -10,7 +10,7 @@
 
 use super::{
     Attempt, CONFIRM_WITHIN, Call, HostConnection, HostMessage, MOST_POLLS, MOST_WAITING, POLL_PAUSE,
-    POLLED_CHUNKS, RETIRED_FOR,
+    POLLED_CHUNKS, RETIRED_FOR, SetUpOut,
 };
 use crate::buffered_stream::{CloseReason, PollResult};
 use crate::node::Node;
@@ -100,7 +100,8 @@
     pub(super) fn write_set_up(self: &Rc<Self>, connection: &Rc<HostConnection>, one: Attempt) {
         let now = self.now();
         if connection.stream.send_now(&one.bytes) {
-            connection.out.borrow_mut().insert(one.session, (one.attempt, now));
+            let out = SetUpOut { attempt: one.attempt, written_at: now, offer: one.offer };
+            connection.out.borrow_mut().insert(one.session, out);
             connection.used.set(now);
         } else {
             self.retire(connection);
@@ -113,11 +114,12 @@
         let Some(host) = hosts.get_mut(server) else { return };
         host.waiting.retain(|one| one.attempt != attempt);
         for connection in &host.connections {
-            let Some(written) = connection.take_out(session, Some(attempt)) else { continue };
+            let Some(out) = connection.take_out(session, Some(attempt)) else { continue };
             connection.send(HostMessage { ends: Some(session), bytes: rtsp::teardown(session, None) });
             // What hangs in the middle of a message, has said nothing since, or has not taken all, is trusted with no
             // other.
-            if connection.partial.get() || connection.read.get() < written.1 || !connection.stream.free() {
+            if connection.partial.get() || connection.read.get() < out.written_at || !connection.stream.free()
+            {
                 self.retire(connection);
                 self.abort_unless_heard(connection);
             }
--- a/crates/elderpick-node/src/hosts/pool.rs
+++ b/crates/elderpick-node/src/hosts/pool.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
-use super::{Attempt, Call, HostConnection, ROTATION};
+use super::{Attempt, Call, HostConnection, ROTATION, SetUpOut};
 use crate::buffered_stream::CloseReason;
 use crate::node::Node;
 
@@ -156,7 +156,7 @@
         tracing::debug!(%server, whole, ?reason, attempts, "host's connection closed");
         drop(connection);
         self.feed(Input::HostDisconnected { server: server.clone(), whole, unheard, made_room });
-        for (session, (attempt, _)) in out {
+        for (session, SetUpOut { attempt, .. }) in out {
             self.feed(Input::ConnectionLost { server: server.clone(), session, attempt, begun: true });
         }
         for _ in asked {
--- a/crates/elderpick-node/src/hosts/received.rs
+++ b/crates/elderpick-node/src/hosts/received.rs
@@ -71,11 +71,20 @@
         decoder.push(chunk);
         loop {
             match decoder.message().and_then(|message| message.map(intact).transpose()) {
-                Ok(Some(message)) => self.host_message(server, connection, &message),
+                Ok(Some(message)) => {
+                    connection.last_answer.take();
+                    self.pass_on_held_answer(server, connection);
+                    if self.may_be_cut(connection, &message) {
+                        self.hold_answer(server, connection, message);
+                    } else {
+                        self.host_message(server, connection, &message);
+                    }
+                }
                 Ok(None) => break,
                 Err(why) => {
                     self.hosts.unreadable.set(self.hosts.unreadable.get() + 1);
                     tracing::debug!(server = %server, %why, "a host sent what cannot be read");
+                    self.distrust_last_answer(server, connection);
                     connection.stream.set_close_reason(CloseReason::Unreadable);
                     connection.stream.end(true);
                     return false;
@@ -110,7 +119,7 @@
             },
             Start::Request { method } => match method.as_str() {
                 "TEARDOWN" => {
-                    let attempt = connection.take_out(session, None).map(|(attempt, _)| attempt);
+                    let attempt = connection.take_out(session, None).map(|out| out.attempt);
                     // An end that nobody can be told of any more is left to the next process.
                     if !self.shutting_down.get() || self.client_for(None).is_some() {
                         connection.stream.send(&rtsp::response(200, message.cseq, session));
@@ -138,9 +147,10 @@
         message: &rtsp::Message,
     ) {
         let session = message.session;
-        let attempt = connection.take_out(session, None).map(|(attempt, _)| attempt);
+        let attempt = connection.take_out(session, None).map(|out| out.attempt);
         match (set_up_status(status), attempt) {
             (Status::Ok, attempt) => {
+                connection.last_answer.set(attempt.map(|_| (session, self.now())));
                 let description = message.body.clone();
                 self.feed(Input::Answer { server, session, attempt, description, ended: None });
             }
@@ -183,7 +193,7 @@
 }
 
 /// What an answer to a set-up means.
-fn set_up_status(status: u16) -> Status {
+pub(super) fn set_up_status(status: u16) -> Status {
     match status {
         200 => Status::Ok,
         453 => Status::Full,
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -310,7 +310,7 @@
                 let patience_ms = (patience.max(0) / 1_000) as u64;
                 let (class, title, description) = (class.as_str(), title.as_str(), &description[..]);
                 let set_up = rtsp::SetUp { session, class, title, patience_ms, rung, description };
-                let attempt = Attempt::new(server, session, attempt, rtsp::set_up(&set_up));
+                let attempt = Attempt::new(server, attempt, &set_up);
                 self.attempts.borrow_mut().push_back(attempt);
             }
             Output::Withdraw { server, session, attempt } => self.host_withdraw(&server, session, attempt),
@@ -427,6 +427,7 @@
             host_connections = self.hosts.connection_count(),
             unreadable = self.unreadable.get(),
             unreadable_from_hosts = self.hosts.unreadable.get(),
+            cut_answers = self.hosts.cut_answers.get(),
             turned_away = self.turned_away.get(),
             spared = self.spared.get(),
             undelivered = self.undelivered.get(),
--- a/crates/elderpick-platform/src/lib.rs
+++ b/crates/elderpick-platform/src/lib.rs
@@ -7,6 +7,7 @@
 #![deny(missing_docs)]
 
 pub mod boot;
+pub mod description;
 pub mod journal;
 pub mod rtsp;
 pub mod viewer;
--- a/crates/elderpick-sessions/src/lifecycle.rs
+++ b/crates/elderpick-sessions/src/lifecycle.rs
@@ -310,6 +310,7 @@
             Input::Released { server, session, attempt, cause, report } => {
                 self.released(now, HostRelease { server, session, attempt, cause, report }, out);
             }
+            Input::AnswerSpoilt { server, session } => self.answer_spoilt(now, &server, session, out),
             Input::ReleaseConfirmed { server, session } => self.release_confirmed(now, server, session),
             Input::Note { server, session, note } => self.note(server, session, note),
             Input::ConnectionLost { server, session, attempt, begun } => {
--- a/crates/elderpick-sessions/src/lifecycle/attempts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/attempts.rs
@@ -116,6 +116,22 @@
         self.events.push_back(Event::Playing { id: RequestId(session), attempt });
     }
 
+    /// The answer of a session that plays was cut: it is of no use to its viewer, and ends.
+    pub(super) fn answer_spoilt(
+        &mut self,
+        now: Micros,
+        server: &ServerId,
+        session: u64,
+        out: &mut Vec<Output>,
+    ) {
+        let plays_there =
+            |held: &&Session| matches!(&held.stage, Stage::Active { server: at } if at == server);
+        let Some(held) = self.sessions.get(&session).filter(plays_there) else { return };
+        out.push(Output::SessionEnded { conn: held.conn, session, cause: cause::FAILED });
+        self.send_release(now, server.clone(), session, cause::ENDED_BY_VIEWER, out);
+        self.end(now, session, Status::Reset, Report::default());
+    }
+
     /// The time of an attempt is up: it is withdrawn, if it is still out.
     pub(super) fn attempt_timed_out(
         &mut self,
--- a/crates/elderpick-sessions/src/lifecycle/events.rs
+++ b/crates/elderpick-sessions/src/lifecycle/events.rs
@@ -73,6 +73,13 @@
         /// The load that the host reported.
         report: Report,
     },
+    /// A host's answer that was passed on was cut, as what came behind it shows.
+    AnswerSpoilt {
+        /// The host.
+        server: ServerId,
+        /// The session's number.
+        session: u64,
+    },
     /// A host has heard a release.
     ReleaseConfirmed {
         /// The host.
