Sessions, and what is remembered of them, follow limits.memory_mb

Cause: the bound on sessions was 50,000 whatever the limit, and each kept its title twice.

Change: sessions are counted in bytes, their titles and open set-ups' descriptions included, and may take two fifths of the limit; one more is refused, or released at its host if it is handed over. Tables of what is remembered hold as much as may stand. The module keeps titles only for classes whose seats are counted by title (decisions as before). The state line tells session_bytes and timers.

--- a/crates/elderpick-core/src/policy/lifecycle.rs
+++ b/crates/elderpick-core/src/policy/lifecycle.rs
@@ -42,9 +42,13 @@
         self.occupy(id, server);
     }
 
-    fn new_session(&mut self, viewing: Viewing) -> Session {
+    fn new_session(&mut self, mut viewing: Viewing) -> Session {
         let spread = 1.0 + PRICE_SPREAD * (2.0 * self.unit() - 1.0);
         let class = &self.settings.classes[viewing.class];
+        if class.seats.is_none() {
+            // Only seats are counted by title.
+            viewing.title = String::new();
+        }
         let top = class.top.min(viewing.top).min(self.settings.rung_kb.len().saturating_sub(1));
         Session {
             wish: Wish { class: viewing.class, top, spread, rung: class.floor },
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -14,7 +14,7 @@
 use elderpick_platform::viewer::{self, cause};
 use elderpick_sessions::admission::{Admission, Connections};
 use elderpick_sessions::follow::Follow;
-use elderpick_sessions::lifecycle::{self, Conn, Input, Lifecycle, Output};
+use elderpick_sessions::lifecycle::{Conn, Input, Lifecycle, Output};
 use elderpick_sessions::releases::Releases;
 use elderpick_sessions::shutdown::Timetable;
 use tokio::sync::Notify;
@@ -27,6 +27,7 @@
 
 /// A connection to a host that is not up by then is given up, where the settings tell no other time.
 const DEFAULT_CONNECT_TIMEOUT: Micros = 250_000;
+const MEGABYTE: usize = 1 << 20;
 
 /// Whether the gateway runs.
 #[derive(Clone, Copy)]
@@ -99,9 +100,12 @@
         };
         let clock = WallClock::start();
         let started = clock.now();
+        let memory = usize::try_from(boot.limits.memory_mb).unwrap_or(usize::MAX).saturating_mul(MEGABYTE);
+        let lifecycle = Lifecycle::new(core, classes, info.extra.cells).with_memory_limit(memory);
         Ok(Rc::new(Node {
             awake: Cell::new(Awake { ran: started, due: started, behind: None }),
-            lifecycle: RefCell::new(Lifecycle::new(core, classes, info.extra.cells)),
+            releases: RefCell::new(Releases::new(lifecycle.most_sessions())),
+            lifecycle: RefCell::new(lifecycle),
             clock,
             name: boot.name.clone(),
             zones: info.zones.clone(),
@@ -113,7 +117,6 @@
             refusing: Cell::default(),
             next_conn: Cell::default(),
             buffer: RefCell::new(vec![0; buffered_stream::CHUNK]),
-            releases: RefCell::new(Releases::new(lifecycle::MOST_SESSIONS)),
             follow: RefCell::new(Follow::new(0)),
             journal: Cell::new(boot.journal),
             moved: Notify::default(),
@@ -423,6 +426,8 @@
         let (lifecycle, releases) = (self.lifecycle.borrow(), self.releases.borrow());
         tracing::info!(
             held = lifecycle.held(),
+            session_bytes = lifecycle.session_bytes(),
+            timers = lifecycle.timer_count(),
             clients = self.admission.borrow().held(),
             host_connections = self.hosts.connection_count(),
             unreadable = self.unreadable.get(),
--- a/crates/elderpick-sessions/src/lifecycle.rs
+++ b/crates/elderpick-sessions/src/lifecycle.rs
@@ -9,6 +9,7 @@
 mod events;
 mod health;
 mod hosts;
+mod memory;
 mod requests;
 mod timers;
 
@@ -25,6 +26,7 @@
 use self::active::HostRelease;
 use self::attempts::HostAnswer;
 pub use self::events::{Counts, Input, Output};
+use self::memory::SessionMemory;
 use self::timers::{Timer, Timers};
 use crate::health::HealthMonitor;
 use crate::pending::ExpiringMap;
@@ -99,6 +101,8 @@
     stage: Stage,
     /// When its last attempt was made; `None` for a session that was handed over.
     sent_at: Option<Micros>,
+    /// What it counts for against the memory limit.
+    bytes: usize,
     /// When its host's answer was read.
     answered_at: Option<Micros>,
 }
@@ -113,6 +117,7 @@
             sends: 0,
             stage,
             sent_at: None,
+            bytes: 0,
             answered_at: None,
         }
     }
@@ -155,6 +160,7 @@
     cells: Option<usize>,
     servers: BTreeMap<ServerId, Server>,
     sessions: BTreeMap<u64, Session>,
+    memory: SessionMemory,
     /// Set-ups that are open, by connection.
     open: BTreeMap<Conn, BTreeSet<u64>>,
     open_count: usize,
@@ -193,6 +199,7 @@
             cells: cells.filter(|cells| *cells > 0),
             servers: BTreeMap::new(),
             sessions: BTreeMap::new(),
+            memory: SessionMemory::unlimited(),
             open: BTreeMap::new(),
             open_count: 0,
             active_on: BTreeMap::new(),
--- a/crates/elderpick-sessions/src/lifecycle/active.rs
+++ b/crates/elderpick-sessions/src/lifecycle/active.rs
@@ -102,7 +102,7 @@
 
     /// A session that stood is over, and the module is told.
     pub(super) fn end(&mut self, now: Micros, session: u64, status: Status, report: Report) {
-        let Some(held) = self.sessions.remove(&session) else { return };
+        let Some(held) = self.remove_session(session) else { return };
         self.remove_active(held.conn);
         if let Some(server) = held.server() {
             let server = server.clone();
--- a/crates/elderpick-sessions/src/lifecycle/attempts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/attempts.rs
@@ -91,9 +91,9 @@
         self.close(session);
         let Some(held) = self.sessions.get_mut(&session) else { return };
         held.stage = Stage::Active { server: server.clone() };
-        held.set_up = None;
         held.answered_at = Some(now);
         let (conn, attempt) = (held.conn, held.sends - 1);
+        self.drop_set_up(session);
         self.add_active(conn);
         if let Some(cause) = ended {
             // It stood for a moment: an answer would promise what is over.
--- a/crates/elderpick-sessions/src/lifecycle/requests.rs
+++ b/crates/elderpick-sessions/src/lifecycle/requests.rs
@@ -4,8 +4,7 @@
 use elderpick_platform::viewer::{SetUp, cause};
 
 use super::{
-    Conn, Lifecycle, MOST_OPEN, MOST_OPEN_PER_CONNECTION, MOST_SESSIONS, Output, SEAT_RELEASED_AFTER,
-    Session, Stage, Timer,
+    Conn, Lifecycle, MOST_OPEN, MOST_OPEN_PER_CONNECTION, Output, SEAT_RELEASED_AFTER, Session, Stage, Timer,
 };
 
 /// Highest rung of a viewer that a set-up may name.
@@ -91,7 +90,12 @@
     fn hand_over(&mut self, now: Micros, asked: Asked, server: ServerId, out: &mut Vec<Output>) {
         let Asked { session, conn, received_at, viewing } = asked;
         let ended = Output::SessionEnded { conn: Some(conn), session, cause: cause::FAILED };
-        let Some(to) = self.servers.get_mut(&server).filter(|_| self.sessions.len() < MOST_SESSIONS) else {
+        if !self.has_room() && self.servers.contains_key(&server) {
+            self.counts.rejected += 1;
+            self.send_release(now, server, session, cause::ENDED_BY_VIEWER, out);
+            return out.push(ended);
+        }
+        let Some(to) = self.servers.get_mut(&server) else {
             // It plays nowhere that is known: its viewer is to come again. The list may name its host later, which is
             // told then.
             self.counts.rejected += 1;
@@ -108,7 +112,8 @@
         self.add_active(Some(conn));
         self.counts.handed_over += 1;
         let stage = Stage::Active { server: server.clone() };
-        self.sessions.insert(session, Session::new(conn, now + viewing.left, None, stage));
+        let held = Session::new(conn, now + viewing.left, None, stage);
+        self.insert_session(session, held, viewing.title.len());
         self.events.push_back(Event::Open { id: RequestId(session), viewing, server });
     }
 
@@ -118,7 +123,7 @@
         let full = self.draining
             || self.open_on(conn) >= MOST_OPEN_PER_CONNECTION
             || self.open_count >= MOST_OPEN
-            || self.sessions.len() >= MOST_SESSIONS;
+            || !self.has_room();
         if full {
             self.counts.rejected += 1;
             return out.push(Output::Rejected { conn, session, cause: cause::REFUSED, retry_after: None });
@@ -127,7 +132,8 @@
         self.open_count += 1;
         self.open.entry(conn).or_default().insert(session);
         let deadline = now + viewing.left;
-        self.sessions.insert(session, Session::new(conn, deadline, Some(Box::new(set_up)), Stage::Waiting));
+        let held = Session::new(conn, deadline, Some(Box::new(set_up)), Stage::Waiting);
+        self.insert_session(session, held, viewing.title.len());
         self.events.push_back(Event::Request { id: RequestId(session), viewing });
     }
 
@@ -257,7 +263,7 @@
     /// Forgets a set-up that is answered or given up, and withdraws its attempt.
     pub(super) fn withdraw(&mut self, now: Micros, session: u64, out: &mut Vec<Output>) {
         self.close(session);
-        let Some(held) = self.sessions.remove(&session) else { return };
+        let Some(held) = self.remove_session(session) else { return };
         if let Stage::Out { server, attempt, .. } = held.stage {
             self.send_withdrawal(now, server, session, attempt, out);
             let (id, attempt, status, closed) = (RequestId(session), held.sends - 1, Status::Cancelled, true);
