--- a/crates/elderpick-node/src/buffered_stream.rs
+++ b/crates/elderpick-node/src/buffered_stream.rs
@@ -385,9 +385,7 @@
                     }
                     Err(_) => return false,
                     Ok(read) if matches!(self.ending.get(), Ending::No | Ending::Leaving) => {
-                        let chunk = buffer.borrow();
-                        let goes_on = heard(&chunk[..read]);
-                        drop(chunk);
+                        let goes_on = heard(&buffer.borrow()[..read]);
                         if !goes_on {
                             self.set_close_reason(CloseReason::Unreadable);
                             self.end(false);
