--- a/crates/elderpick-lab/src/platform/journal.rs
+++ b/crates/elderpick-lab/src/platform/journal.rs
@@ -17,6 +17,8 @@
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Speaks {
     Well,
+    /// Answers each call so many milliseconds late, and well then.
+    Late(u64),
     /// Answers the call and says nothing more.
     NotAtAll,
     /// Sends an event byte by byte, which does not end.
@@ -153,11 +155,14 @@
         head.lines().find_map(|l| l.to_ascii_lowercase().strip_prefix("last-event-id:")?.trim().parse().ok());
     let mut last: u64 = last.unwrap_or(0);
     calls.borrow_mut().push(last);
+    if let Speaks::Late(ms) = speaks.get() {
+        tokio::time::sleep(Duration::from_millis(ms)).await;
+    }
     writes
         .write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
         .await?;
     match speaks.get() {
-        Speaks::Well => {}
+        Speaks::Well | Speaks::Late(_) => {}
         Speaks::Closing => return Ok(()),
         Speaks::NotAtAll => loop {
             if reads.read_line(&mut head).await? == 0 {
--- a/crates/elderpick-node/src/journal.rs
+++ b/crates/elderpick-node/src/journal.rs
@@ -8,12 +8,16 @@
 use elderpick_platform::journal;
 use elderpick_sessions::follow::Take;
 use elderpick_sessions::lifecycle::Input;
+use tokio::task::JoinSet;
 
 use crate::node::Node;
 
 /// A stream that says nothing whole for so long has stopped: a comment comes each second.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_200);
-const OPEN_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// A call that is not answered by then may be lost: another one is made beside it.
+const NEXT_CALL_AFTER: Duration = Duration::from_millis(1_000);
+/// A call is given up after this; a service that answers more slowly cannot be followed.
+const CALL_TIMEOUT: Duration = Duration::from_millis(4_000);
 
 /// Follows the journal for good: again after each break, at the new address after a change.
 pub(crate) async fn follow(node: Rc<Node>) {
@@ -37,12 +41,35 @@
     }
 }
 
+/// Opens a stream. A call that takes long is not given up for the next one: where the service is slow, its answer is on
+/// its way. The first that is answered counts.
+async fn open_stream(node: &Rc<Node>) -> Option<Events> {
+    let mut calls = JoinSet::new();
+    loop {
+        let (to, name, place) = (node.journal.get(), node.name.clone(), node.follow.borrow().place());
+        calls.spawn_local(async move {
+            Events::open_behind(to, "/journal", &name, Some(place), CALL_TIMEOUT).await.ok()
+        });
+        let first_answered = tokio::time::timeout(NEXT_CALL_AFTER, first_opened(&mut calls)).await;
+        if let Ok(opened) = first_answered {
+            return opened;
+        }
+        tracing::debug!(calls = calls.len(), "the journal is slow");
+    }
+}
+
+/// The first call that is answered well; `None` once all have failed.
+async fn first_opened(calls: &mut JoinSet<Option<Events>>) -> Option<Events> {
+    while let Some(ended) = calls.join_next().await {
+        if let Ok(Some(events)) = ended {
+            return Some(events);
+        }
+    }
+    None
+}
+
 async fn follow_once(node: &Rc<Node>) {
-    let (to, place) = (node.journal.get(), node.follow.borrow().place());
-    let Ok(mut events) = Events::open_behind(to, "/journal", &node.name, Some(place), OPEN_TIMEOUT).await
-    else {
-        return;
-    };
+    let Some(mut events) = open_stream(node).await else { return };
     while let Some(said) = events.said(SILENCE_TIMEOUT).await {
         let message = match said {
             Said::Event(message) => message,
