Behind a standstill the list's news is read before anything is sent

Callers saw: a gateway that stood still for 1.5 s sent the requests that had come meanwhile to a host whose drain had been told before them.

Change: behind a standstill an attempt waits up to four pauses of 1 ms, in which all that came has its turn, and the list is asked again.

--- a/crates/elderpick-lab/tests/slow_discovery.rs
+++ b/crates/elderpick-lab/tests/slow_discovery.rs
@@ -89,3 +89,31 @@
         drain_is_followed(&world, &other, answered + NEXT_CALL, 1).await;
     });
 }
+
+/// How long a gateway stands still, and the part of it before the requests come.
+const STANDS_STILL_BEFORE: Duration = Duration::from_millis(1_500);
+const ASKED_MEANWHILE: u64 = 8;
+
+/// Guards against set-ups that go out behind a standstill before the list's news is read, which came first.
+#[test]
+fn what_the_list_told_while_the_gateway_stood_still_counts_before_anything_is_sent() {
+    run(async {
+        let hosts = vec![Host::start("s-0").await.unwrap(), Host::start("s-1").await.unwrap()];
+        let world = world_of("standstill-news", hosts, Journal::start().await.unwrap(), 256, |_| {}).await;
+        let mut viewers = Viewers::connect(world.gateway.address).await.unwrap();
+        // All is up and followed by then.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert!(viewers.test().await.unwrap());
+        world.gateway.pause().await.unwrap();
+        world.journal.tell(false, &[(&world.hosts[0], "Terminating")]);
+        tokio::time::sleep(STANDS_STILL_BEFORE).await;
+        for session in 1..=ASKED_MEANWHILE {
+            viewers.ask(session, "free", None).await.unwrap();
+        }
+        world.gateway.resume().unwrap();
+        for _ in 0..ASKED_MEANWHILE {
+            viewers.next().await.unwrap().expect("an answer");
+        }
+        assert_eq!(set_ups(&world.hosts[0]), 0, "to a host that has drained for seconds");
+    });
+}
--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -41,6 +41,8 @@
 /// have left: it is looked at again after a pause.
 const MOST_POLLS: u32 = 9;
 const POLL_PAUSE: Duration = Duration::from_millis(1);
+/// An attempt waits so many pauses behind a standstill of this gateway, in which all that came has its turn.
+const MOST_WAITS_FOR_NEWS: u32 = 4;
 /// What a look reads of what a host has said.
 const POLLED_CHUNKS: usize = 16;
 
@@ -91,13 +93,15 @@
     pub polls: u32,
     /// The last look left something unread.
     pub unread: bool,
+    /// How often it waited for what came while this gateway stood still: the list may have changed.
+    pub waits_for_news: u32,
 }
 
 impl Attempt {
     pub fn new(server: ServerId, attempt: AttemptId, set_up: &rtsp::SetUp<'_>) -> Attempt {
         let (session, bytes) = (set_up.session, rtsp::set_up(set_up));
         let offer = Shape::of(set_up.description);
-        Attempt { server, session, attempt, bytes, offer, polls: 0, unread: false }
+        Attempt { server, session, attempt, bytes, offer, polls: 0, unread: false, waits_for_news: 0 }
     }
 
     /// It may be held up as often as a new one.
--- a/crates/elderpick-node/src/hosts/attempts.rs
+++ b/crates/elderpick-node/src/hosts/attempts.rs
@@ -9,8 +9,8 @@
 use tokio::task::spawn_local;
 
 use super::{
-    Attempt, CONFIRM_WITHIN, Call, HostConnection, HostMessage, MOST_POLLS, MOST_WAITING, POLL_PAUSE,
-    POLLED_CHUNKS, RETIRED_FOR, SetUpOut,
+    Attempt, CONFIRM_WITHIN, Call, HostConnection, HostMessage, MOST_POLLS, MOST_WAITING,
+    MOST_WAITS_FOR_NEWS, POLL_PAUSE, POLLED_CHUNKS, RETIRED_FOR, SetUpOut,
 };
 use crate::buffered_stream::{CloseReason, PollResult};
 use crate::node::Node;
@@ -42,10 +42,14 @@
 
     /// Writes a set-up on an idle connection, on a new one, or with others if there may be no further. A bound of
     /// ours says nothing of the host: what it leaves no room for was never sent.
-    pub(crate) fn host_set_up(self: &Rc<Self>, one: Attempt) {
+    pub(crate) fn host_set_up(self: &Rc<Self>, mut one: Attempt) {
         if !self.may_write(&one) {
             return self.feed(one.not_sent());
         }
+        if self.stood_still() && one.waits_for_news < MOST_WAITS_FOR_NEWS {
+            one.waits_for_news += 1;
+            return self.poll_later(one);
+        }
         if one.unread {
             return self.poll_later(one);
         }
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -354,6 +354,12 @@
         }
     }
 
+    /// Whether this gateway stood still, and may not have read all that has come since.
+    pub fn stood_still(&self) -> bool {
+        let awake = self.awake.get();
+        awake.behind.is_some() || self.now() - awake.due > STALL
+    }
+
     /// The earliest time at which what is read now may have come. While the gateway stands still nothing is read, and
     /// who waits counts from when its last byte received_at: where it stood still, that may be since it last ran.
     pub fn arrival_time(&self) -> Micros {
