elderpick-node: scheduling and the trust in connections are modules

Cause: node.rs and viewers.rs had grown, and Awake and Standing were names of the earlier house style.

Change: scheduling.rs holds when the gateway runs and what is due, viewers/trust.rs how surely a connection is viewers' and which one carries what is owed. Nothing else changed.

--- a/crates/elderpick-node/src/lib.rs
+++ b/crates/elderpick-node/src/lib.rs
@@ -12,6 +12,7 @@
 mod hosts;
 mod journal;
 mod node;
+mod scheduling;
 mod shutdown;
 mod signals;
 mod viewers;
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -23,25 +23,15 @@
 use crate::descriptors::Descriptors;
 use crate::event_log;
 use crate::hosts::{Attempt, HostMessage, Hosts, Limits};
-use crate::viewers::{Client, Clients, Standing};
+use crate::scheduling::Scheduling;
+use crate::viewers::{Client, Clients, Trust};
 
 /// A connection to a host that is not up by then is given up, where the settings tell no other time.
 const DEFAULT_CONNECT_TIMEOUT: Micros = 250_000;
 const MEGABYTE: usize = 1 << 20;
 
-/// Whether the gateway runs.
-#[derive(Clone, Copy)]
-pub(crate) struct Awake {
-    /// When it last ran with all read that had come.
-    pub ran: Micros,
-    /// When it meant to run again.
-    pub due: Micros,
-    /// Since when it may not have read all that has come.
-    pub behind: Option<Micros>,
-}
-
 pub(crate) struct Node {
-    pub awake: Cell<Awake>,
+    pub scheduling: Cell<Scheduling>,
     pub lifecycle: RefCell<Lifecycle>,
     pub clock: WallClock,
     pub name: String,
@@ -103,7 +93,7 @@
         let memory = usize::try_from(boot.limits.memory_mb).unwrap_or(usize::MAX).saturating_mul(MEGABYTE);
         let lifecycle = Lifecycle::new(core, classes, info.extra.cells).with_memory_limit(memory);
         Ok(Rc::new(Node {
-            awake: Cell::new(Awake { ran: started, due: started, behind: None }),
+            scheduling: Cell::new(Scheduling::new(started)),
             releases: RefCell::new(Releases::new(lifecycle.most_sessions())),
             lifecycle: RefCell::new(lifecycle),
             clock,
@@ -281,7 +271,7 @@
             self.feed(release.clone());
         }
         if let Some(client) = self.clients.borrow().get(&conn) {
-            self.raise_standing(client, Standing::Served);
+            self.raise_trust(client, Trust::Served);
         }
         if self.answer(conn, session, &text) {
             self.answered_on(conn, session);
@@ -354,57 +344,6 @@
         }
     }
 
-    /// Whether this gateway stood still, and may not have read all that has come since.
-    pub fn stood_still(&self) -> bool {
-        let awake = self.awake.get();
-        awake.behind.is_some() || self.now() - awake.due > STALL
-    }
-
-    /// The earliest time at which what is read now may have come. While the gateway stands still nothing is read, and
-    /// who waits counts from when its last byte received_at: where it stood still, that may be since it last ran.
-    pub fn arrival_time(&self) -> Micros {
-        let (now, awake) = (self.now(), self.awake.get());
-        let stood_still = now - awake.due > STALL;
-        awake.behind.unwrap_or(if stood_still { awake.ran } else { now })
-    }
-
-    /// Lets what arrived while the gateway stood still be handled before its time-outs, as far as these can wait.
-    pub async fn catch_up(&self) {
-        let until = self.now() + STALL;
-        for _ in 0..MOST_YIELDS {
-            tokio::task::yield_now().await;
-            if self.now() >= until {
-                break;
-            }
-        }
-    }
-
-    /// What is due next happens at its time.
-    pub async fn run_timers(self: Rc<Self>) {
-        loop {
-            let (now, timer) = (self.now(), self.lifecycle.borrow().next_timer());
-            let due = timer.map_or(now + BEAT, |timer| timer.min(now + BEAT));
-            if due > now {
-                let behind = self.awake.get().behind;
-                self.awake.set(Awake { ran: now, due, behind });
-                tokio::select! {
-                    () = tokio::time::sleep(Duration::from_micros((due - now) as u64)) => {}
-                    () = self.timer.notified() => {}
-                }
-            }
-            let late = self.now() - due > STALL;
-            let mut awake = self.awake.get();
-            awake.behind = if late { awake.behind.or(Some(awake.ran)) } else { None };
-            self.awake.set(awake);
-            if late {
-                self.catch_up().await;
-            }
-            if timer.is_some_and(|timer| timer <= self.now()) {
-                self.feed(Input::Tick);
-            }
-        }
-    }
-
     /// Looks after connections: the overdue are closed, the spare ones to hosts too.
     pub async fn run_chores(self: Rc<Self>) {
         let mut rounds = 0_u64;
@@ -461,10 +400,4 @@
     }
 }
 
-/// How often other tasks have their turn before a time-out that is late.
-const MOST_YIELDS: u32 = 64;
-/// Later by so much than it meant to run, it stood still.
-pub(crate) const STALL: Micros = 20_000;
-/// How often it means to run at least.
-const BEAT: Micros = 50_000;
 const CHORES: Duration = Duration::from_millis(200);
--- a/crates/elderpick-node/src/shutdown.rs
+++ b/crates/elderpick-node/src/shutdown.rs
@@ -7,7 +7,8 @@
 use elderpick_sessions::lifecycle::Input;
 use tokio::task::JoinHandle;
 
-use crate::node::{Node, STALL};
+use crate::node::Node;
+use crate::scheduling::STALL;
 use crate::signals::Signals;
 
 /// How often it is looked whether anything is still open.
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -15,6 +15,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
+mod trust;
+
+pub(crate) use self::trust::Trust;
 use crate::buffered_stream::{BufferedStream, CloseReason, PollResult};
 use crate::node::Node;
 
@@ -38,27 +41,12 @@
 /// Connections that are taken at the end, before the listener is dropped.
 const MOST_ACCEPTED: usize = 1_024;
 
-/// How far a connection has shown that a viewer of ours is behind it.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Standing {
-    /// All that came on it cannot be read.
-    Bad,
-    /// Nothing has come on it.
-    New,
-    /// Something that can be read has come: a front may test on a connection of its own.
-    Known,
-    /// A set-up has come.
-    Asked,
-    /// A set-up was answered on it.
-    Served,
-}
-
 /// One viewers' connection.
 pub(crate) struct Client {
     pub conn: Conn,
     pub stream: BufferedStream,
     decoder: RefCell<Decoder>,
-    standing: Cell<Standing>,
+    trust: Cell<Trust>,
     unreadable: Cell<u32>,
     /// What comes is not read any more; it is ended once all that is open on it is answered.
     reading_stopped: Cell<bool>,
@@ -147,7 +135,7 @@
             conn,
             stream: BufferedStream::new(stream, MOST_OWED, READ_IN_ONE_TURN),
             decoder: RefCell::default(),
-            standing: Cell::new(Standing::New),
+            trust: Cell::new(Trust::New),
             unreadable: Cell::new(0),
             reading_stopped: Cell::new(false),
             refused,
@@ -333,12 +321,11 @@
         let mut text = Vec::new();
         viewer::release(&mut text, session, cause::UNREADABLE, None);
         client.stream.send(&text);
-        if client.standing.get() == Standing::New {
-            client.standing.set(Standing::Bad);
+        if client.trust.get() == Trust::New {
+            client.trust.set(Trust::Bad);
         }
         client.unreadable.set(client.unreadable.get() + 1);
-        let nothing_else =
-            client.standing.get() < Standing::Asked && client.unreadable.get() >= MOST_UNREADABLE;
+        let nothing_else = client.trust.get() < Trust::Asked && client.unreadable.get() >= MOST_UNREADABLE;
         client.reading_stopped.set(client.reading_stopped.get() || nothing_else);
     }
 
@@ -352,14 +339,14 @@
                     self.refuse(client, session);
                 }
                 Ok(set_up) => {
-                    self.raise_standing(client, Standing::Asked);
+                    self.raise_trust(client, Trust::Asked);
                     self.feed(Input::SetUp { conn, received_at: self.arrival_time(), set_up });
                 }
                 Err(why) => self.bad(client, session, why),
             },
             kind::RELEASE => match message.cause() {
                 Ok(cause) => {
-                    self.raise_standing(client, Standing::Known);
+                    self.raise_trust(client, Trust::Known);
                     self.feed(Input::Release { conn, session, cause });
                     let mut text = Vec::new();
                     let _ = viewer::encode(&mut text, kind::RELEASE_HEARD, session, &[]);
@@ -368,16 +355,16 @@
                 Err(why) => self.bad(client, session, why),
             },
             kind::TEST => {
-                self.raise_standing(client, Standing::Known);
+                self.raise_trust(client, Trust::Known);
                 let mut text = Vec::new();
                 viewer::tested(&mut text, session, !self.shutting_down.get());
                 client.stream.send(&text);
             }
             kind::RELEASE_HEARD => {
-                self.raise_standing(client, Standing::Known);
+                self.raise_trust(client, Trust::Known);
                 self.releases.borrow_mut().confirmed(session, conn);
             }
-            kind::PROGRESS => self.raise_standing(client, Standing::Known),
+            kind::PROGRESS => self.raise_trust(client, Trust::Known),
             _ => self.bad(client, session, elderpick_platform::DecodeError("a message of an unknown type")),
         }
     }
@@ -388,30 +375,4 @@
         viewer::release(&mut text, session, cause::REFUSED, None);
         client.stream.send(&text);
     }
-
-    /// The connection to say that a session is over on: its own, else the one that is most surely a viewer's.
-    pub(crate) fn client_for(&self, conn: Option<Conn>) -> Option<Rc<Client>> {
-        let clients = self.clients.borrow();
-        let hears = |client: &&Rc<Client>| client.stream.free() && !client.stream.ended();
-        let own = conn.and_then(|conn| clients.get(&conn)).filter(hears);
-        let best = |standing| clients.values().filter(|c| c.standing.get() == standing).find(hears);
-        let standings = [Standing::Served, Standing::Asked, Standing::Known];
-        own.or_else(|| standings.into_iter().find_map(best)).cloned()
-    }
-
-    /// A connection has shown more of who is behind it. What was sent on those that had shown no more than that they
-    /// can be read, and was not confirmed, is sent again where a viewer has asked.
-    pub(crate) fn raise_standing(&self, client: &Client, to: Standing) {
-        let before = client.standing.get();
-        if to <= before {
-            return;
-        }
-        client.standing.set(to);
-        if before < Standing::Asked && to >= Standing::Asked {
-            let mut releases = self.releases.borrow_mut();
-            let clients = self.clients.borrow();
-            let known = clients.values().filter(|client| client.standing.get() == Standing::Known);
-            known.for_each(|client| releases.send_again(client.conn));
-        }
-    }
 }
