A guarded attempt is not written behind its class's window

Callers could see: an attempt of a guarded class that was decided within its window and waited for a connection was written behind it.

Cause: the window was checked when the attempt was decided alone.

Change: may_write asks the module once more right before the write.

Measured: the new test of lifecycle.rs failed before and passes now; the digests of recorded.rs are as they were.

--- a/crates/elderpick-core/src/policy/attempts.rs
+++ b/crates/elderpick-core/src/policy/attempts.rs
@@ -46,6 +46,15 @@
         }
     }
 
+    /// Whether a further attempt that was decided before may still be sent: one of a guarded class only within
+    /// the window behind the first that may have run.
+    pub fn may_send_at(&self, now: Micros, id: RequestId) -> bool {
+        let Some(session) = self.sessions.get(&id) else { return true };
+        let class = &self.settings.classes[session.wish.class];
+        let first_ran = session.may_have_run.first().map(|(_, sent_at)| *sent_at);
+        class.effect != Effect::Guarded || first_ran.is_none_or(|sent_at| now < sent_at + class.window)
+    }
+
     fn budget_left(&self) -> bool {
         let Some(budget) = self.settings.budget else { return true };
         let since = self.now - budget.window;
--- a/crates/elderpick-sessions/src/lifecycle.rs
+++ b/crates/elderpick-sessions/src/lifecycle.rs
@@ -296,7 +296,8 @@
             return false;
         };
         let entry = self.servers.get(server).map(|s| &s.listed.entry);
-        now < *until && entry.is_some_and(|e| e.state == ServerState::Up && e.started == *started)
+        let takes_it = entry.is_some_and(|e| e.state == ServerState::Up && e.started == *started);
+        now < *until && takes_it && self.core.may_send_at(now, RequestId(session))
     }
 
     /// When [`Input::Tick`] is due.
--- a/crates/elderpick-sessions/tests/lifecycle.rs
+++ b/crates/elderpick-sessions/tests/lifecycle.rs
@@ -338,6 +338,24 @@
     assert!(!world.lifecycle.may_write(&at, 1, world.attempt(1), world.now), "its viewer has left");
 }
 
+/// Guards against a further attempt of a guarded class that waited for a connection until its window was over.
+#[test]
+fn a_guarded_attempt_is_not_written_behind_its_window() {
+    let window = 100 * MS;
+    let mut world = World::new(&["a", "b"]);
+    let classes = vec![Class { window, ..class(Effect::Guarded, None) }];
+    let core = Controller::new(1, Settings { classes, ..settings() });
+    world.lifecycle = Lifecycle::new(core, vec!["free".to_owned()], Some(4));
+    let hosts = ["a", "b"].map(|name| listed(name, ServerState::Up, None)).into();
+    world.feed(Input::List { kind: ListKind::Full, hosts });
+    let first = sent(&world.ask(1, "free")).unwrap();
+    world.now += 50 * MS;
+    let second = sent(&world.refuse(&first, 1, Status::Failed)).unwrap();
+    let attempt = world.attempt(1);
+    assert!(world.lifecycle.may_write(&second, 1, attempt, world.now + 49 * MS));
+    assert!(!world.lifecycle.may_write(&second, 1, attempt, world.now + 50 * MS));
+}
+
 #[test]
 fn a_dead_hosts_sessions_are_given_back_once_and_their_seats_are_free() {
     let mut world = World::new(&["a"]);
