A message within an answer is found whatever its first header is

Callers could see: an answer that overstates its length by exactly its host's next message was served with it, unless CSeq came first there.

Cause: holds_a_message looked for that header alone.

Change: any header behind a first line of the protocol counts.

Measured: the new test of codecs.rs failed before and passes now.

--- a/crates/elderpick-platform/src/rtsp.rs
+++ b/crates/elderpick-platform/src/rtsp.rs
@@ -150,7 +150,9 @@
 pub fn holds_a_message(body: &[u8]) -> bool {
     let begins = |at: usize| {
         let line = body[at..].split(|byte| *byte == b'\r').next().unwrap_or_default();
-        body[at + line.len()..].starts_with(b"\r\nCSeq:")
+        let rest = body[at + line.len()..].strip_prefix(b"\r\n").unwrap_or_default();
+        let name = rest.iter().take_while(|byte| byte.is_ascii_alphanumeric() || **byte == b'-').count();
+        name > 1 && rest.get(name) == Some(&b':')
     };
     body.windows(RTSP_VERSION.len()).enumerate().any(|(at, window)| window == RTSP_VERSION && begins(at))
 }
--- a/crates/elderpick-platform/tests/codecs.rs
+++ b/crates/elderpick-platform/tests/codecs.rs
@@ -330,3 +330,14 @@
         }
     }
 }
+
+/// Guards against an answer that took its host's next message along, whose headers are in another order.
+#[test]
+fn a_message_within_a_body_is_found_whatever_its_first_header_is() {
+    for header in ["CSeq: 2", "Session: 9b1f03aa5c7e2d41", "Reason: cause=16", "Content-Length: 0"] {
+        let body = format!("c=IN IP4 10.4.7.9\r\nTEARDOWN rtsp://media/session RTSP/1.0\r\n{header}\r\n");
+        assert!(rtsp::holds_a_message(body.as_bytes()), "{header}");
+    }
+    assert!(!rtsp::holds_a_message(DESCRIPTION));
+    assert!(!rtsp::holds_a_message(b"s=RTSP/1.0\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0\r\n"));
+}
