--- a/crates/elderpick-core/src/policy/attempts.rs
+++ b/crates/elderpick-core/src/policy/attempts.rs
@@ -46,8 +46,8 @@
         }
     }
 
-    /// Whether a further attempt that was decided before may still be sent: one of a guarded class only within
-    /// the window behind the first that may have run.
+    /// Whether a further attempt that was decided before may still be sent: of a guarded class only within
+    /// its window behind the first that may have run.
     pub fn may_send_at(&self, now: Micros, id: RequestId) -> bool {
         let Some(session) = self.sessions.get(&id) else { return true };
         let class = &self.settings.classes[session.wish.class];
