What a whole description looks like is learned from its host; no hold outlasts its viewer

Cause: what an answer should have was read off its viewer's offer, which tells neither the attributes that a host adds nor that a host has none; the hold was a constant of 250 ms, and it was counted by process whether it makes sense.

Change: outlines of whole descriptions are learned by host and class (elderpick-sessions, descriptions). An answer of another outline is held until something whole follows, or for a quarter of what its viewer still waits, 250 ms at most; while it is, its attempt does not time out. Each hold on a connection has its own end. An attempt needs 60 ms or a quarter of its class's aim.

--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -38,8 +38,10 @@
 const SHORT: f64 = 0.97;
 /// A share that fell short is taken to last this long without further word.
 const SHORT_LASTS: Micros = 2_500_000;
-/// Less time than this is too little for an attempt.
+/// Less time than this is too little for an attempt, or less than this part of the time that its class wants
+/// to play within, where that is shorter.
 const SHORTEST_ATTEMPT: Micros = 60_000;
+const SHORTEST_PART_OF_AIM: Micros = 4;
 /// Token of the alarm after which the list is asked for; requests have the others.
 const LIST_TOKEN: u64 = 0;
 /// Token of the alarm at which servers of sessions handed over are asked for their load.
--- a/crates/elderpick-core/src/policy/attempts.rs
+++ b/crates/elderpick-core/src/policy/attempts.rs
@@ -1,12 +1,18 @@
 //! Attempts: seats, retry limits and budget, and the send itself.
 
 use super::state::Session;
-use super::{Controller, SHORTEST_ATTEMPT};
-use crate::api::{Action, Effect, Micros, RequestId, ServerId};
+use super::{Controller, SHORTEST_ATTEMPT, SHORTEST_PART_OF_AIM};
+use crate::api::{Action, Class, Effect, Micros, RequestId, ServerId};
 
 /// Requests of the budget's window that are remembered.
 const MOST_REQUEST_TIMES: usize = 65_536;
 
+/// Less time than this is too little for an attempt of a class.
+pub(super) fn shortest_attempt(class: &Class) -> Micros {
+    let part_of_aim = Some(class.aim / SHORTEST_PART_OF_AIM).filter(|part| *part > 0);
+    part_of_aim.map_or(SHORTEST_ATTEMPT, |part| part.min(SHORTEST_ATTEMPT))
+}
+
 impl Controller {
     /// From its send, or from being handed over, to its outcome a session has a seat.
     pub(super) fn seat_free(&self, session: &Session) -> bool {
@@ -70,7 +76,7 @@
         // A class that may be repeated leaves half of its wanted time to a second try.
         let last = self.settings.max_attempts.is_some_and(|most| session.attempted.len() + 1 >= most);
         let half = (session.aim_deadline - self.now) / 2;
-        let once = last || class.effect == Effect::SingleShot || half < SHORTEST_ATTEMPT;
+        let once = last || class.effect == Effect::SingleShot || half < shortest_attempt(class);
         let timeout = if once { left } else { half.min(left) };
         if !session.attempted.is_empty() {
             self.retry_times.push_back(self.now);
--- a/crates/elderpick-core/src/policy/placement.rs
+++ b/crates/elderpick-core/src/policy/placement.rs
@@ -1,7 +1,8 @@
 //! Candidates for a session: a few random holders, of which the least loaded is taken.
 
+use super::attempts::shortest_attempt;
 use super::state::{Load, LoadReport, Server, Session, Use};
-use super::{CANDIDATES, Controller, SHORTEST_ATTEMPT};
+use super::{CANDIDATES, Controller};
 use crate::api::{Effect, Group, Placement, RefusalReason, RequestId, ServerId, ServerState};
 
 /// Loads differ by as much before another zone is preferred.
@@ -13,7 +14,9 @@
         let session = &self.sessions[&id];
         let left = session.deadline - self.now;
         let refused = match () {
-            () if left < SHORTEST_ATTEMPT => Some(RefusalReason::NoTime),
+            () if left < shortest_attempt(&self.settings.classes[session.wish.class]) => {
+                Some(RefusalReason::NoTime)
+            }
             () if !self.seat_free(session) => Some(RefusalReason::NoSeat),
             () if !self.may_attempt(session) => Some(RefusalReason::RetryLimit),
             () => None,
--- a/crates/elderpick-lab/src/platform/host.rs
+++ b/crates/elderpick-lab/src/platform/host.rs
@@ -79,8 +79,13 @@
     longest: Cell<usize>,
     /// Bytes of the descriptions with which it answers what it holds.
     long: Cell<Option<usize>>,
+    /// What it answers set-ups with, if it is not [`description`].
+    describe: Cell<Option<Describe>>,
 }
 
+/// Makes the description of a session.
+pub type Describe = fn(u64) -> Vec<u8>;
+
 /// A scripted media host.
 pub struct Host {
     pub name: String,
@@ -283,6 +288,16 @@
         self.go_on();
     }
 
+    /// Answers with descriptions of another form from now on.
+    pub fn describe_as(&self, describe: Describe) {
+        self.inside.describe.set(Some(describe));
+    }
+
+    /// Which of its connections a set-up that is undecided came on.
+    pub fn connection_of(&self, session: u64) -> Option<usize> {
+        self.inside.undecided.borrow().get(&session).copied()
+    }
+
     pub fn seen(&self) -> Vec<Seen> {
         self.inside.seen.borrow().clone()
     }
@@ -356,6 +371,11 @@
         }
     }
 
+    fn answer(&self, session: u64) -> Vec<u8> {
+        let body = self.describe.get().unwrap_or(description)(session);
+        answer_of(session, &body, body.len())
+    }
+
     /// A set-up waits for its decision on a connection.
     fn holds(&self, session: u64, connection: usize) {
         let mut undecided = self.undecided.borrow_mut();
@@ -390,7 +410,7 @@
                     self.standing.borrow_mut().insert(session, line.clone());
                 }
                 match does {
-                    Does::Answers => say(answer(session)),
+                    Does::Answers => say(self.answer(session)),
                     Does::Understates(bytes) => {
                         let body = description(session);
                         say(answer_of(session, &body, body.len() - bytes));
@@ -416,7 +436,7 @@
                         let mut go_on = self.go_on.subscribe();
                         let then = match does {
                             Does::HoldsRefusal(status) => rtsp::response(status, 1, session),
-                            _ => answer(session),
+                            _ => self.answer(session),
                         };
                         self.holds(session, connection);
                         spawn_local(async move {
--- a/crates/elderpick-lab/src/platform/viewers.rs
+++ b/crates/elderpick-lab/src/platform/viewers.rs
@@ -99,15 +99,19 @@
 
 /// A set-up with a patience of its own and a description of so many bytes.
 pub fn set_up_with(session: u64, class: &str, patience: &str, description: usize) -> Vec<u8> {
+    set_up_offering(session, class, patience, &vec![b'x'; description])
+}
+
+/// A set-up with a patience and a description of its own.
+pub fn set_up_offering(session: u64, class: &str, patience: &str, description: &[u8]) -> Vec<u8> {
     let figures = "home:0;copies:1;top:1;viewer:0000000000000001";
     let mut bytes = Vec::new();
-    let description = vec![b'x'; description];
     let parameters: [(u8, &[u8]); 5] = [
         (viewer::code::CLASS, class.as_bytes()),
         (viewer::code::PATIENCE, patience.as_bytes()),
         (viewer::code::TITLE, b"7f3a9c21e0b4d655"),
         (viewer::code::FIGURES, figures.as_bytes()),
-        (viewer::code::DESCRIPTION, &description),
+        (viewer::code::DESCRIPTION, description),
     ];
     let _ = viewer::encode(&mut bytes, viewer::kind::SET_UP, session, &parameters);
     bytes
--- a/crates/elderpick-node/src/hosts.rs
+++ b/crates/elderpick-node/src/hosts.rs
@@ -10,15 +10,17 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use elderpick_core::api::{Micros, ServerId};
-use elderpick_platform::description::Shape;
 use elderpick_platform::{MOST_MESSAGE, rtsp};
+use elderpick_sessions::descriptions::KnownOutlines;
 use elderpick_sessions::lifecycle::{self, AttemptId, Input};
 use elderpick_sessions::pending::PendingQueue;
 use tokio::net::TcpStream;
 
+use self::cut_answers::{HeldAnswer, PassedOn};
 use crate::buffered_stream::{BufferedStream, CHUNK, CloseReason};
 
 /// Set-ups that one connection carries where no further one may be opened, unless the settings allow fewer.
@@ -53,9 +55,9 @@
     /// Set-ups that are out on it, by session.
     out: RefCell<BTreeMap<u64, SetUpOut>>,
     /// An answer that may be cut.
-    held_answer: RefCell<Option<rtsp::Message>>,
-    /// The session of an answer that was the last that came on it, and when.
-    last_answer: Cell<Option<(u64, Micros)>>,
+    held_answer: RefCell<Option<HeldAnswer>>,
+    /// An answer that was the last that came on it.
+    last_answer: RefCell<Option<PassedOn>>,
     /// Sessions whose withdrawal or release was said on it and not confirmed on it.
     unconfirmed: RefCell<BTreeSet<u64>>,
     /// Calls for load that are out on it.
@@ -74,11 +76,11 @@
 }
 
 /// A set-up that was written.
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 struct SetUpOut {
     attempt: AttemptId,
     written_at: Micros,
-    offer: Shape,
+    class: Arc<str>,
 }
 
 /// An attempt on its way to a host.
@@ -87,8 +89,7 @@
     pub session: u64,
     pub attempt: AttemptId,
     pub bytes: Vec<u8>,
-    /// The shape of its viewer's description.
-    pub offer: Shape,
+    pub class: Arc<str>,
     /// How often it was held up by what was there to be read before it.
     pub polls: u32,
     /// The last look left something unread.
@@ -100,8 +101,8 @@
 impl Attempt {
     pub fn new(server: ServerId, attempt: AttemptId, set_up: &rtsp::SetUp<'_>) -> Attempt {
         let (session, bytes) = (set_up.session, rtsp::set_up(set_up));
-        let offer = Shape::of(set_up.description);
-        Attempt { server, session, attempt, bytes, offer, polls: 0, unread: false, waits_for_news: 0 }
+        let class = set_up.class.into();
+        Attempt { server, session, attempt, bytes, class, polls: 0, unread: false, waits_for_news: 0 }
     }
 
     /// It may be held up as often as a new one.
@@ -131,7 +132,7 @@
             decoder: RefCell::default(),
             out: RefCell::default(),
             held_answer: RefCell::default(),
-            last_answer: Cell::default(),
+            last_answer: RefCell::default(),
             unconfirmed: RefCell::default(),
             asked: RefCell::default(),
             up: now,
@@ -168,11 +169,9 @@
     /// Takes out what is out under a session's number, if it is that attempt.
     fn take_out(&self, session: u64, attempt: Option<AttemptId>) -> Option<SetUpOut> {
         let mut out = self.out.borrow_mut();
-        let fits = |out: &&SetUpOut| attempt.is_none_or(|attempt| attempt == out.attempt);
-        let found = out.get(&session).filter(fits).copied();
-        found.inspect(|_| {
-            out.remove(&session);
-        })
+        let found = out.get(&session)?;
+        let fits = attempt.is_none_or(|attempt| attempt == found.attempt);
+        if fits { out.remove(&session) } else { None }
     }
 
     /// Ends it while nothing is out on it. Where sessions stand the host may be saying just now that one is over: it is
@@ -246,8 +245,10 @@
     pub unreadable: Cell<u64>,
     /// Answers that were found to be cut.
     pub cut_answers: Cell<u64>,
-    /// Answers in a row that were held and were whole.
-    unfounded_holds: Cell<u32>,
+    /// Answers that were held, to see whether more of them follows.
+    pub held_answers: Cell<u64>,
+    /// What descriptions of each host look like.
+    outlines: RefCell<KnownOutlines>,
 }
 
 impl Hosts {
@@ -264,7 +265,8 @@
             next_call: Cell::new(first_call),
             unreadable: Cell::new(0),
             cut_answers: Cell::new(0),
-            unfounded_holds: Cell::new(0),
+            held_answers: Cell::new(0),
+            outlines: RefCell::default(),
         }
     }
 
--- a/crates/elderpick-node/src/hosts/cut_answers.rs
+++ b/crates/elderpick-node/src/hosts/cut_answers.rs
@@ -1,51 +1,109 @@
 //! Answers whose head tells less than their host sends: the rest shows it, and it may come later than the answer.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use elderpick_core::api::{Micros, ServerId, Status};
+use elderpick_platform::description::Outline;
 use elderpick_platform::rtsp::{self, Start, cseq};
-use elderpick_sessions::lifecycle::Input;
+use elderpick_sessions::descriptions::{self, REST_WITHIN};
+use elderpick_sessions::lifecycle::{AttemptId, Input};
 use tokio::task::spawn_local;
 
 use super::HostConnection;
 use super::received::set_up_status;
 use crate::node::Node;
 
-/// The rest of an answer comes within this time: a segment that was lost is sent again after 200 ms.
-const REST_WITHIN: Duration = Duration::from_millis(250);
-/// Answers in a row that lacked what their offers have and were whole all the same: hosts whose descriptions look so
-/// are taken at their word from then on.
-const MOST_UNFOUNDED: u32 = 3;
+/// An answer to a set-up that is out, as it is told from others of its host.
+pub(super) struct AnswerKind {
+    class: Arc<str>,
+    outline: Outline,
+}
+
+/// The last answer of a connection, which waits for what follows it.
+pub(super) struct HeldAnswer {
+    message: rtsp::Message,
+    kind: AnswerKind,
+    /// Tells it from one that is held later on the same connection.
+    number: u64,
+}
+
+/// The last answer of a connection, which was passed on.
+pub(super) struct PassedOn {
+    session: u64,
+    at: Micros,
+    kind: AnswerKind,
+}
+
+impl PassedOn {
+    /// An answer with this description was passed on.
+    pub(super) fn new(session: u64, at: Micros, class: Arc<str>, description: &[u8]) -> PassedOn {
+        PassedOn { session, at, kind: AnswerKind { class, outline: Outline::of(description) } }
+    }
+}
 
 impl Node {
-    /// Whether a message is an answer that lacks what its offer has, so that its rest may still be on its way.
-    pub(super) fn may_be_cut(&self, connection: &HostConnection, message: &rtsp::Message) -> bool {
-        let Start::Response { status } = &message.start else { return false };
-        let is_answer = message.cseq == cseq::SET_UP && set_up_status(*status) == Status::Ok;
-        if !is_answer || self.hosts.unfounded_holds.get() >= MOST_UNFOUNDED {
-            return false;
+    /// Takes a message. An answer that does not look like others of its host waits for its rest.
+    pub(super) fn take_host_message(
+        self: &Rc<Self>,
+        server: &ServerId,
+        connection: &Rc<HostConnection>,
+        message: rtsp::Message,
+    ) {
+        connection.last_answer.take();
+        self.pass_on_held_answer(server, connection);
+        let doubtful = self.doubtful_answer(server, connection, &message);
+        let time = doubtful.and_then(|(attempt, kind)| {
+            let left = self.lifecycle.borrow().time_left(message.session, self.now())?;
+            Some((attempt, kind, descriptions::hold_time(left)?))
+        });
+        match time {
+            Some((attempt, kind, time)) => self.hold_answer(server, connection, message, attempt, kind, time),
+            None => self.host_message(server, connection, &message),
+        }
+    }
+
+    /// The attempt that a message answers and the kind of its answer, unless that is known to be whole.
+    fn doubtful_answer(
+        &self,
+        server: &ServerId,
+        connection: &HostConnection,
+        message: &rtsp::Message,
+    ) -> Option<(AttemptId, AnswerKind)> {
+        let Start::Response { status } = &message.start else { return None };
+        if message.cseq != cseq::SET_UP || set_up_status(*status) != Status::Ok {
+            return None;
         }
         let out = connection.out.borrow();
-        out.get(&message.session).is_some_and(|out| !out.offer.is_answered_by(&message.body))
+        let out = out.get(&message.session)?;
+        let outline = Outline::of(&message.body);
+        let known = self.hosts.outlines.borrow().is_known(server, &out.class, &outline);
+        (!known).then(|| (out.attempt, AnswerKind { class: out.class.clone(), outline }))
     }
 
     /// Keeps an answer until something follows it on its connection, or nothing has for a while.
-    pub(super) fn hold_answer(
+    fn hold_answer(
         self: &Rc<Self>,
         server: &ServerId,
         connection: &Rc<HostConnection>,
         message: rtsp::Message,
+        attempt: AttemptId,
+        kind: AnswerKind,
+        time: Micros,
     ) {
-        tracing::debug!(%server, session = message.session, "an answer lacks what its offer has, and is held");
-        *connection.held_answer.borrow_mut() = Some(message);
+        let session = message.session;
+        tracing::debug!(%server, session, time, outline = ?kind.outline, "an answer is held");
+        let number = self.hosts.held_answers.get();
+        self.hosts.held_answers.set(number + 1);
+        *connection.held_answer.borrow_mut() = Some(HeldAnswer { message, kind, number });
+        self.feed(Input::AnswerHeld { server: server.clone(), session, attempt });
         let (node, server, connection) = (self.clone(), server.clone(), Rc::downgrade(connection));
         spawn_local(async move {
-            tokio::time::sleep(REST_WITHIN).await;
+            tokio::time::sleep(Duration::from_micros(time as u64)).await;
             let Some(connection) = connection.upgrade() else { return };
-            if connection.held_answer.borrow().is_some() {
-                let unfounded = node.hosts.unfounded_holds.get();
-                node.hosts.unfounded_holds.set(unfounded + 1);
+            let is_held = connection.held_answer.borrow().as_ref().is_some_and(|held| held.number == number);
+            if is_held {
                 node.batch(|| node.pass_on_held_answer(&server, &connection));
             }
         });
@@ -54,22 +112,38 @@
     /// Takes an answer that was held for whole.
     pub(super) fn pass_on_held_answer(self: &Rc<Self>, server: &ServerId, connection: &Rc<HostConnection>) {
         let held = connection.held_answer.borrow_mut().take();
-        if let Some(message) = held {
+        if let Some(HeldAnswer { message, kind, .. }) = held {
+            self.hosts.outlines.borrow_mut().was_whole(server, &kind.class, kind.outline);
             self.host_message(server, connection, &message);
         }
     }
 
+    /// Takes all answers that are held for whole: no time is left to wait.
+    pub(crate) fn pass_on_all_held_answers(self: &Rc<Self>) {
+        let held: Vec<_> = {
+            let hosts = self.hosts.by_server.borrow();
+            let connections = hosts.iter().flat_map(|(server, host)| {
+                host.connections.iter().map(|connection| (server.clone(), connection.clone()))
+            });
+            connections.filter(|(_, connection)| connection.held_answer.borrow().is_some()).collect()
+        };
+        self.batch(|| {
+            held.iter().for_each(|(server, connection)| self.pass_on_held_answer(server, connection));
+        });
+    }
+
     /// What came on a connection cannot be read: the answer right before it was cut. One that was held has not been
     /// passed on, and its attempt ends with the connection; one that was passed on is taken back.
     pub(super) fn distrust_last_answer(self: &Rc<Self>, server: &ServerId, connection: &HostConnection) {
-        if connection.held_answer.borrow_mut().take().is_some() {
-            self.hosts.unfounded_holds.set(0);
+        if let Some(held) = connection.held_answer.borrow_mut().take() {
             self.hosts.cut_answers.set(self.hosts.cut_answers.get() + 1);
+            tracing::debug!(%server, session = held.message.session, "an answer that was held was cut");
         }
-        let Some((session, at)) = connection.last_answer.take() else { return };
-        if self.now() - at <= REST_WITHIN.as_micros() as Micros {
+        let Some(PassedOn { session, at, kind }) = connection.last_answer.take() else { return };
+        if self.now() - at <= REST_WITHIN {
             self.hosts.cut_answers.set(self.hosts.cut_answers.get() + 1);
-            tracing::debug!(%server, session, "an answer that was passed on was cut");
+            tracing::debug!(%server, session, outline = ?kind.outline, "an answer that was passed on was cut");
+            self.hosts.outlines.borrow_mut().was_cut(server, &kind.class, &kind.outline);
             self.feed(Input::AnswerSpoilt { server: server.clone(), session });
         }
     }
--- a/crates/elderpick-node/src/hosts/pool.rs
+++ b/crates/elderpick-node/src/hosts/pool.rs
@@ -140,6 +140,10 @@
         });
         let host_bytes = |chunk: &[u8]| self.host_bytes(&server, &connection, chunk);
         let whole = connection.stream.run(&self.buffer, host_bytes).await;
+        if whole && !connection.partial.get() {
+            // Nothing follows any more.
+            self.pass_on_held_answer(&server, &connection);
+        }
         connection.stream.end(true);
         self.connection_ended(&server, connection, whole);
     }
@@ -201,6 +205,7 @@
             }
             known || !host.connections.is_empty() || host.opening > 0
         });
+        self.hosts.outlines.borrow_mut().retain(|server| lifecycle.is_listed(server));
     }
 }
 
--- a/crates/elderpick-node/src/hosts/received.rs
+++ b/crates/elderpick-node/src/hosts/received.rs
@@ -7,6 +7,7 @@
 use elderpick_platform::rtsp::{self, Start, cseq};
 use elderpick_sessions::lifecycle::Input;
 
+use super::cut_answers::PassedOn;
 use super::{HostConnection, POLLED_CHUNKS};
 use crate::buffered_stream::CloseReason;
 use crate::node::Node;
@@ -71,15 +72,7 @@
         decoder.push(chunk);
         loop {
             match decoder.message().and_then(|message| message.map(intact).transpose()) {
-                Ok(Some(message)) => {
-                    connection.last_answer.take();
-                    self.pass_on_held_answer(server, connection);
-                    if self.may_be_cut(connection, &message) {
-                        self.hold_answer(server, connection, message);
-                    } else {
-                        self.host_message(server, connection, &message);
-                    }
-                }
+                Ok(Some(message)) => self.take_host_message(server, connection, message),
                 Ok(None) => break,
                 Err(why) => {
                     self.hosts.unreadable.set(self.hosts.unreadable.get() + 1);
@@ -147,10 +140,12 @@
         message: &rtsp::Message,
     ) {
         let session = message.session;
-        let attempt = connection.take_out(session, None).map(|out| out.attempt);
+        let out = connection.take_out(session, None);
+        let attempt = out.as_ref().map(|out| out.attempt);
         match (set_up_status(status), attempt) {
             (Status::Ok, attempt) => {
-                connection.last_answer.set(attempt.map(|_| (session, self.now())));
+                let passed_on = out.map(|out| PassedOn::new(session, self.now(), out.class, &message.body));
+                *connection.last_answer.borrow_mut() = passed_on;
                 let description = message.body.clone();
                 self.feed(Input::Answer { server, session, attempt, description, ended: None });
             }
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -377,6 +377,7 @@
             host_connections = self.hosts.connection_count(),
             unreadable = self.unreadable.get(),
             unreadable_from_hosts = self.hosts.unreadable.get(),
+            held_answers = self.hosts.held_answers.get(),
             cut_answers = self.hosts.cut_answers.get(),
             turned_away = self.turned_away.get(),
             spared = self.spared.get(),
--- a/crates/elderpick-node/src/shutdown.rs
+++ b/crates/elderpick-node/src/shutdown.rs
@@ -60,6 +60,7 @@
 /// Gives the last answers and closes all connections of viewers. What came by now is answered as well.
 fn answer_all(node: &Rc<Node>) {
     node.poll_clients();
+    node.pass_on_all_held_answers();
     node.closing.set(true);
     node.feed(Input::Finish);
     node.send_releases();
--- a/crates/elderpick-sessions/src/lib.rs
+++ b/crates/elderpick-sessions/src/lib.rs
@@ -8,6 +8,7 @@
 #![deny(missing_docs)]
 
 pub mod admission;
+pub mod descriptions;
 pub mod follow;
 pub mod health;
 pub mod lifecycle;
--- a/crates/elderpick-sessions/src/lifecycle.rs
+++ b/crates/elderpick-sessions/src/lifecycle.rs
@@ -103,7 +103,7 @@
     sent_at: Option<Micros>,
     /// What it counts for against the memory limit.
     bytes: usize,
-    /// When its host's answer was read.
+    /// When the answer of its last attempt's host was read.
     answered_at: Option<Micros>,
 }
 
@@ -256,6 +256,11 @@
         self.active_on.contains_key(&conn)
     }
 
+    /// How long the viewer of an open set-up still waits for its answer.
+    pub fn time_left(&self, session: u64, now: Micros) -> Option<Micros> {
+        self.sessions.get(&session).map(|held| held.deadline - now)
+    }
+
     /// The connection that a session was asked for on.
     pub fn asked_on(&self, session: u64) -> Option<Conn> {
         self.sessions.get(&session)?.conn
@@ -318,6 +323,9 @@
             Input::Answer { server, session, attempt, description, ended } => {
                 self.answered(now, HostAnswer { server, session, attempt, description, ended }, out);
             }
+            Input::AnswerHeld { server, session, attempt } => {
+                self.answer_held(now, &server, session, attempt);
+            }
             Input::Refused { server, session, attempt, status, report } => {
                 self.end_attempt(&server, session, attempt, status, report);
             }
--- a/crates/elderpick-sessions/src/lifecycle/attempts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/attempts.rs
@@ -42,7 +42,7 @@
         // Ends that are known by now are of an attempt before.
         self.recent_ends.remove(now, &(session, Some(server.clone())));
         held.stage = Stage::Out { server: server.clone(), attempt, until, started: entry.started };
-        held.sent_at = Some(now);
+        (held.sent_at, held.answered_at) = (Some(now), None);
         out.push(Output::SetUp {
             server,
             session,
@@ -73,6 +73,18 @@
         self.events.push_back(Event::Outcome { id, attempt, status, closed: false, report });
     }
 
+    /// A host has answered an attempt in time, and its answer is held: the attempt lasts as long as its viewer waits.
+    pub(super) fn answer_held(&mut self, now: Micros, server: &ServerId, session: u64, attempt: AttemptId) {
+        let held = self.sessions.get_mut(&session).filter(|held| held.is_out_as(server, attempt));
+        let Some(held) = held else { return };
+        held.answered_at = Some(now);
+        let deadline = held.deadline;
+        if let Stage::Out { until, .. } = &mut held.stage {
+            *until = deadline;
+        }
+        self.set_timer(deadline, Timer::Attempt(session, attempt));
+    }
+
     /// A host has answered an attempt: the session plays, unless nobody waits for it any more.
     pub(super) fn answered(&mut self, now: Micros, answer: HostAnswer, out: &mut Vec<Output>) {
         let HostAnswer { server, session, attempt, description, ended } = answer;
@@ -91,7 +103,7 @@
         self.close(session);
         let Some(held) = self.sessions.get_mut(&session) else { return };
         held.stage = Stage::Active { server: server.clone() };
-        held.answered_at = Some(now);
+        held.answered_at = held.answered_at.or(Some(now));
         let (conn, attempt) = (held.conn, held.sends - 1);
         self.drop_set_up(session);
         self.add_active(conn);
@@ -140,14 +152,17 @@
         timed_out: AttemptId,
         out: &mut Vec<Output>,
     ) {
-        let Some(Session { stage: Stage::Out { server, attempt, .. }, .. }) = self.sessions.get(&session)
+        let Some(Session { stage: Stage::Out { server, attempt, until, .. }, answered_at, .. }) =
+            self.sessions.get(&session)
         else {
             return;
         };
-        if *attempt == timed_out {
+        if *attempt == timed_out && now >= *until {
+            // A host whose answer is held was not late.
+            let status = if answered_at.is_some() { Status::Cancelled } else { Status::TimedOut };
             let server = server.clone();
             self.send_withdrawal(now, server.clone(), session, timed_out, out);
-            self.end_attempt(&server, session, timed_out, Status::TimedOut, Report::default());
+            self.end_attempt(&server, session, timed_out, status, Report::default());
         }
     }
 
--- a/crates/elderpick-sessions/src/lifecycle/events.rs
+++ b/crates/elderpick-sessions/src/lifecycle/events.rs
@@ -47,6 +47,15 @@
         /// Its host has ended it since, for this cause, and nothing was answered yet.
         ended: Option<u8>,
     },
+    /// A host has answered an attempt, and the answer is held for a moment: more of it may follow.
+    AnswerHeld {
+        /// The host.
+        server: ServerId,
+        /// The session's number.
+        session: u64,
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// A host has not.
     Refused {
         /// The host.
