Ends told to clients that ask for what does not exist are told again where a viewer asks

Cause: any set-up counted as a sign of a viewer, before it was known whether it names what exists; what went out there was neither sent again nor doubted.

Change: only a set-up that names what the settings have counts. What cannot be read or names what does not exist marks its connection: it carries ends last, neither time nor its end proves them heard, and they go out again where a viewer asks.

--- a/crates/elderpick-lab/tests/lost_ends.rs
+++ b/crates/elderpick-lab/tests/lost_ends.rs
@@ -209,3 +209,39 @@
         assert!(tokio::time::timeout(TOLD_WITHIN, told).await.is_ok(), "the front is not told");
     });
 }
+
+/// Guards against ends that are told only to clients that ask for what does not exist.
+#[test]
+fn an_end_told_to_a_client_that_asks_for_no_class_is_told_again_where_a_viewer_asks() {
+    run(async {
+        let world = world("no-such-class", 1, 256).await;
+        stands_without_its_connection(&world).await;
+        let mut stranger = connect(&world).await;
+        stranger.ask(7, "no-such-class", None).await.unwrap();
+        assert_eq!(next_kind(&mut stranger, 7).await, kind::RELEASE);
+        world.hosts[0].end(1, cause::GIVEN_UP);
+        assert_eq!(next_kind(&mut stranger, 1).await, kind::RELEASE);
+        let mut viewers = connect(&world).await;
+        viewers.ask(2, "free", None).await.unwrap();
+        let told = async { while viewers.next().await.unwrap().expect("a message").session != 1 {} };
+        assert!(tokio::time::timeout(TOLD_WITHIN, told).await.is_ok(), "its viewer is not told");
+    });
+}
+
+/// The same where that client has asked for what exists before.
+#[test]
+fn an_end_told_to_a_client_that_turns_bad_is_told_again_to_another() {
+    run(async {
+        let world = world("turns-bad", 1, 256).await;
+        stands_without_its_connection(&world).await;
+        let mut stranger = connect(&world).await;
+        is_served(&mut stranger, 7).await;
+        world.hosts[0].end(1, cause::GIVEN_UP);
+        assert_eq!(next_kind(&mut stranger, 1).await, kind::RELEASE);
+        let mut viewers = connect(&world).await;
+        is_served(&mut viewers, 2).await;
+        stranger.ask(8, "no-such-class", None).await.unwrap();
+        let told = tokio::time::timeout(TOLD_WITHIN, next_kind(&mut viewers, 1)).await;
+        assert_eq!(told, Ok(kind::RELEASE));
+    });
+}
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -331,7 +331,7 @@
         viewer::release(&mut text, session, cause, None);
         tracing::trace!(session, on = client.conn, "release sent");
         client.stream.send(&text);
-        self.releases.borrow_mut().sent(self.now(), session, client.conn);
+        self.releases.borrow_mut().sent(self.now(), session, client.carrier());
     }
 
     /// Sends what waited for a viewers' connection, on each as much as it takes at once: what is more would end it.
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -47,6 +47,9 @@
     pub stream: BufferedStream,
     decoder: RefCell<Decoder>,
     trust: Cell<Trust>,
+    /// Something has come on it that no viewer of ours sends.
+    is_faulty: Cell<bool>,
+    /// Messages that cannot be read, or ask for what does not exist.
     unreadable: Cell<u32>,
     /// What comes is not read any more; it is ended once all that is open on it is answered.
     reading_stopped: Cell<bool>,
@@ -136,6 +139,7 @@
             stream: BufferedStream::new(stream, MOST_OWED, READ_IN_ONE_TURN),
             decoder: RefCell::default(),
             trust: Cell::new(Trust::New),
+            is_faulty: Cell::new(false),
             unreadable: Cell::new(0),
             reading_stopped: Cell::new(false),
             refused,
@@ -321,9 +325,13 @@
         let mut text = Vec::new();
         viewer::release(&mut text, session, cause::UNREADABLE, None);
         client.stream.send(&text);
-        if client.trust.get() == Trust::New {
-            client.trust.set(Trust::Bad);
-        }
+        self.count_fault(client);
+    }
+
+    /// Something has come that no viewer of ours sends. Behind too much of it nothing more is read from who sends
+    /// nothing else.
+    fn count_fault(&self, client: &Client) {
+        self.distrust(client);
         client.unreadable.set(client.unreadable.get() + 1);
         let nothing_else = client.trust.get() < Trust::Asked && client.unreadable.get() >= MOST_UNREADABLE;
         client.reading_stopped.set(client.reading_stopped.get() || nothing_else);
@@ -335,13 +343,7 @@
         tracing::trace!(conn, ?message, "message from a viewer");
         match message.kind {
             kind::SET_UP => match SetUp::parse(message) {
-                Ok(set_up) if client.refused.is_some() && set_up.figures.at.is_none() => {
-                    self.refuse(client, session);
-                }
-                Ok(set_up) => {
-                    self.raise_trust(client, Trust::Asked);
-                    self.feed(Input::SetUp { conn, received_at: self.arrival_time(), set_up });
-                }
+                Ok(set_up) => self.client_set_up(conn, client, set_up),
                 Err(why) => self.bad(client, session, why),
             },
             kind::RELEASE => match message.cause() {
@@ -369,6 +371,20 @@
         }
     }
 
+    /// Takes a set-up that can be read.
+    fn client_set_up(self: &Rc<Self>, conn: Conn, client: &Client, set_up: SetUp) {
+        if self.lifecycle.borrow().knows_what_is_asked(&set_up) {
+            self.raise_trust(client, Trust::Asked);
+        } else {
+            self.raise_trust(client, Trust::Known);
+            self.count_fault(client);
+        }
+        if client.refused.is_some() && set_up.figures.at.is_none() {
+            return self.refuse(client, set_up.session);
+        }
+        self.feed(Input::SetUp { conn, received_at: self.arrival_time(), set_up });
+    }
+
     /// Refuses a set-up on a connection that was not admitted: nothing of it was ever sent on.
     fn refuse(&self, client: &Client, session: u64) {
         let mut text = Vec::new();
--- a/crates/elderpick-node/src/viewers/trust.rs
+++ b/crates/elderpick-node/src/viewers/trust.rs
@@ -3,49 +3,94 @@
 use std::rc::Rc;
 
 use elderpick_sessions::lifecycle::Conn;
+use elderpick_sessions::releases::Carrier;
 
-use super::Client;
+use super::{Client, Clients};
 use crate::node::Node;
 
 /// How far a connection has shown that a viewer of ours is behind it.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Trust {
-    /// All that came on it cannot be read.
-    Bad,
-    /// Nothing has come on it.
+    /// Nothing has come on it that can be read.
     New,
     /// Something that can be read has come: a front may test on a connection of its own.
     Known,
-    /// A set-up has come.
+    /// A set-up has come that names what exists.
     Asked,
     /// A set-up was answered on it.
     Served,
 }
 
+impl Client {
+    /// How surely a viewer of ours hears what is said on it; the larger the surer. What was ever sent on it that no
+    /// viewer of ours sends counts for more than all else.
+    fn sureness(&self) -> (bool, Trust) {
+        (!self.is_faulty.get(), self.trust.get())
+    }
+
+    /// Whether a viewer of ours hears what is said on it.
+    fn is_sure(&self) -> bool {
+        self.sureness() >= (true, Trust::Asked)
+    }
+
+    /// Whether it may carry the end of a session.
+    fn may_carry_ends(&self) -> bool {
+        self.trust.get() >= Trust::Known && self.stream.free() && !self.stream.ended()
+    }
+
+    /// What a release that is sent on it counts as.
+    pub(crate) fn carrier(&self) -> Carrier {
+        let conn = self.conn;
+        if self.is_faulty.get() { Carrier::Doubtful(conn) } else { Carrier::Viewers(conn) }
+    }
+}
+
 impl Node {
     /// The connection to say that a session is over on: its own, else the one that is most surely a viewer's.
     pub(crate) fn client_for(&self, conn: Option<Conn>) -> Option<Rc<Client>> {
         let clients = self.clients.borrow();
-        let hears = |client: &&Rc<Client>| client.stream.free() && !client.stream.ended();
-        let own = conn.and_then(|conn| clients.get(&conn)).filter(hears);
-        let best = |trust| clients.values().filter(|c| c.trust.get() == trust).find(hears);
-        let levels = [Trust::Served, Trust::Asked, Trust::Known];
-        own.or_else(|| levels.into_iter().find_map(best)).cloned()
+        let own = conn.and_then(|conn| clients.get(&conn));
+        let own = own.filter(|client| client.stream.free() && !client.stream.ended());
+        own.or_else(|| surest(&clients)).cloned()
     }
 
-    /// A connection has shown more of who is behind it. What was sent on those that had shown no more than that they
-    /// can be read, and was not confirmed, is sent again where a viewer has asked.
+    /// A connection has shown more of who is behind it. What was sent on those that are less surely a viewer's, and was
+    /// not confirmed, is sent again where a viewer has asked.
     pub(crate) fn raise_trust(&self, client: &Client, to: Trust) {
-        let before = client.trust.get();
-        if to <= before {
+        if to <= client.trust.get() {
             return;
         }
+        let was_sure = client.is_sure();
         client.trust.set(to);
-        if before < Trust::Asked && to >= Trust::Asked {
-            let mut releases = self.releases.borrow_mut();
-            let clients = self.clients.borrow();
-            let known = clients.values().filter(|client| client.trust.get() == Trust::Known);
-            known.for_each(|client| releases.send_again(client.conn));
+        if !was_sure && client.is_sure() {
+            self.send_doubtful_releases_again();
         }
     }
+
+    /// Something has come on a connection that no viewer of ours sends.
+    pub(super) fn distrust(&self, client: &Client) {
+        if client.is_faulty.replace(true) {
+            return;
+        }
+        tracing::debug!(conn = client.conn, "a connection has sent what no viewer sends");
+        if self.clients.borrow().values().any(|client| client.is_sure()) {
+            self.send_doubtful_releases_again();
+        }
+    }
+
+    /// Sends what went out on connections that are less surely a viewer's once more.
+    fn send_doubtful_releases_again(&self) {
+        {
+            let (mut releases, clients) = (self.releases.borrow_mut(), self.clients.borrow());
+            let unsure = clients.values().filter(|client| !client.is_sure());
+            unsure.for_each(|client| releases.send_again(client.conn));
+        }
+        self.send_releases();
+    }
+}
+
+/// Of those that are as surely a viewer's as any, the one that is open longest.
+fn surest(clients: &Clients) -> Option<&Rc<Client>> {
+    let able = clients.values().filter(|client| client.may_carry_ends());
+    able.max_by_key(|client| (client.sureness(), std::cmp::Reverse(client.conn)))
 }
--- a/crates/elderpick-sessions/src/lifecycle/requests.rs
+++ b/crates/elderpick-sessions/src/lifecycle/requests.rs
@@ -66,15 +66,25 @@
         }
     }
 
-    /// What a set-up asks for; `None` if it names what the settings do not have.
-    fn viewing(&self, now: Micros, received_at: Micros, set_up: &SetUp) -> Option<Viewing> {
+    /// Whether a set-up names nothing that the settings do not have.
+    pub fn knows_what_is_asked(&self, set_up: &SetUp) -> bool {
+        self.class_asked_for(set_up).is_some()
+    }
+
+    /// The class that a set-up asks for, if it names nothing that the settings do not have.
+    fn class_asked_for(&self, set_up: &SetUp) -> Option<usize> {
         let figures = &set_up.figures;
         let class = self.classes.iter().position(|name| *name == set_up.class)?;
         let in_cells = |cells: usize| figures.home < cells && figures.copies <= cells;
         let holders = figures.copies > 0 && self.cells.is_none_or(in_cells);
-        if !holders || figures.top.is_some_and(|top| top > HIGHEST_TOP) {
-            return None;
-        }
+        let has_top = figures.top.is_none_or(|top| top <= HIGHEST_TOP);
+        (holders && has_top).then_some(class)
+    }
+
+    /// What a set-up asks for; `None` if it names what the settings do not have.
+    fn viewing(&self, now: Micros, received_at: Micros, set_up: &SetUp) -> Option<Viewing> {
+        let figures = &set_up.figures;
+        let class = self.class_asked_for(set_up)?;
         Some(Viewing {
             class,
             title: set_up.title.clone(),
--- a/crates/elderpick-sessions/src/releases.rs
+++ b/crates/elderpick-sessions/src/releases.rs
@@ -15,12 +15,35 @@
 /// What went out longer before its connection's end than this has arrived: confirming is free.
 const MAY_CROSS_FOR: Micros = 1_000_000;
 
+/// What a release is sent on.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Carrier {
+    /// A connection of viewers.
+    Viewers(Conn),
+    /// One on which something came that no viewer sends: time proves nothing there.
+    Doubtful(Conn),
+}
+
+impl Carrier {
+    fn conn(self) -> Conn {
+        match self {
+            Carrier::Viewers(conn) | Carrier::Doubtful(conn) => conn,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SentRelease {
+    on: Carrier,
+    at: Micros,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct PendingRelease {
     cause: u8,
     since: Micros,
-    /// The connection that it was sent on, and when; `None` while it waits for one.
-    sent: Option<(Conn, Micros)>,
+    /// How it was sent last; `None` while it waits for a connection.
+    sent: Option<SentRelease>,
 }
 
 /// Releases that are not confirmed, the oldest first. Each is sent on one connection at a time.
@@ -32,7 +55,7 @@
     order: BTreeSet<(Micros, u64)>,
     /// Those that wait for a connection.
     waiting: BTreeSet<(Micros, u64)>,
-    /// Those that were sent, by when.
+    /// Those that were sent on connections of viewers, by when.
     by_send_time: BTreeSet<(Micros, u64)>,
     /// Those that were sent on a connection and are not confirmed.
     by_connection: BTreeMap<Conn, BTreeSet<u64>>,
@@ -80,18 +103,20 @@
     }
 
     /// It went out on a connection.
-    pub fn sent(&mut self, now: Micros, session: u64, conn: Conn) {
+    pub fn sent(&mut self, now: Micros, session: u64, on: Carrier) {
         let Some(release) = self.pending.get_mut(&session) else { return };
         self.waiting.remove(&(release.since, session));
-        self.by_send_time.insert((now, session));
-        release.sent = Some((conn, now));
-        self.by_connection.entry(conn).or_default().insert(session);
+        if matches!(on, Carrier::Viewers(_)) {
+            self.by_send_time.insert((now, session));
+        }
+        release.sent = Some(SentRelease { on, at: now });
+        self.by_connection.entry(on.conn()).or_default().insert(session);
     }
 
     /// Its viewer has confirmed it, on the connection that it was sent on: what is confirmed elsewhere was not heard.
     pub fn confirmed(&mut self, session: u64, conn: Conn) {
-        let by_connection = self.pending.get(&session).and_then(|release| release.sent).map(|(conn, _)| conn);
-        if by_connection == Some(conn) {
+        let sent = self.pending.get(&session).and_then(|release| release.sent);
+        if sent.is_some_and(|sent| sent.on.conn() == conn) {
             self.forget(session);
         }
     }
@@ -100,9 +125,9 @@
     pub fn connection_ended(&mut self, now: Micros, conn: Conn) {
         for session in self.by_connection.remove(&conn).unwrap_or_default() {
             let Some(release) = self.pending.get_mut(&session) else { continue };
-            let Some((_, sent_at)) = release.sent.take() else { continue };
-            self.by_send_time.remove(&(sent_at, session));
-            if now - sent_at <= MAY_CROSS_FOR {
+            let Some(SentRelease { on, at }) = release.sent.take() else { continue };
+            self.by_send_time.remove(&(at, session));
+            if now - at <= MAY_CROSS_FOR || matches!(on, Carrier::Doubtful(_)) {
                 self.resent += 1;
                 self.waiting.insert((release.since, session));
             } else {
@@ -115,8 +140,8 @@
     pub fn send_again(&mut self, conn: Conn) {
         for session in self.by_connection.remove(&conn).unwrap_or_default() {
             let Some(release) = self.pending.get_mut(&session) else { continue };
-            let Some((_, sent_at)) = release.sent.take() else { continue };
-            self.by_send_time.remove(&(sent_at, session));
+            let Some(SentRelease { at, .. }) = release.sent.take() else { continue };
+            self.by_send_time.remove(&(at, session));
             self.waiting.insert((release.since, session));
             self.resent += 1;
         }
@@ -136,12 +161,12 @@
         let Some(release) = self.pending.remove(&session) else { return };
         self.order.remove(&(release.since, session));
         self.waiting.remove(&(release.since, session));
-        let Some((conn, at)) = release.sent else { return };
+        let Some(SentRelease { on, at }) = release.sent else { return };
         self.by_send_time.remove(&(at, session));
-        if let Some(sent) = self.by_connection.get_mut(&conn) {
+        if let Some(sent) = self.by_connection.get_mut(&on.conn()) {
             sent.remove(&session);
             if sent.is_empty() {
-                self.by_connection.remove(&conn);
+                self.by_connection.remove(&on.conn());
             }
         }
     }
--- a/crates/elderpick-sessions/tests/releases.rs
+++ b/crates/elderpick-sessions/tests/releases.rs
@@ -1,6 +1,6 @@
 //! Releases towards viewers, until they are confirmed.
 
-use elderpick_sessions::releases::Releases;
+use elderpick_sessions::releases::{Carrier, Releases};
 
 const SECOND: i64 = 1_000_000;
 
@@ -8,7 +8,7 @@
 fn say(releases: &mut Releases, now: i64, conn: u64) -> Vec<(u64, u8)> {
     let mut said = Vec::new();
     while let Some((session, cause)) = releases.next(now) {
-        releases.sent(now, session, conn);
+        releases.sent(now, session, Carrier::Viewers(conn));
         said.push((session, cause));
     }
     said
@@ -56,7 +56,7 @@
     let mut releases = Releases::new(9);
     releases.add(0, 1, 16);
     assert_eq!(releases.next(3_600 * SECOND), Some((1, 16)));
-    releases.sent(3_600 * SECOND, 1, 7);
+    releases.sent(3_600 * SECOND, 1, Carrier::Viewers(7));
     releases.connection_ended(3_600 * SECOND + 1, 7);
     assert_eq!((say(&mut releases, 3_601 * SECOND, 8), releases.dropped), (vec![(1, 16)], 0));
     releases.confirmed(1, 8);
@@ -86,7 +86,7 @@
     for conn in 0..100 {
         for _ in 0..1_000 {
             let Some((session, _)) = releases.next(1) else { break };
-            releases.sent(1, session, conn);
+            releases.sent(1, session, Carrier::Viewers(conn));
             // Every second one is confirmed before the connection ends.
             if session % 2 == conn % 2 {
                 releases.confirmed(session, conn);
@@ -101,3 +101,18 @@
     said.iter().for_each(|(session, _)| releases.confirmed(*session, 1_000));
     assert!(releases.is_empty() && releases.dropped == 0);
 }
+
+/// Guards against ends that count as heard since they were said to a stranger long ago, or right before that left.
+#[test]
+fn what_was_sent_on_a_doubtful_connection_is_owed_until_it_is_confirmed() {
+    let mut releases = Releases::new(8);
+    releases.add(0, 1, 16);
+    releases.sent(0, 1, Carrier::Doubtful(7));
+    assert_eq!(releases.next(60 * SECOND), None);
+    assert_eq!(releases.len(), 1);
+    releases.connection_ended(60 * SECOND, 7);
+    assert_eq!(releases.next(60 * SECOND), Some((1, 16)));
+    releases.sent(60 * SECOND, 1, Carrier::Viewers(8));
+    releases.connection_ended(70 * SECOND, 8);
+    assert!(releases.is_empty());
+}
