A decision costs what it touches: holders by cell, sums that move with what changed

Cause: a draw looked at all servers, twice where it found no holder; the load of an uplink summed over all servers behind it; a change of the list built all sums anew, over servers long gone as well.

Change: servers are kept by cell (holders.rs), a draw takes holders of its title alone; links, uplinks and demand move in fixed point with the server that changed (capacity.rs); servers that have left are forgotten.

Found with it: a server that starts anew as it leaves the list had no size, and its last report made the whole fleet pass for full; mended, with a test in fleet.rs that failed before.

--- a/crates/elderpick-core/src/api.rs
+++ b/crates/elderpick-core/src/api.rs
@@ -11,7 +11,7 @@
 pub struct RequestId(pub u64);
 
 /// A media server, as the outside names it. Carries no meaning.
-#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug)]
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
 pub struct ServerId(pub Arc<str>);
 
 impl fmt::Display for ServerId {
--- a/crates/elderpick-core/src/policy.rs
+++ b/crates/elderpick-core/src/policy.rs
@@ -6,10 +6,12 @@
 //! `docs/design.md` lists them.
 
 mod attempts;
+mod capacity;
 mod cold_start;
 mod delivery;
 mod fleet;
 mod health;
+mod holders;
 mod lifecycle;
 mod load;
 mod occupancy;
@@ -19,14 +21,17 @@
 mod rung;
 mod state;
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::hash::{BuildHasherDefault, DefaultHasher};
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 
+use self::capacity::{Capacity, Rack};
+use self::holders::ServerList;
 use self::occupancy::Occupancy;
 use self::probe_budget::ProbeBudget;
-use self::state::{Rack, Server, Session, Wish};
+use self::state::{Server, Session, Wish};
 use crate::api::*;
 
 /// Holders drawn for a session; where few of these have told their load of late, of others who have, so many
@@ -47,6 +52,9 @@
 /// Token of the alarm at which servers of sessions handed over are asked for their load.
 const LOAD_PROBE_TOKEN: u64 = 1;
 
+/// A table by server. Its hashes are the same in each process, so that decisions are.
+type ById<T> = HashMap<ServerId, T, BuildHasherDefault<DefaultHasher>>;
+
 /// The decisions of one gateway. Given the same seed, settings and events, it returns the same actions.
 pub struct Controller {
     settings: Settings,
@@ -59,15 +67,18 @@
     has_handed_over: bool,
     /// Reports tell what is asked of uplinks.
     uplinks_reported: bool,
-    servers: BTreeMap<ServerId, Server>,
+    servers: ById<Server>,
     racks: BTreeMap<usize, Rack>,
-    /// Servers that may be sent to, as the list tells, in an order that the draws shuffle.
-    up: Vec<ServerId>,
+    /// Servers that may be sent to, as the list tells; the same by the cell whose titles they hold; and
+    /// which of these may be cold.
+    up: ServerList,
+    up_by_cell: BTreeMap<usize, ServerList>,
+    cold_by_cell: BTreeMap<usize, BTreeSet<ServerId>>,
+    /// Servers that have left the list, and when.
+    gone: VecDeque<(Micros, ServerId)>,
     /// Servers that failed or did not answer, and have not answered since.
     failing_servers: BTreeSet<ServerId>,
-    /// The largest size of a server, and the sum of all, in kB a second.
-    largest: f64,
-    capacity: f64,
+    capacity: Capacity,
     /// The last reports: when, of which server, what others asked of it over its size, and what own sessions
     /// asked of all servers then.
     reports: VecDeque<(Micros, ServerId, f64, f64)>,
@@ -105,12 +116,14 @@
             list_may_be_old: true,
             has_handed_over: false,
             uplinks_reported: false,
-            servers: BTreeMap::new(),
+            servers: ById::default(),
             racks: BTreeMap::new(),
-            up: Vec::new(),
+            up: ServerList::default(),
+            up_by_cell: BTreeMap::new(),
+            cold_by_cell: BTreeMap::new(),
+            gone: VecDeque::new(),
             failing_servers: BTreeSet::new(),
-            largest: 0.0,
-            capacity: 0.0,
+            capacity: Capacity::default(),
             reports: VecDeque::new(),
             sessions: BTreeMap::new(),
             occupancy: Occupancy::default(),
@@ -156,12 +169,21 @@
         actions.append(&mut self.out);
     }
 
-    /// A random number from 0 to below 1.
     fn unit(&mut self) -> f64 {
-        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+        random_unit(&mut self.rng)
     }
 
     fn below(&mut self, end: usize) -> usize {
-        (self.rng.next_u64() % end.max(1) as u64) as usize
+        random_below(&mut self.rng, end)
     }
 }
+
+/// A random number from 0 to below 1.
+fn random_unit(rng: &mut ChaCha8Rng) -> f64 {
+    (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+}
+
+/// A random number from 0 to below `end`, or 0.
+fn random_below(rng: &mut ChaCha8Rng, end: usize) -> usize {
+    (rng.next_u64() % end.max(1) as u64) as usize
+}
--- a/crates/elderpick-core/src/policy/attempts.rs
+++ b/crates/elderpick-core/src/policy/attempts.rs
@@ -27,8 +27,9 @@
             return true;
         }
         let class = &self.settings.classes[session.wish.class];
-        let ran_in_time =
-            |since: Micros| self.now < session.may_have_run.first().map_or(Micros::MAX, |r| r.1 + since);
+        let ran_in_time = |since: Micros| {
+            self.now < session.may_have_run.first().map_or(Micros::MAX, |ran| ran.sent_at + since)
+        };
         let repeatable = match class.effect {
             Effect::Free => true,
             Effect::Guarded => ran_in_time(class.window),
@@ -57,7 +58,7 @@
     pub fn may_send_at(&self, now: Micros, id: RequestId) -> bool {
         let Some(session) = self.sessions.get(&id) else { return true };
         let class = &self.settings.classes[session.wish.class];
-        let first_ran = session.may_have_run.first().map(|(_, sent_at)| *sent_at);
+        let first_ran = session.may_have_run.first().map(|ran| ran.sent_at);
         class.effect != Effect::Guarded || first_ran.is_none_or(|sent_at| now < sent_at + class.window)
     }
 
--- a/crates/elderpick-core/src/policy/delivery.rs
+++ b/crates/elderpick-core/src/policy/delivery.rs
@@ -107,7 +107,7 @@
             return;
         };
         let rack = &self.racks[&self.rack_of(server)];
-        let there = if uplink { rack.servers.clone() } else { vec![id.clone()] };
+        let there: Vec<_> = if uplink { rack.servers.iter().cloned().collect() } else { vec![id.clone()] };
         there.iter().for_each(|id| self.cut_rungs(id, 1.0 / asked));
     }
 
--- a/crates/elderpick-core/src/policy/health.rs
+++ b/crates/elderpick-core/src/policy/health.rs
@@ -37,6 +37,7 @@
         server.unresponsive = false;
         server.back = if server.lost { Some(self.now) } else { server.back };
         server.lost = false;
+        self.note_cold(id);
     }
 
     pub(super) fn record_status(&mut self, id: &ServerId, status: Status) {
@@ -45,7 +46,7 @@
         let first = match status {
             Status::Ok => return self.record_success(id),
             // It says nothing of other servers, so it does not count as a report.
-            Status::Full => return server.last_report = Some(LoadReport { at: now, asked: 1.0, own: 0.0 }),
+            Status::Full => return self.set_last_report(id, LoadReport { at: now, asked: 1.0, own: 0.0 }),
             Status::Cancelled | Status::Ignored => return,
             Status::Failed => BACK_OFF,
             Status::TimedOut | Status::ConnectError | Status::Reset => UNREACHABLE_BACK_OFF,
@@ -63,6 +64,7 @@
             server.failures += 1;
         }
         self.failing_servers.insert(id.clone());
+        self.note_cold(id);
     }
 
     /// Probes servers that did not answer, each when its back-off ends, at the pace of the budget. Guards
@@ -124,7 +126,7 @@
         }
         // After the back-off one session on trial, and none that may be set up only once while others serve.
         let only_once = self.settings.classes[session.wish.class].effect == Effect::SingleShot;
-        let safe = !only_once || self.up.iter().all(|id| self.failing_servers.contains(id));
+        let safe = !only_once || self.up.all().iter().all(|id| self.failing_servers.contains(id));
         // What was sent before it answered again was sent into its silence.
         let is_trial = |session: &Session| !session.playing && session.sent_at >= server.answered_at;
         let on_trial = || server.sessions.iter().any(|id| is_trial(&self.sessions[id]));
--- a/crates/elderpick-core/src/policy/lifecycle.rs
+++ b/crates/elderpick-core/src/policy/lifecycle.rs
@@ -1,6 +1,6 @@
 //! The events of a session, from its request or its hand-over to its end.
 
-use super::state::{Server, Session, Wish};
+use super::state::{PastAttempt, Server, Session, Wish};
 use super::{Controller, LEAST_PRICED, LIST_TOKEN, LOAD_PROBE_TOKEN};
 use crate::api::{Action, Micros, Report, RequestId, ServerId, Status, Viewing};
 
@@ -106,8 +106,9 @@
             }
         } else {
             let session = self.sessions.get_mut(&id).expect("looked up above");
-            if !never_ran {
-                session.may_have_run.push((server, sent_at));
+            if let Some(ran) = self.servers.get(&server).filter(|_| !never_ran) {
+                let (zone, cell) = (ran.entry.zone, ran.entry.cell);
+                session.may_have_run.push(PastAttempt { zone, cell, sent_at });
             }
             self.place(id);
         }
--- a/crates/elderpick-core/src/policy/occupancy.rs
+++ b/crates/elderpick-core/src/policy/occupancy.rs
@@ -2,9 +2,10 @@
 //! however many sessions are held.
 
 use std::collections::BTreeMap;
+use std::ops::{AddAssign, SubAssign};
 
 use super::Controller;
-use crate::api::{RequestId, ServerId};
+use crate::api::{RequestId, ServerId, ServerState};
 
 /// Parts of a kB a second that demand is counted in.
 const PARTS_PER_KB: f64 = (1_u64 << 20) as f64;
@@ -15,6 +16,18 @@
 #[derive(Clone, Copy, Default)]
 pub(super) struct Demand(i128);
 
+impl AddAssign for Demand {
+    fn add_assign(&mut self, other: Demand) {
+        self.0 += other.0;
+    }
+}
+
+impl SubAssign for Demand {
+    fn sub_assign(&mut self, other: Demand) {
+        self.0 -= other.0;
+    }
+}
+
 impl Demand {
     fn of(kb: f64) -> Demand {
         Demand((kb.clamp(-MOST_KB, MOST_KB) * PARTS_PER_KB) as i128)
@@ -116,11 +129,17 @@
         }
     }
 
-    fn add_demand(&mut self, id: RequestId, server: &ServerId, parts: i128) {
+    fn add_demand(&mut self, id: RequestId, name: &ServerId, parts: i128) {
         self.occupancy.demand.0 += parts;
         // A server that the list names only later holds none of the sessions that came before.
-        if let Some(server) = self.servers.get_mut(server).filter(|server| server.sessions.contains(&id)) {
-            server.demand.0 += parts;
+        let Some(server) = self.servers.get_mut(name).filter(|server| server.sessions.contains(&id)) else {
+            return;
+        };
+        server.demand.0 += parts;
+        let listed = server.entry.state != ServerState::Gone;
+        let rack = self.rack_of(&self.servers[name]);
+        if let Some(rack) = self.racks.get_mut(&rack).filter(|_| listed) {
+            rack.demand.0 += parts;
         }
     }
 }
--- a/crates/elderpick-core/src/policy/placement.rs
+++ b/crates/elderpick-core/src/policy/placement.rs
@@ -1,8 +1,10 @@
 //! Candidates for a session: a few random holders, of which the least loaded is taken.
 
+use rand_chacha::ChaCha8Rng;
+
 use super::attempts::shortest_attempt;
 use super::state::{Load, LoadReport, Server, Session, Use};
-use super::{CANDIDATES, Controller};
+use super::{CANDIDATES, Controller, random_unit};
 use crate::api::{Effect, Group, Placement, RefusalReason, RequestId, ServerId, ServerState};
 
 /// Loads differ by as much before another zone is preferred.
@@ -98,34 +100,14 @@
     fn draw(&mut self, id: RequestId, untested: bool) -> Vec<ServerId> {
         // Where most servers show the same trouble its cause is shared, and avoiding them helps nobody.
         let failing = self.failing_servers.iter().filter(|id| !self.servers[*id].unresponsive).count();
-        let using = Use { shared: 2 * failing > self.up.len(), untested };
-        let (mut drawn, mut unanswered) = (Vec::new(), Vec::new());
-        for by_size in [true, false] {
-            for k in 0..self.up.len() {
-                if drawn.len() >= CANDIDATES {
-                    break;
-                }
-                let other = k + self.below(self.up.len() - k);
-                self.up.swap(k, other);
-                let (chance, server) = (self.unit(), &self.up[k]);
-                let passed = by_size && chance * self.largest > self.servers[server].size;
-                if passed || drawn.contains(server) {
-                    continue;
-                }
-                if self.usable(id, server, using) {
-                    drawn.push(server.clone());
-                } else if self.servers[server].unresponsive && self.eligible(id, server) {
-                    unanswered.push(server.clone());
-                }
-            }
-        }
+        let using = Use { shared: 2 * failing > self.up.all().len(), untested };
+        let mut rng = self.rng.clone();
+        let (mut drawn, unanswered) = self.draw_by_size(id, using, &mut rng);
+        self.rng = rng;
         self.probe_wanted(&unanswered);
         // Few of many cold servers have a turn that is this gateway's: one that has joins the draw.
         if self.settings.cold.is_some() && !drawn.iter().any(|id| self.is_cold(&self.servers[id])) {
-            let (up, from) = (self.up.len(), self.below(self.up.len()));
-            let mut others = (0..up).map(|k| &self.up[(from + k) % up]);
-            let open = others.find(|s| self.is_cold(&self.servers[*s]) && self.usable(id, s, using));
-            drawn.extend(open.cloned());
+            drawn.extend(self.draw_cold(id, using));
         }
         let mut known = drawn.iter().filter(|id| self.is_known(id)).count();
         let mut told: Vec<_> = (0..self.reports.len()).collect();
@@ -140,6 +122,48 @@
         drawn
     }
 
+    /// Draws usable holders, and those that would be if they answered.
+    fn draw_by_size(
+        &self,
+        id: RequestId,
+        using: Use,
+        rng: &mut ChaCha8Rng,
+    ) -> (Vec<ServerId>, Vec<ServerId>) {
+        let (mut drawn, mut unanswered) = (Vec::new(), Vec::new());
+        let (holders, largest) = (self.holders(&self.sessions[&id].viewing), self.capacity.largest());
+        for by_size in [true, false] {
+            let mut order = holders.shuffled();
+            while drawn.len() < CANDIDATES
+                && let Some(number) = order.next(rng)
+            {
+                let (chance, name) = (random_unit(rng), holders.get(number));
+                let server = &self.servers[name];
+                let passed = by_size && chance * largest > self.size(server);
+                if passed || drawn.contains(name) {
+                    continue;
+                }
+                if self.usable(id, name, using) {
+                    drawn.push(name.clone());
+                } else if server.unresponsive && self.eligible(id, name) {
+                    unanswered.push(name.clone());
+                }
+            }
+        }
+        (drawn, unanswered)
+    }
+
+    /// Draws a cold holder that may be used now.
+    fn draw_cold(&mut self, id: RequestId, using: Use) -> Option<ServerId> {
+        let viewing = self.sessions[&id].viewing.clone();
+        self.forget_warm(&viewing);
+        let count = self.cold_holders(&viewing).len();
+        let from = self.below(count);
+        let cold = self.cold_holders(&viewing);
+        let mut from_there = (0..count).map(|k| cold[(from + k) % count]);
+        let is_open = |name: &&ServerId| self.is_cold(&self.servers[*name]) && self.usable(id, name, using);
+        from_there.find(is_open).cloned()
+    }
+
     fn usable(&self, id: RequestId, server: &ServerId, using: Use) -> bool {
         self.eligible(id, server) && self.healthy(&self.sessions[&id], &self.servers[server], using)
     }
@@ -155,16 +179,15 @@
 
     /// Whether a server holds the title that is asked for.
     pub(super) fn holds(&self, session: &Session, server: &Server) -> bool {
-        let cells = self.settings.cells.unwrap_or(1).max(1);
+        let cells = self.cells();
         let from_home = (server.entry.cell % cells + cells - session.viewing.home % cells) % cells;
         from_home < session.viewing.copies
     }
 
     fn group_allows(&self, session: &Session, server: &Server) -> bool {
         let class = &self.settings.classes[session.wish.class];
-        let ran = session.may_have_run.iter().filter_map(|(id, _)| self.servers.get(id));
         class.effect != Effect::Guarded
-            || ran.map(|ran| &ran.entry).all(|ran| match class.group {
+            || session.may_have_run.iter().all(|ran| match class.group {
                 Group::All => true,
                 Group::Zone => ran.zone == server.entry.zone,
                 Group::Cell => ran.cell == server.entry.cell,
--- a/crates/elderpick-core/src/policy/probe_budget.rs
+++ b/crates/elderpick-core/src/policy/probe_budget.rs
@@ -46,12 +46,12 @@
 
     /// Time between two load probes of this gateway.
     pub(super) fn load_probe_interval(&self) -> Micros {
-        (1e6 / self.probe_rate(self.up.len().max(1))) as Micros
+        (1e6 / self.probe_rate(self.up.all().len().max(1))) as Micros
     }
 
     /// Asks a server for its load, if the budget has a probe left.
     pub(super) fn probe_load(&mut self, server: ServerId) {
-        let rate = self.probe_rate(self.up.len());
+        let rate = self.probe_rate(self.up.all().len());
         let mut budget = self.load_probes.unwrap_or_else(|| self.new_probe_budget());
         if budget.take(self.now, rate) {
             self.out.push(Action::Probe { server });
--- a/crates/elderpick-core/src/policy/refusal.rs
+++ b/crates/elderpick-core/src/policy/refusal.rs
@@ -1,7 +1,7 @@
 //! The final answer to a session that is not placed, and the reason for it.
 
 use super::Controller;
-use crate::api::{Action, Effect, Group, RefusalReason, RequestId, ServerState};
+use crate::api::{Action, Effect, Group, RefusalReason, RequestId};
 
 impl Controller {
     /// The final answer when no attempt is to follow: refused where it may be set up again, else failed.
@@ -27,11 +27,9 @@
     /// Why none of the listed servers may be given a session.
     pub(super) fn why_none_usable(&self, id: RequestId) -> RefusalReason {
         let session = &self.sessions[&id];
-        let mut holders = self.up.iter().map(|server| &self.servers[server]).filter(|server| {
-            let entry = &server.entry;
-            let tried = session.attempted.contains(&entry.server);
-            entry.state == ServerState::Up && self.holds(session, server) && !tried
-        });
+        let holders = self.holders(&session.viewing);
+        let untried = holders.iter().filter(|server| !session.attempted.contains(server));
+        let mut holders = untried.map(|server| &self.servers[server]);
         match holders.next() {
             None => RefusalReason::NoHolder,
             Some(first) if first.unresponsive && holders.all(|server| server.unresponsive) => {
--- a/crates/elderpick-core/src/policy/rung.rs
+++ b/crates/elderpick-core/src/policy/rung.rs
@@ -38,8 +38,8 @@
         let sample: Vec<Wish> =
             held.chain(past).take(self.sessions.len().clamp(LEAST_PRICED, MOST_PRICED)).collect();
         let asked: f64 = sample.iter().map(|wish| self.demand_of(wish)).sum();
-        let all = others * self.capacity + self.own_demand();
-        let planned = self.capacity * PLANNED_USE * asked / all.max(1.0);
+        let all = others * self.capacity.kb() + self.own_demand();
+        let planned = self.capacity.kb() * PLANNED_USE * asked / all.max(1.0);
         let demand = |price: f64| sample.iter().map(|w| self.rate(w, self.fair_rung(w, price))).sum::<f64>();
         if demand(0.0) <= planned {
             return 0.0;
--- a/crates/elderpick-core/src/policy/state.rs
+++ b/crates/elderpick-core/src/policy/state.rs
@@ -20,10 +20,8 @@
 
 pub(super) struct Server {
     pub(super) entry: Entry,
-    /// What its link gives, in kB a second, as far as the list tells.
-    pub(super) link: f64,
-    /// Its part of what its rack's links and uplink give together.
-    pub(super) size: f64,
+    /// Its size over that of others, as far as the list tells.
+    pub(super) weight: f64,
     /// Own sessions there: playing, or with an attempt out.
     pub(super) sessions: BTreeSet<RequestId>,
     /// What these ask, and those whose rung is not yet this gateway's decision.
@@ -54,8 +52,7 @@
     pub(super) fn new(entry: Entry) -> Self {
         Server {
             entry,
-            link: 0.0,
-            size: 0.0,
+            weight: 1.0,
             sessions: BTreeSet::new(),
             demand: Demand::default(),
             rung_pending: BTreeSet::new(),
@@ -74,16 +71,6 @@
     }
 }
 
-/// Servers behind one uplink.
-#[derive(Default)]
-pub(super) struct Rack {
-    pub(super) servers: Vec<ServerId>,
-    /// What the uplink gives: as told, else what the links behind it do.
-    pub(super) uplink: f64,
-    /// By a report, or by delivered shares that fell short.
-    pub(super) last_report: Option<LoadReport>,
-}
-
 /// What a fair rung depends on.
 #[derive(Clone, Copy)]
 pub(super) struct Wish {
@@ -94,6 +81,13 @@
     pub(super) rung: usize,
 }
 
+/// An attempt that may have run, at a server that may be gone since.
+pub(super) struct PastAttempt {
+    pub(super) zone: usize,
+    pub(super) cell: usize,
+    pub(super) sent_at: Micros,
+}
+
 pub(super) struct Session {
     pub(super) wish: Wish,
     pub(super) viewing: Viewing,
@@ -103,8 +97,8 @@
     pub(super) aim_deadline: Micros,
     /// Where each attempt went.
     pub(super) attempted: Vec<ServerId>,
-    /// Attempts that may have run: where, and when they were sent.
-    pub(super) may_have_run: Vec<(ServerId, Micros)>,
+    /// Attempts that may have run.
+    pub(super) may_have_run: Vec<PastAttempt>,
     /// Where its attempt is out or it plays.
     pub(super) server: Option<ServerId>,
     pub(super) sent_at: Micros,
--- a/crates/elderpick-core/tests/fleet.rs
+++ b/crates/elderpick-core/tests/fleet.rs
@@ -114,3 +114,24 @@
     assert!(most as f64 <= BUDGET, "{most} in a window of {BUDGET}");
     assert!(mean >= BUDGET / 6.0, "{mean} in the mean window");
 }
+
+/// Guards against a fleet that passes for full since a server that started anew as it left reports a little load.
+#[test]
+fn the_last_report_of_a_server_that_has_left_closes_no_other() {
+    let settings = Settings { gateways: 3, racks: Some(4), ..settings(vec![class(Effect::Free)]) };
+    let mut gateway = Gateway::new(settings, in_own_cells(4));
+    let at_first = Viewing { home: 0, copies: 1, ..viewing(0) };
+    let (id, actions) = gateway.request(at_first);
+    assert!(actions.iter().any(|action| matches!(action, Action::Send { .. })));
+    let left = Entry { state: ServerState::Gone, started: Some(gateway.now), ..entry("s0") };
+    gateway.list(ListKind::Changes, vec![left]);
+    gateway.handle(Event::Outcome {
+        id,
+        attempt: 0,
+        status: Status::Ok,
+        closed: true,
+        report: link_report(0.5),
+    });
+    let (_, actions) = gateway.request(Viewing { home: 1, copies: 3, ..viewing(0) });
+    assert!(actions.iter().any(|action| matches!(action, Action::Send { .. })), "{actions:?}");
+}
