A change of the list costs what it names, and lets others have their turn

Change: hosts by address, hosts where sessions stand, and attempts by host are kept; others have their turn behind 32 events. The state line tells the longest turn by task.

--- a/crates/elderpick-node/src/hosts/pool.rs
+++ b/crates/elderpick-node/src/hosts/pool.rs
@@ -14,6 +14,7 @@
 use super::{Attempt, Call, HostConnection, ROTATION, SetUpOut};
 use crate::buffered_stream::CloseReason;
 use crate::node::Node;
+use crate::turns::Turn;
 
 impl Node {
     /// Whether another connection to a host may be opened, though no other is closed for it.
@@ -138,7 +139,8 @@
             let waiting = self.waiting(&server).into_iter().map(Attempt::renewed);
             self.attempts.borrow_mut().extend(waiting);
         });
-        let host_bytes = |chunk: &[u8]| self.host_bytes(&server, &connection, chunk);
+        let host_bytes =
+            |chunk: &[u8]| self.in_turn(Turn::Hosts, || self.host_bytes(&server, &connection, chunk));
         let whole = connection.stream.run(&self.buffer, host_bytes).await;
         if whole && !connection.partial.get() {
             // Nothing follows any more.
@@ -203,7 +205,8 @@
                     connection.leave(stands, CloseReason::Spare);
                 }
             }
-            known || !host.connections.is_empty() || host.opening > 0
+            let waits = !host.pending.is_empty() || !host.waiting.is_empty();
+            !host.connections.is_empty() || host.opening > 0 || (known && waits)
         });
         self.hosts.outlines.borrow_mut().retain(|server| lifecycle.is_listed(server));
     }
--- a/crates/elderpick-node/src/journal.rs
+++ b/crates/elderpick-node/src/journal.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinSet;
 
 use crate::node::Node;
+use crate::turns::Turn;
 
 /// A stream that says nothing whole for so long has stopped: a comment comes each second.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_200);
@@ -18,6 +19,8 @@
 const NEXT_CALL_AFTER: Duration = Duration::from_millis(1_000);
 /// A call is given up after this; a service that answers more slowly cannot be followed.
 const CALL_TIMEOUT: Duration = Duration::from_millis(4_000);
+/// Events that have come together and are taken before others have their turn.
+const EVENTS_IN_ONE_TURN: usize = 32;
 
 /// Follows the journal for good: again after each break, at the new address after a change.
 pub(crate) async fn follow(node: Rc<Node>) {
@@ -70,6 +73,7 @@
 
 async fn follow_once(node: &Rc<Node>) {
     let Some(mut events) = open_stream(node).await else { return };
+    let mut taken = 0_usize;
     while let Some(said) = events.said(SILENCE_TIMEOUT).await {
         let message = match said {
             Said::Event(message) => message,
@@ -84,9 +88,14 @@
         };
         match journal::parse(&message.data) {
             Ok(event) => {
-                if !node.journal_event(event) {
+                if !node.in_turn(Turn::Journal, || node.journal_event(event)) {
                     return;
                 }
+                // What has come of the stream may hold very many events.
+                taken += 1;
+                if taken.is_multiple_of(EVENTS_IN_ONE_TURN) {
+                    tokio::task::yield_now().await;
+                }
             }
             Err(why) => {
                 node.warn_seldom(&format!("the journal sent what cannot be read: {why}"));
--- a/crates/elderpick-node/src/lib.rs
+++ b/crates/elderpick-node/src/lib.rs
@@ -15,6 +15,7 @@
 mod scheduling;
 mod shutdown;
 mod signals;
+mod turns;
 mod viewers;
 
 use std::net::SocketAddr;
--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -24,6 +24,7 @@
 use crate::event_log;
 use crate::hosts::{Attempt, HostMessage, Hosts, Limits};
 use crate::scheduling::Scheduling;
+use crate::turns::LongestTurns;
 use crate::viewers::{Client, Clients, Trust};
 
 /// A connection to a host that is not up by then is given up, where the settings tell no other time.
@@ -71,6 +72,7 @@
     /// Connections that would have been closed as idle, with something on them that was not read yet.
     pub spared: Cell<u64>,
     pub warned: Cell<Micros>,
+    pub longest_turns: LongestTurns,
 }
 
 impl Node {
@@ -124,6 +126,7 @@
             undelivered: Cell::default(),
             spared: Cell::default(),
             warned: Cell::default(),
+            longest_turns: LongestTurns::default(),
         }))
     }
 
@@ -385,6 +388,8 @@
             unconfirmed = releases.len(),
             resent = releases.resent,
             dropped = releases.dropped,
+            known_servers = lifecycle.known_servers(),
+            longest_turns_us = ?self.longest_turns.take(),
             counts = ?lifecycle.counts,
             "state"
         );
--- a/crates/elderpick-node/src/scheduling.rs
+++ b/crates/elderpick-node/src/scheduling.rs
@@ -8,6 +8,7 @@
 use elderpick_sessions::lifecycle::Input;
 
 use crate::node::Node;
+use crate::turns::Turn;
 
 /// How often other tasks have their turn before a time-out that is late.
 const MOST_YIELDS: u32 = 64;
@@ -81,7 +82,7 @@
                 self.catch_up().await;
             }
             if timer.is_some_and(|timer| timer <= self.now()) {
-                self.feed(Input::Tick);
+                self.in_turn(Turn::Timers, || self.feed(Input::Tick));
             }
         }
     }
--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -20,6 +20,7 @@
 pub(crate) use self::trust::Trust;
 use crate::buffered_stream::{BufferedStream, CloseReason, PollResult};
 use crate::node::Node;
+use crate::turns::Turn;
 
 /// Messages that cannot be read, until nothing more is read on a connection on which nothing else ever came. One that
 /// has carried a set-up carries others' too: what can be told apart there costs nothing but its own answer.
@@ -149,8 +150,9 @@
         let node = self.clone();
         spawn_local(async move {
             tracing::trace!(conn, "client connected");
-            let whole =
-                client.stream.run(&node.buffer, |chunk| node.client_bytes(conn, &client, chunk)).await;
+            let heard =
+                |chunk: &[u8]| node.in_turn(Turn::Viewers, || node.client_bytes(conn, &client, chunk));
+            let whole = client.stream.run(&node.buffer, heard).await;
             let reason = client.stream.close_reason();
             tracing::debug!(conn, whole, ?reason, "viewers' connection closed");
             node.client_disconnected(&client);
--- a/crates/elderpick-sessions/src/lifecycle.rs
+++ b/crates/elderpick-sessions/src/lifecycle.rs
@@ -134,10 +134,6 @@
         time.is_some_and(|time| self.sent_at.is_some_and(|sent| sent > time))
     }
 
-    fn is_out_at(&self, at: &ServerId) -> bool {
-        matches!(&self.stage, Stage::Out { server, .. } if server == at)
-    }
-
     fn is_out_as(&self, at: &ServerId, as_: AttemptId) -> bool {
         matches!(&self.stage, Stage::Out { server, attempt, .. } if server == at && *attempt == as_)
     }
@@ -147,6 +143,8 @@
     listed: Listed,
     /// Sessions that stand there or are ending.
     sessions: BTreeSet<u64>,
+    /// Sessions whose attempt is out there.
+    attempts: BTreeSet<u64>,
     health: HealthMonitor,
     /// When it was heard to be another process than before.
     replaced_at: Option<Micros>,
@@ -159,6 +157,10 @@
     /// `None` where the settings tell of no cells: then any host holds any title.
     cells: Option<usize>,
     servers: BTreeMap<ServerId, Server>,
+    /// Those of them that are not gone, counted; by address, all of them; and those where sessions stand.
+    listed_count: usize,
+    by_address: BTreeMap<SocketAddr, BTreeSet<ServerId>>,
+    occupied: BTreeSet<ServerId>,
     sessions: BTreeMap<u64, Session>,
     memory: SessionMemory,
     /// Set-ups that are open, by connection.
@@ -198,6 +200,9 @@
             classes,
             cells: cells.filter(|cells| *cells > 0),
             servers: BTreeMap::new(),
+            listed_count: 0,
+            by_address: BTreeMap::new(),
+            occupied: BTreeSet::new(),
             sessions: BTreeMap::new(),
             memory: SessionMemory::unlimited(),
             open: BTreeMap::new(),
@@ -233,7 +238,7 @@
 
     /// Hosts that new connections may be opened to.
     pub fn hosts(&self) -> usize {
-        self.servers.values().filter(|s| s.listed.entry.state != ServerState::Gone).count()
+        self.listed_count
     }
 
     /// Whether sessions stand at a host, so that a connection to it is wanted.
@@ -308,8 +313,7 @@
     /// When [`Input::Tick`] is due.
     pub fn next_timer(&self) -> Option<Micros> {
         let timer = self.timers.next();
-        let look =
-            self.servers.values().any(|s| !s.sessions.is_empty()).then_some(self.polled_at + HEALTH_POLL);
+        let look = (!self.occupied.is_empty()).then_some(self.polled_at + HEALTH_POLL);
         timer.into_iter().chain(look).min()
     }
 
--- a/crates/elderpick-sessions/src/lifecycle/active.rs
+++ b/crates/elderpick-sessions/src/lifecycle/active.rs
@@ -106,9 +106,7 @@
         self.remove_active(held.conn);
         if let Some(server) = held.server() {
             let server = server.clone();
-            if let Some(at) = self.servers.get_mut(&server) {
-                at.sessions.remove(&session);
-            }
+            self.leaves(&server, session);
             self.remove_if_gone(&server);
             // Its viewer has heard, or is owed nothing: a hand-over that crosses this makes it stand no more.
             self.recent_ends.insert(now, (session, Some(server)), cause::ENDED_BY_VIEWER);
--- a/crates/elderpick-sessions/src/lifecycle/attempts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/attempts.rs
@@ -43,6 +43,7 @@
         self.recent_ends.remove(now, &(session, Some(server.clone())));
         held.stage = Stage::Out { server: server.clone(), attempt, until, started: entry.started };
         (held.sent_at, held.answered_at) = (Some(now), None);
+        let at = server.clone();
         out.push(Output::SetUp {
             server,
             session,
@@ -53,6 +54,7 @@
             rung: held.rung,
             description: set_up.description.clone(),
         });
+        self.set_out_at(&at, session, true);
         self.set_timer(until, Timer::Attempt(session, attempt));
     }
 
@@ -68,8 +70,9 @@
         let held = self.sessions.get_mut(&session).filter(|h| h.is_out_as(server, attempt));
         let Some(held) = held else { return };
         held.stage = Stage::Waiting;
-        self.counts.count_attempt(status);
         let (id, attempt) = (RequestId(session), held.sends - 1);
+        self.counts.count_attempt(status);
+        self.set_out_at(server, session, false);
         self.events.push_back(Event::Outcome { id, attempt, status, closed: false, report });
     }
 
@@ -105,6 +108,7 @@
         held.stage = Stage::Active { server: server.clone() };
         held.answered_at = held.answered_at.or(Some(now));
         let (conn, attempt) = (held.conn, held.sends - 1);
+        self.set_out_at(&server, session, false);
         self.drop_set_up(session);
         self.add_active(conn);
         if let Some(cause) = ended {
@@ -122,9 +126,7 @@
         }
         self.counts.served += 1;
         self.remember_answer(now, session);
-        if let Some(server) = self.servers.get_mut(&server) {
-            server.sessions.insert(session);
-        }
+        self.stands_at(&server, session);
         self.events.push_back(Event::Playing { id: RequestId(session), attempt });
     }
 
--- a/crates/elderpick-sessions/src/lifecycle/health.rs
+++ b/crates/elderpick-sessions/src/lifecycle/health.rs
@@ -5,7 +5,7 @@
 use elderpick_core::api::{Micros, Report, ServerId, ServerState, Status};
 use elderpick_platform::viewer::cause;
 
-use super::{HEALTH_POLL, Lifecycle, Output, Session, Stage};
+use super::{HEALTH_POLL, Lifecycle, Output, Stage};
 use crate::health::{HealthMonitor, Next};
 
 impl Lifecycle {
@@ -23,9 +23,11 @@
         }
         self.polled_at = now;
         let mut lost = Vec::new();
-        let mut watched: Vec<_> = self.servers.iter_mut().filter(|(_, s)| !s.sessions.is_empty()).collect();
-        watched.sort_by_key(|(_, server)| server.health.last_heard());
-        for (id, server) in watched {
+        let last_heard = |id: &ServerId| self.servers.get(id).map(|server| server.health.last_heard());
+        let mut watched: Vec<_> = self.occupied.iter().cloned().collect();
+        watched.sort_by_key(last_heard);
+        for id in &watched {
+            let Some(server) = self.servers.get_mut(id) else { continue };
             match server.health.next(now, server.listed.entry.state != ServerState::Gone) {
                 Next::Nothing => {}
                 Next::Test => out.push(Output::Test { server: id.clone() }),
@@ -52,18 +54,22 @@
     ) {
         let Some(at) = self.servers.get_mut(server) else { return };
         self.counts.hosts_lost += 1;
-        let attempt_there = |(session, held): (&u64, &Session)| match &held.stage {
-            Stage::Out { server: at, attempt, .. } if at == server && !held.is_sent_after(before) => {
-                Some((*session, *attempt))
+        let attempt_there = |session: &u64| {
+            let held = self.sessions.get(session).filter(|held| !held.is_sent_after(before))?;
+            match &held.stage {
+                Stage::Out { attempt, .. } => Some((*session, *attempt)),
+                _ => None,
             }
-            _ => None,
         };
-        let out_there: Vec<_> = self.sessions.iter().filter_map(attempt_there).collect();
+        let out_there: Vec<_> = at.attempts.iter().filter_map(attempt_there).collect();
         let plays_on =
             |session: &u64| self.sessions.get(session).is_some_and(|held| held.is_sent_after(before));
         let (kept, standing): (BTreeSet<_>, BTreeSet<_>) =
             std::mem::take(&mut at.sessions).into_iter().partition(plays_on);
         at.sessions = kept;
+        if at.sessions.is_empty() {
+            self.occupied.remove(server);
+        }
         out.push(Output::Forget { server: server.clone(), before });
         // If it was only out of reach, it has to hear what is over, also what waited for a connection that is dropped.
         self.resend_releases(now, server, |_| true, out);
--- a/crates/elderpick-sessions/src/lifecycle/hosts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/hosts.rs
@@ -34,39 +34,85 @@
     }
 }
 
+impl Server {
+    fn new(now: Micros, listed: Listed) -> Server {
+        Server {
+            listed,
+            sessions: BTreeSet::new(),
+            attempts: BTreeSet::new(),
+            health: HealthMonitor::new(now),
+            replaced_at: None,
+        }
+    }
+
+    fn is_gone(&self) -> bool {
+        self.listed.entry.state == ServerState::Gone
+    }
+}
+
 impl Lifecycle {
     pub(super) fn list(&mut self, now: Micros, kind: ListKind, hosts: Vec<Listed>, out: &mut Vec<Output>) {
+        let mut changed: BTreeSet<_> = hosts.iter().map(|host| host.entry.server.clone()).collect();
         if matches!(kind, ListKind::Full | ListKind::Restored) {
-            let named: BTreeSet<_> = hosts.iter().map(|h| &h.entry.server).collect();
-            let missing = self.servers.iter_mut().filter(|(id, _)| !named.contains(id));
-            missing.for_each(|(_, server)| server.listed.entry.state = ServerState::Gone);
+            changed.extend(self.take_missing_for_gone(&changed));
         }
         let mut arrived = BTreeSet::new();
         for host in &hosts {
             let id = host.entry.server.clone();
-            let before = self.servers.get(&id).filter(|s| s.listed.entry.state != ServerState::Gone);
+            let before = self.servers.get(&id).filter(|server| !server.is_gone());
             let is_new = before.is_none_or(|server| server.listed.address != host.address);
             if is_new && host.entry.state != ServerState::Gone {
                 arrived.insert(id.clone());
             }
-            match self.servers.get_mut(&id) {
-                Some(server) => {
-                    let replaced = Replaced::between(&server.listed, host);
-                    server.listed = host.clone();
-                    self.replace_host(now, &id, replaced, out);
-                }
-                None => {
-                    let (listed, sessions, health) = (host.clone(), BTreeSet::new(), HealthMonitor::new(now));
-                    self.servers.insert(id, Server { listed, sessions, health, replaced_at: None });
-                }
+            let replaced = self.servers.get(&id).map(|server| Replaced::between(&server.listed, host));
+            self.set_listed(now, host.clone());
+            if let Some(replaced) = replaced {
+                self.replace_host(now, &id, replaced, out);
             }
         }
         self.lose_succeeded(now, &hosts, &arrived, out);
         arrived.iter().for_each(|host| self.release_handed_over_early(now, host, out));
         let entries = hosts.into_iter().map(|h| h.entry).collect();
         self.events.push_back(Event::List { kind, entries });
-        let gone: Vec<_> = self.servers.keys().cloned().collect();
-        gone.iter().for_each(|id| self.remove_if_gone(id));
+        changed.iter().for_each(|id| self.remove_if_gone(id));
+    }
+
+    /// A whole list names all hosts: the others are gone.
+    fn take_missing_for_gone(&mut self, named: &BTreeSet<ServerId>) -> Vec<ServerId> {
+        let missing = self.servers.iter_mut().filter(|(id, server)| !server.is_gone() && !named.contains(id));
+        let mut gone = Vec::new();
+        for (id, server) in missing {
+            server.listed.entry.state = ServerState::Gone;
+            gone.push(id.clone());
+        }
+        self.listed_count -= gone.len();
+        gone
+    }
+
+    /// Notes what the list tells of a host.
+    fn set_listed(&mut self, now: Micros, listed: Listed) {
+        let (id, address) = (listed.entry.server.clone(), listed.address);
+        let is_listed = listed.entry.state != ServerState::Gone;
+        let mut was_listed = false;
+        match self.servers.get_mut(&id) {
+            Some(server) => {
+                was_listed = !server.is_gone();
+                let before = std::mem::replace(&mut server.listed, listed).address;
+                self.leave_address(before, &id);
+            }
+            None => drop(self.servers.insert(id.clone(), Server::new(now, listed))),
+        }
+        self.by_address.entry(address).or_default().insert(id);
+        self.listed_count = self.listed_count + usize::from(is_listed) - usize::from(was_listed);
+    }
+
+    fn leave_address(&mut self, address: SocketAddr, id: &ServerId) {
+        if let Some(there) = self.by_address.get_mut(&address) {
+            there.remove(id);
+            if there.is_empty() {
+                self.by_address.remove(&address);
+            }
+        }
     }
 
     /// Tells a host that the list names now of sessions that were handed over there before and ended for that.
@@ -91,16 +137,18 @@
         out: &mut Vec<Output>,
     ) {
         for (host, successor) in self.succeeded_hosts(news, arrived) {
-            let stands = self.has_sessions_at(&host);
-            if !stands && !self.sessions.values().any(|held| held.is_out_at(&host)) {
+            let Some(server) = self.servers.get(&host) else { continue };
+            let there: Vec<_> = server.sessions.union(&server.attempts).copied().collect();
+            if there.is_empty() {
                 continue;
             }
             let began = self.servers.get(&successor).and_then(|s| s.listed.entry.started);
             let since = began.map(|began| began - CLOCK_SKEW);
-            let placed = self.sessions.iter().filter(|(_, held)| {
-                held.server() == Some(&host) && held.sent_at.is_some_and(|sent| Some(sent) >= since)
-            });
-            let placed: Vec<_> = placed.map(|(session, _)| *session).collect();
+            let is_placed = |session: &u64| {
+                let held = self.sessions.get(session);
+                held.is_some_and(|held| held.sent_at.is_some_and(|sent| Some(sent) >= since))
+            };
+            let placed: Vec<_> = there.into_iter().filter(is_placed).collect();
             self.lose_host(now, &host, None, out);
             if let Some(server) = self.servers.get_mut(&host) {
                 server.replaced_at = Some(now);
@@ -117,10 +165,10 @@
     /// addresses that the news names can have changed hands.
     fn succeeded_hosts(&self, news: &[Listed], arrived: &BTreeSet<ServerId>) -> Vec<(ServerId, ServerId)> {
         let named: BTreeSet<_> = news.iter().map(|host| host.address).collect();
-        let concerned = || self.servers.iter().filter(|(_, server)| named.contains(&server.listed.address));
-        let is_gone = |server: &Server| server.listed.entry.state == ServerState::Gone;
+        let there = || named.iter().filter_map(|address| self.by_address.get(address)).flatten();
+        let concerned = || there().filter_map(|id| Some((id, self.servers.get(id)?)));
         let mut holders: BTreeMap<SocketAddr, &ServerId> = BTreeMap::new();
-        for (id, server) in concerned().filter(|(_, server)| !is_gone(server)) {
+        for (id, server) in concerned().filter(|(_, server)| !server.is_gone()) {
             let holder = holders.entry(server.listed.address).or_insert(id);
             if arrived.contains(id) {
                 *holder = id;
@@ -129,7 +177,7 @@
         let successor_of = |id: &ServerId, server: &Server| {
             let holder = *holders.get(&server.listed.address)?;
             let newer = arrived.contains(holder) && !arrived.contains(id);
-            (holder != id && (is_gone(server) || newer)).then(|| holder.clone())
+            (holder != id && (server.is_gone() || newer)).then(|| holder.clone())
         };
         concerned().filter_map(|(id, server)| Some((id.clone(), successor_of(id, server)?))).collect()
     }
@@ -165,11 +213,46 @@
         }
     }
 
+    /// Hosts that are held here or by the decision module, whichever are more.
+    pub fn known_servers(&self) -> usize {
+        self.servers.len().max(self.core.server_count())
+    }
+
     /// A host that the list has no more and where nothing stands is forgotten.
     pub(super) fn remove_if_gone(&mut self, id: &ServerId) {
-        let gone = |s: &Server| s.listed.entry.state == ServerState::Gone && s.sessions.is_empty();
-        if self.servers.get(id).is_some_and(gone) && !self.sessions.values().any(|h| h.is_out_at(id)) {
+        let is_unused = |server: &&Server| server.sessions.is_empty() && server.attempts.is_empty();
+        let server = self.servers.get(id).filter(|server| server.is_gone()).filter(is_unused);
+        if let Some(address) = server.map(|server| server.listed.address) {
             self.servers.remove(id);
+            self.leave_address(address, id);
+        }
+    }
+
+    /// A session stands at a host from now on.
+    pub(super) fn stands_at(&mut self, id: &ServerId, session: u64) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.sessions.insert(session);
+            self.occupied.insert(id.clone());
+        }
+    }
+
+    /// A session stands at a host no longer.
+    pub(super) fn leaves(&mut self, id: &ServerId, session: u64) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.sessions.remove(&session);
+            if server.sessions.is_empty() {
+                self.occupied.remove(id);
+            }
+        }
+    }
+
+    /// An attempt of a session is out at a host from now on, or no longer.
+    pub(super) fn set_out_at(&mut self, id: &ServerId, session: u64, is_out: bool) {
+        let Some(server) = self.servers.get_mut(id) else { return };
+        if is_out {
+            server.attempts.insert(session);
+        } else {
+            server.attempts.remove(&session);
         }
     }
 }
--- a/crates/elderpick-sessions/src/lifecycle/requests.rs
+++ b/crates/elderpick-sessions/src/lifecycle/requests.rs
@@ -105,7 +105,7 @@
             self.send_release(now, server, session, cause::ENDED_BY_VIEWER, out);
             return out.push(ended);
         }
-        let Some(to) = self.servers.get_mut(&server) else {
+        let Some(to) = self.servers.get(&server) else {
             // It plays nowhere that is known: its viewer is to come again. The list may name its host later, which is
             // told then.
             self.counts.rejected += 1;
@@ -118,7 +118,7 @@
             self.send_release(now, server, session, cause::ENDED_BY_VIEWER, out);
             return out.push(ended);
         }
-        to.sessions.insert(session);
+        self.stands_at(&server, session);
         self.add_active(Some(conn));
         self.counts.handed_over += 1;
         let stage = Stage::Active { server: server.clone() };
@@ -275,6 +275,7 @@
         self.close(session);
         let Some(held) = self.remove_session(session) else { return };
         if let Stage::Out { server, attempt, .. } = held.stage {
+            self.set_out_at(&server, session, false);
             self.send_withdrawal(now, server, session, attempt, out);
             let (id, attempt, status, closed) = (RequestId(session), held.sends - 1, Status::Cancelled, true);
             self.events.push_back(Event::Outcome { id, attempt, status, closed, report: Report::default() });
