Clients that send what no viewer sends, or nothing, no longer hold up viewers behind them

Cause: a connection with anything unread never made room, so that who asks without a pause held all that are admitted; the others shared ten places.

Change: a connection on which only what no viewer sends has come makes room first, whatever is unread there. A new one makes room only once it has had 100 ms to say something.

--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -115,7 +115,7 @@
 
 impl Node {
     fn can_answer_one_more(&self) -> bool {
-        self.refusing.get() < self.most_refusing || self.admission.borrow().has_room(self)
+        self.refusing.get() < self.most_refusing || self.admission.borrow().has_room(self.now(), self)
     }
 
     /// Takes a connection; `true` if another is closed for it.
@@ -334,6 +334,8 @@
     /// nothing else.
     fn count_fault(&self, client: &Client) {
         self.distrust(client);
+        let is_worthless = client.trust.get() < Trust::Asked;
+        self.admission.borrow_mut().set_worthless(client.conn, is_worthless);
         client.unreadable.set(client.unreadable.get() + 1);
         let nothing_else = client.trust.get() < Trust::Asked && client.unreadable.get() >= MOST_UNREADABLE;
         client.reading_stopped.set(client.reading_stopped.get() || nothing_else);
--- a/crates/elderpick-node/src/viewers/trust.rs
+++ b/crates/elderpick-node/src/viewers/trust.rs
@@ -62,6 +62,9 @@
         }
         let was_sure = client.is_sure();
         client.trust.set(to);
+        if to >= Trust::Asked {
+            self.admission.borrow_mut().set_worthless(client.conn, false);
+        }
         if !was_sure && client.is_sure() {
             self.send_doubtful_releases_again();
         }
--- a/crates/elderpick-sessions/src/admission.rs
+++ b/crates/elderpick-sessions/src/admission.rs
@@ -1,8 +1,9 @@
 //! Who may stay connected: connections of viewers within the descriptors that are planned for them.
 //!
-//! A connection may be closed while no set-up is open on it. One that never said anything whole goes first, then the
-//! one that has been idle longest, first of those on which no session stands; only when all have set-ups open is a
-//! new one turned away. Those on which sessions stand stay open while there is room: the ends of sessions are told on
+//! A connection may be closed while no set-up is open on it. One that has sent nothing but what no viewer sends goes
+//! first, whatever it sends next; then one that never said anything whole, though not before it had the time to; then
+//! the one that has been idle longest, first of those on which no session stands. Only when none may go is a new one
+//! turned away. Those on which sessions stand stay open while there is room: the ends of sessions are told on
 //! them, and viewers may have no other. One that has sent what was not read yet is not idle, whatever is known of it
 //! here: the caller looks.
 
@@ -14,6 +15,8 @@
 
 /// A connection on which no whole message has come for so long is closed: set-ups come right after the connection.
 const SILENT: Micros = 2_000_000;
+/// A connection that has said nothing whole makes no room for another sooner: its first set-up may be on its way.
+const SPEAKS_WITHIN: Micros = 100_000;
 /// Part of a message is waited for so long.
 const PARTIAL: Micros = 1_500_000;
 /// Idle connections on which no session stands are kept so long; viewers close theirs sooner.
@@ -28,6 +31,16 @@
     partial: Option<Micros>,
     /// Set-ups open on it.
     open: usize,
+    /// Nothing but what no viewer sends has come on it.
+    is_worthless: bool,
+}
+
+impl Client {
+    /// Whether it may make room for another, as far as it is known here.
+    fn may_go(&self, now: Micros) -> bool {
+        let had_time = self.last_message.is_some() || now - self.accepted_at >= SPEAKS_WITHIN;
+        self.open == 0 && (self.is_worthless || had_time)
+    }
 }
 
 /// What is to be done with a connection that was accepted by the system.
@@ -68,8 +81,10 @@
     }
 
     /// Whether one more connection would be admitted.
-    pub fn has_room(&self, known: &impl Connections) -> bool {
-        let may_go = |(conn, client): (&Conn, &Client)| client.open == 0 && known.quiet(*conn);
+    pub fn has_room(&self, now: Micros, known: &impl Connections) -> bool {
+        let may_go = |(conn, client): (&Conn, &Client)| {
+            client.may_go(now) && (client.is_worthless || known.quiet(*conn))
+        };
         self.clients.len() < self.most || self.clients.iter().any(may_go)
     }
 
@@ -77,24 +92,29 @@
     pub fn accept(&mut self, now: Micros, conn: Conn, known: &impl Connections) -> AdmissionDecision {
         let mut decision = AdmissionDecision::Admitted;
         if self.clients.len() >= self.most {
-            let idle = self.clients.iter().filter(|(_, client)| client.open == 0);
+            let idle = self.clients.iter().filter(|(_, client)| client.may_go(now));
             let order = |(conn, client): (&Conn, &Client)| {
                 let has_asked = client.last_message.is_some();
                 (
-                    (has_asked, known.has_sessions_on(*conn)),
+                    (!client.is_worthless, has_asked, known.has_sessions_on(*conn)),
                     client.last_message.unwrap_or(client.accepted_at),
                     *conn,
                 )
             };
             let mut idle: Vec<_> = idle.map(order).collect();
             idle.sort_unstable();
-            let Some((_, _, first)) = idle.into_iter().find(|(_, _, conn)| known.quiet(*conn)) else {
+            let may_go = |((is_of_worth, ..), _, conn): &((bool, bool, bool), Micros, Conn)| {
+                !is_of_worth || known.quiet(*conn)
+            };
+            let Some((_, _, first)) = idle.into_iter().find(may_go) else {
                 return AdmissionDecision::Full;
             };
             self.clients.remove(&first);
             decision = AdmissionDecision::InsteadOf(first);
         }
-        self.clients.insert(conn, Client { accepted_at: now, last_message: None, partial: None, open: 0 });
+        let client =
+            Client { accepted_at: now, last_message: None, partial: None, open: 0, is_worthless: false };
+        self.clients.insert(conn, client);
         decision
     }
 
@@ -106,6 +126,13 @@
         }
     }
 
+    /// Whether nothing but what no viewer sends has come on it.
+    pub fn set_worthless(&mut self, conn: Conn, is_worthless: bool) {
+        if let Some(client) = self.clients.get_mut(&conn) {
+            client.is_worthless = is_worthless;
+        }
+    }
+
     /// All that came was read; `partial` tells whether part of a message is left.
     pub fn read_finished(&mut self, now: Micros, conn: Conn, partial: bool) {
         if let Some(client) = self.clients.get_mut(&conn) {
