--- a/crates/elderpick-lab/src/soak/command.rs
+++ b/crates/elderpick-lab/src/soak/command.rs
@@ -13,6 +13,8 @@
 use super::plan::{Plan, Scenario};
 use super::trial::{self, Outcome, TrialError};
 
+/// What crosses within this time does so on the network's account: every time limit of the rules is longer by it.
+const ANSWER_MAY_CROSS: Duration = Duration::from_millis(50);
 /// Breaks of one trial whose timelines are printed; all of them are counted and kept.
 const MOST_PRINTED: usize = 2;
 
@@ -54,9 +56,18 @@
     /// Play a fleet of so many gateways that share machines, with all kinds of trouble, in place of one gateway.
     #[arg(long)]
     pub gateways: Option<usize>,
+    /// Set-ups a second that each gateway of a fleet gets; drawn by the seed unless it is told.
+    #[arg(long, requires = "gateways")]
+    pub rate: Option<f64>,
+    /// Play another build of this program, such as an earlier release, in place of this one.
+    #[arg(long)]
+    pub program: Option<PathBuf>,
     /// Keep the records of trials that broke anything in this folder.
     #[arg(long)]
     pub out: Option<PathBuf>,
+    /// Keep those of a fleet's gateways that kept all rules, too.
+    #[arg(long, requires = "out")]
+    pub keep_all: bool,
 }
 
 /// Trials so far, by how they ended.
@@ -74,6 +85,7 @@
 
 /// Plays all seeds, one after the other, with the gateway that `program` runs.
 pub async fn run(program: &Path, folder: &Path, options: &Options) -> Result<Tally, TrialError> {
+    let program = options.program.as_deref().unwrap_or(program);
     if let Some(gateways) = options.gateways {
         return run_fleets(program, folder, options, gateways).await;
     }
@@ -103,22 +115,25 @@
 ) -> Result<Tally, TrialError> {
     let mut tally = Tally::default();
     for seed in options.seeds.first..=options.seeds.last {
-        let plan = FleetPlan::draw(seed, gateways);
+        let mut plan = FleetPlan::draw(seed, gateways);
+        if let Some(rate) = options.rate {
+            plan.set_rate(rate);
+        }
         let folder = folder.join(format!("seed-{seed}"));
         let outcome = fleet::run(program, &folder, &plan).await?;
         println!("{}", tally.add_fleet(&plan, &outcome));
-        if let (Some(out), false) = (&options.out, outcome.is_void()) {
-            keep_records(&folder, &out.join(format!("seed-{seed}")), &outcome)?;
+        if let Some(out) = &options.out {
+            keep_records(&folder, &out.join(format!("seed-{seed}")), &outcome, options.keep_all)?;
         }
         let _ = std::fs::remove_dir_all(&folder);
     }
     Ok(tally)
 }
 
-/// Keeps the record and the logs of each gateway for which a clause was broken.
-fn keep_records(folder: &Path, out: &Path, outcome: &FleetOutcome) -> std::io::Result<()> {
+/// Keeps the record and the logs of each gateway for which a clause was broken, or of all.
+fn keep_records(folder: &Path, out: &Path, outcome: &FleetOutcome, all: bool) -> std::io::Result<()> {
     for (number, gateway) in outcome.gateways.iter().enumerate() {
-        if gateway.breaks.is_empty() {
+        if gateway.breaks.is_empty() && !all {
             continue;
         }
         let (from, to) = (folder.join(format!("gateway-{number}")), out.join(format!("gateway-{number}")));
@@ -139,21 +154,25 @@
         let (seed, late) = (plan.seed, outcome.ran_late.as_millis());
         let mut text =
             format!("seed {seed:>4}  {} gateways  {} machines  ", plan.gateways.len(), plan.machines);
-        if outcome.is_void() {
-            self.void += 1;
-            let _ = write!(text, "void: this program ran {late} ms late");
-            return text;
-        }
         let (crossed, early) = outcome.crossings();
+        let unanswered = outcome.left_unanswered();
         let breaks: Vec<_> = outcome.breaks().collect();
         let _ = write!(
             text,
-            "{:>5} set-ups  {:>5} served  {early:>3} left early  {crossed:>3} before their answer  {:>3} probes/s  {} breaks",
+            "{:>5} set-ups  {:>5} served  {early:>3} left early  {crossed:>3} before their answer  {:>3} unanswered ({} after 50 ms)  {:>3} probes/s  {} breaks",
             outcome.set_ups(),
             outcome.served(),
+            unanswered.len(),
+            unanswered.iter().filter(|waited| **waited >= ANSWER_MAY_CROSS).count(),
             outcome.most_probes,
             breaks.len(),
         );
+        if outcome.is_void() {
+            self.void += 1;
+            let clauses: Vec<_> = breaks.iter().map(|(_, broken)| broken.clause).collect();
+            let _ = write!(text, "  void: this program ran {late} ms late; {clauses:?}");
+            return text;
+        }
         if breaks.is_empty() {
             self.kept += 1;
         } else {
--- a/crates/elderpick-lab/src/soak/fleet/gateway.rs
+++ b/crates/elderpick-lab/src/soak/fleet/gateway.rs
@@ -21,6 +21,9 @@
 const SESSIONS_PER_GATEWAY: u64 = 1 << 32;
 /// What a journal in trouble would have told counts as told so much later.
 const TOLD_IN_TROUBLE_AFTER: Duration = Duration::from_secs(4);
+/// Gateways of a fleet that start at one moment, and the time between two beyond these.
+const START_AT_ONCE: usize = 40;
+const START_EVERY: Duration = Duration::from_millis(10);
 /// Pause between two tests of a gateway that has just started.
 const TEST_AGAIN: Duration = Duration::from_millis(5);
 
@@ -118,8 +121,10 @@
         Ok(gateway)
     }
 
-    /// Runs its processes behind one another, to the end of the last.
+    /// Runs its processes behind one another, to the end of the last. Those of a large fleet do not all start at one
+    /// moment: this program would run late.
     pub async fn run(self: Rc<Self>, lives: Vec<LifePlan>) -> Result<(), TrialError> {
+        tokio::time::sleep(START_EVERY * self.number.saturating_sub(START_AT_ONCE) as u32).await;
         let mut gateway = self.start(0, None).await?;
         let first = (self.number as u64 + 1) * SESSIONS_PER_GATEWAY;
         let shared = Shared::numbered_from(first, &self.plan, &self.record, gateway.address);
--- a/crates/elderpick-lab/src/soak/fleet/plan.rs
+++ b/crates/elderpick-lab/src/soak/fleet/plan.rs
@@ -204,6 +204,12 @@
         }
     }
 
+    /// Lets each gateway get so many set-ups a second, and machines carry as many more or fewer sessions.
+    pub fn set_rate(&mut self, rate: f64) {
+        self.capacity *= rate / self.base.rate;
+        self.base.rate = rate;
+    }
+
     /// What the viewers of a gateway do, and the hosts towards it.
     pub fn of_gateway(&self, gateway: usize) -> Plan {
         Plan { seed: self.seed * SEEDS_PER_TRIAL + gateway as u64, ..self.base.clone() }
--- a/crates/elderpick-lab/src/soak/fleet/trial.rs
+++ b/crates/elderpick-lab/src/soak/fleet/trial.rs
@@ -66,6 +66,12 @@
         of_all.fold((0, 0), |all, one| (all.0 + one.0, all.1 + one.1))
     }
 
+    /// Of each set-up whose viewer left at its host before it had any final answer: how long that was behind the host's
+    /// answer. A platform that counts no answer behind the end has lost such a request.
+    pub fn left_unanswered(&self) -> Vec<Duration> {
+        self.gateways.iter().flat_map(|gateway| left_unanswered(&gateway.entries)).collect()
+    }
+
     /// All breaks, with the number of their gateway.
     pub fn breaks(&self) -> impl Iterator<Item = (usize, &Break)> {
         let by_gateway = self.gateways.iter().enumerate();
@@ -90,6 +96,24 @@
     (crossed, early)
 }
 
+fn left_unanswered(entries: &[Entry]) -> Vec<Duration> {
+    let (mut waiting, mut waited) = (std::collections::BTreeMap::new(), Vec::new());
+    for Entry { at, what } in entries {
+        match what {
+            What::Answered { host, session, .. } => drop(waiting.insert(*session, (*host, *at))),
+            What::Served { session, .. } | What::Released { session, .. } | What::GivenUp { session } => {
+                waiting.remove(session);
+            }
+            What::EndedByHost { host, session, cause: cause::ENDED_BY_VIEWER } => {
+                let answered = waiting.remove(session).filter(|(answering, _)| answering == host);
+                waited.extend(answered.map(|(_, answered)| *at - answered));
+            }
+            _ => {}
+        }
+    }
+    waited
+}
+
 /// Plays a trial with the gateway that `program` runs, whose files are kept in `folder`.
 pub async fn run(program: &Path, folder: &Path, plan: &FleetPlan) -> Result<FleetOutcome, TrialError> {
     let record = Record::default();
--- a/crates/elderpick-node/src/event_log.rs
+++ b/crates/elderpick-node/src/event_log.rs
@@ -28,7 +28,8 @@
         }
         Input::Answer { server, session, attempt, ended, .. } => {
             if let Some(cause) = ended {
-                info!(session = %SessionId(*session), %server, cause, "ended by its host before it was answered");
+                let held_us = lifecycle.answered_at(*session).map(|at| now - at);
+                info!(session = %SessionId(*session), %server, cause, held_us, "ended by its host before it was answered");
             }
             debug!(session = %SessionId(*session), %server, attempt, "answered by its host");
         }
--- a/crates/elderpick-sessions/src/lifecycle.rs
+++ b/crates/elderpick-sessions/src/lifecycle.rs
@@ -288,7 +288,7 @@
         }
     }
 
-    /// When a host's answer to a session's set-up was read, for a session that stands.
+    /// When a host's answer to a session's set-up was read, for a session that stands or whose answer is held.
     pub fn answered_at(&self, session: u64) -> Option<Micros> {
         self.sessions.get(&session)?.answered_at
     }
--- a/crates/elderpick-sessions/src/lifecycle/attempts.rs
+++ b/crates/elderpick-sessions/src/lifecycle/attempts.rs
@@ -106,6 +106,7 @@
         self.close(session);
         let Some(held) = self.sessions.get_mut(&session) else { return };
         held.stage = Stage::Active { server: server.clone() };
+        let was_held = held.answered_at.is_some();
         held.answered_at = held.answered_at.or(Some(now));
         let (conn, attempt) = (held.conn, held.sends - 1);
         self.set_out_at(&server, session, false);
@@ -117,6 +118,7 @@
             out.extend(conn.map(rejected));
             self.counts.failed += 1;
             self.counts.ended_around_answer += 1;
+            self.counts.ended_while_held += u64::from(was_held);
             self.remember_answer(now, session);
             self.events.push_back(Event::Playing { id: RequestId(session), attempt });
             return self.end(now, session, Lifecycle::status_of_end(cause), Report::default());
--- a/crates/elderpick-sessions/src/lifecycle/events.rs
+++ b/crates/elderpick-sessions/src/lifecycle/events.rs
@@ -316,6 +316,8 @@
     pub attempts_disconnected: u64,
     /// Sessions that their hosts ended right around the answer, so that it may have come too late for its viewer.
     pub ended_around_answer: u64,
+    /// Those of them whose answer was held meanwhile: its viewer left without it.
+    pub ended_while_held: u64,
     /// Sessions that their viewers left within a second of the answer, as those do whose delivery is short.
     pub left_early: u64,
     /// Set-ups that the decision module refused or failed without a further attempt, by reason.
