The soak's offers and descriptions have the platform's lines for every other seed

Need: hosts of the soak answered with one line of no type alone, so that what an answer shares with its offer could not be seen there.

Change: even seeds have a session line, a connection line and a media line in both; odd seeds are as before.

--- a/crates/elderpick-lab/src/soak/host.rs
+++ b/crates/elderpick-lab/src/soak/host.rs
@@ -160,14 +160,17 @@
         .into_bytes()
 }
 
+/// The lines behind the first of a description that has the platform's lines.
+const LINES: &str = "c=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n";
+
 /// The description that a host answers a session's set-up with.
-fn description(host: usize, session: u64) -> String {
-    format!("{session:016x} at {host}\r\n")
+fn description(host: usize, session: u64, in_lines: bool) -> String {
+    let lines = if in_lines { LINES } else { "" };
+    format!("{session:016x} at {host}\r\n{lines}")
 }
 
-fn answer(host: usize, session: u64) -> Vec<u8> {
-    let body = description(host, session);
-    answer_with(session, body.len(), &body)
+fn answer(session: u64, body: &str) -> Vec<u8> {
+    answer_with(session, body.len(), body)
 }
 
 /// An answer with this description, of which the head tells this length.
@@ -186,11 +189,10 @@
 const DOUBLED_WITHIN_US: u64 = 5_000;
 
 /// An answer that no viewer may be given.
-fn spoilt_answer(random: &mut ChaCha8Rng, host: usize, session: u64) -> Vec<u8> {
-    let body = description(host, session);
+fn spoilt_answer(random: &mut ChaCha8Rng, session: u64, body: &str) -> Vec<u8> {
     match random.random_range(0..SPOILS) {
-        0 => answer_with(session, body.len() + random.random_range(1..=MOST_OVERSTATED), &body),
-        1 => answer_with(session, body.len() - random.random_range(1..=MOST_UNDERSTATED), &body),
+        0 => answer_with(session, body.len() + random.random_range(1..=MOST_OVERSTATED), body),
+        1 => answer_with(session, body.len() - random.random_range(1..=MOST_UNDERSTATED), body),
         _ => b"RTSP/1.0 200 OK\r\nCSeq: 1\r\n\x07\x01\x02 noise\r\n\r\n".to_vec(),
     }
 }
@@ -337,14 +339,14 @@
             drop(outputs.send(Output::Reset));
             return;
         }
-        let mut bytes = answer(self.number, session);
+        let description = description(self.number, session, self.plan.described_in_lines);
+        let mut bytes = answer(session, &description);
         if draw > 1.0 - shares.spoilt {
-            bytes = spoilt_answer(&mut self.random.borrow_mut(), self.number, session);
+            bytes = spoilt_answer(&mut self.random.borrow_mut(), session, &description);
         } else if draw > 1.0 - shares.spoilt - shares.doubled {
             self.clone().answer_again(outputs.clone(), bytes.clone());
         }
         bound += shares.cut;
-        let description = description(self.number, session);
         self.record.add(What::Answered { host: self.number, session, description });
         self.standing.borrow_mut().insert(session, Standing { outputs: outputs.clone() });
         self.load.session_began();
--- a/crates/elderpick-lab/src/soak/plan.rs
+++ b/crates/elderpick-lab/src/soak/plan.rs
@@ -132,6 +132,8 @@
     pub sockets: usize,
     /// How long sessions that are not left early stand at most.
     pub longest_session: Duration,
+    /// Offers and descriptions have the lines of the platform's own; else a line of no type each.
+    pub described_in_lines: bool,
     /// How often viewers reset each of their connections, a second.
     pub client_resets: f64,
 }
@@ -191,6 +193,7 @@
             connects_for: Duration::from_millis(random.random_range(200..=400)),
             sockets: random.random_range(96..=512),
             longest_session: LONGEST_SESSION,
+            described_in_lines: seed.is_multiple_of(2),
             client_resets: 0.0,
         }
     }
--- a/crates/elderpick-lab/src/soak/viewers.rs
+++ b/crates/elderpick-lab/src/soak/viewers.rs
@@ -18,6 +18,8 @@
 use super::plan::Plan;
 use super::record::{Connection, Record, What};
 
+/// What a viewer offers, in the platform's lines.
+const OFFER_IN_LINES: &[u8] = b"9d41c07a5be2f318\r\nc=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n";
 /// The titles that are asked for.
 const TITLE: &[u8] = b"7f3a9c21e0b4d655";
 /// How many times the usual rate a crowd asks, and for how long.
@@ -125,7 +127,7 @@
     let Ok(stream) = TcpStream::connect(shared.address).await else { return };
     let outputs = sessions.into_iter().map(|(session, host)| Output::HandOver {
         session,
-        bytes: set_up(session, false, shared.plan.deadline, Some(&host)),
+        bytes: set_up(session, false, &shared.plan, Some(&host)),
     });
     let connection = shared.next_connection();
     use_connection(&shared, &random, stream, connection, outputs.collect()).await;
@@ -226,7 +228,7 @@
             let after = random.random_range(Duration::ZERO..=patience);
             (random.random_bool(0.4), random.random_bool(shared.plan.gives_up).then_some(after))
         };
-        let bytes = set_up(session, paid, patience, None);
+        let bytes = set_up(session, paid, &shared.plan, None);
         if outputs.send(Output::SetUp { session, bytes, paid }).is_err() {
             return;
         }
@@ -241,7 +243,8 @@
 }
 
 /// A set-up as viewers send it, or the hand-over of a session that plays at a host.
-fn set_up(session: u64, paid: bool, patience: Duration, at: Option<&str>) -> Vec<u8> {
+fn set_up(session: u64, paid: bool, plan: &Plan, at: Option<&str>) -> Vec<u8> {
+    let (patience, in_lines) = (plan.deadline, plan.described_in_lines);
     let class: &[u8] = if paid { b"paid" } else { b"free" };
     let patience = patience.as_millis().to_string();
     let at = at.map(|host| format!(";at:{host}")).unwrap_or_default();
@@ -251,7 +254,7 @@
         (code::PATIENCE, patience.as_bytes()),
         (code::TITLE, TITLE),
         (code::FIGURES, figures.as_bytes()),
-        (code::DESCRIPTION, b"offer"),
+        (code::DESCRIPTION, if in_lines { OFFER_IN_LINES } else { b"offer" }),
     ];
     let mut bytes = Vec::new();
     // It always fits.
