An answer of the form of an offer that ends no line is taken to be whole as well

Cause: an offer whose last line is not ended told nothing of its answers, so that the first two answers of each process were held.

Change: an ended answer with the same lines as such an offer passes on.

--- a/crates/elderpick-platform/src/description.rs
+++ b/crates/elderpick-platform/src/description.rs
@@ -25,13 +25,16 @@
     }
 
     /// Whether a description has all that an offer of these lines has, and ends its last line. An offer that does not
-    /// end its own tells nothing of its answers.
+    /// end its own tells of nothing but its like.
     pub fn are_answered_by(&self, answer: &[u8]) -> bool {
         let answer = LineTypes::of(answer);
+        if !self.is_ended {
+            return answer.is_ended && answer.counts == self.counts;
+        }
         let has_as_many = |(of_type, count): (&Option<u8>, &usize)| {
             answer.counts.get(of_type).is_some_and(|answered| answered >= count)
         };
-        self.is_ended && answer.is_ended && self.counts.iter().all(has_as_many)
+        answer.is_ended && self.counts.iter().all(has_as_many)
     }
 }
 
--- a/crates/elderpick-platform/tests/codecs.rs
+++ b/crates/elderpick-platform/tests/codecs.rs
@@ -355,4 +355,9 @@
     {
         assert!(!answers(cut), "{cut:?}");
     }
+    let unended = LineTypes::of(b"offer");
+    assert!(unended.are_answered_by(b"9d41\r\n"));
+    for cut in [&b"9d41"[..], b"9d41\r\nm=audio 9 RTP/AVP 0\r\n"] {
+        assert!(!unended.are_answered_by(cut), "{cut:?}");
+    }
 }
