Ends of sessions are told on connections that have carried nothing, where no other is open

Change: such a connection carries ends as the last choice, as a doubtful one: neither time nor its end proves them heard, and they go out again on a connection on which something comes. One that turns out to be of viewers is doubtful no more. At a shutdown an end is confirmed to its host only where somebody has spoken, as before.

Measured (arm64): the two new tests of lost_ends.rs failed before and pass.

--- a/crates/elderpick-lab/tests/lost_ends.rs
+++ b/crates/elderpick-lab/tests/lost_ends.rs
@@ -245,3 +245,34 @@
         assert_eq!(told, Ok(kind::RELEASE));
     });
 }
+
+/// Guards against ends that wait for a set-up though a connection of viewers is open, on which nothing has come yet.
+#[test]
+fn an_end_is_told_on_a_connection_that_has_carried_nothing() {
+    run(async {
+        let world = world("silent-connection", 1, 256).await;
+        stands_without_its_connection(&world).await;
+        let mut silent = connect(&world).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        world.hosts[0].end(1, cause::GIVEN_UP);
+        let told = tokio::time::timeout(TOLD_WITHIN, next_kind(&mut silent, 1)).await;
+        assert_eq!(told, Ok(kind::RELEASE));
+    });
+}
+
+/// Guards against a silent client that takes the only word of an end.
+#[test]
+fn an_end_told_on_a_silent_connection_is_told_again_where_something_comes() {
+    run(async {
+        let world = world("silent-stranger", 1, 256).await;
+        stands_without_its_connection(&world).await;
+        let mut silent = connect(&world).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        world.hosts[0].end(1, cause::GIVEN_UP);
+        assert_eq!(next_kind(&mut silent, 1).await, kind::RELEASE);
+        let mut front = connect(&world).await;
+        front.write(&[0, 9, kind::TEST, 0, 0, 0, 0, 0, 0, 0, 9]).await.unwrap();
+        let told = async { while front.next().await.unwrap().expect("a message").session != 1 {} };
+        assert!(tokio::time::timeout(TOLD_WITHIN, told).await.is_ok(), "the front is not told");
+    });
+}
--- a/crates/elderpick-node/src/hosts/received.rs
+++ b/crates/elderpick-node/src/hosts/received.rs
@@ -121,7 +121,7 @@
                 "TEARDOWN" => {
                     let attempt = connection.take_out(session, None).map(|out| out.attempt);
                     // An end that nobody can be told of any more is left to the next process.
-                    if !self.shutting_down.get() || self.client_for(None).is_some() {
+                    if !self.shutting_down.get() || self.hears_ends() {
                         connection.stream.send(&rtsp::response(200, message.cseq, session));
                     }
                     let (cause, report) = (message.cause().unwrap_or(0), self.report(message));
--- a/crates/elderpick-node/src/viewers/trust.rs
+++ b/crates/elderpick-node/src/viewers/trust.rs
@@ -33,15 +33,16 @@
         self.sureness() >= (true, Trust::Asked)
     }
 
-    /// Whether it may carry the end of a session.
+    /// Whether it may carry the end of a session. One that has said nothing may: any connection of viewers will do.
     fn may_carry_ends(&self) -> bool {
-        self.trust.get() >= Trust::Known && self.stream.free() && !self.stream.ended()
+        self.stream.free() && !self.stream.ended()
     }
 
     /// What a release that is sent on it counts as.
     pub(crate) fn carrier(&self) -> Carrier {
         let conn = self.conn;
-        if self.is_faulty.get() { Carrier::Doubtful(conn) } else { Carrier::Viewers(conn) }
+        let is_doubtful = self.is_faulty.get() || self.trust.get() == Trust::New;
+        if is_doubtful { Carrier::Doubtful(conn) } else { Carrier::Viewers(conn) }
     }
 }
 
@@ -61,15 +62,26 @@
             return;
         }
         let was_sure = client.is_sure();
-        client.trust.set(to);
+        let was_silent = client.trust.replace(to) == Trust::New;
         if to >= Trust::Asked {
             self.admission.borrow_mut().set_worthless(client.conn, false);
         }
+        if matches!(client.carrier(), Carrier::Viewers(_)) {
+            self.releases.borrow_mut().is_viewers(self.now(), client.conn);
+        }
         if !was_sure && client.is_sure() {
-            self.send_doubtful_releases_again();
+            self.send_releases_again(|other| !other.is_sure());
+        } else if was_silent {
+            self.send_releases_again(|other| other.trust.get() == Trust::New);
         }
     }
 
+    /// Whether a connection has shown that somebody is behind it to be told of ends.
+    pub(crate) fn hears_ends(&self) -> bool {
+        let heard = |client: &Rc<Client>| client.trust.get() >= Trust::Known && client.may_carry_ends();
+        self.clients.borrow().values().any(heard)
+    }
+
     /// Something has come on a connection that no viewer of ours sends.
     pub(super) fn distrust(&self, client: &Client) {
         if client.is_faulty.replace(true) {
@@ -77,16 +89,16 @@
         }
         tracing::debug!(conn = client.conn, "a connection has sent what no viewer sends");
         if self.clients.borrow().values().any(|client| client.is_sure()) {
-            self.send_doubtful_releases_again();
+            self.send_releases_again(|other| !other.is_sure());
         }
     }
 
-    /// Sends what went out on connections that are less surely a viewer's once more.
-    fn send_doubtful_releases_again(&self) {
+    /// Sends what went out on some connections, and was not confirmed, once more.
+    fn send_releases_again(&self, on: impl Fn(&Client) -> bool) {
         {
             let (mut releases, clients) = (self.releases.borrow_mut(), self.clients.borrow());
-            let unsure = clients.values().filter(|client| !client.is_sure());
-            unsure.for_each(|client| releases.send_again(client.conn));
+            let on = clients.values().filter(|client| on(client));
+            on.for_each(|client| releases.send_again(client.conn));
         }
         self.send_releases();
     }
--- a/crates/elderpick-sessions/src/releases.rs
+++ b/crates/elderpick-sessions/src/releases.rs
@@ -20,7 +20,7 @@
 pub enum Carrier {
     /// A connection of viewers.
     Viewers(Conn),
-    /// One on which something came that no viewer sends: time proves nothing there.
+    /// One on which nothing came, or something that no viewer sends: time proves nothing there.
     Doubtful(Conn),
 }
 
@@ -136,6 +136,17 @@
         }
     }
 
+    /// A connection has turned out to be one of viewers: what went out on it was sent to viewers.
+    pub fn is_viewers(&mut self, now: Micros, conn: Conn) {
+        for session in self.by_connection.get(&conn).into_iter().flatten() {
+            let Some(release) = self.pending.get_mut(session) else { continue };
+            if let Some(SentRelease { on: Carrier::Doubtful(_), .. }) = release.sent {
+                release.sent = Some(SentRelease { on: Carrier::Viewers(conn), at: now });
+                self.by_send_time.insert((now, *session));
+            }
+        }
+    }
+
     /// Another connection is more surely their viewers': what went out on this one and is not confirmed is pending anew.
     pub fn send_again(&mut self, conn: Conn) {
         for session in self.by_connection.remove(&conn).unwrap_or_default() {
--- a/crates/elderpick-sessions/tests/releases.rs
+++ b/crates/elderpick-sessions/tests/releases.rs
@@ -116,3 +116,14 @@
     releases.connection_ended(70 * SECOND, 8);
     assert!(releases.is_empty());
 }
+
+#[test]
+fn what_went_out_on_a_connection_that_turns_out_to_be_of_viewers_has_arrived_in_time() {
+    let mut releases = Releases::new(9);
+    releases.add(0, 1, 16);
+    releases.sent(0, 1, Carrier::Doubtful(7));
+    assert_eq!((releases.next(12 * SECOND), releases.len()), (None, 1), "time proves nothing");
+    releases.is_viewers(12 * SECOND, 7);
+    assert_eq!((releases.next(13 * SECOND), releases.len()), (None, 1));
+    assert_eq!((releases.next(23 * SECOND), releases.is_empty()), (None, true));
+}
