The soak plays viewers that leave at a look, and judges whether they had their answer

Change: scenario looks (each 250 ms three in ten viewers of each host leave); clause LeftUnanswered: a whole answer was written over 50 ms before its viewer left at that host, and there was no final answer by then. In fleets a proxy may have kept the answer: they count such viewers and do not judge.

--- a/crates/elderpick-lab/src/soak/fleet/machine.rs
+++ b/crates/elderpick-lab/src/soak/fleet/machine.rs
@@ -3,17 +3,16 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use super::plan::{FleetPlan, MachineTrouble, Trouble};
 use super::proxy::Proxy;
 use crate::platform::Listing;
 use crate::soak::host::RandomHost;
 use crate::soak::load::MachineLoad;
+use crate::soak::plan::LOOKS_EVERY;
 use crate::soak::record::{Record, What};
 
-/// Viewers look at their delivery so often, all of them at one moment.
-const LOOKS_EVERY: Duration = Duration::from_millis(250);
 /// Under this share of their rates viewers begin to leave.
 const LEAVE_UNDER: f64 = 0.75;
 /// Over this share nothing is told.
--- a/crates/elderpick-lab/src/soak/fleet/trial.rs
+++ b/crates/elderpick-lab/src/soak/fleet/trial.rs
@@ -11,7 +11,7 @@
 use super::machine::Machine;
 use super::plan::FleetPlan;
 use crate::platform::Listing;
-use crate::soak::judge::{Break, judge};
+use crate::soak::judge::{Break, Clause, judge};
 use crate::soak::record::{Entry, Record, What};
 use crate::soak::trial::{LATEST, TrialError, watch_clock};
 
@@ -158,7 +158,9 @@
     clock.abort();
     let outcome = |record: &Record| {
         let entries = record.entries();
-        GatewayOutcome { breaks: judge(&entries), entries }
+        // What a proxy kept back or lost cannot be passed on: those are counted by `left_unanswered`.
+        let breaks = judge(&entries).into_iter().filter(|broken| broken.clause != Clause::LeftUnanswered);
+        GatewayOutcome { breaks: breaks.collect(), entries }
     };
     Ok(FleetOutcome {
         ran_late: record.latest(),
--- a/crates/elderpick-lab/src/soak/host.rs
+++ b/crates/elderpick-lab/src/soak/host.rs
@@ -341,13 +341,17 @@
         }
         let description = description(self.number, session, self.plan.described_in_lines);
         let mut bytes = answer(session, &description);
-        if draw > 1.0 - shares.spoilt {
+        bound += shares.cut;
+        let is_spoilt = draw > 1.0 - shares.spoilt;
+        if is_spoilt {
             bytes = spoilt_answer(&mut self.random.borrow_mut(), session, &description);
         } else if draw > 1.0 - shares.spoilt - shares.doubled {
             self.clone().answer_again(outputs.clone(), bytes.clone());
         }
-        bound += shares.cut;
         self.record.add(What::Answered { host: self.number, session, description });
+        if is_spoilt || draw < bound {
+            self.record.add(What::AnswerBroken { host: self.number, session });
+        }
         self.standing.borrow_mut().insert(session, Standing { outputs: outputs.clone() });
         self.load.session_began();
         if draw < bound {
--- a/crates/elderpick-lab/src/soak/judge.rs
+++ b/crates/elderpick-lab/src/soak/judge.rs
@@ -25,6 +25,8 @@
 const STANDS_FOR_NOBODY: Duration = Duration::from_secs(2);
 /// A host that was out of reach is told within this time behind that.
 const TOLD_AFTER_RETURN: Duration = Duration::from_secs(6);
+/// An answer crosses the end of its session within this time, by which every time limit is longer.
+const ANSWER_CROSSES_END: Duration = Duration::from_millis(50);
 /// The status that proves that a set-up never ran.
 const FULL: u16 = 453;
 /// The cause of an end that its viewer is not owed a release for.
@@ -47,6 +49,8 @@
     AfterGiveUp,
     /// A viewer was not told in time that its session is over.
     NotReleased,
+    /// A viewer left at its host, whose answer was whole, and had no final answer: none counts behind the end.
+    LeftUnanswered,
     /// The gateway had to be killed, or failed.
     NotEnded,
 }
@@ -84,6 +88,8 @@
     ended_by_viewer: Option<Duration>,
     arrived: Vec<(Duration, usize)>,
     answered: Vec<Answered>,
+    /// Hosts whose answer was not whole.
+    broken_at: BTreeSet<usize>,
     full: BTreeSet<usize>,
     /// What each host said of its end.
     ended_by_host: BTreeMap<usize, EndedByHost>,
@@ -155,6 +161,7 @@
         | What::Released { session, .. }
         | What::Arrived { session, .. }
         | What::Answered { session, .. }
+        | What::AnswerBroken { session, .. }
         | What::Refused { session, .. }
         | What::Withdrawn { session, .. }
         | What::EndedByHost { session, .. }
@@ -205,6 +212,7 @@
                 self.answered.push(Answered { at, host: *host, description: description.clone() });
                 self.over_at.remove(host);
             }
+            What::AnswerBroken { host, .. } => drop(self.broken_at.insert(*host)),
             What::Refused { host, status: FULL, .. } => {
                 self.full.insert(*host);
             }
@@ -274,6 +282,7 @@
         (Clause::Duplicate, ran_twice(seen)),
         (Clause::AfterGiveUp, arrived_after_give_up(seen, process)),
         (Clause::NotReleased, is_not_released(seen, process)),
+        (Clause::LeftUnanswered, left_unanswered(seen, process)),
     ];
     checks.into_iter().filter(|(_, broken)| *broken).map(|(clause, _)| clause).collect()
 }
@@ -360,6 +369,18 @@
     seen.given_up.is_some_and(late)
 }
 
+/// Whether its viewer left at a host, so long behind that one's answer that it should have had it.
+fn left_unanswered(seen: &Seen, process: &Process) -> bool {
+    let had_final = |end: Duration| seen.finals.iter().any(|(at, _)| *at <= end);
+    let given_up = |end: Duration| seen.given_up.is_some_and(|at| at <= end);
+    seen.answered.iter().filter(|answered| !seen.broken_at.contains(&answered.host)).any(|answered| {
+        let Some(end) = seen.ended_by_host.get(&answered.host) else { return false };
+        let due = answered.at + ANSWER_CROSSES_END + process.stopped_behind(answered.at);
+        let runs = process.life_at(answered.at).over_at().is_none_or(|over| over > end.at);
+        end.cause == ENDED_BY_VIEWER && end.at > due && runs && !had_final(end.at) && !given_up(end.at)
+    })
+}
+
 fn is_not_released(seen: &Seen, process: &Process) -> bool {
     let end = seen.serving_host().and_then(|host| seen.ended_by_host.get(&host));
     let by_viewer = end.is_some_and(|end| end.cause == ENDED_BY_VIEWER);
--- a/crates/elderpick-lab/src/soak/plan.rs
+++ b/crates/elderpick-lab/src/soak/plan.rs
@@ -25,6 +25,8 @@
     Replacements,
     /// The gateway's process stands still for half a second within its shutdown.
     Stalls,
+    /// Viewers look at their delivery every 250 ms, all of them at one moment, and some leave at their hosts.
+    Looks,
 }
 
 /// Deadlines of a trial that is not told one.
@@ -132,12 +134,17 @@
     pub sockets: usize,
     /// How long sessions that are not left early stand at most.
     pub longest_session: Duration,
+    /// Share of a host's viewers that leave at each look at their delivery.
+    pub leaves_at_look: f64,
     /// Offers and descriptions have the lines of the platform's own; else a line of no type each.
     pub described_in_lines: bool,
     /// How often viewers reset each of their connections, a second.
     pub client_resets: f64,
 }
 
+/// Viewers look at their delivery so often, and this share of them leaves at a look.
+pub const LOOKS_EVERY: Duration = Duration::from_millis(250);
+const LEAVES_AT_LOOK: f64 = 0.3;
 /// Sessions that are not left early stand so long at most, unless a trial says otherwise.
 const LONGEST_SESSION: Duration = Duration::from_millis(1_500);
 
@@ -193,6 +200,7 @@
             connects_for: Duration::from_millis(random.random_range(200..=400)),
             sockets: random.random_range(96..=512),
             longest_session: LONGEST_SESSION,
+            leaves_at_look: if has(Scenario::Looks) { LEAVES_AT_LOOK } else { 0.0 },
             described_in_lines: seed.is_multiple_of(2),
             client_resets: 0.0,
         }
--- a/crates/elderpick-lab/src/soak/record.rs
+++ b/crates/elderpick-lab/src/soak/record.rs
@@ -29,6 +29,8 @@
     Arrived { host: usize, session: u64 },
     /// A host wrote its answer: the session stands there.
     Answered { host: usize, session: u64, description: String },
+    /// The answer that a host wrote last for a session was spoilt, or its connection ended within it.
+    AnswerBroken { host: usize, session: u64 },
     /// A host wrote that it did not take a set-up.
     Refused { host: usize, session: u64, status: u16 },
     /// A set-up is no longer open at a host: withdrawn, or its connection has ended.
--- a/crates/elderpick-lab/src/soak/trial.rs
+++ b/crates/elderpick-lab/src/soak/trial.rs
@@ -13,7 +13,7 @@
 
 use super::host::RandomHost;
 use super::judge::{Break, judge};
-use super::plan::{Plan, Replacement, STALL};
+use super::plan::{LOOKS_EVERY, Plan, Replacement, STALL};
 use super::record::{Entry, Record, What};
 use super::viewers::{self, Shared};
 use crate::platform::{Gateway, Journal, Listing, config};
@@ -72,6 +72,11 @@
     let shared = Shared::new(plan, &record, gateway.address);
     let viewers: Vec<_> =
         (0..plan.connections).map(|number| spawn_local(viewers::keep(shared.clone(), number))).collect();
+    let looks: Vec<_> = if plan.leaves_at_look > 0.0 {
+        hosts.iter().map(|host| spawn_local(watch_delivery(host.clone(), plan.leaves_at_look))).collect()
+    } else {
+        Vec::new()
+    };
     if let (Some(replacement), Some(host)) = (plan.replacement, hosts.into_iter().next()) {
         spawn_local(replace(host, replacement, journal.clone(), record.clone()));
     }
@@ -92,7 +97,7 @@
     }
     shut_down(gateway, &shared).await?;
     tokio::time::sleep(SETTLES).await;
-    viewers.iter().for_each(|task| task.abort());
+    viewers.iter().chain(&looks).for_each(|task| task.abort());
     clock.abort();
     Ok(outcome(&record))
 }
@@ -101,6 +106,14 @@
     Listing { name: host.name.clone(), address: host.address, health: "Ready".to_owned(), born_ms }
 }
 
+/// Viewers of a host look at their delivery and some leave, for as long as the trial runs.
+async fn watch_delivery(host: RandomHost, leaves: f64) {
+    loop {
+        tokio::time::sleep(LOOKS_EVERY).await;
+        host.lose_viewers(leaves);
+    }
+}
+
 /// Lets the first host die and come back, and the list tell of that.
 async fn replace(host: RandomHost, replacement: Replacement, journal: Rc<Journal>, record: Record) {
     tokio::time::sleep(replacement.at).await;
--- a/crates/elderpick-lab/tests/soak.rs
+++ b/crates/elderpick-lab/tests/soak.rs
@@ -98,6 +98,21 @@
     assert_eq!(judge(&killed)[0].clause, Clause::NotEnded);
 }
 
+#[test]
+fn the_judge_sees_a_viewer_that_left_without_the_answer_of_its_host() {
+    let left = |ms| entry(ms, What::EndedByHost { host: 0, session: SESSION, cause: 31 });
+    let answered_late = |left_at| {
+        vec![written(100, false), arrived(101, 0), answered(120, 0), left(left_at), released(left_at + 1)]
+    };
+    assert_eq!(clauses(answered_late(180)), [Clause::LeftUnanswered]);
+    assert_eq!(clauses(answered_late(160)), [], "it crosses the end");
+    assert_eq!(clauses([good(), vec![left(180)]].concat()), []);
+    let broken = entry(120, What::AnswerBroken { host: 0, session: SESSION });
+    assert_eq!(clauses([vec![broken], answered_late(180)].concat()), []);
+    let given_up = entry(130, What::GivenUp { session: SESSION });
+    assert_eq!(clauses([vec![given_up], answered_late(180)].concat()), []);
+}
+
 #[test]
 fn the_judge_excuses_a_kill_for_what_it_cut_off_only() {
     let killed = |ms| entry(ms, What::Killed);
@@ -199,9 +214,14 @@
     assert_eq!(clauses([hung_elsewhere.to_vec(), late()].concat()), [Clause::AfterGiveUp]);
 }
 
+/// Guards against answers that are held while their viewers leave, as a look at the delivery makes many do at a time.
+#[test]
+fn viewers_that_leave_at_a_look_have_had_their_answers() {
+    play_short_trials("soak-looks", 21, &[Scenario::Looks]);
+}
+
 #[test]
 fn short_trials_under_faults_break_no_rule() {
-    let folder = folder("soak");
     let scenarios = [
         Scenario::Network,
         Scenario::Clients,
@@ -210,8 +230,14 @@
         Scenario::Kills,
         Scenario::Replacements,
     ];
+    play_short_trials("soak", 1, &scenarios);
+}
+
+/// Twelve trials from this seed on, each with the next scenario and the shutdown at the end.
+fn play_short_trials(name: &str, first: u64, scenarios: &[Scenario]) {
+    let folder = folder(name);
     run(async {
-        for (seed, scenario) in (1..=12).zip(scenarios.into_iter().cycle()) {
+        for (seed, scenario) in (first..first + 12).zip(scenarios.iter().copied().cycle()) {
             let plan = Plan::draw(seed, &[scenario, Scenario::Shutdowns], None);
             match run_trial(&program(), &folder, &plan).await.unwrap() {
                 Outcome::Void(late) => eprintln!("seed {seed}: void, {late:?} late"),
