--- a/crates/elderpick-node/src/node.rs
+++ b/crates/elderpick-node/src/node.rs
@@ -389,6 +389,7 @@
             resent = releases.resent,
             dropped = releases.dropped,
             known_servers = lifecycle.known_servers(),
+            inconsistencies = lifecycle.inconsistencies(),
             longest_turns_us = ?self.longest_turns.take(),
             counts = ?lifecycle.counts,
             "state"
--- a/crates/elderpick-sessions/src/lifecycle.rs
+++ b/crates/elderpick-sessions/src/lifecycle.rs
@@ -6,6 +6,7 @@
 
 mod active;
 mod attempts;
+mod consistency;
 mod events;
 mod health;
 mod hosts;
--- a/crates/elderpick-sessions/tests/common/mod.rs
+++ b/crates/elderpick-sessions/tests/common/mod.rs
@@ -14,6 +14,9 @@
 use elderpick_sessions::health::Opened;
 use elderpick_sessions::lifecycle::{AttemptId, Input, Lifecycle, Output};
 
+/// Tables are checked behind one of so many inputs, by the microsecond at which it comes.
+const CHECKED_OF: i64 = 16;
+
 pub const MS: Micros = 1_000;
 pub const HOSTS: usize = 3;
 /// Time in which all that crossed must have settled: what is unheard is said again within ten seconds.
@@ -381,6 +384,10 @@
         };
         let mut out = Vec::new();
         self.lifecycle.handle(self.now, input, &mut out);
+        // A part of the inputs: it costs a pass over all that is held.
+        if self.now % CHECKED_OF == 0 {
+            assert_eq!(self.lifecycle.inconsistencies(), 0, "tables that do not fit the sessions");
+        }
         for output in out {
             let skip = match &output {
                 Output::Withdraw { .. } => self.wrong == Wrong::KeepsAttemptsOut,
--- a/crates/elderpick-sessions/tests/lifecycle.rs
+++ b/crates/elderpick-sessions/tests/lifecycle.rs
@@ -71,6 +71,9 @@
     SetUp { session, class, patience_ms: 1_000, title, figures, description: Bytes::from_static(b"offer") }
 }
 
+/// Tables are checked behind each input while no more sessions are held.
+const MOST_CHECKED: usize = 1_000;
+
 struct World {
     lifecycle: Lifecycle,
     now: Micros,
@@ -92,6 +95,10 @@
     fn feed(&mut self, input: Input) -> Vec<Output> {
         let mut out = Vec::new();
         self.lifecycle.handle(self.now, input, &mut out);
+        // It costs a pass over all that is held.
+        if self.lifecycle.held() < MOST_CHECKED {
+            assert_eq!(self.lifecycle.inconsistencies(), 0, "tables that do not fit the sessions");
+        }
         out.retain(|o| !matches!(o, Output::Probe { .. }));
         for output in &out {
             if let Output::SetUp { session, attempt, .. } = output {
