A log that is closed, full or not read costs no viewer its answer

Cause: lines are written to standard error within the task that logs; a full pipe blocks the one thread, and an error ends in a panic of the task within its turn (tracing-subscriber tells of it on the same standard error).

Change: a writer that asks whether standard error takes a line now, drops it otherwise or where writing fails, and tells the number with the next line that is written. Weighed: tracing-appender's thread and queue, which cost memory under limits of 32 MB and up to a second at the process's end where the pipe stays full.

--- a/crates/elderpick-gateway/src/lib.rs
+++ b/crates/elderpick-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod host;
 pub mod ledger;
 pub mod liveness;
+mod log_writer;
 pub mod membership;
 pub mod play;
 pub mod shell;
@@ -41,11 +42,12 @@
     log_as(&config.log.level, &config.log.format);
 }
 
-/// Logs to standard error at a level, `json` or as text. A second call changes nothing.
+/// Logs to standard error at a level, `json` or as text. What that does not take at once is dropped and counted. A second
+/// call changes nothing.
 pub fn log_as(level: &str, format: &str) {
     use tracing_subscriber::EnvFilter;
     let filter = EnvFilter::new(level);
-    let to = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let to = tracing_subscriber::fmt().with_env_filter(filter).with_writer(|| log_writer::LogWriter);
     let to = to.with_ansi(std::io::IsTerminal::is_terminal(&std::io::stderr()));
     let _ = match format {
         "json" => to.json().flatten_event(true).try_init(),
--- a/crates/elderpick-lab/src/platform/gateway.rs
+++ b/crates/elderpick-lab/src/platform/gateway.rs
@@ -58,6 +58,18 @@
         folder: &Path,
         config: &Value,
         log: Option<&Path>,
+    ) -> Result<Gateway, String> {
+        let log = log.map(|log| std::fs::File::create(log).map_err(fault)).transpose()?;
+        let log = log.map(|log| ("debug", Stdio::from(log)));
+        Gateway::start_logging_to(program, folder, config, log).await
+    }
+
+    /// Starts it as [`Gateway::start`] does; with a `log` all that it logs at this level goes there.
+    pub async fn start_logging_to(
+        program: &Path,
+        folder: &Path,
+        config: &Value,
+        log: Option<(&str, Stdio)>,
     ) -> Result<Gateway, String> {
         let path = folder.join("config.json");
         std::fs::write(&path, config.to_string()).map_err(fault)?;
@@ -66,9 +78,8 @@
         let mut command = Command::new("/bin/sh");
         command.arg("-c").arg(format!("ulimit -n {sockets} && exec \"$0\" gateway --platform \"$1\""));
         command.arg(program).arg(&path).kill_on_drop(true);
-        if let Some(log) = log {
-            let log = std::fs::File::create(log).map_err(fault)?;
-            command.env("ELDERPICK_LOG", "debug").stderr(log);
+        if let Some((level, log)) = log {
+            command.env("ELDERPICK_LOG", level).stderr(log);
         }
         let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn().map_err(fault)?;
         let mut lines = BufReader::new(child.stdout.take().ok_or("no standard output")?).lines();
