A panic in any task ends the process

Change: gateways of both fronts set a panic hook that writes one line to the log and exits with status 101: one that starts again is safe.

--- a/crates/elderpick-gateway/src/lib.rs
+++ b/crates/elderpick-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod liveness;
 mod log_writer;
 pub mod membership;
+pub mod panics;
 pub mod play;
 pub mod shell;
 mod srt;
@@ -30,6 +31,7 @@
     let config = config::Config::open(settings)?;
     let servers = config.open_inventory()?;
     log(&config);
+    panics::end_process();
     let core = Controller::new(rand::random(), config.core());
     let engine = engine::Engine::new(core, config, servers);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- a/crates/elderpick-node/src/lib.rs
+++ b/crates/elderpick-node/src/lib.rs
@@ -40,6 +40,7 @@
     let boot = read(path)?;
     let level = std::env::var("ELDERPICK_LOG").unwrap_or_else(|_| "info".into());
     elderpick_gateway::log_as(&level, "text");
+    elderpick_gateway::panics::end_process();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(RunError::Runtime)?;
     tokio::task::LocalSet::new().block_on(&runtime, serve(boot, path.to_owned(), ready))
