Silent connections carry ends once they had time to speak, and behind what they ask

Change: a connection is silent where nothing at all has come for 100 ms, the time that admission gives it to speak; what went out on silent ones goes out again behind the answer to what comes, not before it.

--- a/crates/elderpick-node/src/viewers.rs
+++ b/crates/elderpick-node/src/viewers.rs
@@ -46,6 +46,7 @@
 pub(crate) struct Client {
     pub conn: Conn,
     pub stream: BufferedStream,
+    accepted_at: Micros,
     decoder: RefCell<Decoder>,
     trust: Cell<Trust>,
     /// Something has come on it that no viewer of ours sends.
@@ -138,6 +139,7 @@
         let client = Rc::new(Client {
             conn,
             stream: BufferedStream::new(stream, MOST_OWED, READ_IN_ONE_TURN),
+            accepted_at: self.now(),
             decoder: RefCell::default(),
             trust: Cell::new(Trust::New),
             is_faulty: Cell::new(false),
--- a/crates/elderpick-node/src/viewers/trust.rs
+++ b/crates/elderpick-node/src/viewers/trust.rs
@@ -2,6 +2,8 @@
 
 use std::rc::Rc;
 
+use elderpick_core::api::Micros;
+use elderpick_sessions::admission::SPEAKS_WITHIN;
 use elderpick_sessions::lifecycle::Conn;
 use elderpick_sessions::releases::Carrier;
 
@@ -33,9 +35,16 @@
         self.sureness() >= (true, Trust::Asked)
     }
 
-    /// Whether it may carry the end of a session. One that has said nothing may: any connection of viewers will do.
-    fn may_carry_ends(&self) -> bool {
-        self.stream.free() && !self.stream.ended()
+    /// Whether it may carry the end of a session. One that is silent may: any connection of viewers will do.
+    fn may_carry_ends(&self, now: Micros) -> bool {
+        let is_known = self.trust.get() >= Trust::Known || self.is_silent(now);
+        is_known && self.stream.free() && !self.stream.ended()
+    }
+
+    /// Whether nothing has come on it, though there was time for that.
+    fn is_silent(&self, now: Micros) -> bool {
+        let nothing_came = self.decoder.try_borrow().is_ok_and(|decoder| !decoder.partial());
+        now - self.accepted_at >= SPEAKS_WITHIN && self.trust.get() == Trust::New && nothing_came
     }
 
     /// What a release that is sent on it counts as.
@@ -52,7 +61,7 @@
         let clients = self.clients.borrow();
         let own = conn.and_then(|conn| clients.get(&conn));
         let own = own.filter(|client| client.stream.free() && !client.stream.ended());
-        own.or_else(|| surest(&clients)).cloned()
+        own.or_else(|| surest(&clients, self.now())).cloned()
     }
 
     /// A connection has shown more of who is behind it. What was sent on those that are less surely a viewer's, and was
@@ -70,15 +79,18 @@
             self.releases.borrow_mut().is_viewers(self.now(), client.conn);
         }
         if !was_sure && client.is_sure() {
-            self.send_releases_again(|other| !other.is_sure());
+            self.take_releases_back(|other| !other.is_sure());
+            self.send_releases();
         } else if was_silent {
-            self.send_releases_again(|other| other.trust.get() == Trust::New);
+            // They go out behind the answer to what has come.
+            self.take_releases_back(|other| other.trust.get() == Trust::New);
         }
     }
 
     /// Whether a connection has shown that somebody is behind it to be told of ends.
     pub(crate) fn hears_ends(&self) -> bool {
-        let heard = |client: &Rc<Client>| client.trust.get() >= Trust::Known && client.may_carry_ends();
+        let now = self.now();
+        let heard = |client: &Rc<Client>| client.trust.get() >= Trust::Known && client.may_carry_ends(now);
         self.clients.borrow().values().any(heard)
     }
 
@@ -89,23 +101,21 @@
         }
         tracing::debug!(conn = client.conn, "a connection has sent what no viewer sends");
         if self.clients.borrow().values().any(|client| client.is_sure()) {
-            self.send_releases_again(|other| !other.is_sure());
+            self.take_releases_back(|other| !other.is_sure());
+            self.send_releases();
         }
     }
 
-    /// Sends what went out on some connections, and was not confirmed, once more.
-    fn send_releases_again(&self, on: impl Fn(&Client) -> bool) {
-        {
-            let (mut releases, clients) = (self.releases.borrow_mut(), self.clients.borrow());
-            let on = clients.values().filter(|client| on(client));
-            on.for_each(|client| releases.send_again(client.conn));
-        }
-        self.send_releases();
+    /// Lets what went out on some connections, and was not confirmed, wait for another.
+    fn take_releases_back(&self, on: impl Fn(&Client) -> bool) {
+        let (mut releases, clients) = (self.releases.borrow_mut(), self.clients.borrow());
+        let on = clients.values().filter(|client| on(client));
+        on.for_each(|client| releases.send_again(client.conn));
     }
 }
 
 /// Of those that are as surely a viewer's as any, the one that is open longest.
-fn surest(clients: &Clients) -> Option<&Rc<Client>> {
-    let able = clients.values().filter(|client| client.may_carry_ends());
+fn surest(clients: &Clients, now: Micros) -> Option<&Rc<Client>> {
+    let able = clients.values().filter(|client| client.may_carry_ends(now));
     able.max_by_key(|client| (client.sureness(), std::cmp::Reverse(client.conn)))
 }
--- a/crates/elderpick-sessions/src/admission.rs
+++ b/crates/elderpick-sessions/src/admission.rs
@@ -16,7 +16,7 @@
 /// A connection on which no whole message has come for so long is closed: set-ups come right after the connection.
 const SILENT: Micros = 2_000_000;
 /// A connection that has said nothing whole makes no room for another sooner: its first set-up may be on its way.
-const SPEAKS_WITHIN: Micros = 100_000;
+pub const SPEAKS_WITHIN: Micros = 100_000;
 /// Part of a message is waited for so long.
 const PARTIAL: Micros = 1_500_000;
 /// Idle connections on which no session stands are kept so long; viewers close theirs sooner.
